--- /dev/null
+++ b/auth/auth.go
@@ -0,0 +1,32 @@
+// Package auth tells who sends a request and what the sender may do.
+package auth
+
+import "net/http"
+
+// Role groups the rights of a principal.
+type Role string
+
+// Roles of principals.
+const (
+	// RoleBacker may submit work as itself and see its own jobs.
+	RoleBacker Role = "backer"
+	// RoleViewer may read the table, pools and maintenance.
+	RoleViewer Role = "viewer"
+	// RoleOperator may change them as well.
+	RoleOperator Role = "operator"
+	// RolePeer is another entry instance.
+	RolePeer Role = "peer"
+)
+
+// Principal is an authenticated sender.
+type Principal struct {
+	// Name is the backer's name for RoleBacker, else the name for the history of changes.
+	Name string
+	Role Role
+}
+
+// Verifier authenticates requests.
+type Verifier interface {
+	// Identify returns the sender or an error with HTTP status 401 and verdict NotRun.
+	Identify(r *http.Request) (Principal, error)
+}
--- /dev/null
+++ b/command/all.go
@@ -0,0 +1,10 @@
+package command
+
+import "github.com/google/subcommands"
+
+// All returns every subcommand of the binary.
+func All() []subcommands.Command {
+	return []subcommands.Command{
+		versionCommand{},
+	}
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,65 @@
+// Package instance holds the table rows that say which pool each worker belongs to and what
+// happens to it. The pool is a single field of a single row, so a worker is in exactly one pool.
+package instance
+
+import "time"
+
+// Keys of fleet state in the platform's table.
+const (
+	Prefix            = "instances/"
+	PrefixDisruptions = "disruptions/"
+	// KeyFleetVersion is written in every transaction that changes an instance row, so one
+	// read tells whether the fleet changed.
+	KeyFleetVersion = "fleet/version"
+)
+
+// State of an instance in the fleet.
+type State string
+
+// States of an instance.
+const (
+	Serving   State = "serving"
+	Draining  State = "draining"
+	Rebooting State = "rebooting"
+	Failed    State = "failed"
+)
+
+// Instance is the row instances/<id>.
+type Instance struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Region  string `json:"region,omitempty"`
+	Rack    string `json:"rack,omitempty"`
+	Slots   int    `json:"slots"`
+	Pool    string `json:"pool"`
+	State   State  `json:"state"`
+	// TargetPool is set while the instance drains in order to move.
+	TargetPool string `json:"targetPool,omitempty"`
+	// Wave is the maintenance wave that drains or reboots the instance.
+	Wave string `json:"wave,omitempty"`
+	// Since is the time of the last change of State.
+	Since time.Time `json:"since"`
+	// Maintained is the end of the last finished maintenance.
+	Maintained time.Time `json:"maintained,omitzero"`
+	// Version is the row's version in the table; it is not part of the stored value.
+	Version int64 `json:"-"`
+}
+
+// Fleet is a snapshot of all instance rows.
+type Fleet struct {
+	// Version is the version of row fleet/version at or before which the rows were read.
+	Version   int64
+	Instances map[string]Instance
+}
+
+// Pool returns the instances of a pool in no particular order.
+func (f *Fleet) Pool(name string) []Instance {
+	var members []Instance
+	for _, in := range f.Instances {
+		if in.Pool == name {
+			members = append(members, in)
+		}
+	}
+	return members
+}
--- /dev/null
+++ b/placement/policy.go
@@ -0,0 +1,87 @@
+// Package placement decides on which worker of a pool a request runs. Policies are pure: the time
+// and the state of the workers are arguments.
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Worker is what the pool's owner knows of a worker at the moment of the decision.
+type Worker struct {
+	ID   string
+	Zone string
+	// Slots is the worker's capacity; InUse counts the slots that this owner has in use.
+	Slots int
+	InUse int
+	// Foreign is the number of slots that refusals show to be used by others, until ForeignUntil.
+	Foreign      int
+	ForeignUntil time.Time
+	// Leaving workers and workers that do not serve get nothing new.
+	Leaving bool
+	// Ejected workers get only probes; see package outlier.
+	Ejected bool
+	// Probe allows one request to an ejected worker.
+	Probe bool
+	// Latency is the decayed mean of (run time / estimated run time); 0 means unknown, 1 is normal.
+	Latency float64
+}
+
+// Free is the number of slots that may be used at time now.
+func (w *Worker) Free(now time.Time) int {
+	if w.Leaving || (w.Ejected && !w.Probe) {
+		return 0
+	}
+	used := w.InUse
+	if now.Before(w.ForeignUntil) {
+		used += w.Foreign
+	}
+	return max(w.Slots-used, 0)
+}
+
+// Want describes the request to place.
+type Want struct {
+	// Zone is the zone of the owner.
+	Zone string
+	// Exclude names workers on which the request failed before.
+	Exclude []string
+	// NoProbe keeps the request off ejected workers: non-idempotent work is not used as a probe.
+	NoProbe bool
+}
+
+// Choice is the decision with its reason for the log.
+type Choice struct {
+	Worker string
+	Reason string
+}
+
+// Policy picks a worker with a free slot, or reports false if there is none.
+type Policy interface {
+	Pick(now time.Time, workers []*Worker, want Want) (Choice, bool)
+}
+
+// Random is the baseline policy: any worker with a free slot.
+type Random struct{ Rand *rand.Rand }
+
+// Pick implements Policy.
+func (r Random) Pick(now time.Time, workers []*Worker, want Want) (Choice, bool) {
+	var free []*Worker
+	for _, w := range workers {
+		if w.Free(now) > 0 && !contains(want.Exclude, w.ID) {
+			free = append(free, w)
+		}
+	}
+	if len(free) == 0 {
+		return Choice{}, false
+	}
+	return Choice{Worker: free[r.Rand.IntN(len(free))].ID, Reason: "random"}, true
+}
+
+func contains(list []string, s string) bool {
+	for _, e := range list {
+		if e == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/verdict/verdict_test.go
@@ -0,0 +1,31 @@
+package verdict_test
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"samphirepoint/verdict"
+)
+
+// An unclassified error must never be read as a safe refusal, since the caller would repeat the work.
+func TestUnclassifiedErrorMayHaveRun(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(verdict.Of(errors.New("reset by peer"))).To(Equal(verdict.MayHaveRun))
+	v, err := verdict.Parse("notrun")
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(v).To(Equal(verdict.MayHaveRun))
+}
+
+// The outermost classification wins, since the outer layer knows more.
+func TestWrapReplacesVerdictAndKeepsRetryAfter(t *testing.T) {
+	g := NewWithT(t)
+	err := verdict.Unavailable(2*time.Second, "table down")
+	err = verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
+	g.Expect(verdict.Of(err)).To(Equal(verdict.MayHaveRun))
+	g.Expect(verdict.Status(err)).To(Equal(http.StatusBadGateway))
+	g.Expect(verdict.RetryAfter(err)).To(Equal(2 * time.Second))
+}
--- /dev/null
+++ b/worker/client.go
@@ -0,0 +1,215 @@
+// Package worker is the client of backend servers. It classifies each failed attempt by
+// what can be known about the execution of the request, and checks that an answer is whole and
+// belongs to the attempt that asked for it.
+package worker
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"samphirepoint/request"
+	"samphirepoint/verdict"
+)
+
+const (
+	// connectionsPerWorker is one per slot: with 8 entries a worker's 64 connections suffice.
+	connectionsPerWorker = 8
+	// dialTimeout bounds connection setup; zones are 0.5 ms apart, regions some 10 ms.
+	dialTimeout = time.Second
+	// idleTimeout closes connections before a middlebox is likely to forget them.
+	idleTimeout = 30 * time.Second
+	// maxAnswerBytes bounds an answer that is held in memory.
+	maxAnswerBytes = 8 << 20
+)
+
+// ErrBroken reports an answer that is truncated, altered or of another attempt.
+var ErrBroken = errors.New("answer is not whole or not of this request")
+
+// ErrLeaving reports a refusal by a worker that is leaving.
+var ErrLeaving = errors.New("worker is leaving")
+
+// ErrFull reports a refusal by a worker without a free slot.
+var ErrFull = errors.New("worker has no free slot")
+
+// Attempt is one dispatch of a request to a worker.
+type Attempt struct {
+	Request *request.Request
+	Number  int
+	// FreshConnection forbids connections that were idle for longer than recentlyUsed, since one of them may
+	// have gone silent. Non-idempotent work demands it.
+	FreshConnection bool
+}
+
+// Answer is a whole answer of a worker.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	// Leaving is set if the worker said that it stops taking new work.
+	Leaving bool
+}
+
+// Client sends attempts to one worker.
+type Client struct {
+	address string
+	fresh   *http.Transport
+	pool    *http.Transport
+	last    atomic.Int64
+}
+
+// recentlyUsed is the age of the last answer up to which a connection counts as proven.
+const recentlyUsed = 5 * time.Second
+
+// NewClient returns a client of the worker at address (IP:port).
+func NewClient(address string) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+	return &Client{
+		address: address,
+		pool: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     0,
+			MaxIdleConnsPerHost: connectionsPerWorker,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		fresh: &http.Transport{
+			DialContext:        dialer.DialContext,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		},
+	}
+}
+
+// Close closes idle connections; attempts in flight end normally.
+func (c *Client) Close() {
+	c.pool.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Suspect closes all idle connections after one of them went silent.
+func (c *Client) Suspect() { c.pool.CloseIdleConnections() }
+
+// Run sends the attempt and returns the worker's answer. The error carries the verdict: NotRun only if
+// no byte of the request was written or the worker itself said so.
+func (c *Client) Run(ctx context.Context, a Attempt) (Answer, error) {
+	var wrote atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
+	req, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), a)
+	if err != nil {
+		return Answer{}, verdict.Wrap(err, verdict.NotRun, http.StatusInternalServerError)
+	}
+	resp, err := c.transport(a).RoundTrip(req)
+	if err != nil {
+		if !wrote.Load() {
+			return Answer{}, verdict.Wrap(err, verdict.NotRun, http.StatusBadGateway)
+		}
+		return Answer{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
+	}
+	defer resp.Body.Close()
+	return c.read(resp, a)
+}
+
+func (c *Client) transport(a Attempt) *http.Transport {
+	if a.FreshConnection && time.Since(time.Unix(0, c.last.Load())) > recentlyUsed {
+		return c.fresh
+	}
+	return c.pool
+}
+
+func (c *Client) newRequest(ctx context.Context, a Attempt) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/run", bytes.NewReader(a.Request.Body))
+	if err != nil {
+		return nil, err
+	}
+	// net/http repeats a request on a broken idle connection if it can rewind the body; the
+	// decision to send again is ours, since the first copy may have run.
+	req.GetBody = nil
+	h := req.Header
+	h.Set(request.HeaderRequestID, a.Request.ID)
+	h.Set(request.HeaderAttempt, strconv.Itoa(a.Number))
+	h.Set(request.HeaderBacker, a.Request.Backer)
+	h.Set(request.HeaderQueue, a.Request.Queue)
+	h.Set(request.HeaderPool, a.Request.Pool)
+	h.Set(request.HeaderKind, a.Request.Kind)
+	h.Set(request.HeaderIdempotent, strconv.FormatBool(a.Request.Idempotent))
+	if a.Request.Key != "" {
+		h.Set(request.HeaderIdempotencyKey, a.Request.Key)
+	}
+	if a.Request.ContentType != "" {
+		h.Set("Content-Type", a.Request.ContentType)
+	}
+	return req, nil
+}
+
+func (c *Client) read(resp *http.Response, a Attempt) (Answer, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, verdict.Wrap(fmt.Errorf("%w: %v", ErrBroken, err), verdict.MayHaveRun, http.StatusBadGateway)
+	}
+	c.last.Store(time.Now().UnixNano())
+	leaving := resp.Header.Get(request.HeaderLeaving) == "true"
+	if resp.Header.Get(request.HeaderVerdict) == verdict.NotRun.String() {
+		return Answer{Leaving: leaving}, refusal(resp.StatusCode, leaving)
+	}
+	if err := check(resp, a, body); err != nil {
+		return Answer{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
+	}
+	return Answer{
+		Status:      resp.StatusCode,
+		ContentType: resp.Header.Get("Content-Type"),
+		Body:        body,
+		Leaving:     leaving,
+	}, nil
+}
+
+func refusal(status int, leaving bool) error {
+	if leaving {
+		return verdict.Wrap(ErrLeaving, verdict.NotRun, status)
+	}
+	return verdict.Wrap(ErrFull, verdict.NotRun, status)
+}
+
+// check compares the echo of request id and attempt and the hash of the body, so that
+// a swapped, late or truncated answer is not taken for a good one.
+func check(resp *http.Response, a Attempt, body []byte) error {
+	if len(body) > maxAnswerBytes {
+		return fmt.Errorf("%w: longer than %d bytes", ErrBroken, maxAnswerBytes)
+	}
+	if id := resp.Header.Get(request.HeaderRequestID); id != a.Request.ID {
+		return fmt.Errorf("%w: answer is for request %q", ErrBroken, id)
+	}
+	if n := resp.Header.Get(request.HeaderAttempt); n != strconv.Itoa(a.Number) {
+		return fmt.Errorf("%w: answer is for attempt %q", ErrBroken, n)
+	}
+	if hash := resp.Header.Get(request.HeaderBodyHash); hash != request.BodyHash(body) {
+		return fmt.Errorf("%w: body hash is %q", ErrBroken, hash)
+	}
+	return nil
+}
+
+// Stop asks the worker to stop a running request and returns once the worker confirms that
+// it does not run any more. It reports whether the request had finished before.
+func (c *Client) Stop(ctx context.Context, requestID string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/stop/"+requestID, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.fresh.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusNotFound {
+		return fmt.Errorf("stop of request %s: status %d", requestID, resp.StatusCode)
+	}
+	return nil
+}
