--- /dev/null
+++ b/claim/committer.go
@@ -0,0 +1,134 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"samphirepoint/platform"
+)
+
+const (
+	// commitWindow is the longest wait of a write for others to share its transaction.
+	commitWindow = 5 * time.Millisecond
+	// maxBatch bounds the rows of one transaction.
+	maxBatch = 64
+	// maxConcurrentCommits bounds transactions in flight, so that a slow table is not flooded.
+	maxConcurrentCommits = 4
+	// commitTimeout bounds one transaction.
+	commitTimeout = time.Second
+)
+
+// committer collects single-row writes into shared transactions (group commit).
+type committer struct {
+	table   platform.Table
+	pending chan *pendingWrite
+	slots   chan struct{}
+}
+
+type pendingWrite struct {
+	write platform.Write
+	done  chan commitResult
+}
+
+type commitResult struct {
+	version int64
+	err     error
+}
+
+func newCommitter(t platform.Table) *committer {
+	return &committer{
+		table:   t,
+		pending: make(chan *pendingWrite, maxBatch),
+		slots:   make(chan struct{}, maxConcurrentCommits),
+	}
+}
+
+// run forms batches until ctx ends; writes that still wait then get ctx's error.
+func (c *committer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-c.pending:
+			batch := c.collect(ctx, first)
+			select {
+			case c.slots <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			go func() {
+				c.commit(ctx, batch)
+				<-c.slots
+			}()
+		}
+	}
+}
+
+func (c *committer) collect(ctx context.Context, first *pendingWrite) []*pendingWrite {
+	batch := []*pendingWrite{first}
+	rows := map[string]bool{first.write.Key: true}
+	timer := time.NewTimer(commitWindow)
+	defer timer.Stop()
+	for len(batch) < maxBatch {
+		select {
+		case p := <-c.pending:
+			if rows[p.write.Key] {
+				// Two writes of one row cannot share a transaction; the second one would meet its own batch.
+				go c.commit(ctx, []*pendingWrite{p})
+				continue
+			}
+			rows[p.write.Key] = true
+			batch = append(batch, p)
+		case <-timer.C:
+			return batch
+		case <-ctx.Done():
+			return batch
+		}
+	}
+	return batch
+}
+
+// commit applies a batch. A failed condition of one row fails the transaction as a whole, so the
+// rows are then written one by one.
+func (c *committer) commit(ctx context.Context, batch []*pendingWrite) {
+	writes := make([]platform.Write, len(batch))
+	for i, p := range batch {
+		writes[i] = p.write
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	versions, err := c.table.Commit(ctx, writes)
+	if errors.Is(err, platform.ErrConflict) && len(batch) > 1 {
+		for _, p := range batch {
+			c.commit(ctx, []*pendingWrite{p})
+		}
+		return
+	}
+	for i, p := range batch {
+		if err != nil {
+			p.done <- commitResult{err: err}
+			continue
+		}
+		p.done <- commitResult{version: versions[i]}
+	}
+}
+
+// write hands w to the next transaction and waits for its outcome.
+func (c *committer) write(ctx context.Context, w platform.Write) (int64, error) {
+	p := &pendingWrite{write: w, done: make(chan commitResult, 1)}
+	select {
+	case c.pending <- p:
+	case <-ctx.Done():
+		return 0, errNeverSent
+	}
+	select {
+	case r := <-p.done:
+		return r.version, r.err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// errNeverSent reports a write that no transaction contained.
+var errNeverSent = errors.New("claim: write was not sent to the table in time")
--- /dev/null
+++ b/claim/store.go
@@ -0,0 +1,291 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"samphirepoint/platform"
+	"samphirepoint/verdict"
+)
+
+const (
+	// claimTimeout bounds the time in which the outcome of a claim must be known.
+	claimTimeout = 2 * time.Second
+	// SendWindow is the time after a claim within which the request must be sent. A process that
+	// paused for longer answers "not run" and releases the claim.
+	SendWindow = 2 * time.Second
+	// RecordTimeout is the time for which an answer waits for its record.
+	RecordTimeout = time.Second
+	// recordRetryLimit bounds background retries of a record or a release.
+	recordRetryLimit = 15 * time.Minute
+	backoffMin       = 200 * time.Millisecond
+	backoffMax       = 8 * time.Second
+	// maxBackground bounds records and releases that are retried in the background.
+	maxBackground = 10000
+)
+
+// Claim is the right to send one request.
+type Claim struct {
+	Key     string
+	ID      string
+	Taken   time.Time
+	version int64
+	hash    string
+}
+
+// InWindow reports whether the request may still be sent.
+func (c *Claim) InWindow(now time.Time) bool { return now.Sub(c.Taken) < SendWindow }
+
+// Existing is the error of Take when the key was used before.
+type Existing struct {
+	Record Record
+	// Mismatch is set if the key was used for a request with another body.
+	Mismatch bool
+}
+
+// Error implements error.
+func (e *Existing) Error() string {
+	if e.Mismatch {
+		return "idempotency key was used for another request"
+	}
+	return fmt.Sprintf("idempotency key is %s by %s", e.Record.State, e.Record.Owner)
+}
+
+// Store takes, records and releases claims. Run must be running.
+type Store struct {
+	table      platform.Table
+	objects    platform.Objects
+	owner      string
+	commits    *committer
+	breaker    breaker
+	background chan struct{}
+	now        func() time.Time
+}
+
+// NewStore returns a store whose claims name owner, which must be unique per process start.
+func NewStore(t platform.Table, o platform.Objects, owner string) *Store {
+	return &Store{
+		table:      t,
+		objects:    o,
+		owner:      owner,
+		commits:    newCommitter(t),
+		background: make(chan struct{}, maxBackground),
+		now:        time.Now,
+	}
+}
+
+// Run carries out the store's transactions until ctx ends.
+func (s *Store) Run(ctx context.Context) { s.commits.run(ctx) }
+
+// Owner is the process name written into claims.
+func (s *Store) Owner() string { return s.owner }
+
+// Available reports whether claims can be expected to succeed now.
+func (s *Store) Available() bool { return !s.breaker.open(s.now()) }
+
+// Take creates the claim of key. The error is *Existing if the key was used before; any other
+// error has verdict NotRun: the claim is not held, or will never be used.
+func (s *Store) Take(ctx context.Context, key, requestHash string) (*Claim, error) {
+	if !s.breaker.allow(s.now()) {
+		return nil, errTableDown()
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	c := &Claim{Key: key, ID: uuid.NewString(), Taken: s.now(), hash: requestHash}
+	return s.take(ctx, c, 0)
+}
+
+func (s *Store) take(ctx context.Context, c *Claim, ifVersion int64) (*Claim, error) {
+	version, err := s.commits.write(ctx, platform.Write{Key: c.Key, IfVersion: ifVersion, Value: encode(s.record(c, Claimed, Outcome{}))})
+	switch {
+	case err == nil:
+		s.breaker.record(s.now(), true)
+		c.version = version
+		return c, nil
+	case errors.Is(err, errNeverSent):
+		return nil, errTableDown()
+	case errors.Is(err, platform.ErrConflict):
+		return s.takeAfterConflict(ctx, c)
+	case verdict.Is(err, verdict.NotRun):
+		s.breaker.record(s.now(), false)
+		return nil, errTableDown()
+	}
+	return s.resolve(ctx, c)
+}
+
+// takeAfterConflict reads the row that stood in the way.
+func (s *Store) takeAfterConflict(ctx context.Context, c *Claim) (*Claim, error) {
+	row, err := s.table.Get(ctx, c.Key)
+	s.breaker.record(s.now(), err == nil)
+	if err != nil {
+		// The conflict proves that this claim was not written.
+		return nil, errTableDown()
+	}
+	if row.Version == 0 {
+		return s.take(ctx, c, 0)
+	}
+	rec, err := decode(row.Value)
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusInternalServerError)
+	}
+	switch {
+	case rec.ClaimID == c.ID:
+		c.version = row.Version
+		return c, nil
+	case rec.State == Released:
+		return s.take(ctx, c, row.Version)
+	}
+	return nil, &Existing{Record: rec, Mismatch: rec.RequestHash != c.hash}
+}
+
+// resolve finds out whether a write with a lost reply took effect. If that cannot be found out in
+// time the request is refused for good and the claim is released in the background.
+func (s *Store) resolve(ctx context.Context, c *Claim) (*Claim, error) {
+	for {
+		row, err := s.table.Get(ctx, c.Key)
+		if err == nil && row.Version > 0 {
+			rec, err := decode(row.Value)
+			if err == nil && rec.ClaimID == c.ID {
+				s.breaker.record(s.now(), true)
+				c.version = row.Version
+				return c, nil
+			}
+		}
+		if err == nil {
+			// Absent or another's: the write may still arrive late, so the claim is abandoned.
+			break
+		}
+		if sleep(ctx, backoffMin) != nil {
+			break
+		}
+	}
+	s.breaker.record(s.now(), false)
+	s.Release(c)
+	return nil, errTableDown()
+}
+
+// Lookup reads the record of a key; it reports false if there is none.
+func (s *Store) Lookup(ctx context.Context, key string) (Record, bool, error) {
+	row, err := s.table.Get(ctx, key)
+	if err != nil || row.Version == 0 {
+		return Record{}, false, err
+	}
+	rec, err := decode(row.Value)
+	return rec, err == nil, err
+}
+
+// Body returns the answer of a recorded outcome, from the object store if need be.
+func (s *Store) Body(ctx context.Context, o Outcome) ([]byte, error) {
+	if o.Object == "" {
+		return o.Body, nil
+	}
+	return s.objects.Get(ctx, o.Object)
+}
+
+// Finish records the outcome of a claim. It returns when the record is written or after
+// RecordTimeout, whichever is first; the write then goes on in the background.
+func (s *Store) Finish(c *Claim, o Outcome) (recorded bool) {
+	return s.settle(c, Done, o, RecordTimeout)
+}
+
+// Release gives the key back: the request was not sent and will not be sent under this claim.
+// It does not wait for the table.
+func (s *Store) Release(c *Claim) { s.settle(c, Released, Outcome{}, 0) }
+
+// settle writes the final state in the background and waits up to wait for it.
+func (s *Store) settle(c *Claim, state State, o Outcome, wait time.Duration) bool {
+	select {
+	case s.background <- struct{}{}:
+	default:
+		// The row stays claimed, and repeats are told that the request may have run.
+		return false
+	}
+	done := make(chan struct{})
+	go func() {
+		defer func() { <-s.background }()
+		ctx, cancel := context.WithTimeout(context.Background(), recordRetryLimit)
+		defer cancel()
+		if s.settleWithRetry(ctx, c, state, o) {
+			close(done)
+		}
+	}()
+	if wait <= 0 {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+func (s *Store) settleWithRetry(ctx context.Context, c *Claim, state State, o Outcome) bool {
+	for delay := backoffMin; ; delay = min(2*delay, backoffMax) {
+		settled, err := s.trySettle(ctx, c, state, &o)
+		if settled {
+			return true
+		}
+		if err != nil && sleep(ctx, jitter(delay)) != nil {
+			return false
+		}
+	}
+}
+
+// trySettle makes one attempt. settled without error also holds if the row shows that another state is final.
+func (s *Store) trySettle(ctx context.Context, c *Claim, state State, o *Outcome) (bool, error) {
+	if len(o.Body) > maxInlineBytes {
+		key := prefixOutcomes + c.ID
+		if err := s.objects.Put(ctx, key, o.Body); err != nil {
+			return false, err
+		}
+		o.Object, o.Body = key, nil
+	}
+	w := platform.Write{Key: c.Key, IfVersion: c.version, Value: encode(s.record(c, state, *o))}
+	_, err := s.commits.write(ctx, w)
+	if err == nil {
+		return true, nil
+	}
+	if !errors.Is(err, platform.ErrConflict) {
+		return false, err
+	}
+	row, err := s.table.Get(ctx, c.Key)
+	if err != nil {
+		return false, err
+	}
+	if row.Version == 0 {
+		// A release of a claim whose write never arrived creates the row, so
+		// that a late arrival of the claim fails its condition.
+		c.version = 0
+		return false, nil
+	}
+	rec, err := decode(row.Value)
+	if err != nil || rec.State == Done {
+		return true, nil
+	}
+	if rec.ClaimID != c.ID && (state != Released || rec.State != Released) {
+		return true, nil
+	}
+	if rec.ClaimID == c.ID && rec.State == state {
+		return true, nil
+	}
+	// A released row of an earlier claim is written once more: the new version makes the
+	// condition of this claim's late write fail.
+	c.version = row.Version
+	return false, nil
+}
+
+func (s *Store) record(c *Claim, state State, o Outcome) Record {
+	return Record{ClaimID: c.ID, Owner: s.owner, State: state, RequestHash: c.hash, Outcome: o, Updated: s.now()}
+}
+
+func errTableDown() error {
+	return verdict.Unavailable(breakerProbe, "the platform's table does not answer; non-idempotent work was not started")
+}
--- /dev/null
+++ b/claim/sweep.go
@@ -0,0 +1,55 @@
+package claim
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"samphirepoint/platform"
+)
+
+// sweepPage is the number of rows read and deleted at a time.
+const sweepPage = 200
+
+// sweepPause keeps a sweep below 20 reads and 200 row deletions a second.
+const sweepPause = time.Second
+
+// Sweep deletes rows whose last change is older than Retention. Each deletion is conditional on the version
+// that was read, so a row that was claimed again in between stays.
+func (s *Store) Sweep(ctx context.Context) (deleted int, err error) {
+	after := ""
+	for {
+		rows, err := s.table.List(ctx, Prefix, after, sweepPage)
+		if err != nil || len(rows) == 0 {
+			return deleted, err
+		}
+		after = rows[len(rows)-1].Key
+		for _, row := range rows {
+			rec, err := decode(row.Value)
+			if err != nil || s.now().Sub(rec.Updated) < Retention {
+				continue
+			}
+			if _, err := s.commits.write(ctx, platform.Write{Key: row.Key, IfVersion: row.Version, Delete: true}); err == nil {
+				deleted++
+			}
+		}
+		if sleep(ctx, sweepPause) != nil {
+			return deleted, ctx.Err()
+		}
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// jitter spreads retries of many processes over [d/2, d).
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
--- /dev/null
+++ b/filter/dispatch.go
@@ -0,0 +1,223 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"samphirepoint/dispatch"
+	"samphirepoint/retry"
+	"samphirepoint/verdict"
+	"samphirepoint/worker"
+)
+
+const (
+	// maxAttempts bounds the workers tried for one request, refusals as not run included.
+	maxAttempts = 8
+	// cannotRunAfter is the number of different workers on which a job must fail to be called unable to run.
+	cannotRunAfter = 3
+)
+
+// Retries decides whether a failed attempt is repeated.
+type Retries interface {
+	Decide(now time.Time, pool string, a retry.Attempt) retry.Decision
+}
+
+// Leavings learns which workers are leaving.
+type Leavings interface {
+	NoteLeaving(workerID string)
+}
+
+// Dispatch sends the request to the granted worker and to further ones while that is allowed.
+type Dispatch struct {
+	EntryID  string
+	Queue    Queue
+	Retries  Retries
+	Leavings Leavings
+	sequence atomic.Uint64
+	started  int64
+}
+
+// NewDispatch returns the last filter of the chain.
+func NewDispatch(entryID string, q Queue, r Retries, l Leavings) *Dispatch {
+	return &Dispatch{EntryID: entryID, Queue: q, Retries: r, Leavings: l, started: time.Now().UnixMilli()}
+}
+
+// Name implements Filter.
+func (*Dispatch) Name() string { return "dispatch" }
+
+// attempts is the history of one request in Dispatch.
+type attempts struct {
+	count int
+	// failedOn lists workers that ran the request and failed it.
+	failedOn []string
+	exclude  []string
+	last     *Answer
+}
+
+// Request implements Filter.
+func (f *Dispatch) Request(c *Context) error {
+	var history attempts
+	for {
+		history.count++
+		answer, err := f.attempt(c, &history)
+		if err == nil && !failed(answer) {
+			c.Answer = answer
+			return nil
+		}
+		if again := f.again(c, &history, answer, err); !again {
+			return f.conclude(c, &history, answer, err)
+		}
+		grant, err := f.Queue.acquire(c, history.exclude)
+		if err != nil || grant == nil {
+			return c.weaken(err)
+		}
+		c.Grant = grant
+	}
+}
+
+// failed reports an answer that says that the worker could not do the work.
+func failed(a *Answer) bool { return a != nil && a.Status >= http.StatusInternalServerError }
+
+// attempt sends the request once and gives the slot back.
+func (f *Dispatch) attempt(c *Context, history *attempts) (*Answer, error) {
+	grant := c.Grant
+	c.Grant = nil
+	if c.Claim != nil && !c.Claim.InWindow(time.Now()) {
+		grant.Release(dispatch.Result{Outcome: dispatch.NotSent})
+		return nil, verdict.Unavailable(time.Second, "entry was paused between claim and dispatch")
+	}
+	id := fmt.Sprintf("%s-%d-%d", f.EntryID, f.started, f.sequence.Add(1))
+	c.Log.Info().Str("pool", c.Request.Pool).Str("worker", grant.Worker).Str("attempt", id).
+		Dur("waited", grant.Waited).Str("reason", grant.Reason).Msg("request placed")
+	sent := time.Now()
+	answer, err := grant.Client.Run(c.Ctx, worker.Attempt{
+		Request:         c.Request,
+		ID:              id,
+		FreshConnection: !c.Request.Idempotent,
+		Expected:        grant.Expected,
+	})
+	if !verdict.Is(err, verdict.NotRun) {
+		c.Sent = true
+	}
+	c.noteUncertain(err)
+	f.settle(c, grant, id, answer, err, time.Since(sent))
+	history.exclude = append(history.exclude, grant.Worker)
+	if err != nil {
+		return nil, err
+	}
+	return &Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body, Worker: grant.Worker}, nil
+}
+
+// settle returns the slot with what the attempt says about the worker.
+func (f *Dispatch) settle(c *Context, grant *dispatch.Grant, id string, answer worker.Answer, err error, took time.Duration) {
+	if answer.Leaving || errors.Is(err, worker.ErrLeaving) {
+		f.Leavings.NoteLeaving(grant.Worker)
+	}
+	if err != nil && c.Ctx.Err() != nil && verdict.Of(err) != verdict.NotRun {
+		// The worker may still run the request: the slot is free only when it confirms the stop.
+		go stopAndRelease(grant, c.Request.ID, id)
+		return
+	}
+	grant.Release(dispatch.Result{Outcome: outcome(answer, err), Took: took})
+}
+
+func outcome(answer worker.Answer, err error) dispatch.Outcome {
+	switch {
+	case err == nil && answer.Status < http.StatusInternalServerError:
+		return dispatch.Succeeded
+	case err == nil:
+		return dispatch.Failed
+	case errors.Is(err, worker.ErrLeaving):
+		return dispatch.Leaving
+	case errors.Is(err, worker.ErrFull):
+		return dispatch.Refused
+	case errors.Is(err, worker.ErrSilent):
+		return dispatch.TimedOut
+	default:
+		return dispatch.Broken
+	}
+}
+
+const (
+	// stopTimeout bounds one attempt to stop a request at its worker.
+	stopTimeout = 2 * time.Second
+	// stopAttempts bounds the time for which a slot is kept for a worker that does not answer.
+	stopAttempts = 30
+)
+
+// stopAndRelease keeps the slot until the worker confirms that the attempt does not run any more.
+func stopAndRelease(grant *dispatch.Grant, requestID, attempt string) {
+	for range stopAttempts {
+		ctx, cancel := waitContext(stopTimeout)
+		err := grant.Client.Stop(ctx, requestID, attempt)
+		cancel()
+		if err == nil {
+			grant.Release(dispatch.Result{Outcome: dispatch.Stopped})
+			return
+		}
+		time.Sleep(stopTimeout / 2)
+	}
+	grant.Release(dispatch.Result{Outcome: dispatch.TimedOut})
+}
+
+// again decides about another attempt.
+func (f *Dispatch) again(c *Context, history *attempts, answer *Answer, err error) bool {
+	if failed(answer) {
+		history.last = answer
+		history.failedOn = append(history.failedOn, answer.Worker)
+	}
+	if history.count >= maxAttempts || c.Ctx.Err() != nil || len(history.failedOn) >= cannotRunAfter {
+		return false
+	}
+	v := verdict.Ran
+	if err != nil {
+		v = verdict.Of(err)
+	}
+	d := f.Retries.Decide(time.Now(), c.Request.Pool, retry.Attempt{
+		Verdict:    v,
+		Idempotent: c.Request.Idempotent,
+		Deadline:   c.Request.Deadline,
+		Number:     history.count,
+	})
+	c.Log.Info().Bool("again", d.Retry).Str("reason", d.Reason).Err(err).Msg("attempt failed")
+	return d.Retry && pause(c.Ctx, d.After)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// conclude gives the final result after the last attempt.
+func (f *Dispatch) conclude(c *Context, history *attempts, answer *Answer, err error) error {
+	if len(history.failedOn) >= cannotRunAfter {
+		c.Log.Warn().Strs("workers", history.failedOn).Str("reason", "failed on several workers").Msg("request cannot run")
+	}
+	if answer != nil {
+		c.Answer = answer
+		return nil
+	}
+	if errors.Is(context.Cause(c.Ctx), verdict.ErrCancelled) {
+		return verdict.Wrap(verdict.ErrCancelled, verdict.Of(c.weaken(err)), http.StatusConflict)
+	}
+	if c.Ctx.Err() != nil {
+		return verdict.Wrap(fmt.Errorf("deadline passed: %w", err), verdict.Of(c.weaken(err)), http.StatusGatewayTimeout)
+	}
+	return c.weaken(err)
+}
+
+// Response implements Filter.
+func (*Dispatch) Response(*Context) {}
--- /dev/null
+++ b/filter/identification.go
@@ -0,0 +1,218 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"samphirepoint/claim"
+	"samphirepoint/request"
+	"samphirepoint/table"
+	"samphirepoint/verdict"
+)
+
+const (
+	// defaultDeadline applies to requests without Samphire-Deadline.
+	defaultDeadline = 30 * time.Second
+	// maxDeadline bounds Samphire-Deadline; longer work is submitted as a job.
+	maxDeadline = time.Hour
+	// maxNameBytes bounds ids, keys and kinds that callers choose.
+	maxNameBytes = 200
+)
+
+// Identification reads headers and body into a request.Request and sets the deadline of the context.
+type Identification struct {
+	// EntryID makes generated request ids name the entry that can cancel them.
+	EntryID string
+	// Track registers the cancel function of a request; it returns false if the id is in use.
+	Track func(id string, cancel context.CancelCauseFunc) (untrack func(), ok bool)
+}
+
+// Name implements Filter.
+func (Identification) Name() string { return "identification" }
+
+// Request implements Filter.
+func (f Identification) Request(c *Context) error {
+	r, err := f.parse(c)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest)
+	}
+	c.Request = r
+	if err := f.lookUpQueue(c); err != nil {
+		return err
+	}
+	if err := f.readBody(c); err != nil {
+		return err
+	}
+	c.Log = c.Log.With().Str("request", r.ID).Str("backer", r.Backer).Str("queue", r.Queue).Logger()
+	return f.track(c)
+}
+
+func (f Identification) parse(c *Context) (*request.Request, error) {
+	h := c.HTTP.Header
+	r := &request.Request{
+		ID:          h.Get(request.HeaderRequestID),
+		Backer:      c.Principal.Name,
+		Queue:       c.QueueName,
+		Kind:        h.Get(request.HeaderKind),
+		Key:         h.Get(request.HeaderIdempotencyKey),
+		ContentType: h.Get("Content-Type"),
+		Received:    time.Now(),
+	}
+	var err error
+	if r.Class, err = request.ParseClass(h.Get(request.HeaderClass)); err != nil {
+		return nil, fmt.Errorf("%s: %w", request.HeaderClass, err)
+	}
+	if r.Idempotent, err = parseIdempotent(h.Get(request.HeaderIdempotent)); err != nil {
+		return nil, err
+	}
+	if !r.Idempotent && r.Key == "" {
+		return nil, fmt.Errorf("%s: missing; a non-idempotent request needs a key", request.HeaderIdempotencyKey)
+	}
+	if r.Deadline, err = parseDeadline(h.Get(request.HeaderDeadline), r.Received); err != nil {
+		return nil, err
+	}
+	if r.KeyIssued, err = parseIssued(h.Get(request.HeaderIdempotencyIssued), r.Received); err != nil {
+		return nil, err
+	}
+	if err := checkNames(r); err != nil {
+		return nil, err
+	}
+	if r.ID == "" {
+		r.ID = f.EntryID + "." + uuid.NewString()
+	}
+	if c.Forwarded {
+		return r, parseForwarded(h, r)
+	}
+	return r, nil
+}
+
+func parseIdempotent(s string) (bool, error) {
+	if s == "" {
+		return true, nil
+	}
+	v, err := strconv.ParseBool(s)
+	if err != nil {
+		return false, fmt.Errorf("%s: %q, expected true or false", request.HeaderIdempotent, s)
+	}
+	return v, nil
+}
+
+func parseDeadline(s string, now time.Time) (time.Time, error) {
+	if s == "" {
+		return now.Add(defaultDeadline), nil
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil || d <= 0 || d > maxDeadline {
+		return time.Time{}, fmt.Errorf("%s: %q, expected a duration such as 1500ms up to %s", request.HeaderDeadline, s, maxDeadline)
+	}
+	return now.Add(d), nil
+}
+
+func parseIssued(s string, now time.Time) (time.Time, error) {
+	if s == "" {
+		return time.Time{}, nil
+	}
+	t, err := time.Parse(time.RFC3339, s)
+	if err != nil {
+		return time.Time{}, fmt.Errorf("%s: %q, expected a time such as 2026-01-02T15:04:05Z", request.HeaderIdempotencyIssued, s)
+	}
+	if now.Sub(t) > claim.MaxIssueAge {
+		return time.Time{}, fmt.Errorf("%s: %q is older than %s; the record of this key may be gone", request.HeaderIdempotencyIssued, s, claim.MaxIssueAge)
+	}
+	return t, nil
+}
+
+func checkNames(r *request.Request) error {
+	for header, value := range map[string]string{
+		request.HeaderRequestID:      r.ID,
+		request.HeaderIdempotencyKey: r.Key,
+		request.HeaderKind:           r.Kind,
+	} {
+		if len(value) > maxNameBytes || strings.ContainsFunc(value, func(c rune) bool { return c <= ' ' || c > '~' || c == '/' }) {
+			return fmt.Errorf("%s: expected at most %d printable ASCII characters without space and slash", header, maxNameBytes)
+		}
+	}
+	return nil
+}
+
+// parseForwarded reads what the receiving entry established.
+func parseForwarded(h http.Header, r *request.Request) error {
+	r.Backer = h.Get(request.HeaderBacker)
+	r.Pool = h.Get(request.HeaderPool)
+	if v := h.Get(request.HeaderVisited); v != "" {
+		r.Visited = strings.Split(v, ",")
+	}
+	hops, err := strconv.Atoi(h.Get(request.HeaderHops))
+	if err != nil || r.Backer == "" || r.Pool == "" {
+		return errors.New("forwarded request without backer, pool or number of hops")
+	}
+	r.Hops = hops
+	return nil
+}
+
+func (f Identification) lookUpQueue(c *Context) error {
+	q, ok := c.Document.Queue(c.QueueName)
+	if !ok {
+		return verdict.New(verdict.NotRun, http.StatusNotFound, "unknown queue %q", c.QueueName)
+	}
+	if _, ok := c.Document.Backer(c.Request.Backer); !ok {
+		return verdict.New(verdict.NotRun, http.StatusForbidden, "backer %q is not in the table", c.Request.Backer)
+	}
+	if !mayUse(q, c.Request.Backer) {
+		return verdict.New(verdict.NotRun, http.StatusForbidden, "backer %q may not use queue %q", c.Request.Backer, q.Name)
+	}
+	c.Queue = q
+	if c.Request.Pool == "" {
+		c.Request.Pool = q.Pools[0]
+	}
+	return nil
+}
+
+func mayUse(q table.Queue, backer string) bool {
+	return len(q.Backers) == 0 || slices.Contains(q.Backers, backer)
+}
+
+func (f Identification) readBody(c *Context) error {
+	body, err := io.ReadAll(c.HTTP.Body)
+	if err == nil {
+		c.Request.Body = body
+		return nil
+	}
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body is longer than %d bytes", tooLong.Limit)
+	}
+	return verdict.Wrap(fmt.Errorf("body was not received whole: %w", err), verdict.NotRun, http.StatusBadRequest)
+}
+
+// track sets the deadline and makes the request known to the cancel API.
+func (f Identification) track(c *Context) error {
+	base := c.Ctx
+	if !c.Request.Idempotent {
+		// A caller that goes away does not stop its non-idempotent request: the outcome is recorded
+		// for a repeat of the key. Only the cancel API stops it.
+		base = context.WithoutCancel(base)
+	}
+	ctx, cancelDeadline := context.WithDeadline(base, c.Request.Deadline)
+	ctx, cancel := context.WithCancelCause(ctx)
+	c.OnEnd(func() { cancel(nil); cancelDeadline() })
+	untrack, ok := f.Track(c.Request.ID, cancel)
+	if !ok {
+		return verdict.New(verdict.MayHaveRun, http.StatusConflict, "request id %q is in use by a request in flight", c.Request.ID)
+	}
+	c.OnEnd(untrack)
+	c.Ctx = ctx
+	return nil
+}
+
+// Response implements Filter.
+func (Identification) Response(*Context) {}
--- /dev/null
+++ b/filter/queue.go
@@ -0,0 +1,106 @@
+package filter
+
+import (
+	"errors"
+	"net/http"
+	"slices"
+
+	"samphirepoint/dispatch"
+	"samphirepoint/verdict"
+)
+
+// Slots grants slots of the pools that this entry owns.
+type Slots interface {
+	Acquire(c *Context, w dispatch.Wish) (*dispatch.Grant, error)
+	// OverflowResult tells whether another pool took a request that did not get a slot in its own pool.
+	OverflowResult(pool string, taken bool)
+}
+
+// Queue waits in the fair queue of the pool for a slot on a worker. A request that waits long may
+// overflow to the other pools of its queue.
+type Queue struct {
+	Slots     Slots
+	Router    Router
+	Forwarder Forwarder
+}
+
+// Name implements Filter.
+func (Queue) Name() string { return "queue" }
+
+// Request implements Filter.
+func (f Queue) Request(c *Context) error {
+	if c.Attach {
+		return nil
+	}
+	grant, err := f.acquire(c, nil)
+	if err != nil || grant == nil {
+		return err
+	}
+	c.Grant = grant
+	return nil
+}
+
+// acquire returns a grant, or sets c.Answer when another pool answered.
+func (f Queue) acquire(c *Context, exclude []string) (*dispatch.Grant, error) {
+	for {
+		grant, err := f.Slots.Acquire(c, dispatch.Wish{
+			Request:     c.Request,
+			Exclude:     exclude,
+			NoWait:      c.NoWait,
+			MayOverflow: f.mayOverflow(c),
+			MaxQueue:    c.Queue.MaxLength,
+			Force:       c.ForceLocal,
+		})
+		if errors.Is(err, dispatch.ErrOverflow) {
+			if answer, err := f.overflow(c); answer != nil || err != nil {
+				c.Answer = answer
+				return nil, err
+			}
+			continue
+		}
+		return grant, err
+	}
+}
+
+// mayOverflow holds for a request in the home pool of its queue that was not sent to a worker before.
+func (f Queue) mayOverflow(c *Context) bool {
+	return !c.NoWait && !c.Sent && len(c.Queue.Pools) > 1 && c.Request.Pool == c.Queue.Pools[0]
+}
+
+// overflow offers the request to the other pools of its queue. Both results nil: none had a free slot.
+func (f Queue) overflow(c *Context) (*Answer, error) {
+	for _, pool := range c.Queue.Pools[1:] {
+		answer, err := f.offer(c, pool)
+		taken := err == nil || !notTaken(err)
+		f.Slots.OverflowResult(c.Request.Pool, taken)
+		if !taken {
+			continue
+		}
+		c.Log.Info().Str("pool", pool).Str("reason", "home pool is full").Bool("taken", taken).Msg("request overflowed")
+		return answer, err
+	}
+	return nil, nil
+}
+
+func (f Queue) offer(c *Context, pool string) (*Answer, error) {
+	target, ok := f.Router.Owner(pool, nil)
+	if !ok {
+		return nil, dispatch.ErrBusy
+	}
+	return f.Forwarder.Forward(c, target, ForwardOptions{Pool: pool, NoWait: true})
+}
+
+// notTaken reports a refusal after which the request may stay in its home pool.
+func notTaken(err error) bool {
+	if !verdict.Is(err, verdict.NotRun) {
+		return false
+	}
+	return slices.Contains([]int{http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusServiceUnavailable, http.StatusBadGateway}, verdict.Status(err))
+}
+
+// Response gives an unused slot back.
+func (Queue) Response(c *Context) {
+	if c.Grant != nil {
+		c.Grant.Release(dispatch.Result{Outcome: dispatch.NotSent})
+	}
+}
--- /dev/null
+++ b/job/store.go
@@ -0,0 +1,189 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"samphirepoint/platform"
+	"samphirepoint/request"
+	"samphirepoint/verdict"
+)
+
+const (
+	// storeTimeout bounds one call to the platform.
+	storeTimeout = time.Second
+	// acceptTimeout bounds the acceptance of a job.
+	acceptTimeout = 3 * time.Second
+	// Retention is the time for which results are kept.
+	Retention = 24 * time.Hour
+)
+
+// errLost reports that another process changed the row: this one must leave the job alone.
+var errLost = errors.New("job belongs to another owner now")
+
+// Store reads and writes job rows.
+type Store struct {
+	Table   platform.Table
+	Objects platform.Objects
+	Now     func() time.Time
+}
+
+// Accept writes the row of a new job. Accepting the same non-idempotent job again returns the first
+// one; replayed tells so. The job is accepted if err is nil; an error with verdict MayHaveRun means
+// that the row may have been written.
+func (s *Store) Accept(ctx context.Context, r *request.Request) (rec *Record, replayed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	rec = &Record{
+		ID: NewID(r), Backer: r.Backer, Queue: r.Queue, Pool: r.Pool, Kind: r.Kind, Class: r.Class, Idempotent: r.Idempotent,
+		Key: r.Key, ContentType: r.ContentType, BodyHash: request.BodyHash(r.Body), Body: r.Body,
+		Accepted: s.Now(), Updated: s.Now(), Deadline: r.Deadline, State: Queued,
+	}
+	if len(rec.Body) > maxInlineBytes {
+		rec.BodyObject, rec.Body = prefixBodies+rec.ID+"-"+rec.BodyHash, nil
+		if err := s.Objects.Put(ctx, rec.BodyObject, r.Body); err != nil {
+			return nil, false, refusedStore(err)
+		}
+	}
+	// The check of the result row makes sure that a repeat after the end does not start the job again.
+	versions, err := s.Table.Commit(ctx, []platform.Write{
+		{Key: activeKey(rec.Pool, rec.ID), IfVersion: 0, Value: rec.encode()},
+		{Key: resultKey(rec.Pool, rec.ID), IfVersion: 0, Check: true},
+	})
+	if err == nil {
+		rec.version = versions[0]
+		return rec, false, nil
+	}
+	if verdict.Is(err, verdict.NotRun) {
+		return nil, false, refusedStore(err)
+	}
+	return s.existing(ctx, rec, err)
+}
+
+// existing looks for the row after a conflict or a lost reply.
+func (s *Store) existing(ctx context.Context, rec *Record, cause error) (*Record, bool, error) {
+	found, err := s.Find(ctx, rec.ID)
+	switch {
+	case err != nil:
+		return nil, false, verdict.Wrap(err, verdict.MayHaveRun, http.StatusServiceUnavailable)
+	case found == nil:
+		return nil, false, verdict.Wrap(cause, verdict.MayHaveRun, http.StatusServiceUnavailable)
+	case found.BodyHash != rec.BodyHash || found.Backer != rec.Backer:
+		return nil, false, verdict.New(verdict.NotRun, http.StatusUnprocessableEntity, "idempotency key was used for a job with another body")
+	}
+	return found, !found.Accepted.Equal(rec.Accepted), nil
+}
+
+func refusedStore(err error) error {
+	return verdict.WithRetryAfter(verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable), time.Second)
+}
+
+// Find returns a job, or nil if there is none with this id.
+func (s *Store) Find(ctx context.Context, id string) (*Record, error) {
+	pool, ok := splitID(id)
+	if !ok {
+		return nil, nil
+	}
+	// The result is read first and again last: a job that ends between two reads is in neither
+	// place otherwise.
+	for _, key := range []string{resultKey(pool, id), activeKey(pool, id), resultKey(pool, id)} {
+		row, err := s.Table.Get(ctx, key)
+		if err != nil {
+			return nil, err
+		}
+		if row.Version > 0 {
+			return decode(row.Value, row.Version)
+		}
+	}
+	return nil, nil
+}
+
+// Active lists the jobs of a pool that have not ended.
+func (s *Store) Active(ctx context.Context, pool string) ([]*Record, error) {
+	const page = 500
+	var jobs []*Record
+	after := ""
+	for {
+		rows, err := s.Table.List(ctx, PrefixActive+pool+"/", after, page)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			rec, err := decode(row.Value, row.Version)
+			if err != nil {
+				return nil, err
+			}
+			jobs = append(jobs, rec)
+		}
+		if len(rows) < page {
+			return jobs, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// Update writes a changed row of an active job. errLost means that another process changed it.
+func (s *Store) Update(ctx context.Context, rec *Record) error {
+	rec.Updated = s.Now()
+	return s.commit(ctx, rec, []platform.Write{{Key: activeKey(rec.Pool, rec.ID), IfVersion: rec.version, Value: rec.encode()}})
+}
+
+// Finish moves a job in a final state to the results.
+func (s *Store) Finish(ctx context.Context, rec *Record) error {
+	if len(rec.Result) > maxInlineBytes {
+		key := prefixBodies + rec.ID + "-result-" + rec.Task
+		if err := s.Objects.Put(ctx, key, rec.Result); err != nil {
+			return err
+		}
+		rec.ResultObject, rec.Result = key, nil
+	}
+	rec.Body, rec.Updated = nil, s.Now()
+	return s.commit(ctx, rec, []platform.Write{
+		{Key: activeKey(rec.Pool, rec.ID), IfVersion: rec.version, Delete: true},
+		{Key: resultKey(rec.Pool, rec.ID), IfVersion: 0, Value: rec.encode()},
+	})
+}
+
+// commit writes and, after a lost reply, reads back whether the write took effect.
+func (s *Store) commit(ctx context.Context, rec *Record, writes []platform.Write) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	versions, err := s.Table.Commit(ctx, writes)
+	if err == nil {
+		rec.version = versions[0]
+		return nil
+	}
+	if verdict.Is(err, verdict.NotRun) {
+		return err
+	}
+	found, findErr := s.Find(ctx, rec.ID)
+	if findErr != nil || found == nil {
+		return errors.Join(err, findErr)
+	}
+	if found.Updated.Equal(rec.Updated) && found.State == rec.State && found.Owner == rec.Owner {
+		rec.version = found.version
+		return nil
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		return errLost
+	}
+	return err
+}
+
+// Result returns the result of a job that is done.
+func (s *Store) Result(ctx context.Context, rec *Record) ([]byte, error) {
+	if rec.ResultObject == "" {
+		return rec.Result, nil
+	}
+	return s.Objects.Get(ctx, rec.ResultObject)
+}
+
+// body returns the body of an active job.
+func (s *Store) body(ctx context.Context, rec *Record) ([]byte, error) {
+	if rec.BodyObject == "" {
+		return rec.Body, nil
+	}
+	return s.Objects.Get(ctx, rec.BodyObject)
+}
--- a/worker/client.go
+++ b/worker/client.go
@@ -43,10 +43,14 @@
 // Attempt is one dispatch of a request to a worker.
 type Attempt struct {
 	Request *request.Request
-	Number  int
+	// ID is unique among all attempts of all entries, so that an answer is matched to its attempt.
+	ID string
 	// FreshConnection forbids connections that were idle for longer than recentlyUsed, since one of them may
 	// have gone silent. Non-idempotent work demands it.
 	FreshConnection bool
+	// Expected is the run time that most requests of this kind stay below; 0 means unknown. An
+	// attempt that takes much longer is checked with the worker.
+	Expected time.Duration
 }
 
 // Answer is a whole answer of a worker.
@@ -64,6 +68,7 @@
 	fresh   *http.Transport
 	pool    *http.Transport
 	last    atomic.Int64
+	status  statusCache
 }
 
 // recentlyUsed is the age of the last answer up to which a connection counts as proven.
@@ -101,6 +106,8 @@
 // Run sends the attempt and returns the worker's answer. The error carries the verdict: NotRun only if
 // no byte of the request was written or the worker itself said so.
 func (c *Client) Run(ctx context.Context, a Attempt) (Answer, error) {
+	ctx, endWatch := c.watch(ctx, a)
+	defer endWatch()
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
 	req, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), a)
@@ -112,7 +119,7 @@
 		if !wrote.Load() {
 			return Answer{}, verdict.Wrap(err, verdict.NotRun, http.StatusBadGateway)
 		}
-		return Answer{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
+		return Answer{}, verdict.Wrap(cause(ctx, err), verdict.MayHaveRun, http.StatusBadGateway)
 	}
 	defer resp.Body.Close()
 	return c.read(resp, a)
@@ -126,16 +133,18 @@
 }
 
 func (c *Client) newRequest(ctx context.Context, a Attempt) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/run", bytes.NewReader(a.Request.Body))
+	// net/http repeats a request on a broken idle connection if it can rewind the body or if the body is empty and
+	// the request has an Idempotency-Key. The decision to send again is ours, since the first copy may
+	// have run, so the body must not be one that net/http knows.
+	body := io.NopCloser(bytes.NewReader(a.Request.Body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/run", body)
 	if err != nil {
 		return nil, err
 	}
-	// net/http repeats a request on a broken idle connection if it can rewind the body; the
-	// decision to send again is ours, since the first copy may have run.
-	req.GetBody = nil
+	req.ContentLength = int64(len(a.Request.Body))
 	h := req.Header
 	h.Set(request.HeaderRequestID, a.Request.ID)
-	h.Set(request.HeaderAttempt, strconv.Itoa(a.Number))
+	h.Set(request.HeaderAttempt, a.ID)
 	h.Set(request.HeaderBacker, a.Request.Backer)
 	h.Set(request.HeaderQueue, a.Request.Queue)
 	h.Set(request.HeaderPool, a.Request.Pool)
@@ -153,14 +162,17 @@
 func (c *Client) read(resp *http.Response, a Attempt) (Answer, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
-		return Answer{}, verdict.Wrap(fmt.Errorf("%w: %v", ErrBroken, err), verdict.MayHaveRun, http.StatusBadGateway)
+		return Answer{}, verdict.Wrap(fmt.Errorf("%w: %v", ErrBroken, cause(resp.Request.Context(), err)), verdict.MayHaveRun, http.StatusBadGateway)
 	}
 	c.last.Store(time.Now().UnixNano())
 	leaving := resp.Header.Get(request.HeaderLeaving) == "true"
+	if err := checkIdentity(resp, a); err != nil {
+		return Answer{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
+	}
 	if resp.Header.Get(request.HeaderVerdict) == verdict.NotRun.String() {
 		return Answer{Leaving: leaving}, refusal(resp.StatusCode, leaving)
 	}
-	if err := check(resp, a, body); err != nil {
+	if err := checkBody(resp, body); err != nil {
 		return Answer{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
 	}
 	return Answer{
@@ -178,17 +190,22 @@
 	return verdict.Wrap(ErrFull, verdict.NotRun, status)
 }
 
-// check compares the echo of request id and attempt and the hash of the body, so that
-// a swapped, late or truncated answer is not taken for a good one.
-func check(resp *http.Response, a Attempt, body []byte) error {
-	if len(body) > maxAnswerBytes {
-		return fmt.Errorf("%w: longer than %d bytes", ErrBroken, maxAnswerBytes)
-	}
+// checkIdentity compares the echo of request id and attempt, so that a swapped or late answer, or the
+// refusal of another request, is not taken for this one's.
+func checkIdentity(resp *http.Response, a Attempt) error {
 	if id := resp.Header.Get(request.HeaderRequestID); id != a.Request.ID {
 		return fmt.Errorf("%w: answer is for request %q", ErrBroken, id)
 	}
-	if n := resp.Header.Get(request.HeaderAttempt); n != strconv.Itoa(a.Number) {
-		return fmt.Errorf("%w: answer is for attempt %q", ErrBroken, n)
+	if id := resp.Header.Get(request.HeaderAttempt); id != a.ID {
+		return fmt.Errorf("%w: answer is for attempt %q", ErrBroken, id)
+	}
+	return nil
+}
+
+// checkBody compares the hash of the body, so that a truncated answer is not taken for a whole one.
+func checkBody(resp *http.Response, body []byte) error {
+	if len(body) > maxAnswerBytes {
+		return fmt.Errorf("%w: longer than %d bytes", ErrBroken, maxAnswerBytes)
 	}
 	if hash := resp.Header.Get(request.HeaderBodyHash); hash != request.BodyHash(body) {
 		return fmt.Errorf("%w: body hash is %q", ErrBroken, hash)
@@ -196,13 +213,22 @@
 	return nil
 }
 
-// Stop asks the worker to stop a running request and returns once the worker confirms that
-// it does not run any more. It reports whether the request had finished before.
-func (c *Client) Stop(ctx context.Context, requestID string) error {
+// cause prefers the reason for which ctx was cancelled over the transport's error.
+func cause(ctx context.Context, err error) error {
+	if c := context.Cause(ctx); errors.Is(c, ErrSilent) {
+		return c
+	}
+	return err
+}
+
+// Stop asks the worker to stop an attempt and returns nil once the worker confirms that it does
+// not run. The worker stops only the named attempt of the request.
+func (c *Client) Stop(ctx context.Context, requestID, attempt string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/stop/"+requestID, nil)
 	if err != nil {
 		return err
 	}
+	req.Header.Set(request.HeaderAttempt, attempt)
 	resp, err := c.fresh.RoundTrip(req)
 	if err != nil {
 		return err
@@ -213,3 +239,6 @@
 	}
 	return nil
 }
+
+// Address is the worker's IP:port.
+func (c *Client) Address() string { return c.address }
--- /dev/null
+++ b/worker/task.go
@@ -0,0 +1,150 @@
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+
+	"samphirepoint/request"
+	"samphirepoint/verdict"
+)
+
+// TaskState is the state of a task at its worker.
+type TaskState string
+
+// States of a task; all but TaskRunning are final.
+const (
+	TaskRunning TaskState = "running"
+	TaskDone    TaskState = "done"
+	TaskFailed  TaskState = "failed"
+	TaskStopped TaskState = "stopped"
+	TaskLapsed  TaskState = "lapsed"
+)
+
+// ErrUnknownTask reports that the worker has never heard of the task, or has forgotten it in a reboot.
+var ErrUnknownTask = errors.New("worker does not know the task")
+
+// TaskStart starts a task; a second start with the same id changes nothing.
+type TaskStart struct {
+	ID string `json:"-"`
+	// LeaseSeconds is the time after which the worker stops a task that is not renewed.
+	LeaseSeconds float64 `json:"leaseSeconds"`
+	// Checkpoint continues the work of an earlier task; its form is the worker's own.
+	Checkpoint json.RawMessage `json:"checkpoint,omitempty"`
+	Work       json.RawMessage `json:"work"`
+}
+
+// Task is a task as its worker sees it.
+type Task struct {
+	ID         string          `json:"id"`
+	State      TaskState       `json:"state"`
+	Checkpoint json.RawMessage `json:"checkpoint"`
+	// Status and Result are the outcome of a task that is done or failed.
+	Status int             `json:"status"`
+	Result json.RawMessage `json:"result"`
+}
+
+// StartTask starts a task. An error with verdict NotRun proves that this call did not start it.
+func (c *Client) StartTask(ctx context.Context, r *request.Request, t TaskStart) (Task, error) {
+	header := http.Header{}
+	header.Set(request.HeaderRequestID, r.ID)
+	header.Set(request.HeaderAttempt, t.ID)
+	header.Set(request.HeaderBacker, r.Backer)
+	header.Set(request.HeaderQueue, r.Queue)
+	header.Set(request.HeaderPool, r.Pool)
+	header.Set(request.HeaderKind, r.Kind)
+	header.Set(request.HeaderIdempotent, strconv.FormatBool(r.Idempotent))
+	if r.Key != "" {
+		header.Set(request.HeaderIdempotencyKey, r.Key)
+	}
+	return c.task(ctx, http.MethodPut, t.ID, "", header, t)
+}
+
+// Task returns the state of a task.
+func (c *Client) Task(ctx context.Context, id string) (Task, error) {
+	return c.task(ctx, http.MethodGet, id, "", nil, nil)
+}
+
+// RenewTask extends the lease of a task.
+func (c *Client) RenewTask(ctx context.Context, id string, leaseSeconds float64) (Task, error) {
+	return c.task(ctx, http.MethodPost, id, "/renew", nil, TaskStart{LeaseSeconds: leaseSeconds})
+}
+
+// CheckpointTask makes the worker note the progress of a task and returns it.
+func (c *Client) CheckpointTask(ctx context.Context, id string) (Task, error) {
+	return c.task(ctx, http.MethodPost, id, "/checkpoint", nil, nil)
+}
+
+// throttle is the body of a throttle call.
+type throttle struct {
+	Speed float64 `json:"speed"`
+}
+
+// ThrottleTask sets the speed of a task; 1 is full speed and 0 a pause.
+func (c *Client) ThrottleTask(ctx context.Context, id string, speed float64) (Task, error) {
+	return c.task(ctx, http.MethodPost, id, "/throttle", nil, throttle{Speed: speed})
+}
+
+// StopTask stops a task and returns its final state once it does not run any more.
+func (c *Client) StopTask(ctx context.Context, id string) (Task, error) {
+	return c.task(ctx, http.MethodPost, id, "/stop", nil, nil)
+}
+
+// task makes one call on a connection of its own: task calls are rare, and a connection gone silent must
+// not let a lease lapse.
+func (c *Client) task(ctx context.Context, method, id, action string, header http.Header, in any) (Task, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return Task{}, verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest)
+		}
+		body = io.NopCloser(bytes.NewReader(data))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+"/tasks/"+id+action, body)
+	if err != nil {
+		return Task{}, verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest)
+	}
+	if header != nil {
+		req.Header = header
+	}
+	resp, err := c.fresh.RoundTrip(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return Task{}, verdict.Wrap(err, verdict.NotRun, http.StatusBadGateway)
+		}
+		return Task{}, err
+	}
+	defer resp.Body.Close()
+	return readTask(resp)
+}
+
+func readTask(resp *http.Response) (Task, error) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return Task{}, err
+	}
+	if resp.Header.Get(request.HeaderVerdict) == verdict.NotRun.String() {
+		return Task{}, refusal(resp.StatusCode, resp.Header.Get(request.HeaderLeaving) == "true")
+	}
+	switch resp.StatusCode {
+	case http.StatusNotFound:
+		return Task{}, ErrUnknownTask
+	case http.StatusOK, http.StatusCreated, http.StatusConflict:
+		var t Task
+		if err := json.Unmarshal(data, &t); err != nil {
+			return Task{}, fmt.Errorf("task reply: %w", err)
+		}
+		return t, nil
+	}
+	return Task{}, fmt.Errorf("task reply: status %d", resp.StatusCode)
+}
