--- a/command/all.go
+++ b/command/all.go
@@ -6,6 +6,7 @@
 func All() []subcommands.Command {
 	return []subcommands.Command{
 		settingsCommand{},
+		tokenCommand{},
 		versionCommand{},
 	}
 }
