--- a/auth/tokens.go
+++ b/auth/tokens.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/base64"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -241,7 +242,7 @@
 func NewToken(name string, role Role) (string, Entry) {
 	raw := make([]byte, tokenBytes)
 	rand.Read(raw)
-	token := hex.EncodeToString(raw)
+	token := base64.RawURLEncoding.EncodeToString(raw)
 	digest := sha256.Sum256([]byte(token))
 	return token, Entry{Name: name, Role: role, Hash: hex.EncodeToString(digest[:])}
 }
--- /dev/null
+++ b/membership/snapshot.go
@@ -0,0 +1,95 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Seen is a member in a snapshot.
+type Seen struct {
+	Member
+	Status Status
+	// HeartbeatAt is the local time at which the last heartbeat was produced.
+	HeartbeatAt time.Time
+}
+
+// Snapshot is an immutable copy of a view for readers in other goroutines.
+type Snapshot struct {
+	// Self is the id of the entry that holds the view.
+	Self string
+	At   time.Time
+	// Members are all known members by id.
+	Members []Seen
+	owners  map[string]Member
+}
+
+// Snapshot copies the view and assigns the pools.
+func (v *View) Snapshot(pools []Pool, now time.Time) *Snapshot {
+	s := &Snapshot{Self: v.self, At: now}
+	for _, id := range slices.Sorted(maps.Keys(v.members)) {
+		r := v.members[id]
+		s.Members = append(s.Members, Seen{Member: r.Member, Status: v.status(r, now), HeartbeatAt: r.produced})
+	}
+	s.owners = Owners(pools, v.Alive(now))
+	return s
+}
+
+// Owner returns the owner of a pool; false if the pool is unknown or no entry can own it.
+func (s *Snapshot) Owner(pool string) (Member, bool) {
+	m, ok := s.owners[pool]
+	return m, ok
+}
+
+// Owned returns the names of the pools that a member owns, in order.
+func (s *Snapshot) Owned(id string) []string {
+	var pools []string
+	for pool, m := range s.owners {
+		if m.ID == id {
+			pools = append(pools, pool)
+		}
+	}
+	slices.Sort(pools)
+	return pools
+}
+
+// Member returns a member by id.
+func (s *Snapshot) Member(id string) (Seen, bool) {
+	i, ok := slices.BinarySearchFunc(s.Members, id, func(m Seen, id string) int {
+		switch {
+		case m.ID < id:
+			return -1
+		case m.ID > id:
+			return 1
+		}
+		return 0
+	})
+	if !ok {
+		return Seen{}, false
+	}
+	return s.Members[i], true
+}
+
+// Alive returns the members that are not suspect, by id, including the entry itself.
+func (s *Snapshot) Alive() []Member {
+	var alive []Member
+	for _, m := range s.Members {
+		if m.Status == Alive {
+			alive = append(alive, m.Member)
+		}
+	}
+	return alive
+}
+
+// NewestConfig returns the highest configuration version that any known member has in force, and its holders.
+func (s *Snapshot) NewestConfig() (version int64, holders []Member) {
+	for _, m := range s.Members {
+		switch {
+		case m.ConfigVersion > version:
+			version, holders = m.ConfigVersion, []Member{m.Member}
+		case m.ConfigVersion == version && version > 0:
+			holders = append(holders, m.Member)
+		}
+	}
+	return version, holders
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -49,8 +49,7 @@
 type TLS struct {
 	Certificate string
 	Key         string
-	// Authorities verifies the certificates of the other side; for peers it also makes a client
-	// certificate mandatory.
+	// Authorities verifies the certificates of the other side and makes a client certificate mandatory.
 	Authorities string
 }
 
