--- /dev/null
+++ b/standin/platformd/instances.go
@@ -0,0 +1,98 @@
+package platformd
+
+import (
+	"sort"
+	"time"
+
+	"samphirepoint/platform"
+)
+
+const (
+	// registrationTTL is three missed renewals of 2 s.
+	registrationTTL = 6 * time.Second
+	// historyKept bounds the lag that can be shown.
+	historyKept = 5 * time.Minute
+)
+
+// listing is the state of an instance from a time on.
+type listing struct {
+	from     time.Time
+	present  bool
+	instance platform.Instance
+}
+
+type registration struct {
+	renewed time.Time
+	history []listing
+}
+
+// instanceList shows registrations as they were a lag ago. The caller holds the server's mutex.
+type instanceList struct {
+	registrations map[string]*registration
+}
+
+func (l *instanceList) put(now time.Time, in platform.Instance) {
+	l.expire(now)
+	reg := l.registrations[in.ID]
+	if reg == nil {
+		reg = &registration{}
+		l.registrations[in.ID] = reg
+	}
+	reg.renewed = now
+	if last, ok := reg.last(); !ok || !last.present || last.instance != in {
+		reg.add(listing{from: now, present: true, instance: in})
+	}
+}
+
+func (l *instanceList) remove(now time.Time, id string) {
+	l.expire(now)
+	if reg := l.registrations[id]; reg != nil {
+		if last, ok := reg.last(); ok && last.present {
+			reg.add(listing{from: now})
+		}
+	}
+}
+
+// view returns the instances that were registered at time now-lag.
+func (l *instanceList) view(now time.Time, lag time.Duration) []platform.Instance {
+	l.expire(now)
+	at := now.Add(-lag)
+	list := []platform.Instance{}
+	for _, reg := range l.registrations {
+		for i := len(reg.history) - 1; i >= 0; i-- {
+			if h := reg.history[i]; !h.from.After(at) {
+				if h.present {
+					list = append(list, h.instance)
+				}
+				break
+			}
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// expire removes registrations that were not renewed and history that is too old to be shown.
+func (l *instanceList) expire(now time.Time) {
+	for id, reg := range l.registrations {
+		last, ok := reg.last()
+		if ok && last.present && now.Sub(reg.renewed) > registrationTTL {
+			reg.add(listing{from: reg.renewed.Add(registrationTTL)})
+		}
+		for len(reg.history) > 1 && now.Sub(reg.history[1].from) > historyKept {
+			reg.history = reg.history[1:]
+		}
+		if last, _ := reg.last(); !last.present && now.Sub(last.from) > historyKept {
+			delete(l.registrations, id)
+		}
+	}
+}
+
+func (r *registration) last() (listing, bool) {
+	if len(r.history) == 0 {
+		return listing{}, false
+	}
+	return r.history[len(r.history)-1], true
+}
+
+func (r *registration) add(l listing) { r.history = append(r.history, l) }
--- /dev/null
+++ b/standin/platformd/server.go
@@ -0,0 +1,353 @@
+// Package platformd is a stand-in of the platform: a transactional table, an object store and a lagging list
+// of instances behind the HTTP protocol of package platform, with faults that experiments switch on. All state
+// is in memory.
+package platformd
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"samphirepoint/platform"
+	"samphirepoint/standin"
+)
+
+// maxObjectBytes bounds one object; results of jobs stay below 8 MB.
+const maxObjectBytes = 16 << 20
+
+// Fault describes what is wrong with one service of the platform.
+type Fault struct {
+	// Down answers 503 before anything is touched.
+	Down bool `json:"down,omitempty"`
+	// Delay is added to each call, half before and half after it takes effect.
+	Delay standin.Duration `json:"delay,omitempty"`
+	// LoseReplies is the number of next writes that take effect and whose connection is then closed without an answer.
+	LoseReplies int `json:"loseReplies,omitempty"`
+	// LoseProbability is the probability of the same for each write.
+	LoseProbability float64 `json:"loseProbability,omitempty"`
+}
+
+// Faults is the body of PUT /faults; it replaces all earlier faults.
+type Faults struct {
+	Table     Fault `json:"table"`
+	Objects   Fault `json:"objects"`
+	Instances Fault `json:"instances"`
+	// ListLag is the age of the instance list.
+	ListLag standin.Duration `json:"listLag,omitempty"`
+}
+
+// Counters is the answer of GET /counters; all values count from the start.
+type Counters struct {
+	Reads         int64 `json:"reads"` // calls of get and list
+	ReadRows      int64 `json:"readRows"`
+	Writes        int64 `json:"writes"` // committed transactions
+	WriteRows     int64 `json:"writeRows"`
+	Conflicts     int64 `json:"conflicts"`
+	ObjectReads   int64 `json:"objectReads"`
+	ObjectWrites  int64 `json:"objectWrites"`
+	InstanceReads int64 `json:"instanceReads"`
+	Registrations int64 `json:"registrations"`
+	Refused       int64 `json:"refused"` // calls answered 503 while down
+	LostReplies   int64 `json:"lostReplies"`
+}
+
+// Options of a platform.
+type Options struct {
+	// ListLag is the initial age of the instance list.
+	ListLag time.Duration
+	// Seed makes the choice of lost replies repeatable.
+	Seed uint64
+	// OnChange, if set, is called for each committed row, in order and under the table's lock.
+	OnChange func(Change)
+}
+
+// Server is the platform. It is safe for concurrent use.
+type Server struct {
+	mux      *http.ServeMux
+	onChange func(Change)
+
+	mu        sync.Mutex
+	table     store
+	objects   map[string][]byte
+	instances instanceList
+	faults    Faults
+	counters  Counters
+	random    *rand.Rand
+}
+
+// New returns an empty platform without faults.
+func New(o Options) *Server {
+	s := &Server{
+		mux:       http.NewServeMux(),
+		onChange:  o.OnChange,
+		table:     store{cells: map[string]cell{}},
+		objects:   map[string][]byte{},
+		instances: instanceList{registrations: map[string]*registration{}},
+		faults:    Faults{ListLag: standin.Duration(o.ListLag)},
+		random:    rand.New(rand.NewPCG(o.Seed, 1)),
+	}
+	s.routes()
+	return s
+}
+
+// Start serves the platform on addr.
+func (s *Server) Start(addr string) (*standin.Listener, error) { return standin.Listen(addr, s) }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// SetFaults replaces all faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Faults returns the faults that are switched on, with the replies that are still to be lost.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counters returns the use of the platform since the start.
+func (s *Server) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counters
+}
+
+// Row reads a row past all faults and counters.
+func (s *Server) Row(key string) platform.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.get(key)
+}
+
+// Rows lists rows past all faults and counters.
+func (s *Server) Rows(prefix string) []platform.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.list(platform.ListQuery{Prefix: prefix})
+}
+
+func (s *Server) routes() {
+	tableFault := func(f *Faults) *Fault { return &f.Table }
+	objectFault := func(f *Faults) *Fault { return &f.Objects }
+	instanceFault := func(f *Faults) *Fault { return &f.Instances }
+	s.mux.HandleFunc("GET /table/rows/{key}", s.read(tableFault, s.getRow))
+	s.mux.HandleFunc("POST /table/list", s.read(tableFault, s.listRows))
+	s.mux.HandleFunc("POST /table/commit", s.write(tableFault, s.commit))
+	s.mux.HandleFunc("GET /objects/{key}", s.read(objectFault, s.getObject))
+	s.mux.HandleFunc("PUT /objects/{key}", s.write(objectFault, s.putObject))
+	s.mux.HandleFunc("GET /instances", s.read(instanceFault, s.listInstances))
+	s.mux.HandleFunc("PUT /instances/{id}", s.write(instanceFault, s.putInstance))
+	s.mux.HandleFunc("DELETE /instances/{id}", s.write(instanceFault, s.deleteInstance))
+	s.mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) {
+		standin.WriteJSON(w, http.StatusOK, s.Counters())
+	})
+	s.mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) {
+		standin.WriteJSON(w, http.StatusOK, s.Faults())
+	})
+	s.mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if standin.ReadJSON(w, r, &f) {
+			s.SetFaults(f)
+			w.WriteHeader(http.StatusNoContent)
+		}
+	})
+}
+
+// effect does the work of a call under the mutex and returns the answer.
+type effect func() reply
+
+type reply struct {
+	status int
+	json   any
+	raw    []byte
+}
+
+type faultOf func(*Faults) *Fault
+
+// parse reads the call; it answers 400 itself and returns nil if the call is malformed.
+type parse func(w http.ResponseWriter, r *http.Request) effect
+
+func (s *Server) read(f faultOf, p parse) http.HandlerFunc  { return s.call(f, p, false) }
+func (s *Server) write(f faultOf, p parse) http.HandlerFunc { return s.call(f, p, true) }
+
+// call applies the faults around an effect. A call whose client went away takes effect all the same, as one does in a
+// slow store.
+func (s *Server) call(f faultOf, p parse, writes bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		do := p(w, r)
+		if do == nil {
+			return
+		}
+		s.mu.Lock()
+		delay := f(&s.faults).Delay.D()
+		s.mu.Unlock()
+		time.Sleep(delay / 2)
+		answer, lost := s.run(f, do, writes)
+		time.Sleep(delay / 2)
+		if lost {
+			panic(http.ErrAbortHandler) // closes the connection without an answer
+		}
+		answer.send(w)
+	}
+}
+
+func (s *Server) run(f faultOf, do effect, writes bool) (answer reply, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fault := f(&s.faults)
+	if fault.Down {
+		s.counters.Refused++
+		return reply{status: http.StatusServiceUnavailable, raw: []byte("down")}, false
+	}
+	answer = do()
+	if writes && answer.status < 300 && s.lose(fault) {
+		s.counters.LostReplies++
+		return answer, true
+	}
+	return answer, false
+}
+
+func (s *Server) lose(f *Fault) bool {
+	if f.LoseReplies > 0 {
+		f.LoseReplies--
+		return true
+	}
+	return f.LoseProbability > 0 && s.random.Float64() < f.LoseProbability
+}
+
+func (a reply) send(w http.ResponseWriter) {
+	switch {
+	case a.json != nil:
+		standin.WriteJSON(w, a.status, a.json)
+	default:
+		w.WriteHeader(a.status)
+		_, _ = w.Write(a.raw) // the client sees a short body by its Content-Length
+	}
+}
+
+func (s *Server) getRow(_ http.ResponseWriter, r *http.Request) effect {
+	key := r.PathValue("key")
+	return func() reply {
+		s.counters.Reads++
+		s.counters.ReadRows++
+		return reply{status: http.StatusOK, json: s.table.get(key)}
+	}
+}
+
+func (s *Server) listRows(w http.ResponseWriter, r *http.Request) effect {
+	var q platform.ListQuery
+	if !standin.ReadJSON(w, r, &q) {
+		return nil
+	}
+	return func() reply {
+		rows := s.table.list(q)
+		s.counters.Reads++
+		s.counters.ReadRows += int64(len(rows))
+		return reply{status: http.StatusOK, json: rows}
+	}
+}
+
+func (s *Server) commit(w http.ResponseWriter, r *http.Request) effect {
+	var q platform.CommitQuery
+	if !standin.ReadJSON(w, r, &q) {
+		return nil
+	}
+	if err := validate(q.Writes); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return nil
+	}
+	return func() reply {
+		versions, err := s.table.commit(q.Writes)
+		if err != nil {
+			s.counters.Conflicts++
+			return reply{status: http.StatusConflict, raw: []byte(err.Error())}
+		}
+		s.counters.Writes++
+		s.note(q.Writes)
+		return reply{status: http.StatusOK, json: platform.CommitReply{Versions: versions}}
+	}
+}
+
+// note counts the written rows and reports them to the observer.
+func (s *Server) note(writes []platform.Write) {
+	now := time.Now()
+	for _, w := range writes {
+		if w.Check {
+			continue
+		}
+		s.counters.WriteRows++
+		if s.onChange != nil {
+			s.onChange(Change{Time: now, Row: s.table.get(w.Key)})
+		}
+	}
+}
+
+func (s *Server) getObject(_ http.ResponseWriter, r *http.Request) effect {
+	key := r.PathValue("key")
+	return func() reply {
+		s.counters.ObjectReads++
+		data, ok := s.objects[key]
+		if !ok {
+			return reply{status: http.StatusNotFound}
+		}
+		return reply{status: http.StatusOK, raw: data}
+	}
+}
+
+func (s *Server) putObject(w http.ResponseWriter, r *http.Request) effect {
+	key := r.PathValue("key")
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return nil
+	}
+	return func() reply {
+		s.counters.ObjectWrites++
+		s.objects[key] = data
+		return reply{status: http.StatusNoContent}
+	}
+}
+
+func (s *Server) listInstances(http.ResponseWriter, *http.Request) effect {
+	return func() reply {
+		s.counters.InstanceReads++
+		return reply{status: http.StatusOK, json: s.instances.view(time.Now(), s.faults.ListLag.D())}
+	}
+}
+
+func (s *Server) putInstance(w http.ResponseWriter, r *http.Request) effect {
+	var in platform.Instance
+	if !standin.ReadJSON(w, r, &in) {
+		return nil
+	}
+	if in.ID == "" {
+		in.ID = r.PathValue("id")
+	}
+	if in.State == "" {
+		in.State = platform.StateLive
+	}
+	if in.ID != r.PathValue("id") || (in.Kind != platform.KindWorker && in.Kind != platform.KindEntry) {
+		http.Error(w, "id of the path and kind worker or entry expected", http.StatusBadRequest)
+		return nil
+	}
+	return func() reply {
+		s.counters.Registrations++
+		s.instances.put(time.Now(), in)
+		return reply{status: http.StatusNoContent}
+	}
+}
+
+func (s *Server) deleteInstance(_ http.ResponseWriter, r *http.Request) effect {
+	id := r.PathValue("id")
+	return func() reply {
+		s.instances.remove(time.Now(), id)
+		return reply{status: http.StatusNoContent}
+	}
+}
--- /dev/null
+++ b/standin/platformd/server_test.go
@@ -0,0 +1,119 @@
+package platformd_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"samphirepoint/platform"
+	"samphirepoint/standin"
+	"samphirepoint/standin/platformd"
+	"samphirepoint/verdict"
+)
+
+func start(t *testing.T, o platformd.Options) (*platformd.Server, *platform.Client, string) {
+	t.Helper()
+	s := platformd.New(o)
+	l, err := s.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return s, platform.NewClient(l.URL(), &http.Client{}), l.URL()
+}
+
+// A version that repeats after a delete would let an old condition match a new row.
+func TestVersionsNeverRepeat(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	_, c, _ := start(t, platformd.Options{})
+	v, err := c.Commit(ctx, []platform.Write{{Key: "claims/a b/1", Value: []byte("x")}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(v).To(Equal([]int64{1}))
+	_, err = c.Commit(ctx, []platform.Write{{Key: "claims/a b/1", IfVersion: 1, Delete: true}})
+	g.Expect(err).NotTo(HaveOccurred())
+	row, err := c.Get(ctx, "claims/a b/1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(row.Version).To(BeZero())
+	v, err = c.Commit(ctx, []platform.Write{{Key: "claims/a b/1", Value: []byte("y")}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(v[0]).To(BeNumerically(">", 1))
+}
+
+// A transaction that writes although one condition failed would break every lease and claim.
+func TestCommitIsAllOrNothing(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	_, c, _ := start(t, platformd.Options{})
+	_, err := c.Commit(ctx, []platform.Write{{Key: "a", Value: []byte("1")}, {Key: "b", IfVersion: 3, Check: true}})
+	g.Expect(err).To(MatchError(platform.ErrConflict))
+	rows, err := c.List(ctx, "", "", 10)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(rows).To(BeEmpty())
+	_, err = c.Commit(ctx, []platform.Write{{Key: "a"}, {Key: "a"}})
+	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue())
+}
+
+// A lost reply must leave the write in place and must not look like a refusal; a refusal must not write.
+func TestLostReplyAndRefusal(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	s, c, _ := start(t, platformd.Options{})
+	s.SetFaults(platformd.Faults{Table: platformd.Fault{LoseReplies: 1}})
+	_, err := c.Commit(ctx, []platform.Write{{Key: "a", Value: []byte("1")}})
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(verdict.Of(err)).To(Equal(verdict.MayHaveRun))
+	g.Expect(s.Row("a").Version).To(Equal(int64(1)))
+
+	s.SetFaults(platformd.Faults{Table: platformd.Fault{Down: true}})
+	_, err = c.Commit(ctx, []platform.Write{{Key: "b", Value: []byte("1")}})
+	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue())
+	g.Expect(s.Row("b").Version).To(BeZero())
+	g.Expect(s.Counters().LostReplies).To(Equal(int64(1)))
+	g.Expect(s.Counters().Refused).To(Equal(int64(1)))
+}
+
+// Objects keep their keys with slashes, and an absent one is told from a fault.
+func TestObjects(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	_, c, _ := start(t, platformd.Options{})
+	_, err := c.Objects().Get(ctx, "results/1")
+	g.Expect(err).To(MatchError(platform.ErrNotFound))
+	g.Expect(c.Objects().Put(ctx, "results/1", []byte("abc"))).To(Succeed())
+	data, err := c.Objects().Get(ctx, "results/1")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(data)).To(Equal("abc"))
+}
+
+// Without a lag in the list the entries' own notice of leaving workers would go untested.
+func TestInstanceListLags(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	s, c, url := start(t, platformd.Options{ListLag: time.Second})
+	put(g, url+"/instances/w1", `{"kind":"worker","address":"127.0.0.1:1"}`)
+	list, err := c.Instances().List(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list).To(BeEmpty())
+	g.Eventually(func() []platform.Instance { list, _ = c.Instances().List(ctx); return list }).WithTimeout(5 * time.Second).Should(HaveLen(1))
+	put(g, url+"/instances/w1", `{"kind":"worker","address":"127.0.0.1:1","state":"leaving"}`)
+	list, _ = c.Instances().List(ctx)
+	g.Expect(list[0].State).To(Equal(platform.StateLive))
+	put(g, url+"/faults", `{"listLag":"0s"}`)
+	list, _ = c.Instances().List(ctx)
+	g.Expect(list[0].State).To(Equal(platform.StateLeaving))
+	g.Expect(s.Faults().ListLag).To(Equal(standin.Duration(0)))
+}
+
+func put(g *WithT, url, body string) {
+	req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
+	g.Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.Body.Close()).To(Succeed())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusNoContent))
+}
