--- a/command/standin.go
+++ b/command/standin.go
@@ -28,6 +28,7 @@
 	c := subcommands.NewCommander(f, "samphirepoint standin")
 	c.Register(c.HelpCommand(), "")
 	c.Register(&standinPlatformCommand{}, "")
+	c.Register(&standinWorkerCommand{}, "")
 	return c.Execute(ctx, args...)
 }
 
--- /dev/null
+++ b/standin/workerd/listener.go
@@ -0,0 +1,44 @@
+package workerd
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// limitedListener resets connections beyond a limit.
+type limitedListener struct {
+	net.Listener
+	limit  int
+	active atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.active.Add(1) <= int64(l.limit) {
+			return &countedConn{Conn: c, active: &l.active}, nil
+		}
+		l.active.Add(-1)
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // close with a reset
+		}
+		_ = c.Close()
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	active *atomic.Int64
+	once   sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.active.Add(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/standin/workerd/register.go
@@ -0,0 +1,61 @@
+package workerd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"samphirepoint/platform"
+)
+
+// renewInterval leaves two renewals that may fail before a registration expires after 6 s.
+const renewInterval = 2 * time.Second
+
+// Register puts an instance into the list of the platform at base.
+func Register(ctx context.Context, c *http.Client, base string, in platform.Instance) error {
+	data, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	u := strings.TrimRight(base, "/") + "/instances/" + url.PathEscape(in.ID)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, u, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= 300 {
+		return fmt.Errorf("registration of %s: status %d", in.ID, resp.StatusCode)
+	}
+	return nil
+}
+
+// register renews the registration until ctx ends. A failed renewal is repeated at the next turn.
+func (s *Server) register(ctx context.Context) {
+	client := &http.Client{Timeout: renewInterval}
+	defer client.CloseIdleConnections()
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		if !s.isOff() {
+			in := s.describe()
+			if s.options.Platform != "" {
+				_ = Register(ctx, client, s.options.Platform, in)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.kick:
+		}
+	}
+}
--- /dev/null
+++ b/standin/workerd/server_test.go
@@ -0,0 +1,188 @@
+package workerd_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"samphirepoint/platform"
+	"samphirepoint/request"
+	"samphirepoint/standin/platformd"
+	"samphirepoint/standin/workerd"
+	"samphirepoint/verdict"
+	"samphirepoint/worker"
+)
+
+func start(t *testing.T, o workerd.Options) *workerd.Server {
+	t.Helper()
+	if o.ID == "" {
+		o.ID = "w1"
+	}
+	s := workerd.New(o)
+	if err := s.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func attempt(id, body string) worker.Attempt {
+	return worker.Attempt{Number: 1, Request: &request.Request{ID: id, Backer: "b", Queue: "q", Pool: "p", Idempotent: true, Body: []byte(body)}}
+}
+
+// The answer must pass the checks of the real client, and the journal must show the work.
+func TestRunEchoesAndJournals(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t, workerd.Options{})
+	c := worker.NewClient(s.Address())
+	defer c.Close()
+	a, err := c.Run(context.Background(), attempt("r1", `{"runMs":5,"payload":{"n":7}}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	var result workerd.Result
+	g.Expect(json.Unmarshal(a.Body, &result)).To(Succeed())
+	g.Expect(string(result.Payload)).To(Equal(`{"n":7}`))
+	j := s.Journal(0)
+	g.Expect(j).To(HaveLen(2))
+	g.Expect(j[0].Kind).To(Equal(workerd.Start))
+	g.Expect(j[1].Kind).To(Equal(workerd.End))
+	g.Expect(j[1].RunID).To(Equal(result.RunID))
+	g.Expect(j[0].Pool).To(Equal("p"))
+	g.Expect(s.Journal(1)).To(HaveLen(1))
+}
+
+// Work beyond the slots must be refused as not run and must not start.
+func TestFullAndLeavingRefuse(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t, workerd.Options{Slots: 1})
+	c := worker.NewClient(s.Address())
+	defer c.Close()
+	ctx := context.Background()
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Run(ctx, attempt("long", `{"runMs":60000}`))
+		done <- err
+	}()
+	g.Eventually(func() int { return len(s.Status().Running) }).WithTimeout(5 * time.Second).Should(Equal(1))
+	_, err := c.Run(ctx, attempt("r2", `{}`))
+	g.Expect(err).To(MatchError(worker.ErrFull))
+	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue())
+	s.Drain(true)
+	_, err = c.Run(ctx, attempt("r3", `{}`))
+	g.Expect(err).To(MatchError(worker.ErrLeaving))
+	g.Expect(c.Stop(ctx, "long")).To(Succeed())
+	g.Expect(s.Status().Running).To(BeEmpty())
+	g.Expect(<-done).NotTo(HaveOccurred())
+	kinds := map[workerd.Kind]int{}
+	for _, e := range s.Journal(0) {
+		kinds[e.Kind]++
+	}
+	g.Expect(kinds).To(Equal(map[workerd.Kind]int{workerd.Start: 1, workerd.End: 1, workerd.Refused: 2, workerd.Leaving: 1}))
+}
+
+// Truncated and swapped answers must be such that the client can and does tell them from good ones.
+func TestBrokenAnswers(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t, workerd.Options{})
+	c := worker.NewClient(s.Address())
+	defer c.Close()
+	ctx := context.Background()
+	g.Expect(s.SetMode(workerd.Mode{Mode: workerd.Truncate})).To(Succeed())
+	for i := range 4 {
+		_, err := c.Run(ctx, attempt(fmt.Sprint("t", i), `{"size":2000}`))
+		g.Expect(err).To(MatchError(worker.ErrBroken))
+	}
+	g.Expect(s.SetMode(workerd.Mode{Mode: workerd.Swap})).To(Succeed())
+	_, err := c.Run(ctx, attempt("s1", `{}`))
+	g.Expect(err).To(MatchError(worker.ErrBroken))
+	g.Expect(s.SetMode(workerd.Mode{Mode: "odd"})).NotTo(Succeed())
+}
+
+// A task must stop by itself when its holder no longer renews it, and a repeated start must not run it twice.
+func TestTaskLease(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t, workerd.Options{})
+	body := `{"leaseSeconds":0.3,"work":{"runMs":60000}}`
+	for range 2 {
+		task := call(g, http.MethodPut, s, "/tasks/t1", body)
+		g.Expect(task.State).To(Equal(workerd.TaskRunning))
+	}
+	g.Expect(call(g, http.MethodPost, s, "/tasks/t1/checkpoint", "").State).To(Equal(workerd.TaskRunning))
+	g.Eventually(func() workerd.TaskState { return call(g, http.MethodGet, s, "/tasks/t1", "").State }).
+		WithTimeout(5 * time.Second).Should(Equal(workerd.TaskLapsed))
+	g.Expect(call(g, http.MethodPost, s, "/tasks/t1/renew", `{}`).State).To(Equal(workerd.TaskLapsed))
+	g.Expect(s.Journal(0)).To(HaveLen(2))
+	g.Expect(s.Status().Running).To(BeEmpty())
+}
+
+// A task continues from a checkpoint, and a stop is confirmed with the final state.
+func TestTaskCheckpointAndStop(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t, workerd.Options{})
+	call(g, http.MethodPut, s, "/tasks/t1", `{"checkpoint":{"doneMs":59990},"work":{"runMs":60000,"payload":1}}`)
+	g.Eventually(func() workerd.TaskState { return call(g, http.MethodGet, s, "/tasks/t1", "").State }).
+		WithTimeout(5 * time.Second).Should(Equal(workerd.TaskDone))
+	call(g, http.MethodPut, s, "/tasks/t2", `{"work":{"runMs":60000}}`)
+	g.Expect(call(g, http.MethodPost, s, "/tasks/t2/stop", "").State).To(Equal(workerd.TaskStopped))
+}
+
+// A reboot must drop work without an answer and bring the worker back on the same address.
+func TestReboot(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t, workerd.Options{})
+	c := worker.NewClient(s.Address())
+	defer c.Close()
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Run(context.Background(), attempt("r1", `{"runMs":60000}`))
+		done <- err
+	}()
+	g.Eventually(func() int { return len(s.Status().Running) }).WithTimeout(5 * time.Second).Should(Equal(1))
+	s.Reboot(50 * time.Millisecond)
+	err := <-done
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(verdict.Of(err)).To(Equal(verdict.MayHaveRun))
+	g.Eventually(func() error { _, err := c.Run(context.Background(), attempt("r2", `{}`)); return err }).
+		WithTimeout(5 * time.Second).Should(Succeed())
+}
+
+// The platform must list the worker, and as leaving while it drains.
+func TestRegisters(t *testing.T) {
+	g := NewWithT(t)
+	p := platformd.New(platformd.Options{})
+	l, err := p.Start("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	s := start(t, workerd.Options{ID: "w9", Zone: "gasabo", Rack: "r2", Platform: l.URL()})
+	c := platform.NewClient(l.URL(), &http.Client{})
+	state := func() platform.State {
+		list, err := c.Instances().List(context.Background())
+		if err != nil || len(list) != 1 {
+			return ""
+		}
+		return list[0].State
+	}
+	g.Eventually(state).WithTimeout(5 * time.Second).Should(Equal(platform.StateLive))
+	s.Drain(true)
+	g.Eventually(state).WithTimeout(5 * time.Second).Should(Equal(platform.StateLeaving))
+}
+
+func call(g *WithT, method string, s *workerd.Server, path, body string) workerd.Task {
+	req, err := http.NewRequest(method, "http://"+s.Address()+path, bytes.NewBufferString(body))
+	g.Expect(err).NotTo(HaveOccurred())
+	req.Header.Set(request.HeaderRequestID, "job-1")
+	resp, err := http.DefaultClient.Do(req)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	var task workerd.Task
+	g.Expect(json.Unmarshal(data, &task)).To(Succeed(), string(data))
+	return task
+}
