--- a/command/standin.go
+++ b/command/standin.go
@@ -29,6 +29,7 @@
 	c.Register(c.HelpCommand(), "")
 	c.Register(&standinPlatformCommand{}, "")
 	c.Register(&standinWorkerCommand{}, "")
+	c.Register(&standinProxyCommand{}, "")
 	return c.Execute(ctx, args...)
 }
 
--- /dev/null
+++ b/standin/faultproxy/proxy.go
@@ -0,0 +1,239 @@
+// Package faultproxy is a TCP proxy that stands in for a faulty network between two processes: delays, cuts in
+// one or both directions, resets, truncation, and open connections that go silent while new ones work.
+//
+// A cut holds bytes and connection ends back until it is healed, as TCP does when packets are lost for a while. A black
+// hole loses them for good.
+package faultproxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"samphirepoint/standin"
+)
+
+// dialTimeout bounds connection setup to the target.
+const dialTimeout = 5 * time.Second
+
+// Direction holds the faults of one direction.
+type Direction struct {
+	// Delay is added to each byte.
+	Delay standin.Duration `json:"delay,omitempty"`
+	// Cut holds all bytes back until it is unset.
+	Cut bool `json:"cut,omitempty"`
+	// TruncateAfter closes each connection after this number of bytes; 0 means never.
+	TruncateAfter int64 `json:"truncateAfter,omitempty"`
+}
+
+// Faults is the body of PUT /faults; it replaces all earlier ones and applies to open and new connections.
+type Faults struct {
+	// Up is from client to target, Down from target to client.
+	Up   Direction `json:"up"`
+	Down Direction `json:"down"`
+	// Refuse resets new connections.
+	Refuse bool `json:"refuse,omitempty"`
+}
+
+// Stats is the answer of GET /stats.
+type Stats struct {
+	Accepted  int64 `json:"accepted"`
+	Open      int   `json:"open"` // with those in a black hole
+	BytesUp   int64 `json:"bytesUp"`
+	BytesDown int64 `json:"bytesDown"`
+}
+
+// Proxy forwards connections to one target. It is safe for concurrent use.
+type Proxy struct {
+	target   string
+	listener net.Listener
+	wait     sync.WaitGroup
+	accepted atomic.Int64
+	up, down atomic.Int64 // bytes
+
+	mu      sync.Mutex
+	faults  Faults
+	changed chan struct{} // closed at each change of faults
+	links   map[*link]bool
+	closed  bool
+}
+
+// New starts a proxy on addr (IP:port, port 0 picks one) for target.
+func New(addr, target string) (*Proxy, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{target: target, listener: ln, changed: make(chan struct{}), links: map[*link]bool{}}
+	p.wait.Add(1)
+	go p.accept()
+	return p, nil
+}
+
+// Address returns IP:port.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set replaces the faults.
+func (p *Proxy) Set(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Faults returns the faults in force.
+func (p *Proxy) Faults() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+// Cut holds back both directions of open and new connections, or ends that.
+func (p *Proxy) Cut(on bool) {
+	f := p.Faults()
+	f.Up.Cut, f.Down.Cut = on, on
+	p.Set(f)
+}
+
+// Reset resets all open connections.
+func (p *Proxy) Reset() {
+	for _, l := range p.open() {
+		l.reset()
+	}
+}
+
+// BlackHole silences the connections that are open now: they stay open and pass nothing any more. New ones work.
+func (p *Proxy) BlackHole() {
+	for _, l := range p.open() {
+		l.silent.Store(true)
+	}
+}
+
+// Stats returns counters.
+func (p *Proxy) Stats() Stats {
+	return Stats{Accepted: p.accepted.Load(), Open: len(p.open()), BytesUp: p.up.Load(), BytesDown: p.down.Load()}
+}
+
+// Close ends the listener and all connections.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	_ = p.listener.Close()
+	p.Reset()
+	p.wait.Wait()
+}
+
+func (p *Proxy) open() []*link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	links := make([]*link, 0, len(p.links))
+	for l := range p.links {
+		links = append(links, l)
+	}
+	return links
+}
+
+func (p *Proxy) accept() {
+	defer p.wait.Done()
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return // Close ended the listener
+		}
+		p.accepted.Add(1)
+		client, ok := c.(*net.TCPConn)
+		if !ok || p.Faults().Refuse {
+			abandon(c)
+			continue
+		}
+		p.wait.Add(1)
+		go func() {
+			defer p.wait.Done()
+			p.serve(client)
+		}()
+	}
+}
+
+func (p *Proxy) serve(client *net.TCPConn) {
+	c, err := net.DialTimeout("tcp", p.target, dialTimeout)
+	if err != nil {
+		abandon(client)
+		return
+	}
+	l := &link{proxy: p, client: client, server: c.(*net.TCPConn), done: make(chan struct{})}
+	if !p.add(l) {
+		l.reset()
+		return
+	}
+	var pumps sync.WaitGroup
+	for _, pump := range []pump{
+		{l: l, from: l.client, to: l.server, bytes: &p.up, faults: func(f Faults) Direction { return f.Up }},
+		{l: l, from: l.server, to: l.client, bytes: &p.down, faults: func(f Faults) Direction { return f.Down }},
+	} {
+		pumps.Add(1)
+		go func() {
+			defer pumps.Done()
+			pump.run()
+		}()
+	}
+	pumps.Wait()
+	if l.silent.Load() {
+		<-l.done // a black hole keeps both ends open until Reset or Close
+	}
+	l.reset()
+	p.remove(l)
+}
+
+func (p *Proxy) add(l *link) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.links[l] = true
+	return true
+}
+
+func (p *Proxy) remove(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.links, l)
+}
+
+func (p *Proxy) state() (Faults, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults, p.changed
+}
+
+func abandon(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // close with a reset
+	}
+	_ = c.Close()
+}
+
+// Handler serves the HTTP control interface.
+func (p *Proxy) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) { standin.WriteJSON(w, http.StatusOK, p.Faults()) })
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { standin.WriteJSON(w, http.StatusOK, p.Stats()) })
+	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if standin.ReadJSON(w, r, &f) {
+			p.Set(f)
+			w.WriteHeader(http.StatusNoContent)
+		}
+	})
+	mux.HandleFunc("POST /reset", func(w http.ResponseWriter, _ *http.Request) { p.Reset(); w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("POST /black-hole", func(w http.ResponseWriter, _ *http.Request) { p.BlackHole(); w.WriteHeader(http.StatusNoContent) })
+	return mux
+}
+
+// String names the proxy in messages.
+func (p *Proxy) String() string { return fmt.Sprintf("proxy %s -> %s", p.Address(), p.target) }
