--- a/command/all.go
+++ b/command/all.go
@@ -7,5 +7,6 @@
 	return []subcommands.Command{
 		versionCommand{},
 		standinCommand{},
+		&loadCommand{},
 	}
 }
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,120 @@
+package load_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"samphirepoint/load"
+	"samphirepoint/request"
+	"samphirepoint/standin/workerd"
+)
+
+func plan(d load.Deployment) load.Plan {
+	return load.Plan{Deployment: d, Rate: 200, For: 42 * time.Second, Seed: 3, Backers: []string{"a", "b"}, Entries: 4, Spread: 5}
+}
+
+// A schedule that differs from run to run would make policies incomparable, and one without the stated mean, surges or
+// spread would measure another system.
+func TestSchedule(t *testing.T) {
+	g := NewWithT(t)
+	first, err := load.Schedule(plan(load.Inzira()))
+	g.Expect(err).NotTo(HaveOccurred())
+	second, err := load.Schedule(plan(load.Inzira()))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(second).To(Equal(first))
+	g.Expect(len(first)).To(BeNumerically("~", 200*42, 1000))
+	entries, surge := make([]int, 4), 0
+	for _, a := range first {
+		entries[a.Entry]++
+		if a.Queue == "pumps" && a.At < 4*time.Second {
+			surge++
+		}
+	}
+	g.Expect(float64(entries[0]) / float64(entries[3])).To(BeNumerically("~", 5, 0.8))
+	g.Expect(surge).To(BeNumerically("~", 200*0.22*5*4, 150))
+}
+
+// At the default rate a surge must exceed each pool, or nothing ever waits.
+func TestSurgesExceedPools(t *testing.T) {
+	g := NewWithT(t)
+	slots := map[string]float64{"pumps": 72, "deliveries": 72, "slips": 88, "routes": 96,
+		"innanlands": 64, "utanlands": 72, "bref": 88, "magn": 96}
+	for _, d := range []load.Deployment{load.Inzira(), load.Hraunvik()} {
+		p := plan(d)
+		p.Rate, p.For = load.DefaultRate, 4*time.Minute
+		arrivals, err := load.Schedule(p)
+		g.Expect(err).NotTo(HaveOccurred())
+		busy := map[string]time.Duration{}
+		for _, a := range arrivals {
+			busy[a.Queue] += a.RunTime
+		}
+		for q, b := range busy {
+			g.Expect(5*b.Seconds()/p.For.Seconds()).To(BeNumerically(">", slots[q]), q)
+		}
+	}
+}
+
+// entry answers as an entry does; it breaks the connection of the first submission with each key.
+func entry(t *testing.T, delay time.Duration, seen *sync.Map) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		var work workerd.Work
+		_ = json.Unmarshal(body, &work)
+		if key := r.Header.Get(request.HeaderIdempotencyKey); key != "" {
+			if _, known := seen.LoadOrStore(key, r.Header.Get(request.HeaderRequestID)); !known {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		time.Sleep(delay)
+		w.Header().Set(request.HeaderVerdict, "ran")
+		fmt.Fprintf(w, `{"runId":"x","payload":%s}`, work.Payload)
+	}))
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+// A generator that waits for answers, or that repeats with another key or at the same entry, tests nothing of what
+// it claims to.
+func TestRunIsOpenLoopAndRepeats(t *testing.T) {
+	g := NewWithT(t)
+	var seen sync.Map
+	const delay = 300 * time.Millisecond
+	targets := []string{entry(t, delay, &seen), entry(t, delay, &seen)}
+	d := load.Deployment{Name: "test", Queues: []load.Queue{{Name: "q", Share: 1, Mix: []load.Kind{
+		{Name: "quote", Share: 0.5, Deadline: 5 * time.Second}, {Name: "refresh", Share: 0.5, NonIdempotent: true, Deadline: 5 * time.Second},
+	}}}}
+	began := time.Now()
+	result, err := load.Run(context.Background(), load.Options{Targets: targets, Deployment: d, Rate: 20, For: time.Second,
+		Tokens: map[string]string{"a": "t"}, Seed: 1})
+	g.Expect(err).NotTo(HaveOccurred())
+	s := result.Summary()
+	g.Expect(s.Arrivals).To(BeNumerically(">", 20))
+	g.Expect(s.OK).To(Equal(s.Arrivals))
+	g.Expect(time.Since(began)).To(BeNumerically("<", time.Duration(s.Arrivals)*delay/2))
+	g.Expect(s.Latencies["quote short"].P50).To(BeNumerically(">=", 300))
+	repeated := 0
+	for i, r := range result.Records {
+		if r.Repeat == 1 {
+			before := result.Records[i-1]
+			repeated++
+			g.Expect(before.ErrKind).To(Equal(load.ErrBroken))
+			g.Expect(before.Unclear()).To(BeTrue())
+			g.Expect(r.Key).To(Equal(before.Key))
+			g.Expect(r.RequestID).NotTo(Equal(before.RequestID))
+			g.Expect(r.Entry).NotTo(Equal(before.Entry))
+		}
+		if r.OK() {
+			g.Expect(string(r.Result.Payload)).To(Equal(r.WantPayload))
+		}
+	}
+	g.Expect(repeated).To(BeNumerically(">", 0))
+}
