Add checks, edits, CSV and the draft store of the table

Operators edit a shared draft by cell. Each edit carries the value that its operator saw, so edits of different cells merge and others conflict. A commit with a lost reply is read back and sent again under the same conditions.

--- /dev/null
+++ b/table/draft.go
@@ -0,0 +1,326 @@
+package table
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"slices"
+	"time"
+
+	"samphirepoint/platform"
+)
+
+// Draft is the change that operators prepare together. There is at most one.
+type Draft struct {
+	// ID tells drafts apart; a discarded draft's id does not return.
+	ID string `json:"id"`
+	// Base is the accepted version that the draft changes.
+	Base int64 `json:"base"`
+	// Changes holds the latest change of each cell with its author. Before is the accepted value.
+	Changes []Change `json:"changes"`
+	// Operations holds the ids of the latest edits.
+	Operations []string `json:"operations"`
+
+	// Version is the version of the draft's row, 0 if there is no draft.
+	Version int64 `json:"-"`
+	// Current is the accepted document.
+	Current *Document `json:"-"`
+	// Document is Current with all changes. It is nil if Conflicts is not empty.
+	Document *Document `json:"-"`
+	// Conflicts lists cells of a draft whose base is no longer in force and that differ from it.
+	Conflicts []Conflict `json:"-"`
+
+	currentRow int64
+}
+
+// Effective returns the changes that differ from the accepted document.
+func (d *Draft) Effective() []Change {
+	return slices.DeleteFunc(slices.Clone(d.Changes), func(c Change) bool { return c.Before == c.After })
+}
+
+// Problems returns what keeps the draft from being accepted on a fleet of the given size.
+func (d *Draft) Problems(size FleetSize) []Problem {
+	if d.Document == nil || len(d.Effective()) == 0 {
+		return nil
+	}
+	var bad *InvalidError
+	if errors.As(ValidateChange(d.Current, d.Document, size), &bad) {
+		return bad.Problems
+	}
+	return nil
+}
+
+// loadAttempts bounds the reads of a draft that is accepted and begun again at the same time.
+const loadAttempts = 5
+
+// Draft returns the draft. Without one, Version is 0 and Document equals the accepted document.
+func (s *Store) Draft(ctx context.Context) (*Draft, error) {
+	for range loadAttempts {
+		draft, err := s.readDraft(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if draft.Current, draft.currentRow, err = s.readCurrent(ctx); err != nil {
+			return nil, err
+		}
+		if draft.Version == 0 || draft.Base == draft.Current.Version {
+			return draft, draft.compose(nil)
+		}
+		// The rows are read one after the other, so an accept may have come in between.
+		again, err := s.get(ctx, KeyDraft)
+		if err != nil {
+			return nil, err
+		}
+		if again.Version == draft.Version {
+			return draft, draft.compose(nil)
+		}
+	}
+	return nil, ErrContention
+}
+
+func (s *Store) readDraft(ctx context.Context) (*Draft, error) {
+	var draft Draft
+	row, err := s.get(ctx, KeyDraft)
+	if err != nil || row.Version == 0 {
+		return &draft, err
+	}
+	err = decodeRow(row, &draft)
+	draft.Version = row.Version
+	return &draft, err
+}
+
+// compose applies the changes to the accepted document, without those in the cells of skip.
+func (d *Draft) compose(skip []Edit) error {
+	var kept []Change
+	for _, c := range d.Changes {
+		if !slices.ContainsFunc(skip, func(e Edit) bool { return e.Cell == c.Cell }) {
+			kept = append(kept, c)
+		}
+	}
+	doc, err := Apply(d.Current, Edits(kept))
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		d.Conflicts = conflict.Conflicts
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if d.Version == 0 {
+		d.Base = d.Current.Version
+	}
+	d.Document, d.Conflicts = doc, nil
+	return nil
+}
+
+// rebase moves a draft onto the version in force. Changes in the cells of the new edits are left
+// out, which lets an operator resolve conflicts by editing these cells.
+func (d *Draft) rebase(edits []Edit) error {
+	if d.Version == 0 || d.Base == d.Current.Version {
+		return nil
+	}
+	if err := d.compose(edits); err != nil {
+		return err
+	}
+	if d.Document == nil {
+		return &ConflictError{Conflicts: d.Conflicts}
+	}
+	d.Base = d.Current.Version
+	changes := Diff(d.Current, d.Document)
+	for i := range changes {
+		if old := d.change(changes[i].Cell); old != nil {
+			changes[i].Operator, changes[i].At = old.Operator, old.At
+		}
+	}
+	d.Changes = changes
+	return nil
+}
+
+func (d *Draft) change(c Cell) *Change {
+	i := slices.IndexFunc(d.Changes, func(have Change) bool { return have.Cell == c })
+	if i < 0 {
+		return nil
+	}
+	return &d.Changes[i]
+}
+
+// merge records changes of the draft's document by an operator.
+func (d *Draft) merge(changes []Change, operator string, at time.Time) {
+	for _, c := range changes {
+		c.Before, c.Operator, c.At = d.Current.Value(c.Cell), operator, at
+		if old := d.change(c.Cell); old != nil {
+			*old = c
+		} else {
+			d.Changes = append(d.Changes, c)
+		}
+	}
+}
+
+// SetCells makes edits in the draft, which it begins if there is none, and returns the draft. Edits
+// of different cells by several operators merge. If a cell holds neither the base nor the wanted
+// value of its edit, nothing is written and a *ConflictError names the cells and their authors.
+// operation identifies the edits: a repeat with the same id has no further effect.
+func (s *Store) SetCells(ctx context.Context, operation, operator string, edits []Edit) (*Draft, error) {
+	if err := checkIdentity(operation, operator); err != nil {
+		return nil, err
+	}
+	if len(edits) == 0 {
+		return nil, invalid([]Problem{{Cell: "edits", Value: "none", Expected: "at least one edit"}})
+	}
+	return s.edit(ctx, operation, operator, func(context.Context, *Draft) ([]Edit, error) { return edits, nil })
+}
+
+// Import makes the draft equal to a document that was read from a CSV file. Cells that others
+// changed since the file was exported conflict if the file changes them too, and stay as they are otherwise.
+func (s *Store) Import(ctx context.Context, operation, operator string, doc *Document, origin Origin) (*Draft, error) {
+	if err := checkIdentity(operation, operator); err != nil {
+		return nil, err
+	}
+	return s.edit(ctx, operation, operator, func(ctx context.Context, draft *Draft) ([]Edit, error) {
+		base, err := s.origin(ctx, draft, origin)
+		if err != nil {
+			return nil, err
+		}
+		return Edits(Diff(base, doc)), nil
+	})
+}
+
+// origin returns the document that a CSV file was exported from.
+func (s *Store) origin(ctx context.Context, draft *Draft, o Origin) (*Document, error) {
+	switch {
+	case o.Draft == 0:
+		return s.At(ctx, o.Version)
+	case o.Draft == draft.Version && draft.Document != nil:
+		return draft.Document, nil
+	}
+	// Former states of a draft are not kept.
+	return nil, &DraftChangedError{Seen: o.Draft, Present: draft.Version, Accepted: draft.Current.Version}
+}
+
+func (s *Store) edit(ctx context.Context, operation, operator string, edits func(context.Context, *Draft) ([]Edit, error)) (*Draft, error) {
+	// base is the accepted version under the latest planned writes.
+	var base int64
+	newID := rand.Text()
+	err := s.run(ctx, transaction{
+		id: operation,
+		plan: func(ctx context.Context) ([]platform.Write, bool, error) {
+			draft, err := s.Draft(ctx)
+			if err != nil {
+				return nil, false, err
+			}
+			base = draft.Current.Version
+			if slices.Contains(draft.Operations, operation) {
+				return nil, true, nil
+			}
+			wanted, err := edits(ctx, draft)
+			if err != nil || len(wanted) == 0 {
+				return nil, err == nil, err
+			}
+			changed, err := s.applyEdits(ctx, draft, operator, wanted)
+			if err != nil || !changed {
+				return nil, err == nil, err
+			}
+			return draftWrites(draft, operation, newID)
+		},
+		applied: func(ctx context.Context) (bool, error) { return s.editApplied(ctx, operation, base) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	var draft *Draft
+	err = s.readBack(ctx, operation, func() (err error) {
+		draft, err = s.Draft(ctx)
+		return err
+	})
+	return draft, err
+}
+
+// applyEdits makes the edits in the draft and reports whether they change it.
+func (s *Store) applyEdits(ctx context.Context, draft *Draft, operator string, edits []Edit) (bool, error) {
+	changes, err := draft.plan(edits)
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		s.attribute(ctx, draft, conflict.Conflicts)
+	}
+	if err != nil || len(changes) == 0 {
+		return false, err
+	}
+	draft.merge(changes, operator, s.opt.Now().UTC())
+	return true, nil
+}
+
+// plan rebases the draft if needed and returns what the edits change in its document.
+func (d *Draft) plan(edits []Edit) ([]Change, error) {
+	if err := d.rebase(edits); err != nil {
+		return nil, err
+	}
+	next, err := Apply(d.Document, edits)
+	if err != nil {
+		return nil, err
+	}
+	return Diff(d.Document, next), nil
+}
+
+func draftWrites(draft *Draft, operation, newID string) ([]platform.Write, bool, error) {
+	if draft.Version == 0 {
+		draft.ID = newID
+	}
+	draft.Operations = append(draft.Operations, operation)
+	draft.Operations = draft.Operations[max(0, len(draft.Operations)-maxDraftOperations):]
+	value, err := encode(draft)
+	if err != nil {
+		return nil, false, err
+	}
+	return []platform.Write{
+		{Key: KeyDraft, IfVersion: draft.Version, Value: value},
+		{Key: KeyCurrent, IfVersion: draft.currentRow, Check: true},
+	}, false, nil
+}
+
+// editApplied looks for the edit in the draft and, in case the draft was accepted meanwhile, in the
+// only version that could have taken it.
+func (s *Store) editApplied(ctx context.Context, operation string, base int64) (bool, error) {
+	draft, err := s.readDraft(ctx)
+	if err != nil || slices.Contains(draft.Operations, operation) {
+		return err == nil, err
+	}
+	current, _, err := s.readCurrent(ctx)
+	if err != nil || current.Version == base {
+		return false, err
+	}
+	rows, err := s.list(ctx, PrefixHistory, HistoryKey(base), 1)
+	if err != nil || len(rows) == 0 {
+		return false, err
+	}
+	var record Record
+	err = decodeRow(rows[0], &record)
+	return slices.Contains(record.Edits, operation), err
+}
+
+// attribute fills in who changed the cells: the draft's author, or else that of the latest
+// accepted change. A failed read of the history leaves the author empty.
+func (s *Store) attribute(ctx context.Context, draft *Draft, conflicts []Conflict) {
+	var history []Record
+	for i := range conflicts {
+		c := &conflicts[i]
+		if change := draft.change(c.Cell); change != nil && change.After == c.Current {
+			c.Operator, c.At = change.Operator, change.At
+			continue
+		}
+		if history == nil {
+			history, _ = s.History(ctx, 0, attributionDepth)
+		}
+		c.findAuthor(history)
+	}
+}
+
+func (c *Conflict) findAuthor(history []Record) {
+	for _, r := range history {
+		for _, change := range r.Changes {
+			if change.Cell == c.Cell {
+				c.Operator, c.At, c.Version = change.Operator, change.At, r.Version
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/table/history.go
@@ -0,0 +1,135 @@
+package table
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"samphirepoint/platform"
+	"samphirepoint/verdict"
+)
+
+// PrefixOperations holds one row per accepted operation id, so that a repeated accept finds the
+// version of the first one however long ago it was.
+const PrefixOperations = "config/operations/"
+
+// Record is a row of the history: who accepted which changes, when and why.
+type Record struct {
+	Version   int64     `json:"version"`
+	Base      int64     `json:"base"`
+	Operation string    `json:"operation"`
+	Operator  string    `json:"operator"`
+	Reason    string    `json:"reason"`
+	At        time.Time `json:"at"`
+	Changes   []Change  `json:"changes"`
+	// Edits holds the ids of the edits that made the draft.
+	Edits []string `json:"edits,omitempty"`
+	// Document is the accepted document, nil in lists.
+	Document *Document `json:"document,omitempty"`
+}
+
+// operationRow is the value of config/operations/<id>.
+type operationRow struct {
+	Version  int64  `json:"version"`
+	Operator string `json:"operator"`
+}
+
+// HistoryKey returns the key of the history row of a version. Versions have leading zeros so
+// that the order of keys is the order of versions.
+func HistoryKey(version int64) string { return fmt.Sprintf("%s%012d", PrefixHistory, version) }
+
+// DecodeCurrent returns the document in row config/current, nil for an absent row. The value of
+// the row is the document in JSON.
+func DecodeCurrent(row platform.Row) (*Document, error) {
+	if row.Version == 0 {
+		return nil, nil
+	}
+	var d Document
+	if err := decodeRow(row, &d); err != nil {
+		return nil, err
+	}
+	return &d, nil
+}
+
+// decodeRow fails with verdict NotRun, since rows are decoded before anything is written.
+func decodeRow(row platform.Row, into any) error {
+	if err := json.Unmarshal(row.Value, into); err != nil {
+		return verdict.Wrap(fmt.Errorf("row %s, version %d: %w", row.Key, row.Version, err), verdict.NotRun, http.StatusInternalServerError)
+	}
+	return nil
+}
+
+func encode(v any) ([]byte, error) {
+	data, err := json.Marshal(v)
+	return data, verdict.Wrap(err, verdict.NotRun, http.StatusInternalServerError)
+}
+
+// History returns up to limit records below version before, newest first and without documents.
+// before 0 starts with the version in force.
+func (s *Store) History(ctx context.Context, before int64, limit int) ([]Record, error) {
+	if before <= 0 {
+		current, _, err := s.readCurrent(ctx)
+		if err != nil {
+			return nil, err
+		}
+		before = current.Version + 1
+	}
+	if limit <= 0 || limit > MaxHistory {
+		limit = MaxHistory
+	}
+	rows, err := s.list(ctx, PrefixHistory, HistoryKey(max(before-1-int64(limit), 0)), limit)
+	if err != nil {
+		return nil, err
+	}
+	var records []Record
+	for i := len(rows) - 1; i >= 0; i-- {
+		var r Record
+		if err := decodeRow(rows[i], &r); err != nil {
+			return nil, err
+		}
+		r.Document = nil
+		if r.Version < before {
+			records = append(records, r)
+		}
+	}
+	return records, nil
+}
+
+// At returns the document of an accepted version; version 0 is the empty document. An unknown
+// version gives an *InvalidError.
+func (s *Store) At(ctx context.Context, version int64) (*Document, error) {
+	if version == 0 {
+		return &Document{}, nil
+	}
+	record, ok, err := s.record(ctx, version)
+	if err != nil {
+		return nil, err
+	}
+	if !ok || record.Document == nil {
+		return nil, invalid([]Problem{{Cell: csvVersion, Value: fmt.Sprint(version), Expected: "an accepted version"}})
+	}
+	return record.Document, nil
+}
+
+func (s *Store) record(ctx context.Context, version int64) (Record, bool, error) {
+	var r Record
+	row, err := s.get(ctx, HistoryKey(version))
+	if err != nil || row.Version == 0 {
+		return r, false, err
+	}
+	err = decodeRow(row, &r)
+	return r, err == nil, err
+}
+
+// operation returns the version that an operation id was accepted as.
+func (s *Store) operation(ctx context.Context, id string) (operationRow, bool, error) {
+	var op operationRow
+	row, err := s.get(ctx, PrefixOperations+id)
+	if err != nil || row.Version == 0 {
+		return op, false, err
+	}
+	err = decodeRow(row, &op)
+	return op, err == nil, err
+}
--- /dev/null
+++ b/table/sheet.go
@@ -0,0 +1,246 @@
+package table
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Kind names a section of the table.
+type Kind string
+
+// Sections of the table.
+const (
+	KindBacker Kind = "backer"
+	KindPool   Kind = "pool"
+	KindQueue  Kind = "queue"
+)
+
+// ColumnName is the column that adds and deletes rows: it holds the row's name while the row
+// exists and is empty otherwise.
+const ColumnName = "name"
+
+// Bounds of values. They keep sums far from overflow and a mistyped file from growing the row in
+// the table service without limit; the two-year size needs 210 backers and 67 pools.
+const (
+	maxNameBytes     = 64
+	maxWeight        = 1e6
+	maxSlots         = 1_000_000
+	maxQueueLength   = 1_000_000
+	maxRowsOfSection = 2000
+)
+
+const (
+	expectName   = "a name of 1 to 64 letters, digits, '-' or '_', that starts with a letter or digit"
+	expectSlots  = "a whole number from 0 to 1000000"
+	expectWeight = "a number greater than 0 and at most 1000000"
+)
+
+// sheet gives access to the cells of one section by name.
+type sheet interface {
+	kind() Kind
+	columns() []string
+	expected(column string) string
+	count(d *Document) int
+	name(d *Document, i int) string
+	find(d *Document, name string) int
+	get(d *Document, i int, column string) string
+	set(d *Document, i int, column, value string) bool
+	add(d *Document, name string) int
+	remove(d *Document, i int)
+}
+
+type column[T any] struct {
+	name     string
+	expected string
+	get      func(*T) string
+	// set reports whether it accepts the value.
+	set func(*T, string) bool
+}
+
+type section[T any] struct {
+	of       Kind
+	rows     func(*Document) *[]T
+	nameOf   func(*T) *string
+	defaults T
+	cols     []column[T]
+}
+
+var sheets = []sheet{backerSheet, poolSheet, queueSheet}
+
+// backerSheet starts a backer with maxUnavailable 1, since 0 would stop the maintenance of every
+// pool that serves the backer.
+var backerSheet = &section[Backer]{
+	of:       KindBacker,
+	rows:     func(d *Document) *[]Backer { return &d.Backers },
+	nameOf:   func(b *Backer) *string { return &b.Name },
+	defaults: Backer{Weight: 1, MaxUnavailable: 1},
+	cols: []column[Backer]{
+		{"weight", expectWeight,
+			func(b *Backer) string { return strconv.FormatFloat(b.Weight, 'g', -1, 64) },
+			func(b *Backer, v string) bool { return parseWeight(v, &b.Weight) }},
+		intColumn("nominalQuota", 0, maxSlots, expectSlots, func(b *Backer) *int { return &b.NominalQuota }),
+		intColumn("borrowingLimit", 0, maxSlots, expectSlots, func(b *Backer) *int { return &b.BorrowingLimit }),
+		intColumn("maxUnavailable", 0, maxSlots, expectSlots, func(b *Backer) *int { return &b.MaxUnavailable }),
+	},
+}
+
+var poolSheet = &section[Pool]{
+	of:     KindPool,
+	rows:   func(d *Document) *[]Pool { return &d.Pools },
+	nameOf: func(p *Pool) *string { return &p.Name },
+	cols: []column[Pool]{
+		{"region", expectName + ", or nothing",
+			func(p *Pool) string { return p.Region },
+			func(p *Pool, v string) bool {
+				p.Region = v
+				return v == "" || validName(v)
+			}},
+		{"spare", "true or false",
+			func(p *Pool) string { return strconv.FormatBool(p.Spare) },
+			func(p *Pool, v string) bool {
+				p.Spare = v == "true"
+				return v == "true" || v == "false"
+			}},
+	},
+}
+
+var queueSheet = &section[Queue]{
+	of:       KindQueue,
+	rows:     func(d *Document) *[]Queue { return &d.Queues },
+	nameOf:   func(q *Queue) *string { return &q.Name },
+	defaults: Queue{MaxLength: 1000},
+	cols: []column[Queue]{
+		{"pools", "one or more names of pools, separated by spaces, each once",
+			func(q *Queue) string { return strings.Join(q.Pools, " ") },
+			func(q *Queue, v string) bool { return parseNames(v, &q.Pools) && len(q.Pools) > 0 }},
+		{"backers", "names of backers, separated by spaces, each once, or nothing for all backers",
+			func(q *Queue) string { return strings.Join(q.Backers, " ") },
+			func(q *Queue, v string) bool { return parseNames(v, &q.Backers) }},
+		intColumn("maxLength", 1, maxQueueLength, "a whole number from 1 to 1000000", func(q *Queue) *int { return &q.MaxLength }),
+	},
+}
+
+func intColumn[T any](name string, low, high int, expected string, field func(*T) *int) column[T] {
+	return column[T]{name, expected,
+		func(row *T) string { return strconv.Itoa(*field(row)) },
+		func(row *T, v string) bool {
+			n, err := strconv.Atoi(v)
+			*field(row) = n
+			return err == nil && n >= low && n <= high
+		}}
+}
+
+func (s *section[T]) kind() Kind { return s.of }
+
+func (s *section[T]) columns() []string {
+	names := make([]string, len(s.cols))
+	for i, c := range s.cols {
+		names[i] = c.name
+	}
+	return names
+}
+
+func (s *section[T]) column(name string) column[T] {
+	i := slices.IndexFunc(s.cols, func(c column[T]) bool { return c.name == name })
+	return s.cols[i]
+}
+
+func (s *section[T]) expected(column string) string {
+	if column == ColumnName {
+		return expectName
+	}
+	return s.column(column).expected
+}
+
+func (s *section[T]) count(d *Document) int          { return len(*s.rows(d)) }
+func (s *section[T]) name(d *Document, i int) string { return *s.nameOf(&(*s.rows(d))[i]) }
+
+func (s *section[T]) find(d *Document, name string) int {
+	rows := *s.rows(d)
+	return slices.IndexFunc(rows, func(row T) bool { return *s.nameOf(&row) == name })
+}
+
+func (s *section[T]) get(d *Document, i int, column string) string {
+	if column == ColumnName {
+		return s.name(d, i)
+	}
+	return s.column(column).get(&(*s.rows(d))[i])
+}
+
+func (s *section[T]) set(d *Document, i int, column, value string) bool {
+	return s.column(column).set(&(*s.rows(d))[i], value)
+}
+
+func (s *section[T]) add(d *Document, name string) int {
+	row := s.defaults
+	*s.nameOf(&row) = name
+	rows := s.rows(d)
+	*rows = append(*rows, row)
+	return len(*rows) - 1
+}
+
+func (s *section[T]) remove(d *Document, i int) {
+	rows := s.rows(d)
+	*rows = slices.Delete(*rows, i, i+1)
+}
+
+func sheetOf(k Kind) sheet {
+	for _, s := range sheets {
+		if s.kind() == k {
+			return s
+		}
+	}
+	return nil
+}
+
+// canonical returns the stored form of a value, or the value itself if the column refuses it.
+func canonical(s sheet, column, value string) string {
+	if column == ColumnName {
+		return value
+	}
+	var scratch Document
+	i := s.add(&scratch, "scratch")
+	if !s.set(&scratch, i, column, value) {
+		return value
+	}
+	return s.get(&scratch, i, column)
+}
+
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameBytes || name[0] == '-' || name[0] == '_' {
+		return false
+	}
+	for _, c := range []byte(name) {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if !letter && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
+// parseWeight accepts decimal numbers only; strconv would also take "inf", "nan" and hexadecimal.
+func parseWeight(v string, weight *float64) bool {
+	if strings.Trim(v, "0123456789.eE+-") != "" {
+		return false
+	}
+	w, err := strconv.ParseFloat(v, 64)
+	*weight = w
+	return err == nil && w > 0 && w <= maxWeight && !math.IsNaN(w)
+}
+
+// parseNames reads names that are separated by spaces or commas. A failed parse leaves names nil.
+func parseNames(v string, names *[]string) bool {
+	*names = nil
+	var list []string
+	for _, name := range strings.FieldsFunc(v, func(r rune) bool { return r == ' ' || r == ',' }) {
+		if !validName(name) || slices.Contains(list, name) {
+			return false
+		}
+		list = append(list, name)
+	}
+	*names = list
+	return true
+}
--- /dev/null
+++ b/table/size.go
@@ -0,0 +1,118 @@
+package table
+
+import (
+	"math"
+
+	"samphirepoint/instance"
+)
+
+// PoolSize is the number of instances of a pool and of their slots.
+type PoolSize struct {
+	Instances int `json:"instances"`
+	Slots     int `json:"slots"`
+}
+
+// FleetSize holds the size of each pool. An empty FleetSize means that the size is unknown, and
+// checks that need it are left out.
+type FleetSize map[string]PoolSize
+
+// SizeOf counts all instances of a fleet, whatever their state, since those that are out for
+// maintenance or repair come back.
+func SizeOf(f *instance.Fleet) FleetSize {
+	size := FleetSize{}
+	if f == nil {
+		return size
+	}
+	for _, in := range f.Instances {
+		p := size[in.Pool]
+		p.Instances++
+		p.Slots += in.Slots
+		size[in.Pool] = p
+	}
+	return size
+}
+
+// Slots returns the number of slots in all pools.
+func (f FleetSize) Slots() int {
+	total := 0
+	for _, p := range f {
+		total += p.Slots
+	}
+	return total
+}
+
+// poolBackers returns, for each pool, the backers whose queues use it. With homeOnly, only the
+// first pool of a queue counts.
+func poolBackers(d *Document, homeOnly bool) map[string]map[string]bool {
+	users := map[string]map[string]bool{}
+	for _, q := range d.Queues {
+		pools := q.Pools
+		if homeOnly && len(pools) > 1 {
+			pools = pools[:1]
+		}
+		for _, pool := range pools {
+			if users[pool] == nil {
+				users[pool] = map[string]bool{}
+			}
+			for _, b := range d.Backers {
+				if q.Admits(b.Name) {
+					users[pool][b.Name] = true
+				}
+			}
+		}
+	}
+	return users
+}
+
+// Admits reports whether the backer may submit to the queue.
+func (q *Queue) Admits(backer string) bool {
+	if len(q.Backers) == 0 {
+		return true
+	}
+	for _, name := range q.Backers {
+		if name == backer {
+			return true
+		}
+	}
+	return false
+}
+
+// Shares returns each backer's share in slots: in each pool that is the home of a queue which
+// admits the backer, the part of the slots that its weight gives while all such backers have
+// waiting work.
+func Shares(d *Document, size FleetSize) map[string]float64 {
+	shares := map[string]float64{}
+	for pool, users := range poolBackers(d, true) {
+		var weights float64
+		for _, b := range d.Backers {
+			if users[b.Name] {
+				weights += b.Weight
+			}
+		}
+		for _, b := range d.Backers {
+			if users[b.Name] && weights > 0 {
+				shares[b.Name] += float64(size[pool].Slots) * b.Weight / weights
+			}
+		}
+	}
+	return shares
+}
+
+// PoolBudget returns the number of instances of the pool that may be out at once, which is the
+// lowest maxUnavailable of the backers whose queues use the pool. It returns false if none does.
+func PoolBudget(d *Document, pool string) (int, bool) {
+	return lowestBudget(d, poolBackers(d, false)[pool])
+}
+
+func lowestBudget(d *Document, users map[string]bool) (int, bool) {
+	budget := math.MaxInt
+	for _, b := range d.Backers {
+		if users[b.Name] {
+			budget = min(budget, b.MaxUnavailable)
+		}
+	}
+	if budget == math.MaxInt {
+		return 0, false
+	}
+	return budget, true
+}
--- /dev/null
+++ b/table/store.go
@@ -0,0 +1,209 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"samphirepoint/platform"
+	"samphirepoint/verdict"
+)
+
+// MaxHistory is the largest number of records that one read of the history returns. A record
+// takes about 35 KB at the two-year size, since it holds the document.
+const MaxHistory = 100
+
+const (
+	// commitAttempts and the backoff of 50 ms, doubled each time up to 1 s, ride out about 2 s
+	// of lost replies before the operator is told that the outcome is unknown.
+	commitAttempts = 6
+	minBackoff     = 50 * time.Millisecond
+	maxBackoff     = time.Second
+	// callTimeout bounds one call of the table, which can be slow for long periods.
+	callTimeout = 5 * time.Second
+	// retryAfter is the pause that a refused operator is asked for while the table is down.
+	retryAfter = 2 * time.Second
+	// maxDraftOperations bounds the ids of edits that a draft remembers. A lost reply is
+	// resolved within seconds, in which far fewer edits arrive.
+	maxDraftOperations = 64
+	// attributionDepth is the number of versions searched for the author of a conflicting change.
+	attributionDepth = 50
+	maxReasonBytes   = 1000
+)
+
+// Options of a Store. The zero value is usable.
+type Options struct {
+	// Now is the clock of the history; time.Now if nil.
+	Now func() time.Time
+	// Size returns the size of the fleet for checks on accept. If nil, these checks are left out.
+	Size func() FleetSize
+	// MinBackoff is the first pause before a commit is sent again; 50 ms if 0.
+	MinBackoff time.Duration
+}
+
+// Store keeps the accepted document, its history and the draft in the platform's table. It has
+// no state of its own: any number of entries may use a Store on the same table at once.
+//
+// A refusal (*InvalidError, *ConflictError, *DraftChangedError, *StaleDraftError, ErrNoDraft,
+// ErrNoChange, ErrOperationReused, ErrContention, or an error with verdict NotRun) means that
+// nothing was written. An *UnknownOutcomeError means that the write may have taken effect.
+type Store struct {
+	table platform.Table
+	opt   Options
+}
+
+// NewStore returns a store on the given table.
+func NewStore(t platform.Table, opt Options) *Store {
+	if opt.Now == nil {
+		opt.Now = time.Now
+	}
+	if opt.Size == nil {
+		opt.Size = func() FleetSize { return nil }
+	}
+	if opt.MinBackoff <= 0 {
+		opt.MinBackoff = minBackoff
+	}
+	return &Store{table: t, opt: opt}
+}
+
+// Current returns the accepted document; its Version is 0 and it has no rows before the first accept.
+func (s *Store) Current(ctx context.Context) (*Document, error) {
+	d, _, err := s.readCurrent(ctx)
+	return d, err
+}
+
+// Size returns the size of the fleet that checks use.
+func (s *Store) Size() FleetSize { return s.opt.Size() }
+
+// readCurrent returns the accepted document and the version of its row.
+func (s *Store) readCurrent(ctx context.Context) (*Document, int64, error) {
+	row, err := s.get(ctx, KeyCurrent)
+	if err != nil {
+		return nil, 0, err
+	}
+	d, err := DecodeCurrent(row)
+	if err != nil {
+		return nil, 0, err
+	}
+	if d == nil {
+		d = &Document{}
+	}
+	return d, row.Version, nil
+}
+
+func (s *Store) get(ctx context.Context, key string) (platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	row, err := s.table.Get(ctx, key)
+	return row, readError(err)
+}
+
+func (s *Store) list(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, err := s.table.List(ctx, prefix, after, limit)
+	return rows, readError(err)
+}
+
+// readError gives a failed read the verdict NotRun: a read has no effect.
+func readError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return verdict.WithRetryAfter(verdict.Wrap(fmt.Errorf("table: %w", err), verdict.NotRun, http.StatusServiceUnavailable), retryAfter)
+}
+
+func (s *Store) commit(ctx context.Context, writes []platform.Write) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := s.table.Commit(ctx, writes)
+	return err
+}
+
+// transaction is one operation on the table.
+type transaction struct {
+	id string
+	// plan reads the state and returns the writes, or done if the operation took effect before.
+	plan func(context.Context) (writes []platform.Write, done bool, err error)
+	// applied reads back whether the operation took effect.
+	applied func(context.Context) (bool, error)
+}
+
+// run carries out a transaction. While the outcome of a commit is unknown, it reads back, and
+// sends the very same writes again: each is conditional on row versions that never repeat, so at
+// most one copy takes effect, and a conflict proves that no copy can take effect any more.
+func (s *Store) run(ctx context.Context, t transaction) error {
+	var pending []platform.Write
+	var last error
+	for attempt := range commitAttempts {
+		if attempt > 0 && !s.pause(ctx, attempt) {
+			break
+		}
+		writes := pending
+		if writes == nil {
+			planned, done, err := t.plan(ctx)
+			if err != nil || done {
+				return err
+			}
+			writes = planned
+		}
+		err := s.commit(ctx, writes)
+		if err == nil {
+			return nil
+		}
+		conflict := errors.Is(err, platform.ErrConflict)
+		refused := conflict || verdict.Is(err, verdict.NotRun)
+		if refused && pending == nil {
+			if !conflict {
+				return readError(err)
+			}
+			continue
+		}
+		pending, last = writes, err
+		done, err := t.applied(ctx)
+		switch {
+		case err != nil:
+			last = err
+		case done:
+			return nil
+		case conflict:
+			pending = nil
+		}
+	}
+	if pending != nil {
+		return &UnknownOutcomeError{Operation: t.id, Err: last}
+	}
+	if err := ctx.Err(); err != nil {
+		return readError(err)
+	}
+	return ErrContention
+}
+
+// readBack repeats a read that follows a write. If it keeps failing, the outcome counts as
+// unknown, so that no caller takes the write for refused.
+func (s *Store) readBack(ctx context.Context, id string, read func() error) error {
+	var err error
+	for attempt := range commitAttempts {
+		if attempt > 0 && !s.pause(ctx, attempt) {
+			break
+		}
+		if err = read(); err == nil {
+			return nil
+		}
+	}
+	return &UnknownOutcomeError{Operation: id, Err: err}
+}
+
+// pause waits before an attempt and reports whether the context still stands.
+func (s *Store) pause(ctx context.Context, attempt int) bool {
+	timer := time.NewTimer(min(s.opt.MinBackoff<<(attempt-1), maxBackoff))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
