--- a/command/all.go
+++ b/command/all.go
@@ -5,6 +5,10 @@
 // All returns every subcommand of the binary.
 func All() []subcommands.Command {
 	return []subcommands.Command{
+		settingsCommand{},
+		tokenCommand{},
 		versionCommand{},
+		standinCommand{},
+		&loadCommand{},
 	}
 }
