--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -48,6 +48,7 @@
 	Expected time.Duration
 
 	id        string
+	pool      *pool
 	scheduler *Scheduler
 	released  atomic.Bool
 }
@@ -57,5 +58,5 @@
 	if g.released.Swap(true) {
 		return
 	}
-	g.scheduler.do(func() { g.scheduler.release(g.id, r) })
+	g.scheduler.do(func() { g.scheduler.release(g.pool, g.id, r) })
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -8,6 +8,7 @@
 	"samphirepoint/outlier"
 	"samphirepoint/placement"
 	"samphirepoint/request"
+	"samphirepoint/runtimes"
 	"samphirepoint/worker"
 )
 
@@ -17,15 +18,18 @@
 	client *worker.Client
 	// address detects a worker that was replaced under the same id.
 	address string
-	gone    bool
+	// gone workers are not in the pool any more but still run requests of this entry.
+	gone bool
 }
 
 // ticket is a request that waits in Acquire.
 type ticket struct {
-	wish  Wish
-	ready chan result
-	since time.Time
-	class request.Class
+	id       string
+	wish     Wish
+	ready    chan result
+	since    time.Time
+	key      runtimes.Key
+	estimate runtimes.Estimate
 }
 
 type result struct {
@@ -37,49 +41,48 @@
 type running struct {
 	ticket  *ticket
 	member  *member
+	pool    *pool
 	started time.Time
 	class   request.Class
 }
 
-// pool is the state of one owned pool.
+// pool is the state of one pool that this entry serves.
 type pool struct {
 	name      string
 	owned     bool
 	queue     fairqueue.Policy
 	placement placement.Policy
-	outliers  *outlier.Detector
+	outliers  *outlier.Tracker
+	reserve   runtimes.Reserve
 	members   map[string]*member
 	workers   []*placement.Worker
 	waiting   map[string]*ticket
 	running   map[string]*running
-	demand    demandMeter
+	overflow  overflowGate
+	finishes  rateMeter
+	slots     int
 }
 
-func newPool(name string, policies Policies, detector *outlier.Detector) *pool {
+func newPool(name string, policies Policies) *pool {
 	return &pool{
 		name:      name,
 		queue:     policies.Queue(),
 		placement: policies.Placement(),
-		outliers:  detector,
+		outliers:  outlier.New(),
 		members:   map[string]*member{},
 		waiting:   map[string]*ticket{},
 		running:   map[string]*running{},
+		overflow:  overflowGate{batch: 1},
 	}
 }
 
 // setMembers takes over the instance rows of the pool. Only serving instances get new work.
-func (p *pool) setMembers(rows []instance.Instance, leaving map[string]bool, now time.Time) {
-	seen := map[string]bool{}
+func (p *pool) setMembers(rows []instance.Instance, leaving func(string) bool, now time.Time) {
+	ids := make([]string, 0, len(rows))
+	seen := make(map[string]bool, len(rows))
 	for _, row := range rows {
-		seen[row.ID] = true
-		m, ok := p.members[row.ID]
-		if !ok || m.address != row.Address {
-			m = &member{client: worker.NewClient(row.Address), address: row.Address}
-			p.members[row.ID] = m
-		}
-		m.gone = false
-		m.state.ID, m.state.Zone, m.state.Slots = row.ID, row.Zone, row.Slots
-		m.state.Leaving = row.State != instance.Serving || leaving[row.ID]
+		ids, seen[row.ID] = append(ids, row.ID), true
+		p.setMember(row, leaving(row.ID))
 	}
 	for id, m := range p.members {
 		if seen[id] {
@@ -91,10 +94,22 @@
 			delete(p.members, id)
 		}
 	}
+	p.outliers.SetWorkers(ids)
 	p.refresh(now)
 }
 
-// refresh recomputes the usable slots after a change of members or ejections.
+func (p *pool) setMember(row instance.Instance, leaving bool) {
+	m, ok := p.members[row.ID]
+	if !ok || m.address != row.Address {
+		m = &member{client: worker.NewClient(row.Address), address: row.Address}
+		p.members[row.ID] = m
+	}
+	m.gone = false
+	m.state.ID, m.state.Zone, m.state.Slots = row.ID, row.Zone, row.Slots
+	m.state.Leaving = row.State != instance.Serving || leaving
+}
+
+// refresh recomputes the usable slots after a change of members, ejections or demand.
 func (p *pool) refresh(now time.Time) {
 	p.workers = p.workers[:0]
 	total := 0
@@ -102,13 +117,27 @@
 		if m.gone {
 			continue
 		}
-		m.state.Ejected, m.state.Probe = p.outliers.State(now, id, len(p.members))
+		state := p.outliers.State(id, now)
+		m.state.Ejected, m.state.Probe = state.Ejected || state.Suspect, state.Probe
 		p.workers = append(p.workers, &m.state)
-		if !m.state.Leaving && !m.state.Ejected {
+		if !m.state.Leaving && (!m.state.Ejected || m.state.Probe) {
 			total += m.state.Slots
 		}
 	}
-	p.queue.SetSlots(total, p.demand.reserve(total))
+	p.slots = total
+	// A change of members can leave slots in use on workers that left; they must not block the others.
+	p.queue.SetSlots(total+p.inUseElsewhere(), p.reserve.Slots(now, total))
+}
+
+// inUseElsewhere counts running requests on workers that get no new work.
+func (p *pool) inUseElsewhere() int {
+	n := 0
+	for _, m := range p.members {
+		if m.gone || m.state.Leaving || (m.state.Ejected && !m.state.Probe) {
+			n += m.state.InUse
+		}
+	}
+	return n
 }
 
 func (p *pool) close() {
@@ -117,12 +146,61 @@
 	}
 }
 
-// estimatedWait is the time until a request that arrives now would get a slot, from the number of waiting requests and
-// the rate at which slots became free lately.
-func (p *pool) estimatedWait() time.Duration {
-	rate := p.demand.finishRate()
+// estimatedWait is the time until a request that arrives now gets a slot, from the number of waiting
+// requests and the rate at which slots became free lately.
+func (p *pool) estimatedWait(now time.Time) time.Duration {
+	rate := p.finishes.perSecond(now)
 	if rate <= 0 {
 		return 0
 	}
 	return time.Duration(float64(p.queue.Len()) / rate * float64(time.Second))
 }
+
+// overflowGate bounds how many waiting requests try another pool at a time: it doubles while they are
+// taken and falls to one after a refusal, so that a full neighbor is not flooded with offers.
+type overflowGate struct {
+	batch int
+	next  time.Time
+}
+
+const (
+	maxOverflowBatch = 32
+	overflowPause    = 100 * time.Millisecond
+)
+
+func (g *overflowGate) record(now time.Time, taken bool) {
+	if taken {
+		g.batch = min(2*g.batch, maxOverflowBatch)
+		return
+	}
+	g.batch, g.next = 1, now.Add(overflowPause)
+}
+
+// rateMeter measures a rate over the last seconds as the mean of two windows.
+type rateMeter struct {
+	start           time.Time
+	current, before int
+}
+
+const rateWindow = 2 * time.Second
+
+func (r *rateMeter) roll(now time.Time) {
+	switch age := now.Sub(r.start); {
+	case age < rateWindow:
+	case age < 2*rateWindow:
+		r.before, r.current, r.start = r.current, 0, r.start.Add(rateWindow)
+	default:
+		r.before, r.current, r.start = 0, 0, now
+	}
+}
+
+func (r *rateMeter) add(now time.Time) {
+	r.roll(now)
+	r.current++
+}
+
+func (r *rateMeter) perSecond(now time.Time) float64 {
+	r.roll(now)
+	span := now.Sub(r.start) + rateWindow
+	return float64(r.before+r.current) / span.Seconds()
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -9,18 +9,17 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"samphirepoint/fairqueue"
 	"samphirepoint/instance"
-	"samphirepoint/outlier"
 	"samphirepoint/placement"
 	"samphirepoint/request"
 	"samphirepoint/runtimes"
 	"samphirepoint/verdict"
-	"samphirepoint/worker"
 )
 
 const (
@@ -30,14 +29,17 @@
 	foreignPeriod = 500 * time.Millisecond
 	// overflowAfter is the wait after which a request may try another pool of its queue.
 	overflowAfter = 100 * time.Millisecond
+	// latencyDecay is the weight of a new run time in a worker's relative latency.
+	latencyDecay = 0.1
 )
 
-// ErrOverflow tells the caller of Acquire that the request waited for overflowAfter and may try
-// another pool. The request is no longer queued.
-var ErrOverflow = errors.New("no slot in time, another pool may have one")
-
-// ErrBusy refuses a request that asked for a slot without waiting.
-var ErrBusy = errors.New("no free slot")
+var (
+	// ErrOverflow tells the caller of Acquire that the request waited long and may try
+	// another pool. The request is no longer queued.
+	ErrOverflow = errors.New("no slot in time, another pool may have one")
+	// ErrNotOwner reports that this entry does not own the pool.
+	ErrNotOwner = errors.New("this entry does not own the pool")
+)
 
 // Policies creates the decision policies of a pool.
 type Policies struct {
@@ -59,22 +61,37 @@
 	Request *request.Request
 	// Exclude names workers on which the request failed.
 	Exclude []string
-	// NoWait asks for a slot at once or ErrBusy.
+	// NoWait asks for a slot at once or a refusal.
 	NoWait bool
 	// MayOverflow asks for ErrOverflow instead of a longer wait.
 	MayOverflow bool
-	// MaxQueue bounds the waiting requests of the pool.
+	// MaxQueue bounds the waiting requests of the pool; 0 means no bound.
 	MaxQueue int
+	// Force serves the request even if this entry does not own the pool in its own view.
+	Force bool
+}
+
+// Fleet is the part of the entry's snapshots that the scheduler works from.
+type Fleet struct {
+	// Pools holds the instance rows per pool.
+	Pools map[string][]instance.Instance
+	// Owned names the pools that this entry owns.
+	Owned map[string]bool
+	// Leaving reports workers that take no new work.
+	Leaving func(workerID string) bool
+	// Shares holds weights and limits per backer, per owned pool.
+	Shares map[string]map[string]fairqueue.Share
 }
 
 // Scheduler owns the queues and slots of pools.
 type Scheduler struct {
 	cfg      Config
 	actions  chan func()
+	fleet    Fleet
 	pools    map[string]*pool
-	times    *runtimes.Store
+	times    *runtimes.Tracker
+	sequence uint64
 	stopped  chan struct{}
-	snapshot snapshotHolder
 }
 
 // New returns a Scheduler; Run must be running before other methods are called.
@@ -85,8 +102,9 @@
 	return &Scheduler{
 		cfg:     cfg,
 		actions: make(chan func(), 256),
+		fleet:   Fleet{Leaving: func(string) bool { return false }},
 		pools:   map[string]*pool{},
-		times:   runtimes.NewStore(),
+		times:   runtimes.New(runtimes.DefaultMaxKeys),
 		stopped: make(chan struct{}),
 	}
 }
@@ -118,9 +136,23 @@
 	}
 }
 
-// Acquire waits for a slot. The error is ErrOverflow, ErrBusy, or has verdict NotRun.
+// ask runs f in the owning goroutine and waits for it.
+func (s *Scheduler) ask(f func()) bool {
+	done := make(chan struct{})
+	if !s.do(func() { f(); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-s.stopped:
+		return false
+	}
+}
+
+// Acquire waits for a slot. Every error has verdict NotRun, or is ErrOverflow.
 func (s *Scheduler) Acquire(ctx context.Context, w Wish) (*Grant, error) {
-	t := &ticket{wish: w, ready: make(chan result, 1), since: s.cfg.Now()}
+	t := &ticket{wish: w, ready: make(chan result, 1)}
 	if !s.do(func() { s.enqueue(t) }) {
 		return nil, verdict.Unavailable(time.Second, "entry is shutting down")
 	}
@@ -128,13 +160,15 @@
 	case r := <-t.ready:
 		return r.grant, r.err
 	case <-ctx.Done():
-		return s.withdraw(ctx, t)
+		return nil, s.withdraw(ctx, t)
+	case <-s.stopped:
+		return nil, verdict.Unavailable(time.Second, "entry is shutting down")
 	}
 }
 
 // withdraw takes a ticket back after its caller gave up. A grant that was made meanwhile is returned to
 // the pool, so the request did not run in either case.
-func (s *Scheduler) withdraw(ctx context.Context, t *ticket) (*Grant, error) {
+func (s *Scheduler) withdraw(ctx context.Context, t *ticket) error {
 	s.do(func() { s.remove(t) })
 	select {
 	case r := <-t.ready:
@@ -144,87 +178,148 @@
 	case <-s.stopped:
 	}
 	if errors.Is(context.Cause(ctx), verdict.ErrCancelled) {
-		return nil, verdict.New(verdict.NotRun, http.StatusConflict, "cancelled by the caller while waiting")
+		return verdict.Wrap(verdict.ErrCancelled, verdict.NotRun, http.StatusConflict)
 	}
-	return nil, verdict.WithRetryAfter(verdict.New(verdict.NotRun, http.StatusGatewayTimeout, "deadline passed while waiting for a slot"), time.Second)
-}
-
-// SetFleet tells the workers of the pools this entry owns and which of them are leaving.
-// Pools that are not in owned keep their running requests but refuse what waits.
-func (s *Scheduler) SetFleet(owned map[string][]instance.Instance, leaving map[string]bool) {
-	s.do(func() { s.setFleet(owned, leaving) })
+	return verdict.WithRetryAfter(verdict.New(verdict.NotRun, http.StatusGatewayTimeout, "deadline passed while waiting for a slot"), time.Second)
 }
 
-// SetShares replaces weights and limits per pool and backer.
-func (s *Scheduler) SetShares(shares map[string]map[string]fairqueue.Share) {
+// SetFleet takes over new snapshots. Requests that wait in a pool that another entry owns now are refused
+// with ErrNotOwner, so that the receivers submit them there; running ones go on.
+func (s *Scheduler) SetFleet(f Fleet) {
 	s.do(func() {
+		s.fleet = f
+		now := s.cfg.Now()
 		for name, p := range s.pools {
-			p.queue.SetShares(shares[name])
-			s.pump(p)
-		}
-	})
-}
-
-// Client returns the client of a worker, or nil if the worker is unknown.
-func (s *Scheduler) Client(workerID string) *worker.Client {
-	found := make(chan *worker.Client, 1)
-	ok := s.do(func() {
-		for _, p := range s.pools {
-			if m, ok := p.members[workerID]; ok {
-				found <- m.client
-				return
+			p.setMembers(f.Pools[name], f.Leaving, now)
+			p.queue.SetShares(f.Shares[name])
+			p.owned = f.Owned[name]
+			if !p.owned {
+				s.disown(p)
 			}
+			s.pump(p)
 		}
-		found <- nil
 	})
-	if !ok {
-		return nil
-	}
-	select {
-	case c := <-found:
-		return c
-	case <-s.stopped:
-		return nil
-	}
 }
 
-func (s *Scheduler) setFleet(owned map[string][]instance.Instance, leaving map[string]bool) {
-	for name, members := range owned {
-		p, ok := s.pools[name]
-		if !ok {
-			p = newPool(name, s.cfg.Policies, outlier.New())
-			s.pools[name] = p
-		}
-		p.owned = true
-		p.setMembers(members, leaving, s.cfg.Now())
-	}
-	for name, p := range s.pools {
-		if _, ok := owned[name]; !ok {
-			s.disown(p)
-		}
-		s.pump(p)
-	}
-	s.publish()
-}
-
-// disown refuses everything that waits in a pool another entry owns now; the receivers submit it there.
+// disown refuses what waits in a pool that another entry owns, except requests that were sent
+// here on purpose.
 func (s *Scheduler) disown(p *pool) {
-	p.owned = false
 	for id, t := range p.waiting {
+		if t.wish.Force {
+			continue
+		}
 		p.queue.Remove(id)
 		delete(p.waiting, id)
 		t.ready <- result{err: errNotOwner(p.name)}
 	}
-	if len(p.running) == 0 {
+	if len(p.running) == 0 && len(p.waiting) == 0 {
 		p.close()
 		delete(s.pools, p.name)
 	}
 }
 
-// errNotOwner tells a receiver to submit the request to the current owner.
 func errNotOwner(pool string) error {
 	return verdict.Wrap(ErrNotOwner, verdict.NotRun, http.StatusMisdirectedRequest)
 }
 
-// ErrNotOwner reports that this entry does not own the pool.
-var ErrNotOwner = errors.New("this entry does not own the pool")
+// poolByName returns the state of a pool, creating it for its first request.
+func (s *Scheduler) poolByName(name string) *pool {
+	p, ok := s.pools[name]
+	if !ok {
+		p = newPool(name, s.cfg.Policies)
+		p.owned = s.fleet.Owned[name]
+		p.queue.SetShares(s.fleet.Shares[name])
+		p.setMembers(s.fleet.Pools[name], s.fleet.Leaving, s.cfg.Now())
+		s.pools[name] = p
+	}
+	return p
+}
+
+func (s *Scheduler) enqueue(t *ticket) {
+	now := s.cfg.Now()
+	r := t.wish.Request
+	p := s.poolByName(r.Pool)
+	if !p.owned && !t.wish.Force {
+		t.ready <- result{err: errNotOwner(r.Pool)}
+		return
+	}
+	if err := s.shed(p, t, now); err != nil {
+		t.ready <- result{err: err}
+		return
+	}
+	s.sequence++
+	t.id = strconv.FormatUint(s.sequence, 36)
+	t.since = now
+	t.key = runtimes.Key{Queue: r.Queue, Backer: r.Backer, Kind: r.Kind}
+	class := r.Class
+	if class == request.Learned {
+		class = s.times.Class(t.key, 0, now)
+	}
+	t.estimate = s.times.Estimate(t.key, 0, now)
+	if class != request.Long {
+		p.reserve.Arrive(now, t.estimate.Mean)
+	}
+	p.waiting[t.id] = t
+	p.queue.Push(fairqueue.Item{ID: t.id, Backer: r.Backer, Class: class, Arrived: r.Received, Deadline: r.Deadline})
+	s.pump(p)
+	if t.wish.NoWait {
+		s.refuseWaiting(p, t)
+	}
+}
+
+// shed refuses a request early if the queue is full or the wait would outlast its deadline.
+func (s *Scheduler) shed(p *pool, t *ticket, now time.Time) error {
+	r := t.wish.Request
+	wait := p.estimatedWait(now)
+	switch {
+	case t.wish.MaxQueue > 0 && p.queue.Len() >= t.wish.MaxQueue:
+		return overloaded(wait, "queue of pool "+p.name+" is full")
+	case p.slots > 0 && p.shortOnTime(r, wait, now):
+		return overloaded(wait, "the wait for a slot in pool "+p.name+" would outlast the deadline")
+	}
+	return nil
+}
+
+// shortOnTime compares the estimated wait with the deadline. The wait is that of the whole queue, so it is
+// applied only to requests of a backer that does not use less than its share.
+func (p *pool) shortOnTime(r *request.Request, wait time.Duration, now time.Time) bool {
+	if r.Deadline.IsZero() || r.Class == request.Urgent || now.Add(wait).Before(r.Deadline) {
+		return false
+	}
+	usage := p.queue.Usage()
+	return usage[r.Backer].Waiting*len(usage) >= p.queue.Len()
+}
+
+// retryAfterMin keeps callers from repeating a refused request at once.
+const (
+	retryAfterMin = time.Second
+	retryAfterMax = 30 * time.Second
+)
+
+func overloaded(wait time.Duration, why string) error {
+	return verdict.WithRetryAfter(verdict.New(verdict.NotRun, http.StatusTooManyRequests, "%s", why), min(max(wait, retryAfterMin), retryAfterMax))
+}
+
+// refuseWaiting ends the wait of a ticket that asked for a slot at once.
+func (s *Scheduler) refuseWaiting(p *pool, t *ticket) {
+	if _, waits := p.waiting[t.id]; !waits {
+		return
+	}
+	p.queue.Remove(t.id)
+	delete(p.waiting, t.id)
+	t.ready <- result{err: overloaded(0, "no free slot in pool "+p.name)}
+}
+
+// remove takes a waiting ticket out; the answer tells withdraw that no grant follows.
+func (s *Scheduler) remove(t *ticket) {
+	p, ok := s.pools[t.wish.Request.Pool]
+	if !ok {
+		return
+	}
+	if _, waits := p.waiting[t.id]; !waits {
+		return
+	}
+	p.queue.Remove(t.id)
+	delete(p.waiting, t.id)
+	t.ready <- result{err: ErrOverflow}
+}
--- /dev/null
+++ b/entry/answer.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"samphirepoint/filter"
+	"samphirepoint/forward"
+	"samphirepoint/request"
+	"samphirepoint/verdict"
+)
+
+// refusalBody is the JSON form of an error towards callers.
+type refusalBody struct {
+	Error   string `json:"error"`
+	Verdict string `json:"verdict"`
+}
+
+// writeResult sends the answer or the refusal of a request.
+func writeResult(w http.ResponseWriter, c *filter.Context) {
+	if c.Request != nil {
+		w.Header().Set(request.HeaderRequestID, c.Request.ID)
+	}
+	if c.Err != nil {
+		writeError(w, c.Err)
+		return
+	}
+	h := w.Header()
+	h.Set(request.HeaderVerdict, verdict.Ran.String())
+	h.Set(request.HeaderWorker, c.Answer.Worker)
+	if c.Answer.Replayed {
+		h.Set(request.HeaderReplayed, "true")
+	}
+	writeBody(w, c.Answer.Status, c.Answer.ContentType, c.Answer.Body)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	v := verdict.Of(err)
+	w.Header().Set(request.HeaderVerdict, v.String())
+	w.Header().Set(forward.HeaderRefusal, "true")
+	if d := verdict.RetryAfter(err); d > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(d.Seconds()))))
+	}
+	writeJSON(w, verdict.Status(err), refusalBody{Error: err.Error(), Verdict: v.String()})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writeBody(w, status, "application/json", append(body, '\n'))
+}
+
+// writeBody sends a body with its length and hash, so that the other side can tell a whole answer from
+// a truncated one.
+func writeBody(w http.ResponseWriter, status int, contentType string, body []byte) {
+	h := w.Header()
+	if contentType != "" {
+		h.Set("Content-Type", contentType)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(request.HeaderBodyHash, request.BodyHash(body))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/entry/callers.go
@@ -0,0 +1,269 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"samphirepoint/auth"
+	"samphirepoint/filter"
+	"samphirepoint/forward"
+	"samphirepoint/job"
+	"samphirepoint/verdict"
+)
+
+// callerRoutes adds the interface for callers.
+func (e *Entry) callerRoutes(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/queues/{queue}/requests", e.handleRequest)
+	mux.HandleFunc("DELETE /v1/requests/{id}", e.handleCancel)
+	mux.HandleFunc("POST /v1/queues/{queue}/jobs", e.handleJob)
+	mux.HandleFunc("GET /v1/jobs/{id}", e.handleJobStatus)
+	mux.HandleFunc("DELETE /v1/jobs/{id}", e.handleJobCancel)
+	mux.HandleFunc("GET /v1/jobs/{id}/result", e.handleJobResult)
+}
+
+// peerRoutes adds the interface for other entries.
+func (e *Entry) peerRoutes(mux *http.ServeMux) {
+	mux.Handle("/twirp/", e.gossip.Handler())
+	mux.HandleFunc("POST "+forward.Path, e.handleForwarded)
+	mux.HandleFunc("POST "+forward.CancelPath, e.asPeer(e.handlePeerCancel))
+	mux.HandleFunc("GET "+forward.CancelPath, e.asPeer(e.handlePeerKnows))
+	mux.HandleFunc("POST "+forward.NoticePath, e.asPeer(e.handlePeerNotice))
+}
+
+func (e *Entry) newContext(w http.ResponseWriter, r *http.Request) *filter.Context {
+	return &filter.Context{Ctx: r.Context(), HTTP: r, Writer: w, QueueName: r.PathValue("queue"), Log: e.log}
+}
+
+func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
+	e.serve(w, e.newContext(w, r), e.requests)
+}
+
+func (e *Entry) handleForwarded(w http.ResponseWriter, r *http.Request) {
+	c := e.newContext(w, r)
+	forward.Options(r, c)
+	e.serve(w, c, e.requests)
+}
+
+func (e *Entry) handleJob(w http.ResponseWriter, r *http.Request) {
+	e.serve(w, e.newContext(w, r), e.jobChain)
+}
+
+// serve runs a chain and answers. A draining entry closes its connections after the answer, so that none is
+// idle, and might be in use by its client, when the listener closes.
+func (e *Entry) serve(w http.ResponseWriter, c *filter.Context, chain filter.Chain) {
+	start := time.Now()
+	chain.Serve(c)
+	e.stats.request(c, time.Since(start))
+	if e.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if c.Job != nil {
+		e.writeAccepted(w, c)
+		return
+	}
+	writeResult(w, c)
+}
+
+func (e *Entry) writeAccepted(w http.ResponseWriter, c *filter.Context) {
+	w.Header().Set("Location", "/v1/jobs/"+c.Job.ID)
+	writeJSON(w, http.StatusAccepted, describe(c.Job))
+}
+
+// jobStatus is the JSON form of a job towards callers.
+type jobStatus struct {
+	ID       string     `json:"id"`
+	Queue    string     `json:"queue"`
+	State    job.State  `json:"state"`
+	Verdict  string     `json:"verdict,omitempty"`
+	Worker   string     `json:"worker,omitempty"`
+	Status   int        `json:"status,omitempty"`
+	Error    string     `json:"error,omitempty"`
+	Accepted time.Time  `json:"accepted"`
+	Updated  time.Time  `json:"updated"`
+	Deadline *time.Time `json:"deadline,omitempty"`
+}
+
+func describe(rec *job.Record) jobStatus {
+	s := jobStatus{ID: rec.ID, Queue: rec.Queue, State: rec.State, Verdict: rec.Verdict, Worker: rec.Worker, Error: rec.Error, Accepted: rec.Accepted, Updated: rec.Updated}
+	if rec.State.Final() {
+		s.Status = rec.Status
+	}
+	if !rec.Deadline.IsZero() {
+		s.Deadline = &rec.Deadline
+	}
+	return s
+}
+
+// findJob reads a job of the calling backer.
+func (e *Entry) findJob(w http.ResponseWriter, r *http.Request) (*job.Record, bool) {
+	principal, err := e.identify(r, auth.RoleBacker)
+	if err != nil {
+		writeError(w, err)
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), platformTimeout)
+	defer cancel()
+	rec, err := e.jobStore.Find(ctx, r.PathValue("id"))
+	if err != nil {
+		writeError(w, verdict.WithRetryAfter(verdict.Wrap(err, verdict.MayHaveRun, http.StatusServiceUnavailable), time.Second))
+		return nil, false
+	}
+	if rec == nil || rec.Backer != principal.Name {
+		writeError(w, verdict.New(verdict.NotRun, http.StatusNotFound, "no job %q of this backer", r.PathValue("id")))
+		return nil, false
+	}
+	return rec, true
+}
+
+func (e *Entry) handleJobStatus(w http.ResponseWriter, r *http.Request) {
+	if rec, ok := e.findJob(w, r); ok {
+		writeJSON(w, http.StatusOK, describe(rec))
+	}
+}
+
+func (e *Entry) handleJobCancel(w http.ResponseWriter, r *http.Request) {
+	rec, ok := e.findJob(w, r)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), platformTimeout)
+	defer cancel()
+	rec, err := e.jobStore.Cancel(ctx, rec.ID)
+	if err != nil || rec == nil {
+		writeError(w, verdict.WithRetryAfter(verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, "cancel was not recorded: %v", err), time.Second))
+		return
+	}
+	e.noticeOwner(r.Context(), rec)
+	writeJSON(w, http.StatusAccepted, describe(rec))
+}
+
+func (e *Entry) handleJobResult(w http.ResponseWriter, r *http.Request) {
+	rec, ok := e.findJob(w, r)
+	if !ok {
+		return
+	}
+	if !rec.State.Final() {
+		writeError(w, verdict.WithRetryAfter(verdict.New(verdict.MayHaveRun, http.StatusConflict, "job is %s", rec.State), time.Second))
+		return
+	}
+	if rec.Error != "" {
+		v, _ := verdict.Parse(rec.Verdict)
+		writeError(w, verdict.New(v, http.StatusConflict, "job is %s: %s", rec.State, rec.Error))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), platformTimeout)
+	defer cancel()
+	body, err := e.jobStore.Result(ctx, rec)
+	if err != nil {
+		writeError(w, verdict.WithRetryAfter(verdict.Wrap(err, verdict.Ran, http.StatusServiceUnavailable), time.Second))
+		return
+	}
+	writeBody(w, http.StatusOK, "application/json", body)
+}
+
+// handleCancel cancels a request of the calling backer, at whichever entry works on it.
+func (e *Entry) handleCancel(w http.ResponseWriter, r *http.Request) {
+	principal, err := e.identify(r, auth.RoleBacker)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	id := r.PathValue("id")
+	if e.cancel(r.Context(), id, principal.Name) {
+		w.WriteHeader(http.StatusAccepted)
+		return
+	}
+	for _, entryID := range e.cancelTargets(id) {
+		if known, err := e.forwarder.Cancel(r.Context(), entryID, id+"@"+principal.Name); err == nil && known {
+			w.WriteHeader(http.StatusAccepted)
+			return
+		}
+	}
+	writeError(w, verdict.New(verdict.MayHaveRun, http.StatusNotFound, "no request %q of this backer is in flight", id))
+}
+
+// cancelTargets is the entry that made the id, or all others if a caller chose it.
+func (e *Entry) cancelTargets(id string) []string {
+	members := e.gossip.Members()
+	if entryID, _, ok := strings.Cut(id, "."); ok {
+		if _, known := members.Member(entryID); known {
+			return []string{entryID}
+		}
+	}
+	var ids []string
+	for _, m := range members.Alive() {
+		if m.ID != e.cfg.ID {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+// cancel cancels a request known here; it is passed on if another entry works on it.
+func (e *Entry) cancel(ctx context.Context, id, backer string) bool {
+	forwardedTo, found := e.tracker.cancel(id, backer)
+	for _, entryID := range forwardedTo {
+		if known, err := e.forwarder.Cancel(ctx, entryID, id+"@"+backer); err != nil || !known {
+			e.tracker.cancelHere(id)
+		}
+	}
+	return found
+}
+
+func (e *Entry) handlePeerCancel(w http.ResponseWriter, r *http.Request) {
+	id, backer, _ := strings.Cut(r.PathValue("id"), "@")
+	if !e.cancel(r.Context(), id, backer) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Entry) handlePeerKnows(w http.ResponseWriter, r *http.Request) {
+	if !e.tracker.knows(r.PathValue("id")) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Entry) handlePeerNotice(w http.ResponseWriter, r *http.Request) {
+	e.jobs.Notify(r.PathValue("id"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// noticeOwner tells the owner of a job's pool of a new or changed row. A lost notice costs at most
+// one scan interval.
+func (e *Entry) noticeOwner(ctx context.Context, rec *job.Record) {
+	owner, ok := e.gossip.Owner(rec.Pool)
+	if !ok || owner.ID == e.cfg.ID {
+		e.jobs.Notify(rec.ID)
+		return
+	}
+	if err := e.forwarder.Notify(context.WithoutCancel(ctx), owner.ID, rec.ID); err != nil {
+		e.log.Warn().Err(err).Str("job", rec.ID).Str("owner", owner.ID).Msg("owner was not told of the job")
+	}
+}
+
+func (e *Entry) identify(r *http.Request, role auth.Role) (auth.Principal, error) {
+	p, err := e.verifier.Identify(r)
+	if err != nil {
+		return p, err
+	}
+	if p.Role != role {
+		return p, verdict.New(verdict.NotRun, http.StatusForbidden, "token of role %q may not do this, expected role %q", p.Role, role)
+	}
+	return p, nil
+}
+
+func (e *Entry) asPeer(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if _, err := e.identify(r, auth.RolePeer); err != nil {
+			writeError(w, err)
+			return
+		}
+		h(w, r)
+	}
+}
--- a/filter/filter.go
+++ b/filter/filter.go
@@ -16,6 +16,7 @@
 	"samphirepoint/auth"
 	"samphirepoint/claim"
 	"samphirepoint/dispatch"
+	"samphirepoint/job"
 	"samphirepoint/request"
 	"samphirepoint/table"
 	"samphirepoint/verdict"
@@ -59,7 +60,9 @@
 	NoWait, Attach bool
 
 	Answer *Answer
-	Err    error
+	// Job is set when a job submission was accepted.
+	Job *job.Record
+	Err error
 	Log    zerolog.Logger
 
 	cleanup []func()
--- a/filter/identification.go
+++ b/filter/identification.go
@@ -24,6 +24,8 @@
 	defaultDeadline = 30 * time.Second
 	// maxDeadline bounds Samphire-Deadline; longer work is submitted as a job.
 	maxDeadline = time.Hour
+	// maxJobDeadline bounds Samphire-Deadline of jobs.
+	maxJobDeadline = 7 * 24 * time.Hour
 	// maxNameBytes bounds ids, keys and kinds that callers choose.
 	maxNameBytes = 200
 )
@@ -33,7 +35,9 @@
 	// EntryID makes generated request ids name the entry that can cancel them.
 	EntryID string
 	// Track registers the cancel function of a request; it returns false if the id is in use.
-	Track func(id string, cancel context.CancelCauseFunc) (untrack func(), ok bool)
+	Track func(c *Context, cancel context.CancelCauseFunc) (untrack func(), ok bool)
+	// Job applies the rules for jobs: no deadline unless the caller sets one.
+	Job bool
 }
 
 // Name implements Filter.
@@ -77,7 +81,7 @@
 	if !r.Idempotent && r.Key == "" {
 		return nil, fmt.Errorf("%s: missing; a non-idempotent request needs a key", request.HeaderIdempotencyKey)
 	}
-	if r.Deadline, err = parseDeadline(h.Get(request.HeaderDeadline), r.Received); err != nil {
+	if r.Deadline, err = f.parseDeadline(h.Get(request.HeaderDeadline), r.Received); err != nil {
 		return nil, err
 	}
 	if r.KeyIssued, err = parseIssued(h.Get(request.HeaderIdempotencyIssued), r.Received); err != nil {
@@ -106,13 +110,20 @@
 	return v, nil
 }
 
-func parseDeadline(s string, now time.Time) (time.Time, error) {
+func (f Identification) parseDeadline(s string, now time.Time) (time.Time, error) {
+	longest := maxDeadline
+	if f.Job {
+		longest = maxJobDeadline
+	}
+	if s == "" && f.Job {
+		return time.Time{}, nil
+	}
 	if s == "" {
 		return now.Add(defaultDeadline), nil
 	}
 	d, err := time.ParseDuration(s)
-	if err != nil || d <= 0 || d > maxDeadline {
-		return time.Time{}, fmt.Errorf("%s: %q, expected a duration such as 1500ms up to %s", request.HeaderDeadline, s, maxDeadline)
+	if err != nil || d <= 0 || d > longest {
+		return time.Time{}, fmt.Errorf("%s: %q, expected a duration such as 1500ms up to %s", request.HeaderDeadline, s, longest)
 	}
 	return now.Add(d), nil
 }
@@ -202,10 +213,14 @@
 		// for a repeat of the key. Only the cancel API stops it.
 		base = context.WithoutCancel(base)
 	}
-	ctx, cancelDeadline := context.WithDeadline(base, c.Request.Deadline)
+	cancelDeadline := context.CancelFunc(func() {})
+	ctx := base
+	if !c.Request.Deadline.IsZero() {
+		ctx, cancelDeadline = context.WithDeadline(base, c.Request.Deadline)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	c.OnEnd(func() { cancel(nil); cancelDeadline() })
-	untrack, ok := f.Track(c.Request.ID, cancel)
+	untrack, ok := f.Track(c, cancel)
 	if !ok {
 		return verdict.New(verdict.MayHaveRun, http.StatusConflict, "request id %q is in use by a request in flight", c.Request.ID)
 	}
--- a/filter/queue.go
+++ b/filter/queue.go
@@ -1,6 +1,7 @@
 package filter
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"slices"
@@ -11,7 +12,7 @@
 
 // Slots grants slots of the pools that this entry owns.
 type Slots interface {
-	Acquire(c *Context, w dispatch.Wish) (*dispatch.Grant, error)
+	Acquire(ctx context.Context, w dispatch.Wish) (*dispatch.Grant, error)
 	// OverflowResult tells whether another pool took a request that did not get a slot in its own pool.
 	OverflowResult(pool string, taken bool)
 }
@@ -20,6 +21,7 @@
 // overflow to the other pools of its queue.
 type Queue struct {
 	Slots     Slots
+	Route     Route
 	Router    Router
 	Forwarder Forwarder
 }
@@ -43,7 +45,7 @@
 // acquire returns a grant, or sets c.Answer when another pool answered.
 func (f Queue) acquire(c *Context, exclude []string) (*dispatch.Grant, error) {
 	for {
-		grant, err := f.Slots.Acquire(c, dispatch.Wish{
+		grant, err := f.Slots.Acquire(c.Ctx, dispatch.Wish{
 			Request:     c.Request,
 			Exclude:     exclude,
 			NoWait:      c.NoWait,
@@ -58,6 +60,13 @@
 			}
 			continue
 		}
+		if errors.Is(err, dispatch.ErrNotOwner) && !c.Forwarded {
+			// The pool went to another entry while the request waited.
+			if err := f.Route.route(c); err != nil || c.Answer != nil {
+				return nil, err
+			}
+			continue
+		}
 		return grant, err
 	}
 }
