Add retry decisions, shedding and division of limits over owners

limit.Divider divides a backer's limit by published demand.

fairqueue.Weighted gains Position, from which the wait of a new request is estimated.

--- a/fairqueue/weighted.go
+++ b/fairqueue/weighted.go
@@ -110,8 +110,10 @@
 	agedTurn bool
 	entries  map[string]*entry
 	waiting  int
-	backers  map[string]*backer
-	shares   map[string]Share
+	// waitingAt counts the waiting items per level.
+	waitingAt [levels]int
+	backers   map[string]*backer
+	shares    map[string]Share
 	// next and held contain, for each level, the backers below their limit with waiting items of the
 	// level, ordered by (slots in use + 1) / weight and by slots in use / weight.
 	next, held [levels]indexed[*backer]
@@ -231,6 +233,7 @@
 	b.queues[e.level].set(e, true)
 	b.waiting++
 	w.waiting++
+	w.waitingAt[e.level]++
 	w.refresh(b)
 	w.deadlines.set(e, !e.Deadline.IsZero())
 	w.aging.set(e, e.level == long)
@@ -243,6 +246,7 @@
 	b.queues[e.level].set(e, false)
 	b.waiting--
 	w.waiting--
+	w.waitingAt[e.level]--
 	w.refresh(b)
 	w.deadlines.set(e, false)
 	w.aging.set(e, false)
@@ -445,6 +449,38 @@
 	w.total, w.reserve = total, min(max(reserve, 0), total)
 }
 
+// Position is the place that a new item would take; it serves to estimate its wait.
+type Position struct {
+	// Ahead counts the waiting items of the same or an earlier class, OwnAhead those of the same backer.
+	Ahead, OwnAhead int
+	// Share is the backer's part of the weights of the backers with runnable work up to
+	// this class, itself included.
+	Share float64
+}
+
+// Position returns the place of a new item of a backer and class.
+func (w *Weighted) Position(name string, class request.Class) Position {
+	l := levelOf(class)
+	var p Position
+	for i := urgent; i <= l; i++ {
+		p.Ahead += w.waitingAt[i]
+	}
+	b, ok := w.backers[name]
+	if !ok {
+		b = &backer{name: name}
+		w.setShare(b)
+	}
+	total := w.demand[l].weight
+	if !b.counted[l] {
+		total += b.weight
+	}
+	for i := urgent; ok && i <= l; i++ {
+		p.OwnAhead += b.queues[i].Len()
+	}
+	p.Share = float64(b.weight) / float64(total)
+	return p
+}
+
 // Len implements Policy.
 func (w *Weighted) Len() int { return w.waiting }
 
--- a/fairqueue/weighted_test.go
+++ b/fairqueue/weighted_test.go
@@ -109,6 +109,9 @@
 	if m.queue.Len() != len(m.waiting) || m.queue.InUse() != len(m.running) {
 		t.Fatalf("counts %d waiting, %d in use; want %d, %d", m.queue.Len(), m.queue.InUse(), len(m.waiting), len(m.running))
 	}
+	if p := m.queue.Position("a", request.Long); p.Ahead != len(m.waiting) || p.OwnAhead != m.queue.Usage()["a"].Waiting || p.Share <= 0 || p.Share > 1 {
+		t.Fatalf("position %+v of a new item among %d waiting", p, len(m.waiting))
+	}
 	usage := map[string]fairqueue.Usage{}
 	for _, it := range m.waiting {
 		u := usage[it.Backer]
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,197 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"samphirepoint/limit"
+)
+
+// Guards against slots of a limit that are lost or created by rounding, and against an owner with demand left without
+// any slot.
+func TestDivideSumsToLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		max := rapid.IntRange(0, 40).Draw(t, "limit")
+		demands := make([]limit.Demand, rapid.IntRange(1, 8).Draw(t, "owners"))
+		total, wanting := 0, 0
+		for i := range demands {
+			demands[i].Demand = rapid.IntRange(0, 100).Draw(t, "demand")
+			total += demands[i].Demand
+			if demands[i].Demand > 0 {
+				wanting++
+			}
+		}
+		sum := 0
+		for i, part := range limit.Divide(max, demands) {
+			sum += part
+			exact := float64(max) * float64(demands[i].Demand) / float64(total)
+			switch {
+			case demands[i].Demand == 0 && part != 0:
+				t.Fatalf("owner %d has %d slots without demand", i, part)
+			case demands[i].Demand > 0 && max >= wanting && part < 1:
+				t.Fatalf("owner %d has demand but no slot", i)
+			case part > 1 && float64(part) > exact+1:
+				t.Fatalf("owner %d has %d slots, exact part %.2f", i, part, exact)
+			}
+		}
+		if total > 0 && sum != max {
+			t.Fatalf("parts sum to %d of %d", sum, max)
+		}
+	})
+}
+
+// cluster runs the owners of a backer's pools in rounds; each sees what the others published the round before.
+type cluster struct {
+	policies  map[string]limit.Policy
+	owners    []string
+	use       map[string]limit.Use
+	parts     map[string]int
+	published []limit.Demand
+	heartbeat int64
+}
+
+func newCluster(n int, policy func(owner string) limit.Policy) *cluster {
+	c := &cluster{policies: map[string]limit.Policy{}, use: map[string]limit.Use{}, parts: map[string]int{}}
+	for i := range n {
+		owner := fmt.Sprint("e", i)
+		c.owners = append(c.owners, owner)
+		c.policies[owner] = policy(owner)
+	}
+	return c
+}
+
+func (c *cluster) round(max int) {
+	c.heartbeat++
+	var next []limit.Demand
+	for _, owner := range c.owners {
+		parts, publish := c.policies[owner].Round(limit.View{
+			Owners: c.owners, Limits: map[string]int{"b": max}, Own: map[string]limit.Use{"b": c.use[owner]},
+			Demands: c.published, Heartbeat: c.heartbeat,
+		})
+		c.parts[owner] = parts["b"]
+		next = append(next, publish...)
+	}
+	c.published = next
+}
+
+// start lets an owner take as many slots as its part and its waiting requests allow.
+func (c *cluster) start(owner string) {
+	u := c.use[owner]
+	if n := min(u.Waiting, c.parts[owner]-u.InUse); n > 0 {
+		c.use[owner] = limit.Use{InUse: u.InUse + n, Waiting: u.Waiting - n}
+	}
+}
+
+func (c *cluster) inUse() int {
+	sum := 0
+	for _, u := range c.use {
+		sum += u.InUse
+	}
+	return sum
+}
+
+func divider(owner string) limit.Policy { return limit.NewDivider(owner) }
+
+// Guards against a backer that passes its limit while its demand moves between owners.
+func TestUseStaysWithinLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(rapid.IntRange(1, 8).Draw(t, "owners"), divider)
+		max := rapid.IntRange(0, 40).Draw(t, "limit")
+		for range rapid.IntRange(1, 40).Draw(t, "rounds") {
+			c.round(max)
+			sum := 0
+			for _, owner := range c.owners {
+				sum += c.parts[owner]
+				u := c.use[owner]
+				finished := rapid.IntRange(0, u.InUse).Draw(t, "finished")
+				c.use[owner] = limit.Use{InUse: u.InUse - finished, Waiting: rapid.IntRange(0, 30).Draw(t, "waiting") * rapid.IntRange(0, 1).Draw(t, "busy")}
+				c.start(owner)
+			}
+			if sum > max || c.inUse() > max {
+				t.Fatalf("parts sum to %d, %d slots in use, limit %d", sum, c.inUse(), max)
+			}
+		}
+	})
+}
+
+// Guards against a limit that stays unused because callers are distributed 5:1 over the entries; the demand
+// is steady, so all of the limit must be in use once the round of growth has passed.
+func TestLimitIsUsedUnderUnevenCallers(t *testing.T) {
+	g := NewWithT(t)
+	used := func(policy func(string) limit.Policy) int {
+		c := newCluster(8, policy)
+		for range 6 {
+			c.round(40)
+			for i, owner := range c.owners {
+				demand := 10
+				if i == 0 {
+					demand = 50
+				} else if i > 2 {
+					demand = 0
+				}
+				c.use[owner] = limit.Use{InUse: c.use[owner].InUse, Waiting: demand - c.use[owner].InUse}
+				c.start(owner)
+			}
+		}
+		return c.inUse()
+	}
+	static := used(func(owner string) limit.Policy { return limit.StaticSplit{Self: owner} })
+	divided := used(divider)
+	t.Logf("slots in use of a limit of 40: static split %d, Divider %d", static, divided)
+	g.Expect(divided).To(Equal(40))
+	g.Expect(static).To(BeNumerically("<", 20))
+}
+
+// Guards against growth on the word of a peer that has gone silent and may still use its old part.
+func TestPartDoesNotGrowWhilePeerIsSilent(t *testing.T) {
+	g := NewWithT(t)
+	d := limit.NewDivider("a")
+	view := limit.View{
+		Owners: []string{"a", "b"}, Limits: map[string]int{"x": 10}, Own: map[string]limit.Use{"x": {Waiting: 1}},
+		Demands: []limit.Demand{{Owner: "b", Backer: "x", InUse: 9, Demand: 9, Heartbeat: 1}},
+	}
+	for range 3 {
+		d.Round(view)
+	}
+	view.Own["x"] = limit.Use{Waiting: 100}
+	view.Demands[0].InUse = 0
+	for range 5 {
+		parts, _ := d.Round(view)
+		g.Expect(parts["x"]).To(BeNumerically("<=", 1))
+	}
+	for beat := int64(2); beat < 5; beat++ {
+		view.Demands[0].Heartbeat = beat
+		d.Round(view)
+	}
+	view.Demands[0].Heartbeat = 5
+	parts, _ := d.Round(view)
+	g.Expect(parts["x"]).To(Equal(9))
+}
+
+func BenchmarkRound(b *testing.B) {
+	for _, backers := range []int{5, 50, 210} {
+		b.Run(fmt.Sprintf("backers=%d", backers), func(b *testing.B) {
+			v := limit.View{Limits: map[string]int{}, Own: map[string]limit.Use{}}
+			for o := range 8 {
+				v.Owners = append(v.Owners, fmt.Sprint("e", o))
+			}
+			for i := range backers {
+				name := fmt.Sprint("b", i)
+				v.Limits[name], v.Own[name] = 40, limit.Use{InUse: 5, Waiting: 5}
+				for _, o := range v.Owners[1:] {
+					v.Demands = append(v.Demands, limit.Demand{Owner: o, Backer: name, InUse: 5, Demand: 10})
+				}
+			}
+			d := limit.NewDivider("e0")
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				v.Heartbeat++
+				d.Round(v)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,198 @@
+// Package retry decides whether a failed attempt is repeated, how long a rejected caller should stay away, and
+// which requests are rejected before they wait in vain. All types are pure: time and random source
+// are arguments. They are not safe for concurrent use; the pool's owner calls them from one goroutine.
+package retry
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"samphirepoint/verdict"
+)
+
+const (
+	// BudgetPercent of successes may be retried (design page, 3.8).
+	BudgetPercent = 10
+	// minBudget is the size of the bucket in a pool with little work: the work in flight on a rack
+	// of 4 workers with 8 slots, so that it can be retried when the rack fails.
+	minBudget = 32
+	// budgetWindow is the time over which successes enlarge the bucket.
+	budgetWindow = 10 * time.Second
+
+	// MaxTries bounds the attempts that may have run; a job that fails on 3 good workers cannot run.
+	MaxTries = 4
+	// maxResends bounds the attempts that were rejected as not run. With the backoff below
+	// they span about 5 s, after which the caller learns that the request did not run.
+	maxResends = 16
+	// baseBackoff and maxBackoff bound the random delay before a repeat.
+	baseBackoff = 25 * time.Millisecond
+	maxBackoff  = time.Second
+
+	// minRetryAfter and maxRetryAfter bound the advice to rejected callers. The header has whole seconds.
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+)
+
+// Budget is a token bucket that successes fill: BudgetPercent of a token each. It holds at most minBudget tokens, or the
+// share of the successes of the last budgetWindow if that is more.
+type Budget struct {
+	tokens float64
+	recent float64 // decayed number of successes
+	last   time.Time
+}
+
+// NewBudget returns a full bucket.
+func NewBudget() *Budget { return &Budget{tokens: minBudget} }
+
+func (b *Budget) advance(now time.Time) float64 {
+	if now.After(b.last) {
+		b.recent *= math.Exp(-float64(now.Sub(b.last)) / float64(budgetWindow))
+		b.last = now
+	}
+	size := max(minBudget, b.recent*BudgetPercent/100)
+	b.tokens = min(b.tokens, size)
+	return size
+}
+
+// Success notes a finished request.
+func (b *Budget) Success(now time.Time) {
+	b.recent++
+	size := b.advance(now)
+	b.tokens = min(b.tokens+BudgetPercent/100.0, size)
+}
+
+// Take uses one token; it reports false if none is left.
+func (b *Budget) Take(now time.Time) bool {
+	b.advance(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Attempt describes an attempt that failed.
+type Attempt struct {
+	Verdict    verdict.Verdict
+	Idempotent bool
+	// Tries counts the attempts that may have run, Resends those that were rejected as not run, both
+	// including this one.
+	Tries, Resends int
+	// Deadline of the request; zero means none.
+	Deadline time.Time
+	// Expected is the run time to expect, 0 if unknown.
+	Expected time.Duration
+	// RetryAfter is the worker's advice, 0 if none.
+	RetryAfter time.Duration
+	// CannotRun is set for a job that failed on several good workers; see package outlier.
+	CannotRun bool
+}
+
+// Decision is the answer, with the reason for the log.
+type Decision struct {
+	Retry  bool
+	After  time.Duration
+	Reason string
+}
+
+// Policy decides on repeats for one pool. A nil Budget is unlimited (the baseline).
+type Policy struct {
+	Budget *Budget
+	Rand   *rand.Rand
+}
+
+func stop(format string, args ...any) Decision {
+	return Decision{Reason: fmt.Sprintf(format, args...)}
+}
+
+// Decide tells whether and when to repeat. The repeat goes to another worker. A repeat of an attempt that may
+// have run takes a token of the budget, a resend after a rejection as not run does not.
+func (p Policy) Decide(now time.Time, a Attempt) Decision {
+	if a.CannotRun {
+		return stop("failed on several good workers")
+	}
+	resend := a.Verdict == verdict.NotRun
+	if !resend && !a.Idempotent {
+		return stop("not idempotent and %s", a.Verdict)
+	}
+	if !resend && a.Tries >= MaxTries {
+		return stop("failed %d times", a.Tries)
+	}
+	if resend && a.Resends >= maxResends {
+		return stop("rejected %d times", a.Resends)
+	}
+	after := time.Duration(0)
+	switch {
+	case resend && a.Resends > 1:
+		after = Backoff(p.Rand, a.Resends-1)
+	case !resend:
+		after = Backoff(p.Rand, a.Tries)
+	}
+	after = max(after, a.RetryAfter)
+	if !a.Deadline.IsZero() && now.Add(after+a.Expected).After(a.Deadline) {
+		return stop("deadline in %v, repeat needs %v", a.Deadline.Sub(now), after+a.Expected)
+	}
+	if resend {
+		return Decision{Retry: true, After: after, Reason: "not run, resend"}
+	}
+	if p.Budget != nil && !p.Budget.Take(now) {
+		return stop("retry budget is used up")
+	}
+	return Decision{Retry: true, After: after, Reason: "idempotent, retry"}
+}
+
+// Backoff returns a random delay (full jitter) of at most baseBackoff, doubled with each try and
+// bounded by maxBackoff.
+func Backoff(rnd *rand.Rand, try int) time.Duration {
+	limit := maxBackoff
+	if shift := max(try-1, 0); shift < 6 {
+		limit = min(baseBackoff<<shift, maxBackoff)
+	}
+	return time.Duration(rnd.Int64N(int64(limit) + 1))
+}
+
+// Load is the state of a queue as one request sees it.
+type Load struct {
+	// Ahead is the number of waiting requests of the same or an earlier class, OwnAhead the part of the same backer.
+	Ahead, OwnAhead int
+	// Share is the backer's part of the slots, from 0 to 1, while others wait.
+	Share float64
+	// Slots is the number of slots that the class may use, Free those that are idle now.
+	Slots, Free int
+	// MeanRun is the mean run time of the work that uses the slots.
+	MeanRun time.Duration
+}
+
+// Wait estimates the time until a new request starts. The service rate is Slots / MeanRun; the rate of past
+// completions would be too low after an idle time. A backer waits for its own requests at its share of the rate,
+// or for all requests, whichever is shorter, so that one backer's backlog does not shed another's work.
+func (l Load) Wait() time.Duration {
+	if l.Free > l.Ahead {
+		return 0
+	}
+	if l.Slots <= 0 {
+		return maxRetryAfter
+	}
+	turn := float64(l.MeanRun) / float64(l.Slots)
+	wait := float64(l.Ahead+1) * turn
+	if l.Share > 0 {
+		wait = min(wait, float64(l.OwnAhead+1)*turn/l.Share)
+	}
+	return time.Duration(min(wait, float64(math.MaxInt64/2)))
+}
+
+// Shed reports whether a request is to be rejected at once, because its estimated wait exceeds its deadline. The
+// wait includes the expected run time if the deadline is that of the answer.
+func Shed(now, deadline time.Time, wait time.Duration) bool {
+	return !deadline.IsZero() && wait > deadline.Sub(now)
+}
+
+// RetryAfter returns the advice to a rejected caller in whole seconds: the estimated wait plus up to half of it at
+// random, so that callers rejected together do not return together.
+func RetryAfter(rnd *rand.Rand, wait time.Duration) time.Duration {
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	wait += time.Duration(rnd.Int64N(int64(wait)/2 + 1))
+	return min((wait + time.Second - 1).Truncate(time.Second), maxRetryAfter)
+}
