Add admin routes, client and command for the table

The client tries all entries in turn and repeats a write with the same operation id, so a lost reply changes the table once. The command prints aligned text or JSON.

--- /dev/null
+++ b/admin/table_errors.go
@@ -0,0 +1,85 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/rs/zerolog"
+
+	"samphirepoint/auth"
+	"samphirepoint/request"
+	"samphirepoint/table"
+	"samphirepoint/verdict"
+)
+
+// classifyTable gives the errors of the store their status and verdict.
+func classifyTable(err error) error {
+	var invalid *table.InvalidError
+	var conflict *table.ConflictError
+	var changed *table.DraftChangedError
+	var stale *table.StaleDraftError
+	var unknown *table.UnknownOutcomeError
+	switch {
+	case errors.As(err, &unknown):
+		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusServiceUnavailable)
+	case errors.As(err, &invalid):
+		return verdict.Wrap(err, verdict.NotRun, http.StatusUnprocessableEntity)
+	case errors.Is(err, table.ErrNoDraft):
+		return verdict.Wrap(err, verdict.NotRun, http.StatusNotFound)
+	case errors.Is(err, table.ErrContention):
+		return verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable)
+	case errors.As(err, &conflict), errors.As(err, &changed), errors.As(err, &stale),
+		errors.Is(err, table.ErrNoChange), errors.Is(err, table.ErrOperationReused):
+		return verdict.Wrap(err, verdict.NotRun, http.StatusConflict)
+	}
+	return err
+}
+
+func tableErrorBody(err error) ErrorBody {
+	body := ErrorBody{Error: err.Error()}
+	var invalid *table.InvalidError
+	var conflict *table.ConflictError
+	switch {
+	case errors.As(err, &invalid) && len(invalid.Problems) > 0:
+		body.Problems = invalid.Problems
+		body.Cell, body.Expected = invalid.Problems[0].Cell, invalid.Problems[0].Expected
+	case errors.As(err, &conflict) && len(conflict.Conflicts) > 0:
+		body.Conflicts = conflict.Conflicts
+		first := conflict.Conflicts[0]
+		body.Cell, body.Expected = first.Cell.String(), "as base "+strconv.Quote(first.Current)
+	}
+	return body
+}
+
+func writeTableError(w http.ResponseWriter, err error) {
+	err = classifyTable(err)
+	w.Header().Set(request.HeaderVerdict, verdict.Of(err).String())
+	if d := verdict.RetryAfter(err); d > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(max(d.Seconds(), 1))))
+	}
+	writeTableJSON(w, verdict.Status(err), tableErrorBody(err))
+}
+
+func writeReply(w http.ResponseWriter, reply any) {
+	raw, ok := reply.(rawReply)
+	if !ok {
+		writeTableJSON(w, http.StatusOK, reply)
+		return
+	}
+	w.Header().Set("Content-Type", raw.contentType)
+	// A failed write means that the caller is gone.
+	_, _ = w.Write(raw.data)
+}
+
+func writeTableJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the caller is gone.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (h *tableHandler) logChange(p auth.Principal, r *http.Request) *zerolog.Event {
+	return h.opt.Log.Info().Str("operator", p.Name).Str("method", r.Method).Str("path", r.URL.Path)
+}
--- a/command/all.go
+++ b/command/all.go
@@ -6,5 +6,6 @@
 func All() []subcommands.Command {
 	return []subcommands.Command{
 		versionCommand{},
+		newTableCommand(),
 	}
 }
--- a/table/accept.go
+++ b/table/accept.go
@@ -24,6 +24,9 @@
 	Version int64
 	// Repeated reports that the operation had been accepted before.
 	Repeated bool
+	// Document is the accepted document. It is nil if the outcome was read back, since the first
+	// attempt may have accepted a later state of the draft.
+	Document *Document
 }
 
 // Accept puts the draft in force in one transaction: it writes config/current, the history and
@@ -40,7 +43,7 @@
 			return false, ErrOperationReused
 		}
 		if ok {
-			result.Version = op.Version
+			result.Version, result.Document = op.Version, nil
 		}
 		return ok, err
 	}
@@ -51,9 +54,9 @@
 				result.Repeated = ok
 				return nil, ok, err
 			}
-			version, writes, err := s.planAccept(ctx, req)
+			doc, writes, err := s.planAccept(ctx, req)
 			if err == nil {
-				result.Version = version
+				result.Version, result.Document = doc.Version, doc
 				return writes, false, nil
 			}
 			// An earlier attempt through another entry may have taken effect since the first look.
@@ -71,13 +74,13 @@
 	return result, nil
 }
 
-func (s *Store) planAccept(ctx context.Context, req AcceptRequest) (int64, []platform.Write, error) {
+func (s *Store) planAccept(ctx context.Context, req AcceptRequest) (*Document, []platform.Write, error) {
 	draft, err := s.Draft(ctx)
 	if err != nil {
-		return 0, nil, err
+		return nil, nil, err
 	}
 	if err := s.checkDraft(draft, req.Draft); err != nil {
-		return 0, nil, err
+		return nil, nil, err
 	}
 	doc := draft.Document
 	doc.Version = max(draft.currentRow, draft.Current.Version) + 1
@@ -87,10 +90,10 @@
 	}
 	writes, err := acceptWrites(record, draft.currentRow)
 	if err != nil {
-		return 0, nil, err
+		return nil, nil, err
 	}
 	writes = append(writes, platform.Write{Key: KeyDraft, IfVersion: draft.Version, Delete: true})
-	return doc.Version, writes, nil
+	return doc, writes, nil
 }
 
 // checkDraft refuses a draft that cannot be accepted or is not the one the operator saw.
