--- a/command/all.go
+++ b/command/all.go
@@ -10,5 +10,6 @@
 		versionCommand{},
 		standinCommand{},
 		&loadCommand{},
+		newTableCommand(),
 	}
 }
--- a/filter/dispatch.go
+++ b/filter/dispatch.go
@@ -15,15 +15,15 @@
 )
 
 const (
-	// maxAttempts bounds the workers tried for one request, refusals as not run included.
-	maxAttempts = 8
-	// cannotRunAfter is the number of different workers on which a job must fail to be called unable to run.
+	// cannotRunAfter is the number of different workers on which a request must fail to be called unable to run.
 	cannotRunAfter = 3
 )
 
 // Retries decides whether a failed attempt is repeated.
 type Retries interface {
 	Decide(now time.Time, pool string, a retry.Attempt) retry.Decision
+	// Success earns budget for later retries.
+	Success(now time.Time, pool string)
 }
 
 // Leavings learns which workers are leaving.
@@ -51,20 +51,21 @@
 
 // attempts is the history of one request in Dispatch.
 type attempts struct {
-	count int
+	// tries may have run, resends were refused as not run.
+	tries, resends int
 	// failedOn lists workers that ran the request and failed it.
 	failedOn []string
 	exclude  []string
-	last     *Answer
+	expected time.Duration
 }
 
 // Request implements Filter.
 func (f *Dispatch) Request(c *Context) error {
 	var history attempts
 	for {
-		history.count++
 		answer, err := f.attempt(c, &history)
 		if err == nil && !failed(answer) {
+			f.Retries.Success(time.Now(), c.Request.Pool)
 			c.Answer = answer
 			return nil
 		}
@@ -105,6 +106,7 @@
 	}
 	c.noteUncertain(err)
 	f.settle(c, grant, id, answer, err, time.Since(sent))
+	history.expected = grant.Expected
 	history.exclude = append(history.exclude, grant.Worker)
 	if err != nil {
 		return nil, err
@@ -167,21 +169,28 @@
 // again decides about another attempt.
 func (f *Dispatch) again(c *Context, history *attempts, answer *Answer, err error) bool {
 	if failed(answer) {
-		history.last = answer
 		history.failedOn = append(history.failedOn, answer.Worker)
 	}
-	if history.count >= maxAttempts || c.Ctx.Err() != nil || len(history.failedOn) >= cannotRunAfter {
+	if c.Ctx.Err() != nil {
 		return false
 	}
 	v := verdict.Ran
 	if err != nil {
 		v = verdict.Of(err)
 	}
+	if v == verdict.NotRun {
+		history.resends++
+	} else {
+		history.tries++
+	}
 	d := f.Retries.Decide(time.Now(), c.Request.Pool, retry.Attempt{
 		Verdict:    v,
 		Idempotent: c.Request.Idempotent,
 		Deadline:   c.Request.Deadline,
-		Number:     history.count,
+		Tries:      history.tries,
+		Resends:    history.resends,
+		Expected:   history.expected,
+		CannotRun:  len(history.failedOn) >= cannotRunAfter,
 	})
 	c.Log.Info().Bool("again", d.Retry).Str("reason", d.Reason).Err(err).Msg("attempt failed")
 	return d.Retry && pause(c.Ctx, d.After)
