--- a/claim/store.go
+++ b/claim/store.go
@@ -193,6 +193,15 @@
 	return s.settle(c, Done, o, RecordTimeout)
 }
 
+// Flush waits until no record or release is in progress, or ctx ends.
+func (s *Store) Flush(ctx context.Context) {
+	for len(s.background) > 0 && sleep(ctx, flushPoll) == nil {
+	}
+}
+
+// flushPoll is the time between two looks at the work in the background.
+const flushPoll = 20 * time.Millisecond
+
 // Release gives the key back: the request was not sent and will not be sent under this claim.
 // It does not wait for the table.
 func (s *Store) Release(c *Claim) { s.settle(c, Released, Outcome{}, 0) }
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -213,7 +213,7 @@
 }
 
 func (e *Entry) handlePeerCancel(w http.ResponseWriter, r *http.Request) {
-	id, backer, _ := strings.Cut(r.PathValue("id"), "@")
+	id, backer := splitCancel(r.PathValue("id"))
 	if !e.cancel(r.Context(), id, backer) {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -221,6 +221,15 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// splitCancel is the inverse of id + "@" + backer; ids may contain the separator.
+func splitCancel(s string) (id, backer string) {
+	i := strings.LastIndexByte(s, '@')
+	if i < 0 {
+		return s, ""
+	}
+	return s[:i], s[i+1:]
+}
+
 func (e *Entry) handlePeerKnows(w http.ResponseWriter, r *http.Request) {
 	if !e.tracker.knows(r.PathValue("id")) {
 		w.WriteHeader(http.StatusNotFound)
--- /dev/null
+++ b/entry/cluster.go
@@ -0,0 +1,237 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"samphirepoint/filter"
+	"samphirepoint/instance"
+	"samphirepoint/membership"
+	"samphirepoint/retry"
+)
+
+type instanceFleet = instance.Fleet
+
+// router implements filter.Router and filter.Holders from the member view.
+type router struct{ e *Entry }
+
+// Owner implements filter.Router. Entries in except are passed over by computing the owner among the others.
+func (r router) Owner(pool string, except []string) (filter.Target, bool) {
+	if r.e.cfg.Policies.Shares == "static-split" {
+		return filter.Target{ID: r.e.cfg.ID, Self: true}, true
+	}
+	snapshot := r.e.gossip.Members()
+	owner, ok := snapshot.Owner(pool)
+	if ok && slices.Contains(except, owner.ID) {
+		owner, ok = r.next(snapshot, pool, except)
+	}
+	if !ok {
+		return filter.Target{}, false
+	}
+	return filter.Target{ID: owner.ID, Self: owner.ID == r.e.cfg.ID}, true
+}
+
+// next is the owner of a pool among the members that are not in except.
+func (r router) next(s *membership.Snapshot, pool string, except []string) (membership.Member, bool) {
+	var rest []membership.Member
+	for _, m := range membership.Candidates(s.Alive()) {
+		if !slices.Contains(except, m.ID) {
+			rest = append(rest, m)
+		}
+	}
+	region := ""
+	if doc := r.e.Document(); doc != nil {
+		if p, ok := doc.Pool(pool); ok {
+			region = p.Region
+		}
+	}
+	m, ok := membership.Owners([]membership.Pool{{Name: pool, Region: region}}, rest)[pool]
+	return m, ok
+}
+
+// heardLately is the age of a heartbeat up to which a member counts as running although it cannot be reached.
+const heardLately = 1500 * time.Millisecond
+
+// Relay implements filter.Router: any other live member.
+func (r router) Relay(target filter.Target, except []string) (filter.Target, bool) {
+	snapshot := r.e.gossip.Members()
+	if m, ok := snapshot.Member(target.ID); !ok || time.Since(m.HeartbeatAt) > heardLately {
+		return filter.Target{}, false
+	}
+	for _, m := range snapshot.Alive() {
+		if m.ID != r.e.cfg.ID && m.ID != target.ID && !slices.Contains(except, m.ID) {
+			return filter.Target{ID: m.ID}, true
+		}
+	}
+	return filter.Target{}, false
+}
+
+// Suspect implements filter.Router.
+func (r router) Suspect(ctx context.Context, target filter.Target) bool {
+	alive := r.e.gossip.Probe(context.WithoutCancel(ctx), target.ID)
+	if !alive {
+		r.e.control.wake()
+	}
+	return alive
+}
+
+// Holder implements filter.Holders.
+func (r router) Holder(owner string) (filter.Target, bool) {
+	id, _ := filter.SplitOwner(owner)
+	return filter.Target{ID: id, Self: owner == r.e.processName()}, cluster(r).Alive(owner)
+}
+
+// cluster implements job.Cluster.
+type cluster struct{ e *Entry }
+
+// OwnedPools implements job.Cluster.
+func (c cluster) OwnedPools() []string {
+	if c.e.leaving.Load() || !c.e.Fresh(time.Now()) {
+		return nil
+	}
+	return c.e.gossip.Members().Owned(c.e.cfg.ID)
+}
+
+// Alive implements job.Cluster: the very process is known, not suspect and not leaving.
+func (c cluster) Alive(owner string) bool {
+	if owner == c.e.processName() {
+		return true
+	}
+	id, started := filter.SplitOwner(owner)
+	at, err := time.Parse(time.RFC3339Nano, started)
+	if err != nil {
+		return false
+	}
+	m, ok := c.e.gossip.Members().Member(id)
+	return ok && m.Status == membership.Alive && !m.Leaving && m.Incarnation == at.UnixMilli()
+}
+
+// peers implements forward.Peers.
+type peers struct{ e *Entry }
+
+// BaseURL implements forward.Peers.
+func (p peers) BaseURL(id string) (string, bool) {
+	m, ok := p.e.gossip.Members().Member(id)
+	if !ok {
+		return "", false
+	}
+	if p.e.cfg.PeerTLS.Enabled() {
+		return "https://" + m.Address, true
+	}
+	return "http://" + m.Address, true
+}
+
+// Token implements forward.Peers.
+func (p peers) Token() string { return p.e.tokens.PeerToken() }
+
+// Self implements forward.Peers.
+func (p peers) Self() string { return p.e.cfg.ID }
+
+// Ping implements forward.Peers.
+func (p peers) Ping(ctx context.Context, id string) bool { return p.e.pings.alive(ctx, id) }
+
+// trackedForwarder notes in the tracker where a forwarded request is, so that a cancel can follow it.
+type trackedForwarder struct{ e *Entry }
+
+// Forward implements filter.Forwarder.
+func (t trackedForwarder) Forward(c *filter.Context, to filter.Target, o filter.ForwardOptions) (*filter.Answer, error) {
+	if to.Self {
+		return t.e.serveLocally(c, o)
+	}
+	t.e.tracker.setForwarded(c.Request.ID, to.ID)
+	defer t.e.tracker.setForwarded(c.Request.ID, "")
+	t.e.stats.forwarded.Inc(1)
+	return t.e.forwarder.Forward(c, to, o)
+}
+
+// serveLocally runs the rest of the chain for another pool that this entry owns itself.
+func (e *Entry) serveLocally(c *filter.Context, o filter.ForwardOptions) (*filter.Answer, error) {
+	r := *c.Request
+	r.Pool = o.Pool
+	sub := &filter.Context{
+		Ctx: c.Ctx, Principal: c.Principal, Forwarded: true, Document: c.Document, Request: &r, Queue: c.Queue,
+		NoWait: o.NoWait, Attach: o.Attach, Log: c.Log,
+	}
+	e.local.Serve(sub)
+	c.Sent = c.Sent || sub.Sent
+	return sub.Answer, sub.Err
+}
+
+// retries keeps the retry budget of each pool. It is safe for concurrent use.
+type retries struct {
+	mu    sync.Mutex
+	rand  *rand.Rand
+	pools map[string]*retry.Budget
+}
+
+func newRetries() *retries {
+	return &retries{rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), pools: map[string]*retry.Budget{}}
+}
+
+func (r *retries) budget(pool string) *retry.Budget {
+	b, ok := r.pools[pool]
+	if !ok {
+		b = retry.NewBudget()
+		r.pools[pool] = b
+	}
+	return b
+}
+
+// Decide implements filter.Retries.
+func (r *retries) Decide(now time.Time, pool string, a retry.Attempt) retry.Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return retry.Policy{Budget: r.budget(pool), Rand: r.rand}.Decide(now, a)
+}
+
+// Success implements filter.Retries.
+func (r *retries) Success(now time.Time, pool string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(pool).Success(now)
+}
+
+// pings shares one ping per entry between all requests that wait for it.
+type pings struct {
+	probe func(ctx context.Context, id string) bool
+	mu    sync.Mutex
+	last  map[string]*ping
+}
+
+type ping struct {
+	at   time.Time
+	done chan struct{}
+	ok   bool
+}
+
+// pingAge is the age up to which the result of a ping is shared.
+const pingAge = 500 * time.Millisecond
+
+func newPings(probe func(ctx context.Context, id string) bool) *pings {
+	return &pings{probe: probe, last: map[string]*ping{}}
+}
+
+// alive reports whether the entry answered a ping within pingAge. A ping that fails is repeated once, so
+// that one lost packet does not move pools.
+func (p *pings) alive(ctx context.Context, id string) bool {
+	p.mu.Lock()
+	current, ok := p.last[id]
+	if !ok || time.Since(current.at) > pingAge {
+		current = &ping{at: time.Now(), done: make(chan struct{})}
+		p.last[id] = current
+		go func() {
+			current.ok = p.probe(context.Background(), id)
+			close(current.done)
+		}()
+	}
+	p.mu.Unlock()
+	select {
+	case <-current.done:
+		return current.ok
+	case <-ctx.Done():
+		return true
+	}
+}
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,263 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"samphirepoint/dispatch"
+	"samphirepoint/fairqueue"
+	"samphirepoint/instance"
+	"samphirepoint/limit"
+	"samphirepoint/membership"
+	"samphirepoint/platform"
+	"samphirepoint/table"
+)
+
+const (
+	// controlInterval bounds the time from a change of configuration, fleet or members to the scheduler.
+	controlInterval = 250 * time.Millisecond
+	// limitInterval is one gossip round: the division of limits computes one step per round.
+	limitInterval = time.Second
+)
+
+// control owns the control state: it reads the snapshots of configuration, fleet and members, and
+// publishes what follows from them to the scheduler and to gossip. All methods but wake and
+// update run in its goroutine.
+type control struct {
+	e       *Entry
+	kick    chan struct{}
+	divider limit.Policy
+	parts   map[string]int
+	round   int64
+	// fleetVersion and pools cache the grouping of instance rows by pool.
+	fleetVersion int64
+	members      int
+	pools        map[string][]instance.Instance
+}
+
+func newControl(e *Entry) *control {
+	c := &control{e: e, kick: make(chan struct{}, 1), divider: limit.NewDivider(e.cfg.ID), fleetVersion: -1}
+	if e.cfg.Policies.Shares == "static-split" {
+		c.divider = limit.StaticSplit{Self: e.cfg.ID}
+	}
+	return c
+}
+
+// wake makes the control goroutine act now.
+func (c *control) wake() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// update is wake for callers that are about to wait.
+func (c *control) update() { c.wake() }
+
+// Run publishes until ctx ends.
+func (c *control) Run(ctx context.Context) error {
+	ticker := time.NewTicker(controlInterval)
+	defer ticker.Stop()
+	lastRound := time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.kick:
+		case <-ticker.C:
+		}
+		usage := c.e.scheduler.Usage()
+		if time.Since(lastRound) >= limitInterval {
+			lastRound = time.Now()
+			c.divideLimits(usage)
+		}
+		c.publish(usage)
+		c.e.stats.observe(usage)
+	}
+}
+
+// publish hands the scheduler the fleet as this entry sees it.
+func (c *control) publish(usage map[string]dispatch.PoolUsage) {
+	doc, fleet := c.e.config.Snapshot(), c.e.fleetView.Snapshot()
+	if doc == nil || fleet == nil {
+		return
+	}
+	snapshot := c.e.gossip.Members()
+	c.group(fleet, len(snapshot.Alive()))
+	owned := map[string]bool{}
+	for _, pool := range c.ownedPools(doc, snapshot) {
+		owned[pool] = true
+	}
+	c.e.scheduler.SetFleet(dispatch.Fleet{
+		Pools:   c.pools,
+		Owned:   owned,
+		Leaving: c.e.gossip.Leaving,
+		Shares:  c.shares(doc, usage),
+	})
+}
+
+func (c *control) ownedPools(doc *table.Document, s *membership.Snapshot) []string {
+	if c.e.cfg.Policies.Shares != "static-split" {
+		return s.Owned(c.e.cfg.ID)
+	}
+	var all []string
+	for _, p := range doc.Pools {
+		all = append(all, p.Name)
+	}
+	return all
+}
+
+// group sorts the instance rows by pool when they changed. With the baseline policy static-split each entry
+// gets the same part of the slots of every worker.
+func (c *control) group(f *instance.Fleet, members int) {
+	split := c.e.cfg.Policies.Shares == "static-split"
+	if f.Version == c.fleetVersion && (!split || members == c.members) {
+		return
+	}
+	pools := map[string][]instance.Instance{}
+	for _, in := range f.Instances {
+		if split {
+			in.Slots = max(in.Slots/max(members, 1), 1)
+		}
+		pools[in.Pool] = append(pools[in.Pool], in)
+	}
+	c.fleetVersion, c.members, c.pools = f.Version, members, pools
+}
+
+// divideLimits computes which part of each backer's limit this entry may use in the next round.
+func (c *control) divideLimits(usage map[string]dispatch.PoolUsage) {
+	doc := c.e.config.Snapshot()
+	if doc == nil {
+		return
+	}
+	c.round++
+	view := limit.View{Limits: map[string]int{}, Own: map[string]limit.Use{}, Demands: c.e.gossip.Demands(), Heartbeat: c.round}
+	for _, m := range c.e.gossip.Members().Alive() {
+		view.Owners = append(view.Owners, m.ID)
+	}
+	for _, b := range doc.Backers {
+		view.Limits[b.Name] = b.Limit()
+	}
+	for _, u := range usage {
+		for backer, b := range u.Backers {
+			own := view.Own[backer]
+			view.Own[backer] = limit.Use{InUse: own.InUse + b.InUse, Waiting: own.Waiting + b.Waiting}
+		}
+	}
+	parts, publish := c.divider.Round(view)
+	c.parts = parts
+	c.e.gossip.SetDemand(publish)
+}
+
+// shares gives weights and limits per pool. A backer's part of its limit is divided over the pools of this entry
+// by demand.
+func (c *control) shares(doc *table.Document, usage map[string]dispatch.PoolUsage) map[string]map[string]fairqueue.Share {
+	pools := slices.Sorted(maps.Keys(usage))
+	shares := map[string]map[string]fairqueue.Share{}
+	for _, p := range doc.Pools {
+		shares[p.Name] = map[string]fairqueue.Share{}
+	}
+	for _, b := range doc.Backers {
+		part, known := c.parts[b.Name]
+		if !known {
+			part = b.Limit()
+		}
+		limits := perPool(b.Name, part, pools, usage)
+		for name := range shares {
+			l, demanded := limits[name]
+			if !demanded {
+				l = part
+			}
+			shares[name][b.Name] = fairqueue.Share{Weight: b.Weight, Limit: l}
+		}
+	}
+	return shares
+}
+
+// perPool divides a part of a limit over the pools in which the backer has demand.
+func perPool(backer string, part int, pools []string, usage map[string]dispatch.PoolUsage) map[string]int {
+	var demands []limit.Demand
+	for _, name := range pools {
+		u := usage[name].Backers[backer]
+		if d := u.InUse + u.Waiting; d > 0 {
+			demands = append(demands, limit.Demand{Owner: name, Backer: backer, InUse: u.InUse, Demand: d})
+		}
+	}
+	limits := make(map[string]int, len(demands))
+	for i, l := range limit.Divide(part, demands) {
+		limits[demands[i].Owner] = l
+	}
+	return limits
+}
+
+// listInterval is the time between reads of the platform's instance list.
+const listInterval = 2 * time.Second
+
+// followList learns entries and leaving workers from the platform's list.
+func (e *Entry) followList(ctx context.Context) error {
+	for {
+		listCtx, cancel := context.WithTimeout(ctx, platformTimeout)
+		list, err := e.platform.Instances().List(listCtx)
+		cancel()
+		if err == nil {
+			e.takeList(list)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(jittered(listInterval)):
+		}
+	}
+}
+
+func (e *Entry) takeList(list []platform.Instance) {
+	e.gossip.SetListed(list)
+	for _, in := range list {
+		if in.Kind == platform.KindWorker && in.State == platform.StateLeaving {
+			e.gossip.NoteLeaving(in.ID)
+		}
+	}
+	e.list.Store(&list)
+}
+
+// register keeps this entry on the platform's list.
+func (e *Entry) register(ctx context.Context) error {
+	for {
+		state := platform.StateLive
+		if e.leaving.Load() {
+			state = platform.StateLeaving
+		}
+		callCtx, cancel := context.WithTimeout(ctx, platformTimeout)
+		err := e.platform.Register(callCtx, platform.Instance{
+			ID: e.cfg.ID, Kind: platform.KindEntry, Address: e.PeerAddress(), Zone: e.cfg.Zone, Region: e.cfg.Region, State: state,
+		})
+		cancel()
+		if err != nil {
+			e.log.Debug().Err(err).Msg("registration was not renewed")
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(e.cfg.Timings.RegisterInterval):
+		}
+	}
+}
+
+// sweepInterval is the mean time between deletions of expired rows by one entry.
+const sweepInterval = 2 * time.Hour
+
+// sweep deletes expired claims and results. All entries do it, at times of their own.
+func (e *Entry) sweep(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(jittered(sweepInterval)):
+		}
+		claims, err := e.claims.Sweep(ctx)
+		results, jobErr := e.jobStore.Sweep(ctx)
+		e.log.Info().Int("claims", claims).Int("results", results).AnErr("claimsError", err).AnErr("resultsError", jobErr).Msg("expired rows deleted")
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,385 @@
+// Package entry is the process between callers and backend servers. It joins the packages for
+// decisions, state and transport:
+//
+//   - the filters carry requests in goroutines of their own;
+//   - the control goroutine turns configuration, fleet and members into one snapshot for the scheduler;
+//   - the scheduler's goroutine owns queues and slots of the pools that this entry owns;
+//   - gossip, configuration, fleet view, fleet controller, claims and jobs run beside them.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"samphirepoint/auth"
+	"samphirepoint/claim"
+	"samphirepoint/configsync"
+	"samphirepoint/dispatch"
+	"samphirepoint/fairqueue"
+	"samphirepoint/filter"
+	"samphirepoint/fleet"
+	"samphirepoint/forward"
+	"samphirepoint/job"
+	"samphirepoint/membership"
+	"samphirepoint/peer"
+	"samphirepoint/placement"
+	"samphirepoint/platform"
+	"samphirepoint/settings"
+	"samphirepoint/table"
+)
+
+const (
+	// platformTimeout bounds one call to the platform.
+	platformTimeout = 2 * time.Second
+	// idleConnections per worker or entry are kept for reuse.
+	idleConnections = 64
+	// readHeaderTimeout ends connections whose client sends no request.
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout of callers' connections.
+	idleTimeout = 2 * time.Minute
+)
+
+// Entry is one entry process.
+type Entry struct {
+	cfg      *settings.Settings
+	log      zerolog.Logger
+	started  time.Time
+	metrics  metrics.Registry
+	stats    *stats
+	verifier auth.Verifier
+	tokens   *auth.Store
+	traffic  *peer.Traffic
+
+	platform  *platform.Client
+	gossip    *peer.Gossip
+	config    *configsync.Syncer
+	fleetView *fleet.View
+	scheduler *dispatch.Scheduler
+	claims    *claim.Store
+	jobStore  *job.Store
+	jobs      *job.Manager
+	forwarder *forward.Client
+	tracker   *tracker
+	retries   *retries
+	control   *control
+	requests  filter.Chain
+	jobChain  filter.Chain
+	// local serves requests that come back to this entry for another of its pools.
+	local filter.Chain
+	pings *pings
+
+	// list is the last instance list of the platform.
+	list atomic.Pointer[[]platform.Instance]
+
+	callerListener, peerListener net.Listener
+	callerTLS, peerTLS           *tls.Config
+	// leaving is set when readiness goes off, draining when new work is refused.
+	leaving, draining atomic.Bool
+}
+
+// Options are the parts that a process or a test may replace.
+type Options struct {
+	Log zerolog.Logger
+	// Platform is the HTTP client for the platform; nil uses one of its own.
+	Platform *http.Client
+}
+
+// New binds the listeners and builds the parts; Run starts them.
+func New(cfg *settings.Settings, o Options) (*Entry, error) {
+	e := &Entry{
+		cfg:     cfg,
+		log:     o.Log.With().Str("entry", cfg.ID).Logger(),
+		started: time.Now(),
+		metrics: metrics.NewRegistry(),
+		tracker: newTracker(),
+		retries: newRetries(),
+	}
+	e.stats = newStats(e.metrics)
+	e.traffic = peer.NewTraffic(e.metrics)
+	if err := e.openSecurity(); err != nil {
+		return nil, err
+	}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	e.platform = platform.NewClient(cfg.Platform, e.platformHTTP(o.Platform))
+	e.buildPeers()
+	e.buildTraffic()
+	return e, nil
+}
+
+func (e *Entry) openSecurity() error {
+	tokens, err := auth.Open(e.cfg.Tokens)
+	if err != nil {
+		return err
+	}
+	e.tokens, e.verifier = tokens, tokens
+	if e.cfg.CallerTLS.Enabled() {
+		if e.callerTLS, err = auth.ServerTLS(tlsFiles(e.cfg.CallerTLS)); err != nil {
+			return err
+		}
+	}
+	if e.cfg.PeerTLS.Enabled() {
+		if e.peerTLS, err = auth.ServerTLS(tlsFiles(e.cfg.PeerTLS)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func tlsFiles(t settings.TLS) auth.Files {
+	return auth.Files{Certificate: t.Certificate, Key: t.Key, Authorities: t.Authorities}
+}
+
+func (e *Entry) listen() error {
+	var err error
+	if e.callerListener, err = net.Listen("tcp", e.cfg.Listen.Callers); err != nil {
+		return fmt.Errorf("listen.callers: %w", err)
+	}
+	if e.peerListener, err = net.Listen("tcp", e.cfg.Listen.Peers); err != nil {
+		e.callerListener.Close()
+		return fmt.Errorf("listen.peers: %w", err)
+	}
+	return nil
+}
+
+// platformHTTP counts traffic to the platform as control traffic.
+func (e *Entry) platformHTTP(given *http.Client) *http.Client {
+	if given != nil {
+		return given
+	}
+	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
+	return &http.Client{
+		Timeout: platformTimeout,
+		Transport: &http.Transport{
+			DialContext:         e.traffic.Dial(dialer.DialContext),
+			MaxIdleConnsPerHost: 8,
+			IdleConnTimeout:     30 * time.Second,
+		},
+	}
+}
+
+// CallerAddress is the address of the interface for callers, operators, health and metrics.
+func (e *Entry) CallerAddress() string {
+	return advertised(e.cfg.Advertise.Callers, e.callerListener)
+}
+
+// PeerAddress is the address of the interface for other entries.
+func (e *Entry) PeerAddress() string { return advertised(e.cfg.Advertise.Peers, e.peerListener) }
+
+func advertised(configured string, ln net.Listener) string {
+	if configured != "" {
+		return configured
+	}
+	return ln.Addr().String()
+}
+
+// buildPeers creates gossip, configuration and fleet view, which refer to each other.
+func (e *Entry) buildPeers() {
+	t := e.cfg.Timings
+	e.gossip = peer.New(peer.Config{
+		Self: membership.Member{
+			ID: e.cfg.ID, Address: e.PeerAddress(), Zone: e.cfg.Zone, Region: e.cfg.Region, Incarnation: e.started.UnixMilli(),
+		},
+		Seeds:       e.cfg.Peers,
+		Interval:    t.GossipInterval,
+		PingTimeout: t.PingTimeout,
+		FreshFor:    t.FreshFor,
+		Membership:  membership.Options{SuspectAfter: t.SuspectAfter, ForgetAfter: t.ForgetAfter},
+		Token:       e.tokens.PeerToken,
+		Verifier:    e.verifier,
+		TLS:         e.peerClientTLS(),
+		Traffic:     e.traffic,
+		Log:         e.log,
+	})
+	e.fleetView = fleet.NewView(e.platform, func(ctx context.Context) (*instanceFleet, error) { return e.gossip.FetchFleet(ctx, 0) })
+	e.config = e.newSyncer()
+	e.gossip.Bind(peer.Hooks{
+		Document: e.config.Snapshot,
+		Install:  func(d *table.Document) int64 { return e.config.Install(d) },
+		Fleet:    e.fleetView.Snapshot,
+	})
+}
+
+func (e *Entry) newSyncer() *configsync.Syncer {
+	t := e.cfg.Timings
+	return configsync.New(configsync.Config{
+		Table:        e.platform,
+		Peers:        e.gossip,
+		PollInterval: t.PollInterval,
+		FreshFor:     t.FreshFor,
+		BackoffMin:   t.BackoffMin,
+		BackoffMax:   t.BackoffMax,
+		Log:          e.log,
+	})
+}
+
+func (e *Entry) peerClientTLS() *tls.Config {
+	if !e.cfg.PeerTLS.Enabled() {
+		return nil
+	}
+	c, err := auth.ClientTLS(tlsFiles(e.cfg.PeerTLS))
+	if err != nil {
+		e.log.Error().Err(err).Msg("peer TLS cannot be used")
+		return nil
+	}
+	return c
+}
+
+// buildTraffic creates scheduler, claims, jobs and the filter chains.
+func (e *Entry) buildTraffic() {
+	owner := e.processName()
+	e.scheduler = dispatch.New(dispatch.Config{Zone: e.cfg.Zone, Policies: e.policies(), Log: e.log})
+	e.claims = claim.NewStore(e.platform, e.platform.Objects(), owner)
+	e.jobStore = &job.Store{Table: e.platform, Objects: e.platform.Objects(), Now: time.Now}
+	e.forwarder = forward.NewClient(peers{e}, &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 400 * time.Millisecond, KeepAlive: 15 * time.Second}).DialContext,
+		TLSClientConfig:     e.peerClientTLS(),
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	})
+	e.jobs = job.NewManager(job.Config{Store: e.jobStore, Slots: e.scheduler, Cluster: cluster{e}, Owner: owner, Log: e.log})
+	e.control = newControl(e)
+	e.pings = newPings(e.gossip.Probe)
+	router := router{e}
+	route := filter.Route{Router: router, Forwarder: trackedForwarder{e}}
+	queue := filter.Queue{Slots: e.scheduler, Route: route, Router: router, Forwarder: trackedForwarder{e}}
+	admission := filter.Admission{Verifier: e.verifier, State: e, MaxBodyBytes: e.cfg.Limits.MaxBodyBytes}
+	identification := filter.Identification{EntryID: e.cfg.ID, Track: e.tracker.track}
+	claims := filter.Claims{Store: e.claims, Holders: router, Forwarder: trackedForwarder{e}}
+	send := filter.NewDispatch(e.cfg.ID, queue, e.retries, e.gossip)
+	e.requests = filter.Chain{admission, identification, filter.NewDeduplication(), route, queue, claims, send}
+	e.local = filter.Chain{queue, claims, send}
+	identification.Job = true
+	e.jobChain = filter.Chain{admission, identification, filter.AcceptJob{Store: e.jobStore, Notice: e.noticeOwner}}
+}
+
+// processName is the name of this process in claims and job rows.
+func (e *Entry) processName() string { return filter.OwnerName(e.cfg.ID, e.started) }
+
+func (e *Entry) policies() dispatch.Policies {
+	p := dispatch.Policies{
+		Queue: func() fairqueue.Policy { return fairqueue.NewWeighted() },
+		Placement: func() placement.Policy {
+			return placement.LeastLoaded{Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+		},
+	}
+	if e.cfg.Policies.Queue == "fifo" {
+		p.Queue = func() fairqueue.Policy { return fairqueue.NewFIFO() }
+	}
+	if e.cfg.Policies.Placement == "random" {
+		p.Placement = func() placement.Policy {
+			return placement.Random{Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+		}
+	}
+	return p
+}
+
+// Document implements filter.Readiness.
+func (e *Entry) Document() *table.Document { return e.config.Snapshot() }
+
+// Fresh implements filter.Readiness.
+func (e *Entry) Fresh(now time.Time) bool { return e.config.Fresh(now) }
+
+// Draining implements filter.Readiness.
+func (e *Entry) Draining() bool { return e.draining.Load() }
+
+// Ready reports whether the balancer should send callers here.
+func (e *Entry) Ready() bool {
+	return !e.leaving.Load() && e.Document() != nil && e.fleetView.Snapshot() != nil && e.Fresh(time.Now())
+}
+
+// Run serves until ctx ends and then leaves gracefully: readiness goes off, the balancer gets time to
+// notice, the pools go to other entries, and everything in flight ends before Run returns.
+func (e *Entry) Run(ctx context.Context) error {
+	callers := e.server(e.callerMux(), e.callerTLS)
+	peers := e.server(e.peerMux(), e.peerTLS)
+	peers.ConnContext = peer.ConnContext
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	jobsCtx, stopJobs := context.WithCancel(background)
+	defer stopJobs()
+	group, groupCtx := errgroup.WithContext(background)
+	group.Go(func() error { return serve(callers, e.callerListener, e.callerTLS) })
+	group.Go(func() error { return serve(peers, e.traffic.Listener(e.peerListener), e.peerTLS) })
+	e.runParts(groupCtx, group)
+	group.Go(func() error { return e.jobs.Run(jobsCtx) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			err := e.leave(callers, peers, stopJobs)
+			stopBackground()
+			return err
+		case <-groupCtx.Done():
+			callers.Close()
+			peers.Close()
+			return nil
+		}
+	})
+	e.log.Info().Str("callers", e.CallerAddress()).Str("peers", e.PeerAddress()).Msg("entry started")
+	return group.Wait()
+}
+
+// runParts starts the parts that run beside the traffic.
+func (e *Entry) runParts(ctx context.Context, group *errgroup.Group) {
+	for _, part := range []func(context.Context) error{
+		e.scheduler.Run,
+		e.gossip.Run,
+		e.config.Run,
+		e.fleetView.Run,
+		e.control.Run,
+		e.followList,
+		e.register,
+		e.sweep,
+		func(ctx context.Context) error { e.claims.Run(ctx); return nil },
+		func(ctx context.Context) error { e.tokens.Watch(ctx, tokenReload, e.tokenError); return nil },
+	} {
+		group.Go(func() error {
+			if err := part(ctx); err != nil && ctx.Err() == nil {
+				return err
+			}
+			return nil
+		})
+	}
+}
+
+// tokenReload is the time between looks at the token file.
+const tokenReload = 5 * time.Second
+
+func (e *Entry) tokenError(err error) {
+	e.log.Error().Err(err).Msg("token file was not reloaded, the former tokens stay valid")
+}
+
+func (e *Entry) server(h http.Handler, tlsConfig *tls.Config) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		TLSConfig:         tlsConfig,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    int(e.cfg.Limits.MaxHeaderBytes),
+	}
+}
+
+func serve(s *http.Server, ln net.Listener, tlsConfig *tls.Config) error {
+	var err error
+	if tlsConfig != nil {
+		err = s.ServeTLS(ln, "", "")
+	} else {
+		err = s.Serve(ln)
+	}
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
--- a/filter/filter.go
+++ b/filter/filter.go
@@ -63,7 +63,7 @@
 	// Job is set when a job submission was accepted.
 	Job *job.Record
 	Err error
-	Log    zerolog.Logger
+	Log zerolog.Logger
 
 	cleanup []func()
 }
--- a/filter/queue.go
+++ b/filter/queue.go
@@ -94,7 +94,7 @@
 func (f Queue) offer(c *Context, pool string) (*Answer, error) {
 	target, ok := f.Router.Owner(pool, nil)
 	if !ok {
-		return nil, dispatch.ErrBusy
+		return nil, errNoOwner(pool)
 	}
 	return f.Forwarder.Forward(c, target, ForwardOptions{Pool: pool, NoWait: true})
 }
@@ -113,3 +113,7 @@
 		c.Grant.Release(dispatch.Result{Outcome: dispatch.NotSent})
 	}
 }
+
+func errNoOwner(pool string) error {
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "no entry serves pool %s", pool)
+}
--- a/filter/route.go
+++ b/filter/route.go
@@ -29,7 +29,8 @@
 	// Owner returns the entry that owns pool in the view of this entry, leaving out the entries
 	// in except.
 	Owner(pool string, except []string) (Target, bool)
-	// Relay returns an entry that may reach target although this one does not.
+	// Relay returns an entry that may reach target although this one does not. It reports false if
+	// target was not heard of lately, since it is then down and not just cut off from here.
 	Relay(target Target, except []string) (Target, bool)
 	// Suspect notes that a forward to target failed; it returns whether target answers a ping.
 	Suspect(ctx context.Context, target Target) (alive bool)
@@ -94,8 +95,13 @@
 		}
 		c.noteUncertain(err)
 		last = err
-		if errors.Is(err, ErrUnreachable) && !f.Router.Suspect(c, target) {
+		if errors.Is(err, ErrUnreachable) && !f.Router.Suspect(c.Ctx, target) {
 			failed = append(failed, target.ID)
+			answer, err := f.relay(c, target, failed)
+			if answer != nil || err != nil {
+				c.Answer = answer
+				return c.weaken(err)
+			}
 		}
 		if f.pause(c) != nil {
 			return c.weaken(last)
@@ -103,6 +109,22 @@
 	}
 }
 
+// relay sends the request through another entry if the target is cut off from this entry alone. Both
+// results nil: there is no such entry, or it failed as well.
+func (f Route) relay(c *Context, target Target, failed []string) (*Answer, error) {
+	via, ok := f.Router.Relay(target, slices.Concat(failed, c.Request.Visited))
+	if !ok || c.Request.Hops+1 >= maxHops {
+		return nil, nil
+	}
+	c.Log.Info().Str("pool", c.Request.Pool).Str("owner", target.ID).Str("relay", via.ID).Str("reason", "owner is cut off from this entry").Msg("request routed")
+	answer, err := f.Forwarder.Forward(c, via, ForwardOptions{Pool: c.Request.Pool})
+	if err != nil && f.again(err) {
+		c.noteUncertain(err)
+		return nil, nil
+	}
+	return answer, err
+}
+
 // again reports whether another submission of the request may help. For non-idempotent work the claim in the
 // table decides whether a second submission may run it, so both kinds are submitted again.
 func (f Route) again(err error) bool {
