--- a/checker/checker.go
+++ b/checker/checker.go
@@ -1,5 +1,5 @@
 // Package checker judges the properties P1 to P8 of the design page from the outside: from the journals of the workers,
-// what callers were told, and the history of the platform's table. It shares no code with the system that it judges,
+// what callers were told, and the history of the platform's table. It shares no decision with the system that it judges,
 // so a fault in a decision cannot hide itself. See docs/notes/checker.md for what each check can and cannot see.
 package checker
 
