--- a/checker/answer.go
+++ b/checker/answer.go
@@ -24,6 +24,9 @@
 	for i := range c.in.Records {
 		r := &c.in.Records[i]
 		switch {
+		case !r.OK() && r.Result != nil && string(r.Result.Payload) != r.WantPayload:
+			c.saw(P3)
+			c.violate(P3, r.Ended, []string{describeRecord(r)}, "request %s: error answer with payload %s instead of %s", r.RequestID, r.Result.Payload, r.WantPayload)
 		case r.OK():
 			c.saw(P3)
 			if what := c.wrongAnswer(r, byKey[r.Key]); what != "" {
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -93,6 +93,9 @@
 			in.Pools = append(in.Pools, checker.PoolSample{Time: at(30), Instance: "w9", Address: "1:2", Pool: "other", State: "serving"})
 		}},
 		{"answer to another request", checker.P3, func(in *checker.Input) { in.Records[0].Result.Payload = []byte(`"y"`) }},
+		{"error answer of another request", checker.P3, func(in *checker.Input) {
+			in.Records[0].Status, in.Records[0].Result.Payload = 500, []byte(`"y"`)
+		}},
 		{"truncated answer taken as good", checker.P3, func(in *checker.Input) { in.Records[0].Result = nil }},
 		{"padding cut off", checker.P3, func(in *checker.Input) { in.Records[0].WantPadding = 10 }},
 		{"hash does not match", checker.P3, func(in *checker.Input) { in.Records[0].Hash = "other" }},
--- a/command/load.go
+++ b/command/load.go
@@ -22,7 +22,7 @@
 type loadCommand struct {
 	targets, deployment, tokenFile, records string
 	rate, spread, cancels                   float64
-	duration                                time.Duration
+	duration, wave                          time.Duration
 	seed                                    uint64
 	json                                    bool
 }
@@ -43,6 +43,7 @@
 	f.Uint64Var(&c.seed, "seed", 1, "seed of the schedule")
 	f.Float64Var(&c.spread, "spread", load.DefaultSpread, "callers at the busiest entry per caller at the least busy one")
 	f.Float64Var(&c.cancels, "cancel", 0, "part of the requests that callers cancel")
+	f.DurationVar(&c.wave, "cancel-wave-at", 0, "time at which callers cancel all work in flight; 0: never")
 	f.StringVar(&c.tokenFile, "token-file", "", "YAML or JSON file with a token per backer")
 	f.StringVar(&c.records, "records", "", "file for one JSON line per submission")
 	f.BoolVar(&c.json, "json", false, "print the summary as JSON")
@@ -82,7 +83,7 @@
 		return load.Options{}, fmt.Errorf("%s: %w", c.tokenFile, err)
 	}
 	return load.Options{Targets: strings.Split(c.targets, ","), Deployment: d, Rate: c.rate, For: c.duration, Seed: c.seed,
-		Tokens: tokens, Spread: c.spread, CancelShare: c.cancels}, nil
+		Tokens: tokens, Spread: c.spread, CancelShare: c.cancels, CancelWaveAt: c.wave}, nil
 }
 
 func (c *loadCommand) print(r *load.Result) error {
--- a/load/load.go
+++ b/load/load.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"samphirepoint/request"
@@ -30,6 +31,8 @@
 	repeatDelay = 200 * time.Millisecond
 	// giveUpMargin lets the system answer at the deadline before the caller gives up.
 	giveUpMargin = time.Second
+	// cancelSenders is the number of connections over which a wave of cancellations is sent.
+	cancelSenders = 64
 )
 
 // Options of a run.
@@ -49,6 +52,8 @@
 	MaxInFlight int
 	// CancelShare is the part of the arrivals that the caller cancels.
 	CancelShare float64
+	// CancelWaveAt is the time after the start at which all work in flight is cancelled at once; 0 means never.
+	CancelWaveAt time.Duration
 }
 
 // Result of a run.
@@ -73,6 +78,13 @@
 
 	mu      sync.Mutex
 	records []Record
+	flights map[string]*flight // by request id
+}
+
+// flight is a submission without an answer.
+type flight struct {
+	entry, id, backer string
+	cancelled         atomic.Bool
 }
 
 // Run submits the schedule and returns after the last answer. When ctx ends, no further arrivals are submitted and
@@ -95,8 +107,12 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	g := &generator{options: o, client: &http.Client{Transport: transport}, started: time.Now(),
-		slots: make(chan struct{}, o.MaxInFlight)}
+		slots: make(chan struct{}, o.MaxInFlight), flights: map[string]*flight{}}
 	g.prefix = fmt.Sprintf("%s-%d-%x", o.Deployment.Name, o.Seed, g.started.UnixNano())
+	if o.CancelWaveAt > 0 {
+		wave := time.AfterFunc(o.CancelWaveAt, g.cancelAll)
+		defer wave.Stop()
+	}
 	g.submitAll(ctx, schedule)
 	return g.result(), nil
 }
@@ -199,10 +215,10 @@
 	}
 	time.Sleep(g.options.Deployment.OneWay)
 	rec.Sent = time.Now()
+	f := g.take(rec)
 	if a.CancelAfter > 0 {
-		entry, id, backer := rec.Entry, rec.RequestID, rec.Backer
-		timer := time.AfterFunc(a.CancelAfter, func() { g.cancel(entry, id, backer) })
-		defer func() { rec.Cancelled = !timer.Stop() }()
+		timer := time.AfterFunc(a.CancelAfter, func() { g.cancel(f) })
+		defer timer.Stop()
 	}
 	resp, err := g.client.Do(req)
 	if err != nil {
@@ -212,6 +228,23 @@
 	}
 	time.Sleep(g.options.Deployment.OneWay)
 	rec.Ended = time.Now()
+	rec.Cancelled = g.land(f)
+}
+
+func (g *generator) take(rec *Record) *flight {
+	f := &flight{entry: rec.Entry, id: rec.RequestID, backer: rec.Backer}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.flights[f.id] = f
+	return f
+}
+
+// land reports whether the submission was cancelled.
+func (g *generator) land(f *flight) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.flights, f.id)
+	return f.cancelled.Load()
 }
 
 func (g *generator) newRequest(ctx context.Context, a Arrival, issued time.Time, rec *Record) (*http.Request, error) {
@@ -243,19 +276,38 @@
 }
 
 // cancel asks for the end of a request; the answer to the request itself tells what became of it.
-func (g *generator) cancel(entry, id, backer string) {
+func (g *generator) cancel(f *flight) {
+	f.cancelled.Store(true)
 	ctx, stop := context.WithTimeout(context.Background(), cancelWithin)
 	defer stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, baseURL(entry)+"/v1/requests/"+id, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, baseURL(f.entry)+"/v1/requests/"+f.id, nil)
 	if err != nil {
 		return
 	}
-	req.Header.Set("Authorization", "Bearer "+g.options.Tokens[backer])
+	req.Header.Set("Authorization", "Bearer "+g.options.Tokens[f.backer])
 	if resp, err := g.client.Do(req); err == nil {
 		_ = resp.Body.Close()
 	}
 }
 
+// cancelAll sends a wave of cancellations for all work in flight.
+func (g *generator) cancelAll() {
+	g.mu.Lock()
+	flights := make(chan *flight, len(g.flights))
+	for _, f := range g.flights {
+		flights <- f
+	}
+	g.mu.Unlock()
+	close(flights)
+	for range cancelSenders {
+		go func() {
+			for f := range flights {
+				g.cancel(f)
+			}
+		}()
+	}
+}
+
 func (g *generator) result() *Result {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -118,3 +118,35 @@
 	}
 	g.Expect(repeated).To(BeNumerically(">", 0))
 }
+
+// Cancellations must reach the entry that holds the request, with its id, or a wave would test nothing.
+func TestCancelWave(t *testing.T) {
+	g := NewWithT(t)
+	cancelled := make(map[string]chan struct{})
+	var mu sync.Mutex
+	of := func(id string) chan struct{} {
+		mu.Lock()
+		defer mu.Unlock()
+		if cancelled[id] == nil {
+			cancelled[id] = make(chan struct{}, 1)
+		}
+		return cancelled[id]
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("DELETE /v1/requests/{id}", func(_ http.ResponseWriter, r *http.Request) { of(r.PathValue("id")) <- struct{}{} })
+	mux.HandleFunc("POST /v1/queues/q/requests", func(w http.ResponseWriter, r *http.Request) {
+		<-of(r.Header.Get(request.HeaderRequestID))
+		w.Header().Set(request.HeaderVerdict, "not-run")
+		w.WriteHeader(http.StatusConflict)
+	})
+	s := httptest.NewServer(mux)
+	defer s.Close()
+	d := load.Deployment{Name: "test", Queues: []load.Queue{{Name: "q", Share: 1, Mix: []load.Kind{{Name: "quote", Share: 1, Deadline: 20 * time.Second}}}}}
+	result, err := load.Run(context.Background(), load.Options{Targets: []string{s.URL}, Deployment: d, Rate: 40, For: time.Second,
+		Tokens: map[string]string{"a": "t"}, Seed: 1, CancelWaveAt: 1500 * time.Millisecond})
+	g.Expect(err).NotTo(HaveOccurred())
+	sum := result.Summary()
+	g.Expect(sum.Arrivals).To(BeNumerically(">", 50))
+	g.Expect(sum.Cancelled).To(Equal(sum.Arrivals))
+	g.Expect(sum.NotRun).To(Equal(sum.Arrivals))
+}
--- a/standin/workerd/server_test.go
+++ b/standin/workerd/server_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -86,6 +87,23 @@
 	g.Expect(kinds).To(Equal(map[workerd.Kind]int{workerd.Start: 1, workerd.End: 1, workerd.Refused: 2, workerd.Leaving: 1}))
 }
 
+// Connections beyond the limit must be refused, or entries that open too many would go unnoticed.
+func TestConnectionLimit(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t, workerd.Options{Connections: 2})
+	for range 2 {
+		held, err := net.Dial("tcp", s.Address())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = held.Close() }()
+	}
+	third, err := net.Dial("tcp", s.Address())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = third.Close() }()
+	g.Expect(third.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	_, err = third.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(ContainSubstring("reset")))
+}
+
 // Truncated and swapped answers must be such that the client can and does tell them from good ones.
 func TestBrokenAnswers(t *testing.T) {
 	g := NewWithT(t)
