--- a/standin/platformd/instances.go
+++ b/standin/platformd/instances.go
@@ -32,12 +32,12 @@
 }
 
 func (l *instanceList) put(now time.Time, in platform.Instance) {
-	l.expire(now)
 	reg := l.registrations[in.ID]
 	if reg == nil {
 		reg = &registration{}
 		l.registrations[in.ID] = reg
 	}
+	reg.expire(now)
 	reg.renewed = now
 	if last, ok := reg.last(); !ok || !last.present || last.instance != in {
 		reg.add(listing{from: now, present: true, instance: in})
@@ -45,20 +45,26 @@
 }
 
 func (l *instanceList) remove(now time.Time, id string) {
-	l.expire(now)
-	if reg := l.registrations[id]; reg != nil {
-		if last, ok := reg.last(); ok && last.present {
-			reg.add(listing{from: now})
-		}
+	reg := l.registrations[id]
+	if reg == nil {
+		return
+	}
+	reg.expire(now)
+	if last, ok := reg.last(); ok && last.present {
+		reg.add(listing{from: now})
 	}
 }
 
 // view returns the instances that were registered at time now-lag.
 func (l *instanceList) view(now time.Time, lag time.Duration) []platform.Instance {
-	l.expire(now)
 	at := now.Add(-lag)
 	list := []platform.Instance{}
-	for _, reg := range l.registrations {
+	for id, reg := range l.registrations {
+		reg.expire(now)
+		if last, _ := reg.last(); !last.present && now.Sub(last.from) > historyKept {
+			delete(l.registrations, id)
+			continue
+		}
 		for i := len(reg.history) - 1; i >= 0; i-- {
 			if h := reg.history[i]; !h.from.After(at) {
 				if h.present {
@@ -72,19 +78,13 @@
 	return list
 }
 
-// expire removes registrations that were not renewed and history that is too old to be shown.
-func (l *instanceList) expire(now time.Time) {
-	for id, reg := range l.registrations {
-		last, ok := reg.last()
-		if ok && last.present && now.Sub(reg.renewed) > registrationTTL {
-			reg.add(listing{from: reg.renewed.Add(registrationTTL)})
-		}
-		for len(reg.history) > 1 && now.Sub(reg.history[1].from) > historyKept {
-			reg.history = reg.history[1:]
-		}
-		if last, _ := reg.last(); !last.present && now.Sub(last.from) > historyKept {
-			delete(l.registrations, id)
-		}
+// expire ends a registration that was not renewed and drops history that is too old to be shown.
+func (r *registration) expire(now time.Time) {
+	if last, ok := r.last(); ok && last.present && now.Sub(r.renewed) > registrationTTL {
+		r.add(listing{from: r.renewed.Add(registrationTTL)})
+	}
+	for len(r.history) > 1 && now.Sub(r.history[1].from) > historyKept {
+		r.history = r.history[1:]
 	}
 }
 
--- a/standin/platformd/server.go
+++ b/standin/platformd/server.go
@@ -23,6 +23,10 @@
 	Down bool `json:"down,omitempty"`
 	// Delay is added to each call, half before and half after it takes effect.
 	Delay standin.Duration `json:"delay,omitempty"`
+	// ReadsPerSecond and WritesPerSecond bound the rows that the service handles; answers to calls beyond wait for their
+	// turn. 0 means no bound.
+	ReadsPerSecond  float64 `json:"readsPerSecond,omitempty"`
+	WritesPerSecond float64 `json:"writesPerSecond,omitempty"`
 	// LoseReplies is the number of next writes that take effect and whose connection is then closed without an answer.
 	LoseReplies int `json:"loseReplies,omitempty"`
 	// LoseProbability is the probability of the same for each write.
@@ -75,6 +79,8 @@
 	faults    Faults
 	counters  Counters
 	random    *rand.Rand
+	// reads and writes hold the times until which the capacity of each service is used up.
+	reads, writes map[*Fault]time.Time
 }
 
 // New returns an empty platform without faults.
@@ -87,6 +93,8 @@
 		instances: instanceList{registrations: map[string]*registration{}},
 		faults:    Faults{ListLag: standin.Duration(o.ListLag)},
 		random:    rand.New(rand.NewPCG(o.Seed, 1)),
+		reads:     map[*Fault]time.Time{},
+		writes:    map[*Fault]time.Time{},
 	}
 	s.routes()
 	return s
@@ -167,6 +175,7 @@
 	status int
 	json   any
 	raw    []byte
+	rows   int // read or written; 0 counts as 1
 }
 
 type faultOf func(*Faults) *Fault
@@ -189,8 +198,8 @@
 		delay := f(&s.faults).Delay.D()
 		s.mu.Unlock()
 		time.Sleep(delay / 2)
-		answer, lost := s.run(f, do, writes)
-		time.Sleep(delay / 2)
+		answer, lost, turn := s.run(f, do, writes)
+		time.Sleep(turn + delay/2)
 		if lost {
 			panic(http.ErrAbortHandler) // closes the connection without an answer
 		}
@@ -198,20 +207,38 @@
 	}
 }
 
-func (s *Server) run(f faultOf, do effect, writes bool) (answer reply, lost bool) {
+func (s *Server) run(f faultOf, do effect, writes bool) (answer reply, lost bool, turn time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fault := f(&s.faults)
 	if fault.Down {
 		s.counters.Refused++
-		return reply{status: http.StatusServiceUnavailable, raw: []byte("down")}, false
+		return reply{status: http.StatusServiceUnavailable, raw: []byte("down")}, false, 0
 	}
 	answer = do()
+	if writes {
+		turn = takeTurn(s.writes, fault, fault.WritesPerSecond, answer.rows)
+	} else {
+		turn = takeTurn(s.reads, fault, fault.ReadsPerSecond, answer.rows)
+	}
 	if writes && answer.status < 300 && s.lose(fault) {
 		s.counters.LostReplies++
-		return answer, true
+		lost = true
+	}
+	return answer, lost, turn
+}
+
+// takeTurn uses up capacity for a number of rows and returns the time until it is free.
+func takeTurn(used map[*Fault]time.Time, service *Fault, perSecond float64, rows int) time.Duration {
+	if perSecond <= 0 {
+		return 0
+	}
+	now, from := time.Now(), used[service]
+	if from.Before(now) {
+		from = now
 	}
-	return answer, false
+	used[service] = from.Add(time.Duration(float64(max(rows, 1)) / perSecond * float64(time.Second)))
+	return used[service].Sub(now)
 }
 
 func (s *Server) lose(f *Fault) bool {
@@ -250,7 +277,7 @@
 		rows := s.table.list(q)
 		s.counters.Reads++
 		s.counters.ReadRows += int64(len(rows))
-		return reply{status: http.StatusOK, json: rows}
+		return reply{status: http.StatusOK, json: rows, rows: len(rows)}
 	}
 }
 
@@ -271,7 +298,7 @@
 		}
 		s.counters.Writes++
 		s.note(q.Writes)
-		return reply{status: http.StatusOK, json: platform.CommitReply{Versions: versions}}
+		return reply{status: http.StatusOK, json: platform.CommitReply{Versions: versions}, rows: len(q.Writes)}
 	}
 }
 
--- a/standin/platformd/server_test.go
+++ b/standin/platformd/server_test.go
@@ -77,6 +77,20 @@
 	g.Expect(s.Counters().Refused).To(Equal(int64(1)))
 }
 
+// A table without a capacity would hide that each claim written by itself is too much.
+func TestCapacity(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	s, c, _ := start(t, platformd.Options{})
+	s.SetFaults(platformd.Faults{Table: platformd.Fault{WritesPerSecond: 20}})
+	began := time.Now()
+	for range 3 {
+		_, err := c.Commit(ctx, []platform.Write{{Key: "a", IfVersion: platform.AnyVersion}, {Key: "b", IfVersion: platform.AnyVersion}})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(time.Since(began)).To(BeNumerically(">=", 290*time.Millisecond))
+}
+
 // Objects keep their keys with slashes, and an absent one is told from a fault.
 func TestObjects(t *testing.T) {
 	g := NewWithT(t)
