--- a/checker/endtoend_test.go
+++ b/checker/endtoend_test.go
@@ -27,9 +27,9 @@
 		h := r.Header
 		req := &request.Request{ID: h.Get(request.HeaderRequestID), Backer: "a", Queue: "q", Pool: "p", Body: body,
 			Key: h.Get(request.HeaderIdempotencyKey), Idempotent: h.Get(request.HeaderIdempotent) != "false"}
-		a, err := c.Run(r.Context(), worker.Attempt{Request: req, Number: 1})
+		a, err := c.Run(r.Context(), worker.Attempt{Request: req, ID: "1"})
 		if careless && !req.Idempotent {
-			a, err = c.Run(r.Context(), worker.Attempt{Request: req, Number: 2})
+			a, err = c.Run(r.Context(), worker.Attempt{Request: req, ID: "2"})
 		}
 		rw.Header().Set(request.HeaderRequestID, req.ID)
 		rw.Header().Set(request.HeaderVerdict, verdict.Of(err).String())
--- a/command/all.go
+++ b/command/all.go
@@ -7,6 +7,8 @@
 	return []subcommands.Command{
 		settingsCommand{},
 		tokenCommand{},
+		&devCommand{},
+		&entryCommand{},
 		versionCommand{},
 		standinCommand{},
 		&loadCommand{},
--- /dev/null
+++ b/dev/dev.go
@@ -0,0 +1,316 @@
+// Package dev runs a whole deployment on loopback in one process: the stand-in platform, the five pools of
+// stand-in workers and the entries, under the surging workload of the deployment. It ends with the measures
+// and the verdict of the checker.
+//
+//	result, err := dev.Run(ctx, dev.Options{Deployment: "inzira", For: 20 * time.Second, Seed: 1})
+package dev
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.yaml.in/yaml/v3"
+	"golang.org/x/sync/errgroup"
+
+	"samphirepoint/admin"
+	"samphirepoint/auth"
+	"samphirepoint/checker"
+	"samphirepoint/entry"
+	"samphirepoint/examples"
+	"samphirepoint/fleet"
+	"samphirepoint/load"
+	"samphirepoint/platform"
+	"samphirepoint/report"
+	"samphirepoint/settings"
+	"samphirepoint/standin"
+	"samphirepoint/standin/platformd"
+	"samphirepoint/standin/workerd"
+	"samphirepoint/table"
+)
+
+const (
+	// DefaultEntries is the number of entries that the users run.
+	DefaultEntries = 7
+	// workersPerRack is that of both deployments.
+	workersPerRack = 4
+	// startTimeout bounds the time until all entries are ready.
+	startTimeout = 20 * time.Second
+	// versionSampleInterval is the resolution of the rollout measure.
+	versionSampleInterval = 50 * time.Millisecond
+	operatorName          = "dev-operator"
+)
+
+// Options of a run.
+type Options struct {
+	Deployment string
+	Entries    int
+	For        time.Duration
+	Seed       uint64
+	// Rate is the mean number of requests a second; 0 uses the deployment's default.
+	Rate     float64
+	Policies settings.Policies
+	Moves    settings.Moves
+	// Changes is the number of table changes accepted during the run.
+	Changes int
+	// CallerPort is the port of the first entry's caller interface, 0 for any; the others follow.
+	CallerPort int
+	Log        zerolog.Logger
+	// Progress is told what happens, for a person who waits; nil leaves it out.
+	Progress func(format string, args ...any)
+}
+
+// Result of a run.
+type Result struct {
+	Measures report.Measures `json:"measures"`
+	Checks   checker.Report  `json:"checks"`
+	Summary  load.Summary    `json:"summary"`
+}
+
+// OK reports whether every property held.
+func (r *Result) OK() bool { return len(r.Checks.Violations) == 0 }
+
+// Cluster is a running deployment.
+type Cluster struct {
+	Options  Options
+	Document *table.Document
+	Platform *platformd.Server
+	Workers  []*workerd.Server
+	Entries  []*entry.Entry
+	// Tokens holds a bearer token per backer; OperatorToken is one of role operator.
+	Tokens        map[string]string
+	OperatorToken string
+
+	base     string
+	dir      string
+	listener *standin.Listener
+	group    *errgroup.Group
+	stop     []context.CancelFunc
+
+	mu       sync.Mutex
+	changes  []platformd.Change
+	versions []checker.VersionSample
+	accepted []checker.Acceptance
+	fleet    []report.Worker
+	budgets  []checker.Budget
+}
+
+// Start brings a deployment up and waits until all entries are ready.
+func Start(ctx context.Context, o Options) (*Cluster, error) {
+	o = withDefaults(o)
+	doc, err := examples.Table(o.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{Options: o, Document: doc, Tokens: map[string]string{}, group: &errgroup.Group{}}
+	if err := c.start(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func withDefaults(o Options) Options {
+	if o.Entries == 0 {
+		o.Entries = DefaultEntries
+	}
+	if o.For == 0 {
+		o.For = 20 * time.Second
+	}
+	if o.Rate == 0 {
+		o.Rate = load.DefaultRate
+	}
+	if o.Policies == (settings.Policies{}) {
+		o.Policies = settings.Default().Policies
+	}
+	if o.Moves == (settings.Moves{}) {
+		o.Moves = settings.Default().Moves
+	}
+	if o.Progress == nil {
+		o.Progress = func(string, ...any) {}
+	}
+	return o
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	var err error
+	if c.dir, err = os.MkdirTemp("", "samphirepoint-dev-"); err != nil {
+		return err
+	}
+	c.Platform = platformd.New(platformd.Options{Seed: c.Options.Seed, OnChange: c.keepChange})
+	if c.listener, err = c.Platform.Start("127.0.0.1:0"); err != nil {
+		return err
+	}
+	c.base = c.listener.URL()
+	if err := c.startWorkers(); err != nil {
+		return err
+	}
+	if err := c.bootstrap(ctx); err != nil {
+		return err
+	}
+	if err := c.startEntries(); err != nil {
+		return err
+	}
+	return c.waitReady(ctx)
+}
+
+func (c *Cluster) keepChange(ch platformd.Change) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changes = append(c.changes, ch)
+}
+
+// poolSizes is the number of workers per pool (design page, section 1.3).
+var poolSizes = map[string]int{
+	"pumps": 9, "deliveries": 9, "slips": 11, "routes": 12, "ledger-common": 8,
+	"innanlands": 8, "utanlands": 9, "bref": 11, "magn": 12, "stodir": 8,
+}
+
+var zones = map[string][]string{
+	"inzira":   {"gasabo", "nyarugenge", "kicukiro"},
+	"hraunvik": {"is-sv-1", "is-sv-2", "is-sv-3", "is-sv-4"},
+}
+
+// startWorkers starts the workers of all pools; the workers of a rack are in one zone.
+func (c *Cluster) startWorkers() error {
+	names := zones[c.Options.Deployment]
+	for _, pool := range c.Document.Pools {
+		for i := range poolSizes[pool.Name] {
+			rack := i / workersPerRack
+			w := workerd.New(workerd.Options{
+				ID: fmt.Sprintf("%s-%02d", pool.Name, i+1), Zone: names[rack%len(names)], Rack: fmt.Sprintf("%s-r%d", pool.Name, rack+1),
+				Platform: c.base, Seed: c.Options.Seed,
+			})
+			if err := w.Start("127.0.0.1:0"); err != nil {
+				return err
+			}
+			c.Workers = append(c.Workers, w)
+			c.fleet = append(c.fleet, report.Worker{ID: w.Status().ID, Pool: pool.Name, Slots: workerd.DefaultSlots})
+		}
+	}
+	return nil
+}
+
+// bootstrap writes the instance rows and the first version of the table.
+func (c *Cluster) bootstrap(ctx context.Context) error {
+	client := platform.NewClient(c.base, nil)
+	rows := fleet.NewStore(client, nil, time.Now)
+	byPool := map[string][]platform.Instance{}
+	for i, w := range c.Workers {
+		st := w.Status()
+		byPool[c.fleet[i].Pool] = append(byPool[c.fleet[i].Pool], platform.Instance{
+			ID: st.ID, Kind: platform.KindWorker, Address: w.Address(), Zone: st.Zone, Rack: st.Rack, Slots: st.Slots,
+		})
+	}
+	for pool, list := range byPool {
+		if _, err := rows.Register(ctx, list, pool); err != nil {
+			return err
+		}
+	}
+	_, err := table.NewStore(client, table.Options{}).Bootstrap(ctx, c.Document, operatorName, "initial table of "+c.Options.Deployment)
+	return err
+}
+
+func (c *Cluster) startEntries() error {
+	tokens, err := c.writeTokens()
+	if err != nil {
+		return err
+	}
+	names := zones[c.Options.Deployment]
+	for i := range c.Options.Entries {
+		cfg := settings.Default()
+		cfg.ID, cfg.Zone, cfg.Zones = fmt.Sprintf("entry-%d", i+1), names[i%len(names)], names
+		cfg.Platform, cfg.Tokens = c.base, tokens
+		cfg.Policies, cfg.Moves = c.Options.Policies, c.Options.Moves
+		cfg.Listen = settings.Addresses{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+		if c.Options.CallerPort > 0 {
+			cfg.Listen.Callers = fmt.Sprintf("127.0.0.1:%d", c.Options.CallerPort+i)
+		}
+		cfg.Shutdown.BalancerDelay = 0
+		if i > 0 {
+			cfg.Peers = []string{c.Entries[0].PeerAddress()}
+		}
+		e, err := entry.New(&cfg, entry.Options{Log: c.Options.Log})
+		if err != nil {
+			return err
+		}
+		c.Entries = append(c.Entries, e)
+		ctx, cancel := context.WithCancel(context.Background())
+		c.stop = append(c.stop, cancel)
+		c.group.Go(func() error { return e.Run(ctx) })
+	}
+	return nil
+}
+
+// tokenFile is the form that package auth reads.
+type tokenFile struct {
+	Tokens     []auth.Entry `yaml:"tokens"`
+	PeerTokens []string     `yaml:"peerTokens"`
+}
+
+func (c *Cluster) writeTokens() (string, error) {
+	var file tokenFile
+	for _, b := range c.Document.Backers {
+		token, line := auth.NewToken(b.Name, auth.RoleBacker)
+		c.Tokens[b.Name] = token
+		file.Tokens = append(file.Tokens, line)
+	}
+	token, line := auth.NewToken(operatorName, auth.RoleOperator)
+	c.OperatorToken = token
+	file.Tokens = append(file.Tokens, line)
+	peerToken, _ := auth.NewToken("entries", auth.RolePeer)
+	file.PeerTokens = []string{peerToken}
+	data, err := yaml.Marshal(file)
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(c.dir, "tokens.yaml")
+	return path, os.WriteFile(path, data, 0o600)
+}
+
+func (c *Cluster) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, e := range c.Entries {
+		for !e.Ready() || len(e.Members()) < len(c.Entries) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("entries are not ready after %s", startTimeout)
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// Targets are the addresses of the entries for callers.
+func (c *Cluster) Targets() []string {
+	var list []string
+	for _, e := range c.Entries {
+		list = append(list, e.CallerAddress())
+	}
+	return list
+}
+
+// Admin returns a client of the administration interface.
+func (c *Cluster) Admin() *admin.Client { return admin.NewClient(c.Targets(), c.OperatorToken, http.DefaultClient) }
+
+// Close stops entries, workers and platform.
+func (c *Cluster) Close() {
+	for _, cancel := range c.stop {
+		cancel()
+	}
+	_ = c.group.Wait()
+	for _, w := range c.Workers {
+		w.Close()
+	}
+	if c.listener != nil {
+		c.listener.Close()
+	}
+	_ = os.RemoveAll(c.dir)
+}
--- /dev/null
+++ b/dev/run.go
@@ -0,0 +1,188 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"samphirepoint/admin"
+	"samphirepoint/checker"
+	"samphirepoint/load"
+	"samphirepoint/report"
+	"samphirepoint/standin/workerd"
+	"samphirepoint/table"
+)
+
+// settleTime lets the last change of the table reach all entries before the run ends.
+const settleTime = 3 * time.Second
+
+// Run starts a deployment, drives its workload and judges the result.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	c, err := Start(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	o = c.Options
+	o.Progress("%d workers and %d entries are ready; callers: %v", len(c.Workers), len(c.Entries), c.Targets())
+	watch, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
+	go c.sampleVersions(watch)
+	go c.changeTable(watch)
+	go c.tellProgress(watch)
+	from := time.Now()
+	result, err := c.drive(ctx)
+	if err != nil {
+		return nil, err
+	}
+	to := time.Now()
+	if o.Changes > 0 {
+		time.Sleep(settleTime)
+	}
+	stopWatch()
+	return c.judge(result, from, to)
+}
+
+func (c *Cluster) drive(ctx context.Context) (*load.Result, error) {
+	d, err := load.Named(c.Options.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	return load.Run(ctx, load.Options{
+		Targets: c.Targets(), Deployment: d, Rate: c.Options.Rate, For: c.Options.For, Seed: c.Options.Seed, Tokens: c.Tokens,
+	})
+}
+
+// sampleVersions notes which version each entry serves by.
+func (c *Cluster) sampleVersions(ctx context.Context) {
+	ticker := time.NewTicker(versionSampleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		c.mu.Lock()
+		for _, e := range c.Entries {
+			c.versions = append(c.versions, checker.VersionSample{Time: time.Now(), Entry: e.CallerAddress(), Version: e.ConfigVersion(), Serving: e.Ready()})
+		}
+		c.mu.Unlock()
+	}
+}
+
+// changeTable accepts changes of a weight at even times during the run.
+func (c *Cluster) changeTable(ctx context.Context) {
+	for i := range c.Options.Changes {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(c.Options.For / time.Duration(c.Options.Changes+1)):
+		}
+		if err := c.accept(ctx, i); err != nil {
+			c.Options.Progress("table change %d failed: %v", i+1, err)
+		}
+	}
+}
+
+// accept changes the weight of a backer a little and accepts the draft.
+func (c *Cluster) accept(ctx context.Context, i int) error {
+	client := c.Admin()
+	doc, err := client.Table(ctx)
+	if err != nil {
+		return err
+	}
+	b := doc.Backers[i%len(doc.Backers)]
+	cell, err := table.ParseCell(b.Name + ".weight")
+	if err != nil {
+		return err
+	}
+	base := doc.Value(cell)
+	draft, err := client.SetCells(ctx, []table.Edit{{Cell: cell, Value: strconv.FormatFloat(b.Weight+0.5, 'g', -1, 64), Base: base}})
+	if err != nil {
+		return err
+	}
+	reply, err := client.Accept(ctx, admin.AcceptBody{Operation: admin.NewOperation(), Reason: "change during the run", Draft: draft.Draft})
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accepted = append(c.accepted, checker.Acceptance{Time: time.Now(), Version: reply.Version})
+	return nil
+}
+
+// tellProgress prints the state of the pools once in a while.
+func (c *Cluster) tellProgress(ctx context.Context) {
+	ticker := time.NewTicker(5 * time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		running := map[string]int{}
+		for i, w := range c.Workers {
+			running[c.fleet[i].Pool] += len(w.Status().Running)
+		}
+		c.Options.Progress("slots in use per pool: %v", running)
+	}
+}
+
+// judge collects the evidence and computes checks and measures.
+func (c *Cluster) judge(r *load.Result, from, to time.Time) (*Result, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var journal []workerd.Event
+	for _, w := range c.Workers {
+		journal = append(journal, w.Journal(0)...)
+	}
+	pools, err := checker.PoolSamples(c.changes)
+	if err != nil {
+		return nil, fmt.Errorf("history of instance rows: %w", err)
+	}
+	shares := map[string]checker.Share{}
+	for _, b := range c.Document.Backers {
+		shares[b.Name] = checker.Share{Weight: b.Weight, Limit: b.Limit()}
+	}
+	checks := checker.Check(checker.Input{
+		Journal: journal, Records: r.Records, Pools: pools, Budgets: c.allBudgets(from), Shares: shares, Versions: c.versions, Accepted: c.accepted,
+	})
+	measures := report.Measure(report.Input{
+		Policy: c.policyName(), Deployment: c.Options.Deployment, Seed: c.Options.Seed, From: from, To: to, Workers: c.fleet,
+		Spare: c.sparePools(), Journal: journal, Records: r.Records, Pools: pools, Versions: c.versions, Accepted: c.accepted,
+	})
+	return &Result{Measures: measures, Checks: checks, Summary: r.Summary()}, nil
+}
+
+func (c *Cluster) policyName() string {
+	p := c.Options.Policies
+	return p.Queue + "/" + p.Placement + "/" + p.Shares + "/" + c.Options.Moves.Policy
+}
+
+func (c *Cluster) sparePools() []string {
+	var names []string
+	for _, p := range c.Document.Pools {
+		if p.Spare {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
+// allBudgets is the smallest availability budget of the backers of each pool.
+func (c *Cluster) allBudgets(from time.Time) []checker.Budget {
+	var list []checker.Budget
+	for _, p := range c.Document.Pools {
+		smallest := -1
+		for _, b := range c.Document.Backers {
+			if smallest < 0 || b.MaxUnavailable < smallest {
+				smallest = b.MaxUnavailable
+			}
+		}
+		list = append(list, checker.Budget{Pool: p.Name, From: from, MaxUnavailable: smallest})
+	}
+	return list
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -383,3 +383,15 @@
 	}
 	return err
 }
+
+// Members lists the ids of the entries that are alive in this entry's view, including itself.
+func (e *Entry) Members() []string {
+	var ids []string
+	for _, m := range e.gossip.Members().Alive() {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+// ConfigVersion is the version of the table in force here.
+func (e *Entry) ConfigVersion() int64 { return e.config.Version() }
--- a/standin/workerd/run.go
+++ b/standin/workerd/run.go
@@ -248,13 +248,15 @@
 	Finished int `json:"finished"`
 }
 
-// handleStop ends all runs of a request and answers when none of them holds a slot.
+// handleStop ends the runs of a request, or of the attempt that a header names, and answers when none
+// of them holds a slot.
 func (s *Server) handleStop(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
+	attempt := r.Header.Get(request.HeaderAttempt)
 	var found []*run
 	s.mu.Lock()
 	for _, run := range s.running {
-		if run.event.RequestID == id {
+		if run.event.RequestID == id && (attempt == "" || run.event.Attempt == attempt) {
 			run.abort(Stopped)
 			found = append(found, run)
 		}
--- a/standin/workerd/server_test.go
+++ b/standin/workerd/server_test.go
@@ -35,7 +35,7 @@
 }
 
 func attempt(id, body string) worker.Attempt {
-	return worker.Attempt{Number: 1, Request: &request.Request{ID: id, Backer: "b", Queue: "q", Pool: "p", Idempotent: true, Body: []byte(body)}}
+	return worker.Attempt{ID: "1", Request: &request.Request{ID: id, Backer: "b", Queue: "q", Pool: "p", Idempotent: true, Body: []byte(body)}}
 }
 
 // The answer must pass the checks of the real client, and the journal must show the work.
@@ -77,7 +77,7 @@
 	s.Drain(true)
 	_, err = c.Run(ctx, attempt("r3", `{}`))
 	g.Expect(err).To(MatchError(worker.ErrLeaving))
-	g.Expect(c.Stop(ctx, "long")).To(Succeed())
+	g.Expect(c.Stop(ctx, "long", "1")).To(Succeed())
 	g.Expect(s.Status().Running).To(BeEmpty())
 	g.Expect(<-done).NotTo(HaveOccurred())
 	kinds := map[workerd.Kind]int{}
