Keep limits when the owners that publish change

A part grew to the smaller of the last two results. An owner that stopped publishing in the round in which it started work again was counted in neither, so 4 slots of a limit of 3 were in use; random histories found it at case 10579. The rule also froze growth unless every owner's demand arrived in every round, which gossip with 2 random peers rarely achieves.

An owner now leaves room for each other owner's part and slots in use, and for those of the round before until that owner has published again. 50000 random histories pass.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -52,8 +52,9 @@
 }
 
 // Divider gives each owner limit x (its demand / demand of all owners), at least one slot for an owner
-// with demand if the limit allows. A part shrinks at once and grows one round later, when the others have shrunk; it
-// also leaves room for the slots that others hold beyond their part.
+// with demand if the limit allows. An owner leaves room for what each other owner may still hold: its part
+// and its slots in use, and those of the round before until it has published again. So a
+// part shrinks at once and grows one round later.
 //
 // While no owner's demand exceeds half of an equal part, nothing is published and equal parts apply. If views
 // agree and are at most one round old, the slots in use never exceed the limit.
@@ -62,21 +63,22 @@
 	// published is the own demand that the others know from the last round. The division uses it
 	// in place of the current one, so that all owners divide by the same numbers.
 	published map[string]Demand
-	last      map[string]round
+	// others is the room left per backer for the other owners, sorted by owner.
+	others map[string][]room
 }
 
-// round is the result of the last round for one backer.
-type round struct {
-	// computed is the part before the delay of growth, allowed the part in force.
-	computed, allowed int
-	// heard is the sum of the heartbeats of the other owners' demands, and their number.
-	heard  int64
-	others int
+// room is left for one other owner.
+type room struct {
+	owner string
+	slots int
+	// next is the room needed once the owner has published a demand newer than heartbeat.
+	next      int
+	heartbeat int64
 }
 
 // NewDivider returns the Divider of the named owner.
 func NewDivider(self string) *Divider {
-	return &Divider{self: self, published: map[string]Demand{}, last: map[string]round{}}
+	return &Divider{self: self, published: map[string]Demand{}, others: map[string][]room{}}
 }
 
 func sorted(owners []string) []string {
@@ -103,19 +105,13 @@
 	owners := sorted(v.Owners)
 	byBacker := d.demands(v, owners)
 	parts := make(map[string]int, len(v.Limits))
-	last := make(map[string]round, len(v.Limits))
+	others := make(map[string][]room, len(v.Limits))
 	published := map[string]Demand{}
 	var publish []Demand
 	for backer, limit := range v.Limits {
 		demands := byBacker[backer]
 		hot := slices.ContainsFunc(demands, func(o Demand) bool { return 2*o.Demand > quietPart(limit, owners, o.Owner) })
-		now := d.round(limit, owners, demands, hot)
-		if before, ok := d.last[backer]; ok {
-			now.allowed = before.grow(now)
-		} else {
-			now.allowed = min(now.computed, quietPart(limit, owners, d.self))
-		}
-		last[backer], parts[backer] = now, now.allowed
+		parts[backer], others[backer] = d.divide(limit, owners, demands, hot, d.others[backer])
 
 		own := v.Own[backer]
 		demand := own.InUse + own.Waiting
@@ -124,7 +120,7 @@
 			publish = append(publish, published[backer])
 		}
 	}
-	d.last, d.published = last, published
+	d.others, d.published = others, published
 	slices.SortFunc(publish, func(a, b Demand) int { return cmp.Compare(a.Backer, b.Backer) })
 	return parts, publish
 }
@@ -149,45 +145,53 @@
 	return byBacker
 }
 
-// round computes the own part of one backer's limit.
-func (d *Divider) round(limit int, owners []string, demands []Demand, hot bool) round {
+// divide computes the own part of one backer's limit and the room to leave for the other owners.
+func (d *Divider) divide(limit int, owners []string, demands []Demand, hot bool, before []room) (int, []room) {
 	var proportional []int
 	if hot {
 		proportional = Divide(limit, demands)
 	}
-	var r round
-	others := 0
+	own, free := 0, limit
+	rooms := make([]room, 0, len(owners))
 	for _, owner := range owners {
-		i := slices.IndexFunc(demands, func(o Demand) bool { return o.Owner == owner })
+		i, ok := slices.BinarySearchFunc(demands, owner, func(o Demand, name string) int { return cmp.Compare(o.Owner, name) })
 		part := 0
 		switch {
 		case !hot:
 			part = quietPart(limit, owners, owner)
-		case i >= 0:
+		case ok:
 			part = proportional[i]
 		}
 		if owner == d.self {
-			r.computed = part
+			own = part
 			continue
 		}
-		if i >= 0 {
-			part = max(part, demands[i].InUse)
-			r.heard += demands[i].Heartbeat
-			r.others++
+		now := room{owner: owner, slots: part, next: part}
+		if ok {
+			now.slots = max(part, demands[i].InUse)
+			now.next, now.heartbeat = now.slots, demands[i].Heartbeat
+		}
+		if j, known := slices.BinarySearchFunc(before, owner, func(r room, name string) int { return cmp.Compare(r.owner, name) }); known {
+			now.shrink(before[j], ok)
 		}
-		others += part
+		rooms = append(rooms, now)
+		free -= now.slots
 	}
-	r.computed = max(min(r.computed, limit-others), 0)
-	return r
+	return max(min(own, free), 0), rooms
 }
 
-// grow returns the part in force after the round now: it grows only to what the round before allowed as well, and not
-// while another owner is silent.
-func (r round) grow(now round) int {
-	if now.others > 0 && now.others == r.others && now.heard < r.heard+int64(r.others) {
-		return min(now.computed, r.allowed)
+// shrink delays a decrease since the last round until the owner has published again, or for one round
+// if it publishes nothing.
+func (r *room) shrink(last room, publishes bool) {
+	switch {
+	case r.slots >= last.slots:
+	case last.next < last.slots && (!publishes || r.heartbeat > last.heartbeat):
+		r.slots = max(last.next, r.next)
+	case last.next < last.slots:
+		r.slots, r.next, r.heartbeat = last.slots, max(last.next, r.next), last.heartbeat
+	default:
+		r.slots = last.slots
 	}
-	return min(now.computed, r.computed)
 }
 
 // Divide returns the parts of limit for demands, which are sorted by owner: in proportion to the demand,
