Find rows of the table by index

Checks, differences and edits of a document at the row bound took seconds of an entry's time, since each cell searched its row. The bound is now 1,000 rows per section, five times the two-year size.

--- a/table/apply.go
+++ b/table/apply.go
@@ -8,7 +8,7 @@
 // its cells, each with its base value, so that no change of another operator is lost with the
 // row. A new row must be complete: values without a default are set by the same edits.
 func Apply(d *Document, edits []Edit) (*Document, error) {
-	b := batch{before: d, after: d.Clone(), byCell: map[Cell]Edit{}}
+	b := batch{before: newLookup(d), after: newLookup(d.Clone()), byCell: map[Cell]Edit{}}
 	for _, e := range edits {
 		b.read(e)
 	}
@@ -21,16 +21,16 @@
 	}
 	b.addRows()
 	b.setCells()
-	b.deleteRows()
 	b.checkAddedRows()
+	b.deleteRows()
 	if err := invalid(b.problems); err != nil {
 		return nil, err
 	}
-	return b.after, nil
+	return b.after.doc, nil
 }
 
 type batch struct {
-	before, after *Document
+	before, after *lookup
 	edits         []resolvedEdit
 	byCell        map[Cell]Edit
 	problems      []Problem
@@ -71,7 +71,7 @@
 
 func (b *batch) findConflicts() {
 	for _, e := range b.edits {
-		current := b.before.Value(e.Cell)
+		current := b.before.value(e.sheet, e.name, e.Column)
 		if current != e.Base && current != e.Value {
 			b.conflicts = append(b.conflicts, Conflict{Cell: e.Cell, Base: e.Base, Current: current, Value: e.Value})
 		}
@@ -85,7 +85,7 @@
 func (b *batch) findUnseenCells(e resolvedEdit) {
 	for _, column := range e.sheet.columns() {
 		c := cellOf(e.sheet, e.name, column)
-		if current := b.before.Value(c); current != "" && !b.edited(c) {
+		if current := b.before.value(e.sheet, e.name, column); current != "" && !b.edited(c) {
 			b.conflicts = append(b.conflicts, Conflict{Cell: c, Current: current})
 		}
 	}
@@ -98,21 +98,21 @@
 
 func (b *batch) addRows() {
 	for _, e := range b.edits {
-		if e.Column == ColumnName && e.Value != "" && e.sheet.find(b.after, e.name) < 0 {
-			e.sheet.add(b.after, e.name)
+		if e.Column == ColumnName && e.Value != "" {
+			b.after.add(e.sheet, e.name)
 		}
 	}
 }
 
 func (b *batch) setCells() {
 	for _, e := range b.edits {
-		i := e.sheet.find(b.after, e.name)
+		i := b.after.find(e.sheet, e.name)
 		switch {
 		case e.Column == ColumnName || b.deletes(e):
 		case i < 0 && e.Value == "":
 		case i < 0:
 			b.refuse(e.Cell, e.Value, fmt.Sprintf("an existing %s; set %s to %s to add it", e.sheet.kind(), cellOf(e.sheet, e.name, ColumnName), e.name))
-		case !e.sheet.set(b.after, i, e.Column, e.Value):
+		case !e.sheet.set(b.after.doc, i, e.Column, e.Value):
 			b.refuse(e.Cell, e.Value, e.sheet.expected(e.Column))
 		}
 	}
@@ -130,21 +130,22 @@
 	return true
 }
 
-func (b *batch) deleteRows() {
-	for _, e := range b.edits {
-		if i := e.sheet.find(b.after, e.name); e.deletesRow() && i >= 0 {
-			e.sheet.remove(b.after, i)
-		}
-	}
-}
-
 func (b *batch) checkAddedRows() {
 	if len(b.problems) > 0 {
 		return
 	}
 	for _, e := range b.edits {
-		if i := e.sheet.find(b.after, e.name); e.Column == ColumnName && i >= 0 && e.sheet.find(b.before, e.name) < 0 {
-			b.problems = append(b.problems, cellProblems(b.after, e.sheet, i)...)
+		if e.Column == ColumnName && e.Value != "" && b.before.find(e.sheet, e.name) < 0 {
+			b.problems = append(b.problems, cellProblems(b.after.doc, e.sheet, b.after.find(e.sheet, e.name))...)
 		}
 	}
 }
+
+func (b *batch) deleteRows() {
+	for _, s := range sheets {
+		s.retain(b.after.doc, func(name string) bool {
+			e, ok := b.byCell[cellOf(s, name, ColumnName)]
+			return !ok || e.Value != ""
+		})
+	}
+}
--- a/table/cell.go
+++ b/table/cell.go
@@ -95,15 +95,11 @@
 	if p != nil {
 		return ""
 	}
-	return valueOf(d, s, name, c.Column)
-}
-
-func valueOf(d *Document, s sheet, name, column string) string {
 	i := s.find(d, name)
 	if i < 0 {
 		return ""
 	}
-	return s.get(d, i, column)
+	return s.get(d, i, c.Column)
 }
 
 // Clone returns a deep copy.
@@ -121,10 +117,11 @@
 // added or deleted row differs in all its cells that are not empty.
 func Diff(before, after *Document) []Change {
 	var changes []Change
+	old, next := newLookup(before), newLookup(after)
 	for _, s := range sheets {
 		for _, name := range rowNames(s, before, after) {
 			for _, column := range append([]string{ColumnName}, s.columns()...) {
-				was, is := valueOf(before, s, name, column), valueOf(after, s, name, column)
+				was, is := old.value(s, name, column), next.value(s, name, column)
 				if was != is {
 					changes = append(changes, Change{Cell: cellOf(s, name, column), Before: was, After: is})
 				}
--- a/table/draft.go
+++ b/table/draft.go
@@ -91,12 +91,11 @@
 
 // compose applies the changes to the accepted document, without those in the cells of skip.
 func (d *Draft) compose(skip []Edit) error {
-	var kept []Change
-	for _, c := range d.Changes {
-		if !slices.ContainsFunc(skip, func(e Edit) bool { return e.Cell == c.Cell }) {
-			kept = append(kept, c)
-		}
+	skipped := map[Cell]bool{}
+	for _, e := range skip {
+		skipped[e.Cell] = true
 	}
+	kept := slices.DeleteFunc(slices.Clone(d.Changes), func(c Change) bool { return skipped[c.Cell] })
 	doc, err := Apply(d.Current, Edits(kept))
 	var conflict *ConflictError
 	if errors.As(err, &conflict) {
@@ -146,10 +145,14 @@
 
 // merge records changes of the draft's document by an operator.
 func (d *Draft) merge(changes []Change, operator string, at time.Time) {
+	position := map[Cell]int{}
+	for i, c := range d.Changes {
+		position[c.Cell] = i
+	}
 	for _, c := range changes {
 		c.Before, c.Operator, c.At = d.Current.Value(c.Cell), operator, at
-		if old := d.change(c.Cell); old != nil {
-			*old = c
+		if i, ok := position[c.Cell]; ok {
+			d.Changes[i] = c
 		} else {
 			d.Changes = append(d.Changes, c)
 		}
--- a/table/sheet.go
+++ b/table/sheet.go
@@ -21,14 +21,14 @@
 // exists and is empty otherwise.
 const ColumnName = "name"
 
-// Bounds of values. They keep sums far from overflow and a mistyped file from growing the row in
+// Bounds of values. They keep sums far from overflow and keep a mistyped file from growing the row in
 // the table service without limit; the two-year size needs 210 backers and 67 pools.
 const (
 	maxNameBytes     = 64
 	maxWeight        = 1e6
 	maxSlots         = 1_000_000
 	maxQueueLength   = 1_000_000
-	maxRowsOfSection = 2000
+	maxRowsOfSection = 1000
 )
 
 const (
@@ -48,7 +48,8 @@
 	get(d *Document, i int, column string) string
 	set(d *Document, i int, column, value string) bool
 	add(d *Document, name string) int
-	remove(d *Document, i int)
+	// retain keeps the rows whose names keep accepts.
+	retain(d *Document, keep func(name string) bool)
 }
 
 type column[T any] struct {
@@ -181,9 +182,52 @@
 	return len(*rows) - 1
 }
 
-func (s *section[T]) remove(d *Document, i int) {
+func (s *section[T]) retain(d *Document, keep func(name string) bool) {
 	rows := s.rows(d)
-	*rows = slices.Delete(*rows, i, i+1)
+	*rows = slices.DeleteFunc(*rows, func(row T) bool { return !keep(*s.nameOf(&row)) })
+}
+
+// lookup finds rows by name in constant time. Of rows with the same name it finds the first.
+type lookup struct {
+	doc  *Document
+	rows map[Kind]map[string]int
+}
+
+func newLookup(d *Document) *lookup {
+	l := &lookup{doc: d, rows: map[Kind]map[string]int{}}
+	for _, s := range sheets {
+		names := make(map[string]int, s.count(d))
+		for i := s.count(d) - 1; i >= 0; i-- {
+			names[s.name(d, i)] = i
+		}
+		l.rows[s.kind()] = names
+	}
+	return l
+}
+
+// find returns the index of a row, -1 if it is absent.
+func (l *lookup) find(s sheet, name string) int {
+	i, ok := l.rows[s.kind()][name]
+	if !ok {
+		return -1
+	}
+	return i
+}
+
+// value returns the text of a cell, which is empty in an absent row.
+func (l *lookup) value(s sheet, name, column string) string {
+	i := l.find(s, name)
+	if i < 0 {
+		return ""
+	}
+	return s.get(l.doc, i, column)
+}
+
+// add appends a row unless it is present.
+func (l *lookup) add(s sheet, name string) {
+	if l.find(s, name) < 0 {
+		l.rows[s.kind()][name] = s.add(l.doc, name)
+	}
 }
 
 func sheetOf(k Kind) sheet {
--- a/table/size.go
+++ b/table/size.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"samphirepoint/instance"
 )
@@ -41,10 +42,10 @@
 	return total
 }
 
-// poolBackers returns, for each pool, the backers whose queues use it. With homeOnly, only the
-// first pool of a queue counts.
-func poolBackers(d *Document, homeOnly bool) map[string]map[string]bool {
-	users := map[string]map[string]bool{}
+// poolBackers tells, for each pool, which rows of d.Backers have queues that use it. With homeOnly,
+// only the first pool of a queue counts.
+func poolBackers(d *Document, homeOnly bool) map[string][]bool {
+	users, rows := map[string][]bool{}, newLookup(d)
 	for _, q := range d.Queues {
 		pools := q.Pools
 		if homeOnly && len(pools) > 1 {
@@ -52,29 +53,31 @@
 		}
 		for _, pool := range pools {
 			if users[pool] == nil {
-				users[pool] = map[string]bool{}
-			}
-			for _, b := range d.Backers {
-				if q.Admits(b.Name) {
-					users[pool][b.Name] = true
-				}
+				users[pool] = make([]bool, len(d.Backers))
 			}
+			q.markBackers(users[pool], rows)
 		}
 	}
 	return users
 }
 
-// Admits reports whether the backer may submit to the queue.
-func (q *Queue) Admits(backer string) bool {
+// markBackers sets the elements of the backers that may submit to the queue.
+func (q *Queue) markBackers(marks []bool, rows *lookup) {
 	if len(q.Backers) == 0 {
-		return true
+		for i := range marks {
+			marks[i] = true
+		}
 	}
 	for _, name := range q.Backers {
-		if name == backer {
-			return true
+		if i := rows.find(backerSheet, name); i >= 0 {
+			marks[i] = true
 		}
 	}
-	return false
+}
+
+// Admits reports whether the backer may submit to the queue.
+func (q *Queue) Admits(backer string) bool {
+	return len(q.Backers) == 0 || slices.Contains(q.Backers, backer)
 }
 
 // Shares returns each backer's share in slots: in each pool that is the home of a queue which
@@ -84,13 +87,13 @@
 	shares := map[string]float64{}
 	for pool, users := range poolBackers(d, true) {
 		var weights float64
-		for _, b := range d.Backers {
-			if users[b.Name] {
+		for i, b := range d.Backers {
+			if users[i] {
 				weights += b.Weight
 			}
 		}
-		for _, b := range d.Backers {
-			if users[b.Name] && weights > 0 {
+		for i, b := range d.Backers {
+			if users[i] && weights > 0 {
 				shares[b.Name] += float64(size[pool].Slots) * b.Weight / weights
 			}
 		}
@@ -104,11 +107,11 @@
 	return lowestBudget(d, poolBackers(d, false)[pool])
 }
 
-func lowestBudget(d *Document, users map[string]bool) (int, bool) {
+func lowestBudget(d *Document, users []bool) (int, bool) {
 	budget := math.MaxInt
-	for _, b := range d.Backers {
-		if users[b.Name] {
-			budget = min(budget, b.MaxUnavailable)
+	for i, used := range users {
+		if used {
+			budget = min(budget, d.Backers[i].MaxUnavailable)
 		}
 	}
 	if budget == math.MaxInt {
--- a/table/validate.go
+++ b/table/validate.go
@@ -115,9 +115,9 @@
 	}
 	problems := quotaProblems(d, size)
 	shares, users := Shares(d, size), poolBackers(d, false)
-	for _, b := range d.Backers {
+	for i, b := range d.Backers {
 		problems = append(problems, limitProblems(b, shares[b.Name])...)
-		problems = append(problems, budgetProblems(d, b, users, size)...)
+		problems = append(problems, budgetProblems(d, i, users, size)...)
 	}
 	return problems
 }
@@ -152,11 +152,13 @@
 
 // budgetProblems finds a budget that would let a whole pool be out at once. Spare pools are left
 // out, since moves empty them, and so are pools of one instance, which could never be maintained.
-func budgetProblems(d *Document, b Backer, users map[string]map[string]bool, size FleetSize) []Problem {
+func budgetProblems(d *Document, row int, users map[string][]bool, size FleetSize) []Problem {
+	b := d.Backers[row]
 	smallest, pool := math.MaxInt, ""
 	for _, p := range d.Pools {
 		n := size[p.Name].Instances
-		if users[p.Name][b.Name] && !p.Spare && n > 1 && n < smallest {
+		used := users[p.Name] != nil && users[p.Name][row]
+		if used && !p.Spare && n > 1 && n < smallest {
 			smallest, pool = n, p.Name
 		}
 	}
