--- a/table/accept.go
+++ b/table/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 
@@ -141,7 +142,7 @@
 // Discard removes the draft. With seen set, a draft that was changed since is kept, and one that is
 // already gone counts as discarded unless it was accepted.
 func (s *Store) Discard(ctx context.Context, seen Seen) error {
-	var planned Seen
+	var planned presentDraft
 	return s.run(ctx, transaction{
 		id: "discard",
 		plan: func(ctx context.Context) ([]platform.Write, bool, error) {
@@ -149,7 +150,7 @@
 			if err != nil {
 				return nil, false, err
 			}
-			if done, err := checkDiscard(seen, present); done || err != nil {
+			if done, err := checkDiscard(seen, present.Seen); done || err != nil {
 				return nil, done, err
 			}
 			planned = present
@@ -157,22 +158,32 @@
 		},
 		applied: func(ctx context.Context) (bool, error) {
 			present, err := s.present(ctx)
-			return err == nil && present == Seen{Base: planned.Base}, err
+			return err == nil && present.id != planned.id && present.Base == planned.Base, err
 		},
 	})
 }
 
-// present returns the row version of the draft and the version in force.
-func (s *Store) present(ctx context.Context) (Seen, error) {
-	draft, err := s.get(ctx, KeyDraft)
+type presentDraft struct {
+	Seen
+	id string
+}
+
+// present returns the draft and the version in force. It does not compose the draft, so that a
+// damaged one can be discarded as well.
+func (s *Store) present(ctx context.Context) (presentDraft, error) {
+	row, err := s.get(ctx, KeyDraft)
 	if err != nil {
-		return Seen{}, err
+		return presentDraft{}, err
 	}
 	current, _, err := s.readCurrent(ctx)
 	if err != nil {
-		return Seen{}, err
+		return presentDraft{}, err
+	}
+	var draft Draft
+	if row.Version > 0 && json.Unmarshal(row.Value, &draft) != nil {
+		draft.ID = "damaged"
 	}
-	return Seen{Draft: draft.Version, Base: current.Version}, nil
+	return presentDraft{Seen{Draft: row.Version, Base: current.Version}, draft.ID}, nil
 }
 
 // checkDiscard reports whether the draft is gone already, or refuses to discard another one.
--- a/table/errors.go
+++ b/table/errors.go
@@ -118,7 +118,7 @@
 	if e.Present == 0 {
 		return fmt.Sprintf("draft %d was accepted or discarded by another operator; version %d is in force", e.Seen, e.Accepted)
 	}
-	return fmt.Sprintf("draft %d was changed by another operator and is now draft %d; read it again", e.Seen, e.Present)
+	return fmt.Sprintf("draft %d is no longer there, since another operator changed or replaced it; read draft %d", e.Seen, e.Present)
 }
 
 // StaleDraftError reports a draft whose base version is no longer in force. Nothing was written.
