--- a/command/table_actions.go
+++ b/command/table_actions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -107,11 +108,20 @@
 	}
 	changed, err := r.client.SetCells(ctx, edits)
 	if err != nil {
-		return err
+		return hintBase(err)
 	}
 	return r.print(changed, func(w io.Writer) { printDiff(w, changed) })
 }
 
+// hintBase tells how to replace the value of another operator on purpose.
+func hintBase(err error) error {
+	var refusal *admin.Error
+	if errors.As(err, &refusal) && len(refusal.Body.Conflicts) == 1 {
+		return fmt.Errorf("%w\nto replace that value, repeat with -base %q", err, refusal.Body.Conflicts[0].Current)
+	}
+	return err
+}
+
 // parsePairs reads CELL VALUE pairs.
 func (r *tableRun) parsePairs() ([]table.Edit, error) {
 	if len(r.args) == 0 || len(r.args)%2 != 0 {
--- a/command/table_test.go
+++ b/command/table_test.go
@@ -106,7 +106,7 @@
 	s.mustRun("aline", "set inzira.weight 3")
 	status, _, errOut := s.run("ben", "set", "inzira.weight", "5")
 	g.Expect(status).To(Equal(subcommands.ExitFailure))
-	g.Expect(errOut).To(ContainSubstring(`aline changed it from "2" to "3" in the draft`))
+	g.Expect(errOut).To(And(ContainSubstring(`aline changed it from "2" to "3" in the draft`), ContainSubstring(`repeat with -base "3"`)))
 	status, _, errOut = s.run("ben", "set", "inzira.name", "")
 	g.Expect(status).To(Equal(subcommands.ExitFailure))
 	g.Expect(errOut).To(ContainSubstring("inzira.weight: aline"))
