--- a/admin/table.go
+++ b/admin/table.go
@@ -28,6 +28,9 @@
 	// tableTimeout bounds the work on one request, which goes on if the caller disconnects, so
 	// that a lost caller does not leave a write half resolved.
 	tableTimeout = 15 * time.Second
+	// pushTimeout bounds the wait for a majority. An entry that has not installed a version within 7 s
+	// has stopped serving, so a longer wait tells the operator nothing new.
+	pushTimeout = 7 * time.Second
 	// defaultHistory is the number of records returned if the caller names none.
 	defaultHistory = 20
 )
@@ -37,8 +40,8 @@
 	Store    *table.Store
 	Verifier auth.Verifier
 	// Accepted is called after the commit of an accept. It installs the document, pushes it to
-	// the peers and returns how many of the members have it. An error is shown to the operator and
-	// does not undo the accept.
+	// the peers and returns how many of the members have it, at the latest when ctx ends; the push may
+	// go on after that. An error is shown to the operator and does not undo the accept.
 	Accepted func(ctx context.Context, doc *table.Document) (installed, members int, err error)
 	// Rollout returns the version that each entry is known to have.
 	Rollout func(ctx context.Context) ([]EntryVersion, error)
--- a/admin/table_handler.go
+++ b/admin/table_handler.go
@@ -206,6 +206,8 @@
 		doc, err = h.opt.Store.Current(ctx)
 	}
 	if err == nil {
+		ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+		defer cancel()
 		reply.Installed, reply.Members, err = h.opt.Accepted(ctx, doc)
 	}
 	reply.Accepted = reply.Installed*2 > reply.Members
--- a/table/accept.go
+++ b/table/accept.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"samphirepoint/platform"
@@ -30,8 +31,8 @@
 	Document *Document
 }
 
-// Accept puts the draft in force in one transaction: it writes config/current, the history and
-// the operation id and removes the draft, on condition that neither the accepted version nor the
+// Accept puts the draft in force in one transaction: it writes config/current, config/version, the
+// history and the operation id and removes the draft, on condition that neither the accepted version nor the
 // draft changed since they were read.
 func (s *Store) Accept(ctx context.Context, req AcceptRequest) (Accepted, error) {
 	if err := checkAccept(req); err != nil {
@@ -128,6 +129,7 @@
 	}
 	return []platform.Write{
 		{Key: KeyCurrent, IfVersion: currentRow, Value: current},
+		{Key: KeyVersion, IfVersion: platform.AnyVersion, Value: strconv.AppendInt(nil, r.Version, 10)},
 		{Key: HistoryKey(r.Version), IfVersion: 0, Value: history},
 		{Key: PrefixOperations + r.Operation, IfVersion: 0, Value: operation},
 	}, nil
--- a/table/store_test.go
+++ b/table/store_test.go
@@ -39,7 +39,7 @@
 // An operator must not accept edits that were added after the review.
 func TestAcceptIsForTheReviewedDraft(t *testing.T) {
 	g := NewWithT(t)
-	s, _ := newStore(t)
+	s, tab := newStore(t)
 	draft, err := s.SetCells(ctx, "e1", "aline", []table.Edit{edit("inzira.weight", "2", "3")})
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = s.SetCells(ctx, "e2", "ben", []table.Edit{edit("umoja.weight", "1", "2")})
@@ -51,6 +51,9 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(done.Version).To(Equal(int64(2)))
 	g.Expect(done.Document.Value(edit("umoja.weight", "", "").Cell)).To(Equal("2"))
+	row, err := tab.Get(ctx, table.KeyVersion)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(row.Value)).To(Equal("2"), "entries poll this row")
 	_, err = accept(s, "a3")
 	g.Expect(err).To(MatchError(table.ErrNoDraft))
 	history, err := s.History(ctx, 0, 10)
