--- a/table/accept.go
+++ b/table/accept.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"samphirepoint/platform"
@@ -29,8 +31,8 @@
 	Document *Document
 }
 
-// Accept puts the draft in force in one transaction: it writes config/current, the history and
-// the operation id and removes the draft, on condition that neither the accepted version nor the
+// Accept puts the draft in force in one transaction: it writes config/current, config/version, the
+// history and the operation id and removes the draft, on condition that neither the accepted version nor the
 // draft changed since they were read.
 func (s *Store) Accept(ctx context.Context, req AcceptRequest) (Accepted, error) {
 	if err := checkAccept(req); err != nil {
@@ -127,6 +129,7 @@
 	}
 	return []platform.Write{
 		{Key: KeyCurrent, IfVersion: currentRow, Value: current},
+		{Key: KeyVersion, IfVersion: platform.AnyVersion, Value: strconv.AppendInt(nil, r.Version, 10)},
 		{Key: HistoryKey(r.Version), IfVersion: 0, Value: history},
 		{Key: PrefixOperations + r.Operation, IfVersion: 0, Value: operation},
 	}, nil
@@ -141,7 +144,7 @@
 // Discard removes the draft. With seen set, a draft that was changed since is kept, and one that is
 // already gone counts as discarded unless it was accepted.
 func (s *Store) Discard(ctx context.Context, seen Seen) error {
-	var planned Seen
+	var planned presentDraft
 	return s.run(ctx, transaction{
 		id: "discard",
 		plan: func(ctx context.Context) ([]platform.Write, bool, error) {
@@ -149,7 +152,7 @@
 			if err != nil {
 				return nil, false, err
 			}
-			if done, err := checkDiscard(seen, present); done || err != nil {
+			if done, err := checkDiscard(seen, present.Seen); done || err != nil {
 				return nil, done, err
 			}
 			planned = present
@@ -157,22 +160,32 @@
 		},
 		applied: func(ctx context.Context) (bool, error) {
 			present, err := s.present(ctx)
-			return err == nil && present == Seen{Base: planned.Base}, err
+			return err == nil && present.id != planned.id && present.Base == planned.Base, err
 		},
 	})
 }
 
-// present returns the row version of the draft and the version in force.
-func (s *Store) present(ctx context.Context) (Seen, error) {
-	draft, err := s.get(ctx, KeyDraft)
+type presentDraft struct {
+	Seen
+	id string
+}
+
+// present returns the draft and the version in force. It does not compose the draft, so that a
+// damaged one can be discarded as well.
+func (s *Store) present(ctx context.Context) (presentDraft, error) {
+	row, err := s.get(ctx, KeyDraft)
 	if err != nil {
-		return Seen{}, err
+		return presentDraft{}, err
 	}
 	current, _, err := s.readCurrent(ctx)
 	if err != nil {
-		return Seen{}, err
+		return presentDraft{}, err
+	}
+	var draft Draft
+	if row.Version > 0 && json.Unmarshal(row.Value, &draft) != nil {
+		draft.ID = "damaged"
 	}
-	return Seen{Draft: draft.Version, Base: current.Version}, nil
+	return presentDraft{Seen{Draft: row.Version, Base: current.Version}, draft.ID}, nil
 }
 
 // checkDiscard reports whether the draft is gone already, or refuses to discard another one.
