--- a/standin/workerd/server_test.go
+++ b/standin/workerd/server_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -96,12 +97,14 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = held.Close() }()
 	}
+	// The reset may arrive while the connection is set up or at the first read.
 	third, err := net.Dial("tcp", s.Address())
-	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = third.Close() }()
-	g.Expect(third.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
-	_, err = third.Read(make([]byte, 1))
-	g.Expect(err).To(MatchError(ContainSubstring("reset")))
+	if err == nil {
+		defer func() { _ = third.Close() }()
+		g.Expect(third.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, err = third.Read(make([]byte, 1))
+	}
+	g.Expect(err).To(MatchError(syscall.ECONNRESET))
 }
 
 // Truncated and swapped answers must be such that the client can and does tell them from good ones.
