--- a/peer/demand.go
+++ b/peer/demand.go
@@ -33,9 +33,15 @@
 	incarnation int64
 	sequence    uint32
 	sent        map[uint32]delivery
-	// received holds the peer's own demand, up to message number ack, taken at the given heartbeat.
-	received  map[uint32]figures
-	ack       uint32
+	// received holds the peer's own demand, up to message number ack. All of it is known as of heartbeat complete.
+	received map[uint32]reported
+	ack      uint32
+	complete int64
+}
+
+// reported are figures that the owner took at a heartbeat or later without change.
+type reported struct {
+	figures
 	heartbeat int64
 }
 
@@ -61,7 +67,7 @@
 func (t *demandTable) peer(m membership.Member) *demandPeer {
 	p := t.peers[m.ID]
 	if p == nil || p.incarnation != m.Incarnation {
-		p = &demandPeer{incarnation: m.Incarnation, sent: map[uint32]delivery{}, received: map[uint32]figures{}}
+		p = &demandPeer{incarnation: m.Incarnation, sent: map[uint32]delivery{}, received: map[uint32]reported{}}
 		t.peers[m.ID] = p
 	}
 	return p
@@ -88,18 +94,25 @@
 		}
 	}
 	list := view.GetDemand()
+	if list == nil {
+		p.complete = max(p.complete, from.Heartbeat)
+		return
+	}
 	// Messages may overtake each other, since either side may begin an exchange.
-	if list.GetSequence() <= p.ack || len(list.InUse) != len(list.Backers) || len(list.Demand) != len(list.Backers) {
+	if list.Sequence <= p.ack || len(list.InUse) != len(list.Backers) || len(list.Demand) != len(list.Backers) {
 		return
 	}
-	p.ack, p.heartbeat = list.Sequence, from.Heartbeat
+	p.ack = list.Sequence
+	if !list.More {
+		p.complete = max(p.complete, from.Heartbeat)
+	}
 	for i, key := range list.Backers {
 		value := figures{list.InUse[i], list.Demand[i]}
 		if value == (figures{}) {
 			delete(p.received, key)
 			continue
 		}
-		p.received[key] = value
+		p.received[key] = reported{value, from.Heartbeat}
 	}
 }
 
@@ -112,7 +125,8 @@
 		return
 	}
 	p.sequence++
-	list := &peerpb.Demand{Sequence: p.sequence}
+	list := &peerpb.Demand{Sequence: p.sequence, More: len(due) > demandPerMessage}
+	due = due[:min(len(due), demandPerMessage)]
 	for _, key := range due {
 		value := t.own[key]
 		list.Backers = append(list.Backers, key)
@@ -150,8 +164,8 @@
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.priority, a.priority), cmp.Compare(a.key, b.key))
 	})
-	due := make([]uint32, 0, demandPerMessage)
-	for _, c := range candidates[:min(len(candidates), demandPerMessage)] {
+	due := make([]uint32, 0, len(candidates))
+	for _, c := range candidates {
 		due = append(due, c.key)
 	}
 	return due
@@ -171,7 +185,8 @@
 				continue
 			}
 			list = append(list, limit.Demand{
-				Owner: owner.ID, Backer: name, InUse: int(value.inUse), Demand: int(value.demand), Heartbeat: p.heartbeat,
+				Owner: owner.ID, Backer: name, InUse: int(value.inUse), Demand: int(value.demand),
+				Heartbeat: max(value.heartbeat, p.complete),
 			})
 		}
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -256,7 +256,7 @@
 		for k, d := range got {
 			g.Expect(d.Owner).To(Equal(id(1)))
 			g.Expect([]any{d.Backer, d.InUse, d.Demand}).To(Equal([]any{last[k].Backer, last[k].InUse, last[k].Demand}))
-			g.Expect(d.Heartbeat).To(BeNumerically(">", 0))
+			g.Expect(d.Heartbeat).To(BeNumerically(">", 40), "unchanged figures are confirmed by later messages")
 		}
 	}
 	f.cut = nil
