--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -81,10 +81,12 @@
 	return alive
 }
 
-// NewestConfig returns the highest configuration version that any known member has in force, and its holders.
+// NewestConfig returns the highest configuration version that a live member has in force, and its holders. Suspect
+// members do not count: a version that only a dead entry had was never installed by a majority.
 func (s *Snapshot) NewestConfig() (version int64, holders []Member) {
 	for _, m := range s.Members {
 		switch {
+		case m.Status != Alive:
 		case m.ConfigVersion > version:
 			version, holders = m.ConfigVersion, []Member{m.Member}
 		case m.ConfigVersion == version && version > 0:
