--- a/configsync/configsync_test.go
+++ b/configsync/configsync_test.go
@@ -50,7 +50,9 @@
 	entries []*entry
 	rows    map[string]platform.Row
 	cut     func(from, to string) bool
-	steps   int
+	// noTransfer makes the transfer of documents fail.
+	noTransfer bool
+	steps      int
 }
 
 func newCluster(n int) *cluster {
@@ -210,6 +212,9 @@
 	return deliver(c, in, peerpb.Peer.Ping)
 }
 func (c call) Document(_ context.Context, in *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
+	if c.from.c.noTransfer {
+		return nil, errDown
+	}
 	return deliver(c, in, peerpb.Peer.Document)
 }
 func (c call) Fleet(_ context.Context, in *peerpb.FleetRequest) (*peerpb.FleetReply, error) {
@@ -333,6 +338,29 @@
 	g.Expect(e.syncer.Fresh(c.now())).To(BeTrue())
 }
 
+// Guards against an entry that goes on without a version which a peer showed it, and against one that stops because of a
+// version which it can neither get nor meet at a majority.
+func TestKnownVersionThatCannotBeFetched(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(8)
+	c.list()
+	c.run(10*time.Second, nil)
+	c.cutTable(true, all(8)...)
+	c.setCut(func(_, to string) bool { return to == "e3" })
+	c.entries[3].syncer.Install(c.commit(2))
+	c.run(20*time.Second, nil)
+	for i, e := range c.entries {
+		g.Expect(e.syncer.Version()).To(BeNumerically("==", map[bool]int{false: 1, true: 2}[i == 3]))
+		g.Expect(e.syncer.Fresh(c.now())).To(Equal(i != 3), "entry %d", i)
+	}
+	c.noTransfer = true
+	c.setCut(func(string, string) bool { return false })
+	c.run(bound, nil)
+	for i, e := range c.entries {
+		g.Expect(e.syncer.Fresh(c.now())).To(Equal(i == 3), "entry %d", i)
+	}
+}
+
 // Guards against a table that is read at the wrong moment: version and document rows that do not belong together, a
 // broken document, or a lower version.
 func TestPollRefusesBadRows(t *testing.T) {
--- a/configsync/syncer.go
+++ b/configsync/syncer.go
@@ -57,8 +57,9 @@
 	Document(ctx context.Context, id string, known int64) (*table.Document, error)
 	// Install hands a document to a member and returns the version in force there afterwards.
 	Install(ctx context.Context, id string, doc *table.Document) (int64, error)
-	// Majority reports whether gossip was exchanged with a majority within the freshness bound.
-	Majority(now time.Time) bool
+	// Contacts reports whether gossip was exchanged with a majority within the freshness bound, and the highest version
+	// that the members of these exchanges had in force.
+	Contacts(now time.Time) (majority bool, newest int64)
 	// Quorum tells whether the members in ids are a majority, and the number of members that count.
 	Quorum(ids []string) (majority bool, members int)
 	// Refresh shows the entry's new version to the peers.
@@ -89,11 +90,8 @@
 	behind atomic.Pointer[heard]
 }
 
-// heard is a version that a peer has and this entry has not.
-type heard struct {
-	version int64
-	since   time.Time
-}
+// heard tells since when the entry knows that a peer has a version which it has not.
+type heard struct{ since time.Time }
 
 // New returns a Syncer without a document.
 func New(c Config) *Syncer {
@@ -146,19 +144,23 @@
 	return s.Version()
 }
 
-// Fresh reports whether the entry may admit work at time now.
+// Fresh reports whether the entry may admit work at time now: it has read the table within the last 5 s, or exchanged
+// gossip with a majority and has the versions that it met there. A version that is only known through others
+// does not matter, since an accepted one is met at one of any majority of members.
 func (s *Syncer) Fresh(now time.Time) bool {
 	version := s.Version()
 	if version == 0 {
 		return false
 	}
-	if b := s.behind.Load(); b != nil && b.version > version && now.Sub(b.since) > behindGrace {
-		return false
-	}
 	if read := s.readAt.Load(); read != nil && now.Sub(*read) <= s.config.FreshFor {
 		return true
 	}
-	return s.config.Peers.Majority(now)
+	majority, newest := s.config.Peers.Contacts(now)
+	if !majority || newest <= version {
+		return majority
+	}
+	b := s.behind.Load()
+	return b == nil || now.Sub(b.since) <= behindGrace
 }
 
 // Run polls the table and follows the peers until ctx ends.
@@ -283,22 +285,22 @@
 	now := s.config.Now()
 	members := s.config.Peers.Members()
 	newest, holders := members.NewestConfig()
+	majority, met := s.config.Peers.Contacts(now)
+	newest = max(newest, met)
 	version := s.Version()
 	if newest <= version {
 		s.behind.Store(nil)
 		return
 	}
-	if b := s.behind.Load(); b == nil {
-		s.behind.Store(&heard{newest, now})
-	} else if b.version < newest {
-		s.behind.Store(&heard{newest, b.since})
+	if s.behind.Load() == nil {
+		s.behind.Store(&heard{now})
 	}
 	if read := s.readAt.Load(); read != nil && now.Sub(*read) <= s.config.FreshFor {
 		if s.pollFor(ctx, fetchTimeout) && s.Version() >= newest {
 			return
 		}
 	}
-	if version == 0 && !s.config.Peers.Majority(now) {
+	if version == 0 && !majority {
 		return
 	}
 	rand.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
--- a/membership/majority.go
+++ b/membership/majority.go
@@ -53,18 +53,27 @@
 	}
 }
 
-// Majority reports whether the entry and the members it has exchanged gossip with after now - within are a majority.
-// contacts holds, per member, the start time of the last exchange that the entry began and that was answered.
-// The start counts, and exchanges that others began do not, because a message may wait in a socket
-// for as long as a cut or a pause lasts.
-func (v *View) Majority(contacts map[string]time.Time, listed []string, now time.Time, within time.Duration) bool {
+// Contact is the last exchange with a member that the entry began and that was answered.
+type Contact struct {
+	// At is the start of the exchange. The start counts, and exchanges that others began do not, because a message may
+	// wait in a socket for as long as a cut or a pause lasts.
+	At time.Time
+	// ConfigVersion is the version that the member had in force when it answered.
+	ConfigVersion int64
+}
+
+// Majority reports whether the entry and the members it has contacted after now - within are a majority, and the highest
+// configuration version that these members had. A version that a majority had in force before now - within is
+// not higher than that, if the former is true.
+func (v *View) Majority(contacts map[string]Contact, listed []string, now time.Time, within time.Duration) (majority bool, newest int64) {
 	part := []string{v.self}
-	for id, t := range contacts {
-		if now.Sub(t) <= within {
+	for id, c := range contacts {
+		if now.Sub(c.At) <= within {
 			part = append(part, id)
+			newest = max(newest, c.ConfigVersion)
 		}
 	}
-	return v.Quorum(part, listed)
+	return v.Quorum(part, listed), newest
 }
 
 // Electorate is the number of members that count for a majority.
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -87,7 +87,7 @@
 	view      *membership.View
 	listed    []string
 	addresses []string // of listed entries
-	contacts  map[string]time.Time
+	contacts  map[string]membership.Contact
 	known     map[string]map[uint32]bool // keys that a member mentioned last
 	demand    *demandTable
 	leaving   leavingTable
@@ -118,7 +118,7 @@
 		config:   c,
 		clients:  c.Clients,
 		view:     membership.New(c.Self, c.Now(), c.Membership),
-		contacts: map[string]time.Time{},
+		contacts: map[string]membership.Contact{},
 		known:    map[string]map[uint32]bool{},
 		demand:   newDemandTable(),
 		leaving:  leavingTable{},
@@ -234,8 +234,8 @@
 	defer g.mu.Unlock()
 	d := g.take(reply, now)
 	// The reply is younger than start, however long it was under way.
-	if d.sender.ID != "" && start.After(g.contacts[d.sender.ID]) {
-		g.contacts[d.sender.ID] = start
+	if d.sender.ID != "" && start.After(g.contacts[d.sender.ID].At) {
+		g.contacts[d.sender.ID] = membership.Contact{At: start, ConfigVersion: d.sender.ConfigVersion}
 	}
 	g.publish(now)
 	return nil
@@ -334,6 +334,13 @@
 
 // Majority reports whether the entry has exchanged gossip with a majority of the members within FreshFor.
 func (g *Gossip) Majority(now time.Time) bool {
+	majority, _ := g.Contacts(now)
+	return majority
+}
+
+// Contacts reports whether the members contacted within FreshFor are a majority, and the highest configuration version
+// among them.
+func (g *Gossip) Contacts(now time.Time) (majority bool, newest int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.view.Majority(g.contacts, g.listed, now, g.config.FreshFor)
