--- a/configsync/configsync_test.go
+++ b/configsync/configsync_test.go
@@ -393,6 +393,22 @@
 	g.Expect(s.backoff(40)).NotTo(Equal(s.backoff(40)))
 }
 
+// Guards against loops that the timers do not drive, and that outlive their context.
+func TestRun(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(1)
+	s := New(Config{Table: tableLink{c.entries[0]}, Peers: c.entries[0].gossip, PollInterval: 5 * time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- s.Run(ctx) }()
+	g.Eventually(s.Version, "20s").Should(Equal(int64(1)))
+	c.commit(2)
+	g.Eventually(s.Version, "20s").Should(Equal(int64(2)))
+	g.Expect(s.Rollout()).To(ConsistOf(HaveField("Version", int64(2))))
+	cancel()
+	g.Eventually(done, "20s").Should(Receive(MatchError(context.Canceled)))
+}
+
 // Guards P8 under cuts, one-way cuts, pauses and outages of the table for some or all entries, together and in any
 // order: no entry lowers its version, no entry admits work 7 s after an accept under an older version, and no entry
 // admits work longer than 5.25 s without any contact.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -12,6 +14,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	"samphirepoint/auth"
 	"samphirepoint/limit"
@@ -74,6 +77,7 @@
 
 // Reports how traffic grows with the number of entries and guards against faster than linear growth up to 16.
 func TestControlTrafficSlope(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	rates := map[int]float64{}
 	for _, n := range []int{4, 8, 16, 32} {
@@ -86,6 +90,7 @@
 // Guards against entries that do not find each other, that disagree on owners, and against false suspicion of
 // live members, which would move pools.
 func TestEntriesConvergeWithoutFalseSuspicion(t *testing.T) {
+	t.Parallel()
 	for n, seconds := range map[int]int{8: 200, 16: 60, 32: 10} {
 		g := NewWithT(t)
 		f := newFleet(n)
@@ -112,6 +117,7 @@
 
 // Guards against an entry that loses its majority of contacts by the luck of the draw and rejects work for no reason.
 func TestUndisturbedEntriesKeepTheirMajority(t *testing.T) {
+	t.Parallel()
 	for n, seconds := range map[int]int{2: 60, 3: 60, 8: 200, 16: 60, 32: 10} {
 		g := NewWithT(t)
 		f := newFleet(n)
@@ -164,6 +170,7 @@
 // Guards against two groups that both serve during a cut, also after the members of the other side are
 // forgotten, and against groups that stay apart after the cut.
 func TestCutBetweenGroups(t *testing.T) {
+	t.Parallel()
 	for _, side := range [][]int{{0, 1, 2}, {5, 6, 7}, {0, 1, 2, 3}, {4, 5, 6, 7}} {
 		g := NewWithT(t)
 		f := newFleet(8)
@@ -326,6 +333,7 @@
 // Guards against demand that arrives later than two rounds on average at the size of today, because owners then exceed
 // the limits that they share for as long.
 func TestDemandIsFresh(t *testing.T) {
+	t.Parallel()
 	for _, backers := range []int{10, 50, 210} {
 		g := NewWithT(t)
 		f := newFleet(8)
@@ -374,3 +382,56 @@
 		f.run(1, nil)
 	}
 }
+
+// Guards against an entry that keeps its pools until its process ends, and shuts down with work in its queues.
+func TestLeavingEntryGivesItsPoolsAway(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(4)
+	f.run(5, nil)
+	f.entries[2].Leave(context.Background())
+	f.run(2, nil)
+	for _, e := range f.entries {
+		g.Expect(e.Members().Owned(id(2))).To(BeEmpty())
+		g.Expect(e.Members().Alive()).To(HaveLen(4))
+	}
+}
+
+// Guards against rounds that the timer does not drive, and a loop that outlives its context.
+func TestRunOverHTTP(t *testing.T) {
+	g := NewWithT(t)
+	f, _ := httpFleet(t, 3)
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	for _, e := range f.entries {
+		e.config.Interval, e.config.Now = 20*time.Millisecond, time.Now
+		done.Go(func() { _ = e.Run(ctx) })
+	}
+	for _, e := range f.entries {
+		g.Eventually(func() int { return len(e.Members().Alive()) }, "20s").Should(Equal(3))
+		g.Eventually(func() bool { return e.Majority(time.Now()) }, "20s").Should(BeTrue())
+	}
+	cancel()
+	done.Wait()
+}
+
+// Guards against TLS connections that are not counted, and clients that accept any certificate.
+func TestTLS(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(1)
+	traffic := NewTraffic(metrics.NewRegistry())
+	server := httptest.NewUnstartedServer(f.entries[0].Handler())
+	server.Listener = traffic.Listener(server.Listener)
+	server.Config.ConnContext = ConnContext
+	server.StartTLS()
+	defer server.Close()
+	roots := x509.NewCertPool()
+	roots.AddCert(server.Certificate())
+	address := server.Listener.Addr().String()
+	ctx := context.Background()
+	_, err := NewClients(Config{TLS: &tls.Config{RootCAs: roots}}).Fresh(address).Ping(ctx, &peerpb.PingRequest{})
+	g.Expect(err).NotTo(HaveOccurred())
+	in, out := traffic.Bytes()
+	g.Expect([]int64{in, out}).To(HaveEach(BeNumerically(">", 100)))
+	_, err = NewClients(Config{TLS: &tls.Config{}}).Fresh(address).Ping(ctx, &peerpb.PingRequest{})
+	g.Expect(err).To(HaveOccurred())
+}
