--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -87,8 +87,8 @@
 	view      *membership.View
 	listed    []string
 	addresses []string // of listed entries
-	contacts  map[string]time.Time
-	known     map[string]map[uint32]bool // keys that a member mentioned last
+	contacts  map[string]membership.Contact
+	known     map[string]map[uint32]int64 // what a member knew with its last message, see decoded
 	demand    *demandTable
 	leaving   leavingTable
 	schedule  schedule
@@ -118,9 +118,9 @@
 		config:   c,
 		clients:  c.Clients,
 		view:     membership.New(c.Self, c.Now(), c.Membership),
-		contacts: map[string]time.Time{},
-		known:    map[string]map[uint32]bool{},
-		demand:   newDemandTable(),
+		contacts: map[string]membership.Contact{},
+		known:    map[string]map[uint32]int64{},
+		demand:   newDemandTable(c.Self.ID),
 		leaving:  leavingTable{},
 		schedule: schedule{rand: c.Rand},
 	}
@@ -223,7 +223,7 @@
 func (g *Gossip) exchange(ctx context.Context, to target) error {
 	start := g.now()
 	g.mu.Lock()
-	request := g.message(to.member, g.known[to.member.ID], start)
+	request := g.message(g.known[to.member.ID], false, start)
 	g.mu.Unlock()
 	reply, err := g.clients.Peer(to.address).Exchange(ctx, request)
 	if err != nil {
@@ -234,8 +234,8 @@
 	defer g.mu.Unlock()
 	d := g.take(reply, now)
 	// The reply is younger than start, however long it was under way.
-	if d.sender.ID != "" && start.After(g.contacts[d.sender.ID]) {
-		g.contacts[d.sender.ID] = start
+	if d.sender.ID != "" && start.After(g.contacts[d.sender.ID].At) {
+		g.contacts[d.sender.ID] = membership.Contact{At: start, ConfigVersion: d.sender.ConfigVersion}
 	}
 	g.publish(now)
 	return nil
@@ -250,9 +250,9 @@
 	for _, l := range in.GetLeaving() {
 		g.noteLeaving(l.GetWorker(), now.Add(-time.Duration(max(l.GetAgeMs(), 0))*time.Millisecond), now)
 	}
+	g.demand.receive(in.GetDemand(), g.view.Reports(now))
 	if d.sender.ID != "" && d.sender.ID != g.config.Self.ID {
-		g.known[d.sender.ID] = d.mentioned
-		g.demand.receive(d.sender, in)
+		g.known[d.sender.ID] = d.knows
 	}
 	return d
 }
@@ -334,6 +334,13 @@
 
 // Majority reports whether the entry has exchanged gossip with a majority of the members within FreshFor.
 func (g *Gossip) Majority(now time.Time) bool {
+	majority, _ := g.Contacts(now)
+	return majority
+}
+
+// Contacts reports whether the members contacted within FreshFor are a majority, and the highest configuration version
+// among them.
+func (g *Gossip) Contacts(now time.Time) (majority bool, newest int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.view.Majority(g.contacts, g.listed, now, g.config.FreshFor)
@@ -375,11 +382,11 @@
 	return ok && g.now().Sub(since) < leavingKept
 }
 
-// SetDemand replaces the entry's own demand. Owner and Heartbeat of the elements are ignored.
+// SetDemand replaces the demand that the entry publishes. Owner and Heartbeat of the elements are ignored.
 func (g *Gossip) SetDemand(list []limit.Demand) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.demand.set(list)
+	g.view.SetDemandVersion(g.demand.set(list))
 }
 
 // Demands returns the demand at the other entries that are alive, in the order of owner and backer.
