Add leases, fleet transactions, wave planner, drainer and mover

The fleet had instance rows but nothing that changed them. A lease row with a fencing token elects the planner; each step is one transaction conditional on the lease, the instance row and the pool's disruption row, and a repeat after a lost reply finds its goal reached.

The wave planner drained one instance for two waves in the same round; the property test found it, and the planner now counts its own steps. A rack wave whose rack outgrew a budget after planning waited until its deadline; such a rack is now settled as not maintained.

--- /dev/null
+++ b/fleet/store.go
@@ -0,0 +1,386 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"samphirepoint/instance"
+	"samphirepoint/platform"
+	"samphirepoint/verdict"
+	"samphirepoint/wave"
+)
+
+// Store changes instance rows under the fleet lease. Each method is one transaction, conditional on the lease
+// row, on the instance rows and on the disruption rows of the pools, and each may be repeated: a
+// repeat that finds its goal reached writes nothing. A Store is used by one goroutine.
+type Store struct {
+	table platform.Table
+	fence Fence
+	now   func() time.Time
+	// transactions counts the calls; the controller reads again after each.
+	transactions int
+}
+
+// NewStore returns a store whose transactions are fenced by the lease.
+func NewStore(t platform.Table, fence Fence, now func() time.Time) *Store {
+	return &Store{table: t, fence: fence, now: now}
+}
+
+func (s *Store) transact(ctx context.Context, build func(*txn) error) (int64, error) {
+	s.transactions++
+	return transact(ctx, s.table, s.fence, build)
+}
+
+// Register creates rows for instances of the platform's list in the pool. Rows that exist stay as they are.
+func (s *Store) Register(ctx context.Context, list []platform.Instance, pool string) (int64, error) {
+	return s.transact(ctx, func(t *txn) error {
+		for _, p := range list {
+			if _, err := s.register(t, p, pool); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func (s *Store) register(t *txn, p platform.Instance, pool string) (instance.Instance, error) {
+	in, ok, err := t.instance(p.ID)
+	if err != nil || ok {
+		return in, err
+	}
+	in = instance.Instance{ID: p.ID, Address: p.Address, Zone: p.Zone, Region: p.Region, Rack: p.Rack, Slots: p.Slots,
+		Pool: pool, State: instance.Serving, Since: s.now().UTC()}
+	return in, t.replace(instance.Instance{}, in)
+}
+
+// Drain describes the start of a drain, for a wave or for a move.
+type Drain struct {
+	Instance string
+	// Version of the instance row in the snapshot from which the step was planned.
+	Version int64
+	// Wave or Move names the row that asks for the drain.
+	Wave   string
+	Move   string
+	Budget wave.Budget
+}
+
+// StartDrain takes the instance out of service if the pool's budget allows it. It returns ErrBudget or ErrChanged if
+// the plan does not hold any more.
+func (s *Store) StartDrain(ctx context.Context, d Drain) (int64, error) {
+	return s.transact(ctx, func(t *txn) error { return s.startDrain(t, d) })
+}
+
+func (s *Store) startDrain(t *txn, d Drain) error {
+	in, ok, err := t.instance(d.Instance)
+	if err != nil {
+		return err
+	}
+	target, err := s.checkOrder(t, d)
+	if err != nil {
+		return err
+	}
+	switch {
+	case ok && in.State == instance.Draining && in.Wave == d.Wave && in.TargetPool == target:
+		return nil // an earlier attempt took effect
+	case !ok, in.State != instance.Serving, in.Version != d.Version:
+		return changed("instance %s is %s at version %d, planned at %d", d.Instance, in.State, in.Version, d.Version)
+	}
+	if err := checkBudget(t, in, d); err != nil {
+		return err
+	}
+	old := in
+	in.State, in.Since, in.Wave, in.TargetPool = instance.Draining, s.now().UTC(), d.Wave, target
+	return t.replace(old, in)
+}
+
+// checkOrder makes the wave or move row a condition, so that an operator's pause or cancel and the step
+// exclude each other. It returns the target pool of a move.
+func (s *Store) checkOrder(t *txn, d Drain) (string, error) {
+	if d.Wave != "" {
+		var w wave.Wave
+		if ok, err := t.get(wave.Prefix+d.Wave, &w); err != nil || !ok || w.Status != wave.Running || w.Results[d.Instance] != "" {
+			return "", orChanged(err, "wave %s is %s, its result for %s is %q", d.Wave, w.Status, d.Instance, w.Results[d.Instance])
+		}
+		return "", nil
+	}
+	var m Move
+	if ok, err := t.get(PrefixMoves+d.Move, &m); err != nil || !ok || m.Status.Ended() || m.Instance != d.Instance {
+		return "", orChanged(err, "move %s is %s", d.Move, m.Status)
+	}
+	if m.Status == MovePending {
+		m.Status, m.Waits = MoveDraining, nil
+		t.put(PrefixMoves+d.Move, m)
+	}
+	return m.To, nil
+}
+
+func orChanged(err error, format string, args ...any) error {
+	if err != nil {
+		return err
+	}
+	return changed(format, args...)
+}
+
+// checkBudget repeats the planner's rules on the pool's disruption row.
+func checkBudget(t *txn, in instance.Instance, d Drain) error {
+	out, err := t.disruptions(in.Pool)
+	if err != nil {
+		return err
+	}
+	if len(out.Out) >= d.Budget.Limit {
+		return budgetError("pool %s has %d of %d out (backer %s)", in.Pool, len(out.Out), d.Budget.Limit, d.Budget.Backer)
+	}
+	if d.Wave == "" {
+		return nil
+	}
+	for id, o := range out.Out {
+		if o.Wave != "" && (o.Zone != in.Zone || o.Rack != in.Rack) {
+			return budgetError("pool %s maintains %s in rack %s of zone %s", in.Pool, id, o.Rack, o.Zone)
+		}
+	}
+	return nil
+}
+
+func budgetError(format string, args ...any) error {
+	return verdict.Wrap(fmt.Errorf("%w: %s", ErrBudget, fmt.Sprintf(format, args...)), verdict.NotRun, http.StatusConflict)
+}
+
+// Reboot records that the drained instance may be rebooted from now on.
+func (s *Store) Reboot(ctx context.Context, id, waveID string) (int64, error) {
+	return s.transact(ctx, func(t *txn) error {
+		in, ok, err := t.instance(id)
+		switch {
+		case err != nil:
+			return err
+		case ok && in.State == instance.Rebooting && in.Wave == waveID:
+			return nil
+		case !ok, in.State != instance.Draining, in.Wave != waveID, waveID == "":
+			return changed("instance %s is %s for wave %q", id, in.State, in.Wave)
+		}
+		old := in
+		in.State, in.Since = instance.Rebooting, s.now().UTC()
+		return t.replace(old, in)
+	})
+}
+
+// Serve returns a draining or rebooting instance of a wave to service in its pool. A result settles
+// the instance in the wave; an empty one leaves it to a later step, as when the wave gives way.
+func (s *Store) Serve(ctx context.Context, id, waveID string, result wave.Result) (int64, error) {
+	return s.transact(ctx, func(t *txn) error {
+		in, ok, err := t.instance(id)
+		if err != nil {
+			return err
+		}
+		if !ok || in.State == instance.Failed || in.State != instance.Serving && in.Wave != waveID {
+			return changed("instance %s is %s for wave %q", id, in.State, in.Wave)
+		}
+		if in.State == instance.Serving {
+			return nil
+		}
+		old := in
+		in.State, in.Since, in.Wave, in.TargetPool = instance.Serving, s.now().UTC(), "", ""
+		if result == wave.Maintained {
+			in.Maintained = in.Since
+		}
+		if err := settle(t, waveID, id, result); err != nil {
+			return err
+		}
+		return t.replace(old, in)
+	})
+}
+
+// settle records the result in the wave's row, if the row exists.
+func settle(t *txn, waveID, id string, result wave.Result) error {
+	if waveID == "" || result == "" {
+		return nil
+	}
+	var w wave.Wave
+	ok, err := t.get(wave.Prefix+waveID, &w)
+	if err != nil || !ok {
+		return err
+	}
+	if w.Settle(id, result) {
+		t.put(wave.Prefix+waveID, w)
+	}
+	return nil
+}
+
+// FinishMove puts a drained instance into the target pool of its move.
+func (s *Store) FinishMove(ctx context.Context, m Move) (int64, error) {
+	return s.transact(ctx, func(t *txn) error {
+		in, ok, err := t.instance(m.Instance)
+		switch {
+		case err != nil:
+			return err
+		case ok && in.State == instance.Serving && in.Pool == m.To:
+			return s.endMove(t, m.ID, MoveDone, "")
+		case !ok, in.State != instance.Draining, in.TargetPool != m.To:
+			return changed("instance %s is %s with target pool %q", m.Instance, in.State, in.TargetPool)
+		}
+		old := in
+		in.Pool, in.TargetPool, in.State, in.Since = m.To, "", instance.Serving, s.now().UTC()
+		if err := s.endMove(t, m.ID, MoveDone, ""); err != nil {
+			return err
+		}
+		return t.replace(old, in)
+	})
+}
+
+// AbortMove returns the instance to service in its old pool and ends the move.
+func (s *Store) AbortMove(ctx context.Context, m Move, status MoveStatus, note string) (int64, error) {
+	return s.transact(ctx, func(t *txn) error {
+		in, ok, err := t.instance(m.Instance)
+		if err != nil {
+			return err
+		}
+		if err := s.endMove(t, m.ID, status, note); err != nil {
+			return err
+		}
+		if !ok || in.State != instance.Draining || in.TargetPool == "" {
+			return nil
+		}
+		old := in
+		in.TargetPool, in.State, in.Since = "", instance.Serving, s.now().UTC()
+		return t.replace(old, in)
+	})
+}
+
+func (s *Store) endMove(t *txn, id string, status MoveStatus, note string) error {
+	var m Move
+	ok, err := t.get(PrefixMoves+id, &m)
+	if err != nil || !ok || m.Status == status || m.Status.Ended() && status != MoveDone {
+		return err
+	}
+	// A move that an operator cancelled after its last check is done nevertheless.
+	m.Status, m.Note, m.Ended, m.Waits = status, note, s.now().UTC(), nil
+	t.put(PrefixMoves+id, m)
+	return nil
+}
+
+// RegisterByMove creates the row of a listed instance that has none, in the target pool.
+func (s *Store) RegisterByMove(ctx context.Context, m Move, p platform.Instance) (int64, error) {
+	return s.transact(ctx, func(t *txn) error {
+		in, err := s.register(t, p, m.To)
+		if err != nil {
+			return err
+		}
+		if in.Pool != m.To {
+			return changed("instance %s is in pool %s", in.ID, in.Pool)
+		}
+		return s.endMove(t, m.ID, MoveDone, "registered")
+	})
+}
+
+// Fail records an unplanned failure. It counts against the budget, and may exceed it.
+func (s *Store) Fail(ctx context.Context, id, why string) (int64, error) {
+	return s.transact(ctx, func(t *txn) error {
+		in, ok, err := t.instance(id)
+		if err != nil || !ok || in.State == instance.Failed {
+			return err
+		}
+		if err := settle(t, in.Wave, id, wave.Failed); err != nil {
+			return err
+		}
+		old := in
+		in.State, in.Since, in.Wave, in.TargetPool = instance.Failed, s.now().UTC(), "", ""
+		return t.replace(old, in)
+	})
+}
+
+// Return puts a failed instance back into service, with the address of the platform's list.
+func (s *Store) Return(ctx context.Context, p platform.Instance) (int64, error) {
+	return s.transact(ctx, func(t *txn) error {
+		in, ok, err := t.instance(p.ID)
+		if err != nil || !ok || in.State != instance.Failed {
+			return err
+		}
+		old := in
+		in.State, in.Since = instance.Serving, s.now().UTC()
+		locate(&in, p)
+		return t.replace(old, in)
+	})
+}
+
+// Relocate takes over address, zone and rack from the platform's list.
+func (s *Store) Relocate(ctx context.Context, p platform.Instance) (int64, error) {
+	return s.transact(ctx, func(t *txn) error {
+		in, ok, err := t.instance(p.ID)
+		if err != nil || !ok {
+			return err
+		}
+		old := in
+		if locate(&in, p); in == old {
+			return nil
+		}
+		return t.replace(old, in)
+	})
+}
+
+func locate(in *instance.Instance, p platform.Instance) {
+	in.Address, in.Zone, in.Region, in.Rack, in.Slots = p.Address, p.Zone, p.Region, p.Rack, p.Slots
+}
+
+// Remove deletes the row of an instance that failed and did not come back.
+func (s *Store) Remove(ctx context.Context, id string) (int64, error) {
+	return s.transact(ctx, func(t *txn) error {
+		in, ok, err := t.instance(id)
+		if err != nil || !ok {
+			return err
+		}
+		if in.State != instance.Failed {
+			return changed("instance %s is %s", id, in.State)
+		}
+		if err := t.setOut(in.Pool, id, nil); err != nil {
+			return err
+		}
+		t.delete(instance.Prefix + id)
+		return nil
+	})
+}
+
+// UpdateWave changes a wave's row under the lease. change returns false if nothing is to be written.
+func (s *Store) UpdateWave(ctx context.Context, id string, change func(*wave.Wave) bool) error {
+	_, err := s.transact(ctx, func(t *txn) error {
+		var w wave.Wave
+		ok, err := t.get(wave.Prefix+id, &w)
+		if err == nil && ok && change(&w) {
+			t.put(wave.Prefix+id, w)
+		}
+		return err
+	})
+	return err
+}
+
+// UpdateMove changes a move's row under the lease.
+func (s *Store) UpdateMove(ctx context.Context, id string, change func(*Move) bool) error {
+	_, err := s.transact(ctx, func(t *txn) error {
+		var m Move
+		ok, err := t.get(PrefixMoves+id, &m)
+		if err == nil && ok && change(&m) {
+			t.put(PrefixMoves+id, m)
+		}
+		return err
+	})
+	return err
+}
+
+// CreateMove creates a move that the mover planned.
+func (s *Store) CreateMove(ctx context.Context, m Move) error {
+	_, err := s.transact(ctx, func(t *txn) error { return createMove(t, m) })
+	return err
+}
+
+// Forget deletes the row of a wave or move that ended long ago.
+func (s *Store) Forget(ctx context.Context, key string) error {
+	_, err := s.transact(ctx, func(t *txn) error {
+		var raw struct{}
+		ok, err := t.get(key, &raw)
+		if err == nil && ok {
+			t.delete(key)
+		}
+		return err
+	})
+	return err
+}
--- /dev/null
+++ b/mover/greedy.go
@@ -0,0 +1,50 @@
+package mover
+
+import (
+	"fmt"
+	"math"
+)
+
+// Greedy moves spare instances to a pool as soon as its demand exceeds its size, and returns them as
+// soon as it falls. It is a baseline.
+type Greedy struct {
+	base map[string]int
+}
+
+// Name implements Policy.
+func (*Greedy) Name() string { return "greedy" }
+
+// Plan implements Policy.
+func (g *Greedy) Plan(in Input) []Move {
+	if g.base == nil {
+		g.base = map[string]int{}
+		for _, p := range in.Pools {
+			g.base[p.Name] = p.Serving
+		}
+	}
+	spare := -1
+	for i, p := range in.Pools {
+		if p.Role == Spare {
+			spare = i
+		}
+	}
+	if spare < 0 {
+		return nil
+	}
+	left := min(in.Pools[spare].Serving, in.Pools[spare].Movable)
+	var moves []Move
+	for _, p := range in.Pools {
+		if p.Role != Home {
+			continue
+		}
+		want := max(int(math.Ceil(p.Demand/p.Slots)), g.base[p.Name])
+		have := p.Serving + p.MovingIn
+		for ; have < want && left > 0; have, left = have+1, left-1 {
+			moves = append(moves, Move{From: in.Pools[spare].Name, To: p.Name, Why: fmt.Sprintf("demand of %.0f slots", p.Demand)})
+		}
+		for n := p.Movable; have > want && n > 0; have, n = have-1, n-1 {
+			moves = append(moves, Move{From: p.Name, To: in.Pools[spare].Name, Why: fmt.Sprintf("demand of %.0f slots", p.Demand)})
+		}
+	}
+	return moves
+}
--- /dev/null
+++ b/wave/wave_test.go
@@ -0,0 +1,327 @@
+package wave
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"samphirepoint/instance"
+	"samphirepoint/table"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// fleetOf places n instances in pools, zones and racks of four in turn.
+func fleetOf(n, pools, zones int) *instance.Fleet {
+	f := &instance.Fleet{Version: 1, Instances: map[string]instance.Instance{}}
+	for i := range n {
+		rack := i / 4
+		id := fmt.Sprintf("w%03d", i)
+		f.Instances[id] = instance.Instance{ID: id, Pool: fmt.Sprintf("p%d", i%pools), Zone: fmt.Sprintf("z%d", rack%zones),
+			Rack: fmt.Sprintf("r%d", rack), State: instance.Serving, Slots: 8}
+	}
+	return f
+}
+
+func set(f *instance.Fleet, id string, change func(*instance.Instance)) {
+	in := f.Instances[id]
+	change(&in)
+	f.Instances[id] = in
+}
+
+// The strictest backer of any queue that uses the pool must set the budget; a pool without queues has none.
+func TestBudgetsOf(t *testing.T) {
+	g := NewWithT(t)
+	b := BudgetsOf(&table.Document{
+		Backers: []table.Backer{{Name: "a", MaxUnavailable: 3}, {Name: "b", MaxUnavailable: 1}, {Name: "c", MaxUnavailable: 0}},
+		Pools:   []table.Pool{{Name: "x"}, {Name: "y"}, {Name: "parked", Spare: true}},
+		Queues:  []table.Queue{{Name: "q", Pools: []string{"x", "y"}, Backers: []string{"a", "b"}}, {Name: "r", Pools: []string{"y"}, Backers: []string{"a"}}},
+	})
+	g.Expect(b).To(Equal(Budgets{"x": {1, "b"}, "y": {1, "b"}, "parked": {Limit: Unlimited}}))
+}
+
+// simulation applies the planner's steps to a fleet with faults, as the controller does.
+type simulation struct {
+	t        *rapid.T
+	now      time.Time
+	f        *instance.Fleet
+	budgets  Budgets
+	waves    []*Wave
+	failures []Failure
+	done     map[string]int
+}
+
+func (s *simulation) wave(id string) *Wave {
+	i := slices.IndexFunc(s.waves, func(w *Wave) bool { return w.ID == id })
+	return s.waves[i]
+}
+
+func (s *simulation) step() {
+	var active []*Wave
+	for _, w := range s.waves {
+		if !w.Status.Ended() {
+			active = append(active, w)
+		}
+	}
+	for _, st := range Next(Input{Now: s.now, Fleet: s.f, Budgets: s.budgets, Waves: active, Failures: s.failures}) {
+		s.apply(st)
+	}
+}
+
+func (s *simulation) apply(st Step) {
+	w := s.wave(st.Wave)
+	switch st.Kind {
+	case StepStart:
+		w.Start(s.now)
+	case StepDrain:
+		s.drain(w, st)
+	case StepSettle:
+		w.Settle(st.Instance, st.Result)
+	case StepPause:
+		w.Status, w.Pause = Paused, st.Pause
+	case StepResume:
+		w.Status, w.Pause = Running, nil
+	case StepFinish:
+		w.Status = Done
+	case StepGiveWay:
+		w.YieldTo = st.YieldTo
+		for id, in := range s.f.Instances {
+			if in.Wave == w.ID && in.State == instance.Draining {
+				s.serve(id)
+			}
+		}
+	case StepWait:
+		if len(st.Waits) == 0 || st.Waits[0].For.Name == "" {
+			s.t.Fatalf("wait without a cause: %+v", st)
+		}
+	}
+}
+
+func (s *simulation) drain(w *Wave, st Step) {
+	in := s.f.Instances[st.Instance]
+	if in.State != instance.Serving || w.Status != Running {
+		s.t.Fatalf("drain of %s instance in %s wave", in.State, w.Status)
+	}
+	for _, id := range Out(s.f, in.Pool) {
+		if o := s.f.Instances[id]; o.Wave != "" && (o.Rack != in.Rack || o.Zone != in.Zone) {
+			s.t.Fatalf("pool %s maintains racks %s and %s", in.Pool, o.Rack, in.Rack)
+		}
+	}
+	set(s.f, st.Instance, func(in *instance.Instance) { in.State, in.Wave, in.Since = instance.Draining, w.ID, s.now })
+	if out := Out(s.f, in.Pool); len(out) > s.budgets.Of(in.Pool).Limit {
+		s.t.Fatalf("pool %s has %v out, budget %d", in.Pool, out, s.budgets.Of(in.Pool).Limit)
+	}
+}
+
+func (s *simulation) serve(id string) {
+	set(s.f, id, func(in *instance.Instance) { in.State, in.Wave, in.TargetPool = instance.Serving, "", "" })
+}
+
+// advance lets an instance go one state on.
+func (s *simulation) advance(id string) {
+	in := s.f.Instances[id]
+	switch in.State {
+	case instance.Draining:
+		if in.TargetPool != "" {
+			set(s.f, id, func(in *instance.Instance) { in.Pool = in.TargetPool })
+			s.serve(id)
+			return
+		}
+		w := s.wave(in.Wave)
+		for _, mate := range w.Mates(id, s.f) {
+			if s.f.Instances[mate].Wave != w.ID {
+				return
+			}
+		}
+		set(s.f, id, func(in *instance.Instance) { in.State = instance.Rebooting })
+	case instance.Rebooting:
+		s.wave(in.Wave).Settle(id, Maintained)
+		s.done[id]++
+		s.serve(id)
+	}
+}
+
+func (s *simulation) fail(id string) {
+	in := s.f.Instances[id]
+	if in.Wave != "" {
+		s.wave(in.Wave).Settle(id, Failed)
+	}
+	s.failures = append(s.failures, Failure{Instance: id, Zone: in.Zone, Rack: in.Rack, At: s.now})
+	set(s.f, id, func(in *instance.Instance) { in.State, in.Wave, in.TargetPool = instance.Failed, "", "" })
+}
+
+// Random waves, moves, failures and returns must never lead to a step that exceeds a budget, maintains two
+// racks of a pool, or drains an instance twice; and once faults stop, all waves must end.
+func TestWavesKeepBudgets(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		pools := rapid.IntRange(1, 4).Draw(rt, "pools")
+		s := &simulation{t: rt, now: start, f: fleetOf(rapid.IntRange(4, 40).Draw(rt, "n"), pools, 3), budgets: Budgets{}, done: map[string]int{}}
+		for p := range pools {
+			s.budgets[fmt.Sprintf("p%d", p)] = Budget{rapid.IntRange(1, 4).Draw(rt, "limit"), "b"}
+		}
+		for i := range rapid.IntRange(1, 3).Draw(rt, "waves") {
+			r := Request{ID: fmt.Sprint("wave", i), RackAtOnce: rapid.Bool().Draw(rt, "rack"), Length: time.Hour}
+			w, err := Plan(s.f, s.budgets, r, start.Add(time.Duration(i)))
+			if err != nil {
+				continue
+			}
+			w.Start(s.now)
+			s.waves = append(s.waves, w)
+		}
+		ids := slices.Sorted(func(yield func(string) bool) {
+			for id := range s.f.Instances {
+				if !yield(id) {
+					return
+				}
+			}
+		})
+		for range rapid.IntRange(0, 80).Draw(rt, "events") {
+			s.now = s.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(rt, "s")) * time.Second)
+			id := rapid.SampledFrom(ids).Draw(rt, "instance")
+			switch rapid.IntRange(0, 9).Draw(rt, "event") {
+			case 0:
+				s.fail(id)
+			case 1:
+				if s.f.Instances[id].State == instance.Failed {
+					s.serve(id)
+				}
+			case 2:
+				if in := s.f.Instances[id]; in.State == instance.Serving && len(Out(s.f, in.Pool)) < s.budgets.Of(in.Pool).Limit {
+					set(s.f, id, func(in *instance.Instance) { in.State, in.TargetPool = instance.Draining, "p0" })
+				}
+			default:
+				s.advance(id)
+			}
+			s.step()
+		}
+		s.settleDown(rt, ids)
+	})
+}
+
+// settleDown ends all faults, resumes paused waves and expects all waves to end before their deadlines pass.
+func (s *simulation) settleDown(rt *rapid.T, ids []string) {
+	s.failures = nil
+	for _, id := range ids {
+		if s.f.Instances[id].State == instance.Failed {
+			s.serve(id)
+		}
+	}
+	for _, w := range s.waves {
+		if w.Status == Paused {
+			w.Status, w.Pause = Running, nil
+		}
+		w.Deadline = s.now.Add(time.Hour)
+	}
+	for range 600 {
+		s.now = s.now.Add(time.Second)
+		s.step()
+		for _, id := range ids {
+			s.advance(id)
+		}
+	}
+	for _, w := range s.waves {
+		if w.Status != Done {
+			rt.Fatalf("wave %s is %s: %v, YieldTo %q", w.ID, w.Status, w.Results, w.YieldTo)
+		}
+	}
+	for id, n := range s.done {
+		if n > len(s.waves) {
+			rt.Fatalf("instance %s maintained %d times by %d waves", id, n, len(s.waves))
+		}
+	}
+}
+
+// Two rack waves that each hold the budget that the other one needs would wait until their deadlines:
+// the younger one must give way.
+func TestCycleGivesWay(t *testing.T) {
+	g := NewWithT(t)
+	f := &instance.Fleet{Instances: map[string]instance.Instance{}}
+	budgets := Budgets{"p": {1, "b"}, "q": {1, "b"}}
+	for _, in := range []instance.Instance{
+		{ID: "a1", Rack: "ra", Pool: "p", State: instance.Draining, Wave: "a"}, {ID: "a2", Rack: "ra", Pool: "q", State: instance.Serving},
+		{ID: "b1", Rack: "rb", Pool: "p", State: instance.Serving}, {ID: "b2", Rack: "rb", Pool: "q", State: instance.Draining, Wave: "b"},
+	} {
+		f.Instances[in.ID] = in
+	}
+	var waves []*Wave
+	for i, rack := range []string{"a", "b"} {
+		w, err := Plan(f, budgets, Request{ID: rack, Rack: "r" + rack, RackAtOnce: true}, start.Add(time.Duration(i)))
+		g.Expect(err).NotTo(HaveOccurred())
+		w.Start(start)
+		waves = append(waves, w)
+	}
+	steps := Next(Input{Now: start, Fleet: f, Budgets: budgets, Waves: waves})
+	last := steps[len(steps)-1]
+	g.Expect(last.Kind).To(Equal(StepGiveWay))
+	g.Expect([]string{last.Wave, last.YieldTo}).To(Equal([]string{"b", "a"}))
+	for _, s := range steps[:len(steps)-1] {
+		g.Expect(s.Kind).To(Equal(StepWait), "%+v", s)
+	}
+}
+
+// Two failures in the zone that a wave works in must stop it until an operator looks; failures that
+// only use up the budget stop it until they are gone.
+func TestPauses(t *testing.T) {
+	g := NewWithT(t)
+	f := fleetOf(24, 1, 2)
+	budgets := Budgets{"p0": {2, "b"}}
+	w, err := Plan(f, budgets, Request{ID: "w"}, start)
+	g.Expect(err).NotTo(HaveOccurred())
+	w.Start(start)
+	in := Input{Now: start.Add(30 * time.Second), Fleet: f, Budgets: budgets, Waves: []*Wave{w},
+		Failures: []Failure{{"w000", "z0", "r0", start}, {"w001", "z0", "r0", start.Add(20 * time.Second)}}}
+	g.Expect(Next(in)[0].Pause).To(HaveField("Auto", false))
+	w.Resumed = start.Add(25 * time.Second)
+	g.Expect(Next(in)[0].Kind).To(Equal(StepDrain), "the operator has seen these failures")
+
+	in.Failures = nil
+	for _, id := range []string{"w020", "w021"} {
+		set(f, id, func(in *instance.Instance) { in.State = instance.Failed })
+	}
+	s := Next(in)[0]
+	g.Expect(s.Pause).To(HaveField("Auto", true))
+	w.Status, w.Pause = Paused, s.Pause
+	g.Expect(Next(in)).To(BeEmpty())
+	set(f, "w020", func(in *instance.Instance) { in.State = instance.Serving })
+	g.Expect(Next(in)[0].Kind).To(Equal(StepResume))
+}
+
+// A rack that can never be out as a whole must be rejected when it is planned, not at its deadline.
+func TestRackBeyondBudget(t *testing.T) {
+	g := NewWithT(t)
+	_, err := Plan(fleetOf(8, 1, 1), Budgets{"p0": {2, "b"}}, Request{RackAtOnce: true}, start)
+	g.Expect(err).To(MatchError(ContainSubstring("budget is 2")))
+}
+
+// The fleet of two years' time must fit into 4 weeks with a budget of 2 per pool, each instance once, one
+// zone a day, and a pool without budget must be reported instead of dropped.
+func TestCycleOfWholeFleet(t *testing.T) {
+	g := NewWithT(t)
+	f := fleetOf(1500, 67, 5)
+	budgets := Budgets{}
+	for p := range 67 {
+		budgets[fmt.Sprintf("p%d", p)] = Budget{2, "b"}
+	}
+	plan := Cycle(f, budgets, DefaultCycle(start))
+	g.Expect(plan.Shortfalls).To(BeEmpty())
+	seen := map[string]int{}
+	for _, d := range plan.Days {
+		g.Expect(d.Date).To(BeTemporally("<", start.AddDate(0, 0, 28)))
+		for _, gr := range d.Groups {
+			g.Expect(gr.Zone).To(Equal(d.Zone))
+			for _, id := range gr.Instances {
+				seen[id]++
+			}
+		}
+	}
+	g.Expect(seen).To(HaveLen(1500))
+	g.Expect(seen).To(HaveEach(1))
+	g.Expect(len(plan.Days)).To(BeNumerically("<=", 21))
+
+	budgets["p0"] = Budget{0, "strict"}
+	g.Expect(Cycle(f, budgets, DefaultCycle(start)).Shortfalls).To(ContainElement(HaveField("Why", ContainSubstring("strict"))))
+}
