Add admin routes and commands for pools and maintenance

Operators had no way to see pools, ask for moves or run waves. The routes write rows under condition and leave instance rows to the lease holder; each change carries an operation id, so that a repeat after a lost reply writes nothing.

--- /dev/null
+++ b/admin/fleet.go
@@ -0,0 +1,121 @@
+package admin
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphirepoint/auth"
+	"samphirepoint/fleet"
+	"samphirepoint/instance"
+	"samphirepoint/table"
+	"samphirepoint/verdict"
+)
+
+// Paths of the fleet's routes.
+const (
+	PathPools       = "/admin/pools"
+	PathMoves       = "/admin/moves"
+	PathMaintenance = "/admin/maintenance"
+)
+
+// FleetOptions are the parts that serve the fleet's routes.
+type FleetOptions struct {
+	Operations *fleet.Operations
+	// Fleet returns the instance rows that this entry holds, or nil before the first read.
+	Fleet func() *instance.Fleet
+	// Document returns the accepted configuration, or nil before the first version.
+	Document func() *table.Document
+	Verifier auth.Verifier
+	Now      func() time.Time
+	Log      zerolog.Logger
+}
+
+// RegisterFleet adds the routes of pools, moves and maintenance to mux.
+func RegisterFleet(mux *http.ServeMux, opt FleetOptions) {
+	if opt.Now == nil {
+		opt.Now = time.Now
+	}
+	h := &fleetHandler{opt}
+	mux.HandleFunc("GET "+PathPools, h.serve(auth.RoleViewer, h.pools))
+	mux.HandleFunc("GET "+PathPools+"/{pool}", h.serve(auth.RoleViewer, h.pool))
+	mux.HandleFunc("POST "+PathPools+"/{pool}/move", h.serve(auth.RoleOperator, h.move))
+	mux.HandleFunc("POST "+PathPools+"/{pool}/grow", h.serve(auth.RoleOperator, h.grow))
+	mux.HandleFunc("POST "+PathPools+"/{pool}/shrink", h.serve(auth.RoleOperator, h.shrink))
+	mux.HandleFunc("GET "+PathMoves, h.serve(auth.RoleViewer, h.moves))
+	mux.HandleFunc("DELETE "+PathMoves+"/{id}", h.serve(auth.RoleOperator, h.cancelMove))
+	mux.HandleFunc("GET "+PathMaintenance, h.serve(auth.RoleViewer, h.waves))
+	mux.HandleFunc("POST "+PathMaintenance, h.serve(auth.RoleOperator, h.plan))
+	mux.HandleFunc("GET "+PathMaintenance+"/{id}", h.serve(auth.RoleViewer, h.wave))
+	mux.HandleFunc("POST "+PathMaintenance+"/{id}/{action}", h.serve(auth.RoleOperator, h.changeWave))
+}
+
+type fleetHandler struct{ opt FleetOptions }
+
+// serve authenticates the request, bounds its body and time, and writes the answer.
+func (h *fleetHandler) serve(role auth.Role, answer func(call) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		principal, err := authorize(h.opt.Verifier, role, r)
+		if err != nil {
+			writeTableError(w, err)
+			return
+		}
+		body, err := readTableBody(w, r)
+		if err != nil {
+			writeTableError(w, err)
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), tableTimeout)
+		defer cancel()
+		reply, err := answer(call{ctx: ctx, request: r, operator: principal.Name, body: body})
+		log := h.opt.Log.Info().Str("operator", principal.Name).Str("method", r.Method).Str("path", r.URL.Path)
+		if err != nil {
+			log.Err(err).Msg("fleet request refused")
+			writeTableError(w, err)
+			return
+		}
+		if r.Method != http.MethodGet {
+			log.Msg("fleet request done")
+		}
+		writeReply(w, reply)
+	}
+}
+
+// snapshot returns the fleet and the configuration that this entry holds.
+func (h *fleetHandler) snapshot() (*instance.Fleet, *table.Document, error) {
+	f, doc := h.opt.Fleet(), h.opt.Document()
+	if f == nil || doc == nil {
+		return nil, nil, verdict.Unavailable(time.Second, "this entry has not read the fleet yet")
+	}
+	return f, doc, nil
+}
+
+func notFound(format string, args ...any) error {
+	return verdict.New(verdict.NotRun, http.StatusNotFound, format, args...)
+}
+
+func badRequest(format string, args ...any) error {
+	return verdict.New(verdict.NotRun, http.StatusBadRequest, format, args...)
+}
+
+// operationID returns the id of a change; a repeat must carry the same one. It becomes part of
+// row keys, so its form is restricted.
+func (c call) operationID(body string) (string, error) {
+	id := strings.ToLower(cmp.Or(body, c.operation()))
+	if len(id) > 64 || strings.HasPrefix(id, ".") || strings.ContainsFunc(id, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < '0' || r > '9') && !strings.ContainsRune("-_.", r)
+	}) {
+		return "", badRequest("operation %q: expected up to 64 of a-z, 0-9, -, _ and ., not starting with .", id)
+	}
+	return id, nil
+}
+
+func sortBy[T any, K cmp.Ordered](list []T, key func(T) K) []T {
+	slices.SortStableFunc(list, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
+	return list
+}
--- a/command/all.go
+++ b/command/all.go
@@ -7,5 +7,7 @@
 	return []subcommands.Command{
 		versionCommand{},
 		newTableCommand(),
+		newPoolCommand(),
+		newMaintenanceCommand(),
 	}
 }
--- /dev/null
+++ b/command/fleet.go
@@ -0,0 +1,179 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"samphirepoint/admin"
+)
+
+// fleetCommand is a command with actions on pools or on maintenance waves.
+type fleetCommand struct {
+	name, synopsis, intro string
+	actions               []fleetAction
+	stdout, stderr        io.Writer
+	getenv                func(string) string
+	flags                 fleetFlags
+}
+
+// fleetFlags are the flags of all actions.
+type fleetFlags struct {
+	entry, tokenFile string
+	json             bool
+
+	dryRun                     bool
+	operation, reason          string
+	to, from, region           string
+	count                      int
+	spare                      bool
+	id, pools, instances       string
+	zone, rack                 string
+	rackAtOnce, cycle          bool
+	drainTimeout, length, when string
+}
+
+// fleetAction is one of the words after the command.
+type fleetAction struct {
+	name, args, synopsis, example string
+	flags                         func(*flag.FlagSet, *fleetFlags)
+	run                           func(context.Context, *fleetRun) error
+}
+
+// fleetRun is one invocation of an action.
+type fleetRun struct {
+	*fleetCommand
+	client admin.FleetClient
+	tables *admin.Client
+	args   []string
+}
+
+func newFleetCommand(name, synopsis, intro string, actions []fleetAction) *fleetCommand {
+	return &fleetCommand{name: name, synopsis: synopsis, intro: intro, actions: actions, stdout: os.Stdout, stderr: os.Stderr, getenv: os.Getenv}
+}
+
+func (c *fleetCommand) Name() string     { return c.name }
+func (c *fleetCommand) Synopsis() string { return c.synopsis }
+
+func (c *fleetCommand) Usage() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "samphirepoint %s [-entry ADDR[,ADDR]] [-token-file FILE] [-json] ACTION\n  %s\n  Actions, each with -h for its flags:\n", c.name, c.intro)
+	for _, a := range c.actions {
+		fmt.Fprintf(&b, "    %-7s %s\n", a.name, a.synopsis)
+	}
+	fmt.Fprintf(&b, "  Example: samphirepoint %s %s\n", c.name, c.actions[1].example)
+	return b.String()
+}
+
+// SetFlags implements subcommands.Command.
+func (c *fleetCommand) SetFlags(f *flag.FlagSet) {
+	c.flags.entry, c.flags.tokenFile = c.getenv(envEntry), c.getenv(envTokenFile)
+	c.commonFlags(f)
+}
+
+// commonFlags adds the flags that may stand before and after the action.
+func (c *fleetCommand) commonFlags(f *flag.FlagSet) {
+	f.StringVar(&c.flags.entry, "entry", c.flags.entry, "`ADDR[,ADDR]` of entries, tried in turn; default from "+envEntry)
+	f.StringVar(&c.flags.tokenFile, "token-file", c.flags.tokenFile, "`FILE` with the operator's bearer token; default from "+envTokenFile)
+	f.BoolVar(&c.flags.json, "json", c.flags.json, "print JSON")
+}
+
+// Execute implements subcommands.Command.
+func (c *fleetCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	err := c.execute(ctx, f.Args())
+	var usage usageError
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return subcommands.ExitSuccess
+	case errors.As(err, &usage):
+		fmt.Fprintf(c.stderr, "samphirepoint %s: %v\n", c.name, err)
+		return subcommands.ExitUsageError
+	}
+	printError(c.stderr, c.flags.json, err)
+	return subcommands.ExitFailure
+}
+
+func (c *fleetCommand) execute(ctx context.Context, args []string) error {
+	if len(args) == 0 {
+		fmt.Fprint(c.stderr, c.Usage())
+		return usagef("an action is missing")
+	}
+	for _, a := range c.actions {
+		if a.name == args[0] {
+			return c.runAction(ctx, a, args[1:])
+		}
+	}
+	return usagef("unknown action %q; samphirepoint help %s lists the actions", args[0], c.name)
+}
+
+// runAction reads the flags before, between and after the arguments: pool move w1 -to spare works as
+// well as pool move -to spare w1.
+func (c *fleetCommand) runAction(ctx context.Context, a fleetAction, args []string) error {
+	f := c.actionFlags(a)
+	var positional []string
+	for {
+		if err := f.Parse(args); err != nil {
+			if errors.Is(err, flag.ErrHelp) {
+				return err
+			}
+			return usageError{err}
+		}
+		if f.NArg() == 0 {
+			break
+		}
+		positional, args = append(positional, f.Arg(0)), f.Args()[1:]
+	}
+	client, err := newClient(c.flags.entry, c.flags.tokenFile)
+	if err != nil {
+		return err
+	}
+	return a.run(ctx, &fleetRun{fleetCommand: c, client: admin.FleetClient{Caller: client}, tables: client, args: positional})
+}
+
+func (c *fleetCommand) actionFlags(a fleetAction) *flag.FlagSet {
+	f := flag.NewFlagSet(c.name+" "+a.name, flag.ContinueOnError)
+	f.SetOutput(c.stderr)
+	c.commonFlags(f)
+	if a.flags != nil {
+		a.flags(f, &c.flags)
+	}
+	f.Usage = func() {
+		fmt.Fprintf(c.stderr, "samphirepoint %s %s\n  %s\n  Example: samphirepoint %s %s\n", c.name,
+			strings.TrimSpace(a.name+" [flags] "+a.args), a.synopsis, c.name, a.example)
+		f.PrintDefaults()
+	}
+	return f
+}
+
+// exactly refuses another number of arguments.
+func (r *fleetRun) exactly(n int, what string) error {
+	if len(r.args) != n {
+		return usagef("expected %s, found %d arguments", what, len(r.args))
+	}
+	return nil
+}
+
+// print writes v as JSON if asked for, and with text otherwise.
+func (r *fleetRun) print(v any, text func(io.Writer)) error {
+	if r.flags.json {
+		return printJSON(r.stdout, v)
+	}
+	text(r.stdout)
+	return nil
+}
+
+func splitList(text string) []string {
+	return strings.FieldsFunc(text, func(r rune) bool { return r == ',' || r == ' ' })
+}
+
+func changeFlags(f *flag.FlagSet, v *fleetFlags) {
+	f.BoolVar(&v.dryRun, "dry-run", false, "show what would be asked for, and change nothing")
+	f.StringVar(&v.operation, "operation", "", "operation `ID` of an earlier attempt with an unknown outcome")
+	f.StringVar(&v.reason, "reason", "", "`TEXT` for other operators")
+}
--- a/command/table.go
+++ b/command/table.go
@@ -152,8 +152,13 @@
 }
 
 func (c *tableCommand) client() (*admin.Client, error) {
+	return newClient(c.flags.entry, c.flags.tokenFile)
+}
+
+// newClient returns a client of the entries in the list, with the token in the file.
+func newClient(entries, tokenFile string) (*admin.Client, error) {
 	var addresses []string
-	for _, a := range strings.Split(c.flags.entry, ",") {
+	for _, a := range strings.Split(entries, ",") {
 		if a = strings.TrimSpace(a); a != "" {
 			addresses = append(addresses, a)
 		}
@@ -161,20 +166,22 @@
 	if len(addresses) == 0 {
 		return nil, usagef("no entry: set -entry or %s", envEntry)
 	}
-	if c.flags.tokenFile == "" {
+	if tokenFile == "" {
 		return nil, usagef("no token: set -token-file or %s", envTokenFile)
 	}
-	token, err := os.ReadFile(c.flags.tokenFile)
+	token, err := os.ReadFile(tokenFile)
 	if err != nil {
 		return nil, fmt.Errorf("token: %w", err)
 	}
 	return admin.NewClient(addresses, strings.TrimSpace(string(token)), &http.Client{}), nil
 }
 
+func (c *tableCommand) printError(err error) { printError(c.stderr, c.flags.json, err) }
+
 // printError prints a refusal; with -json in the form of the admin API.
-func (c *tableCommand) printError(err error) {
-	if !c.flags.json {
-		fmt.Fprintln(c.stderr, err)
+func printError(w io.Writer, asJSON bool, err error) {
+	if !asJSON {
+		fmt.Fprintln(w, err)
 		return
 	}
 	body := admin.ErrorBody{Error: err.Error()}
@@ -183,7 +190,7 @@
 		body = refusal.Body
 		body.Error = refusal.Error()
 	}
-	_ = printJSON(c.stderr, body)
+	_ = printJSON(w, body)
 }
 
 func printJSON(w io.Writer, v any) error {
--- a/fleet/controller_test.go
+++ b/fleet/controller_test.go
@@ -22,7 +22,7 @@
 	g.Expect(first.lease.Release(ctx)).To(Succeed())
 	w.procs = nil
 	ops := NewOperations(w.table, w.now)
-	plan, err := wave.Plan(&instance.Fleet{Instances: w.rows()}, wave.BudgetsOf(w.doc), wave.Request{ID: "wave", By: "op"}, w.now())
+	plan, err := wave.Plan(&instance.Fleet{Instances: w.rows()}, wave.BudgetsOf(w.doc), wave.Request{ID: "wave", By: "op", Operation: "op1"}, w.now())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(ops.CreateWaves(ctx, plan)).To(Succeed())
 	_, err = ops.ChangeWave(ctx, "wave", ActionStart, "op")
--- a/fleet/operations.go
+++ b/fleet/operations.go
@@ -24,7 +24,8 @@
 	return &Operations{table: t, now: now}
 }
 
-// CreateWaves writes planned waves in one transaction. A repeat with the same ids and operator writes nothing.
+// CreateWaves writes planned waves in one transaction. A repeat of the same operation writes nothing
+// and sets the waves to the rows.
 func (o *Operations) CreateWaves(ctx context.Context, waves ...*wave.Wave) error {
 	_, err := transact(ctx, o.table, nil, func(t *txn) error {
 		for _, w := range waves {
@@ -33,7 +34,8 @@
 			if err != nil {
 				return err
 			}
-			if ok && old.By == w.By && old.Created.Equal(w.Created) {
+			if ok && old.Operation == w.Operation && w.Operation != "" {
+				*w = old
 				continue
 			}
 			if ok {
@@ -172,7 +174,7 @@
 	for {
 		rows, err := t.List(ctx, prefix, after, pageSize)
 		if err != nil {
-			return err
+			return unavailable(err)
 		}
 		for _, row := range rows {
 			if err := each(row); err != nil {
--- a/fleet/txn.go
+++ b/fleet/txn.go
@@ -56,7 +56,7 @@
 	if !ok {
 		row, err := t.table.Get(t.ctx, key)
 		if err != nil {
-			return false, err
+			return false, unavailable(err)
 		}
 		r = &txnRow{row: row}
 		t.rows[key] = r
@@ -220,17 +220,33 @@
 // It returns the fleet version of the commit, or 0 if no instance row was written by it.
 func transact(ctx context.Context, table platform.Table, fence Fence, build func(*txn) error) (int64, error) {
 	var last error
+	unknown := false // whether an earlier commit may have taken effect
 	for range attempts {
-		if err := ctx.Err(); err != nil {
-			return 0, errors.Join(err, last)
-		}
 		version, err := attempt(ctx, table, fence, build)
-		if err == nil || !repeatable(err) {
-			return version, err
+		if err == nil {
+			return version, nil
 		}
 		last = err
+		if !repeatable(err) {
+			break
+		}
+		unknown = unknown || !errors.Is(err, platform.ErrConflict)
+		if ctx.Err() != nil {
+			break
+		}
 	}
-	return 0, fmt.Errorf("after %d attempts: %w", attempts, last)
+	switch {
+	case unknown:
+		last = verdict.Wrap(fmt.Errorf("the outcome of a transaction is unknown: %w", last), verdict.MayHaveRun, http.StatusServiceUnavailable)
+	case errors.Is(last, platform.ErrConflict):
+		last = unavailable(fmt.Errorf("after %d attempts: %w", attempts, last))
+	}
+	return 0, last
+}
+
+// unavailable marks an error after which nothing was written.
+func unavailable(err error) error {
+	return verdict.WithRetryAfter(verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable), time.Second)
 }
 
 // commitError marks errors of the commit itself, as opposed to reads and checks.
--- a/wave/budget.go
+++ b/wave/budget.go
@@ -37,7 +37,7 @@
 	}
 	for _, q := range doc.Queues {
 		for _, b := range doc.Backers {
-			if len(q.Backers) > 0 && !slices.Contains(q.Backers, b.Name) {
+			if !q.Admits(b.Name) {
 				continue
 			}
 			for _, pool := range q.Pools {
--- a/wave/cycle.go
+++ b/wave/cycle.go
@@ -177,11 +177,11 @@
 }
 
 // Waves turns the plan into one wave per day, with id <prefix>-<date>, which starts by itself at that day.
-func (p CyclePlan) Waves(prefix, by string, s CycleSettings, now time.Time) []*Wave {
+func (p CyclePlan) Waves(prefix string, r Request, s CycleSettings, now time.Time) []*Wave {
 	var waves []*Wave
 	for _, d := range p.Days {
 		waves = append(waves, &Wave{
-			ID: prefix + "-" + d.Date.UTC().Format("2006-01-02"), By: by, Created: now, Status: Planned,
+			ID: prefix + "-" + d.Date.UTC().Format("2006-01-02"), By: r.By, Operation: r.Operation, Created: now, Status: Planned,
 			Reason: "cycle, zone " + d.Zone, Groups: d.Groups,
 			DrainTimeout: DefaultDrainTimeout, Length: s.Window, NotBefore: d.Date,
 		})
--- a/wave/plan.go
+++ b/wave/plan.go
@@ -15,6 +15,7 @@
 type Request struct {
 	ID           string        `json:"id,omitempty"`
 	By           string        `json:"by,omitempty"`
+	Operation    string        `json:"operation,omitempty"`
 	Reason       string        `json:"reason,omitempty"`
 	Pools        []string      `json:"pools,omitempty"`
 	Instances    []string      `json:"instances,omitempty"`
@@ -34,7 +35,7 @@
 		return nil, err
 	}
 	w := &Wave{
-		ID: r.ID, By: r.By, Reason: r.Reason, Created: now, Status: Planned, RackAtOnce: r.RackAtOnce,
+		ID: r.ID, By: r.By, Operation: r.Operation, Reason: r.Reason, Created: now, Status: Planned, RackAtOnce: r.RackAtOnce,
 		DrainTimeout: cmp.Or(r.DrainTimeout, DefaultDrainTimeout),
 		Length:       cmp.Or(r.Length, DefaultLength),
 		NotBefore:    r.NotBefore,
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -69,10 +69,12 @@
 	ID      string    `json:"id"`
 	Created time.Time `json:"created"`
 	By      string    `json:"by"`
-	Reason  string    `json:"reason,omitempty"`
-	Status  Status    `json:"status"`
-	Pause   *Pause    `json:"pause,omitempty"`
-	Groups  []Group   `json:"groups"`
+	// Operation is the id of the operator's request, so that its repeat is recognized.
+	Operation string  `json:"operation,omitempty"`
+	Reason    string  `json:"reason,omitempty"`
+	Status    Status  `json:"status"`
+	Pause     *Pause  `json:"pause,omitempty"`
+	Groups    []Group `json:"groups"`
 	// RackAtOnce reboots the instances of a rack together, after all of them have drained.
 	RackAtOnce   bool          `json:"rackAtOnce,omitempty"`
 	DrainTimeout time.Duration `json:"drainTimeout"`
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -36,12 +36,18 @@
 // The strictest backer of any queue that uses the pool must set the budget; a pool without queues has none.
 func TestBudgetsOf(t *testing.T) {
 	g := NewWithT(t)
-	b := BudgetsOf(&table.Document{
+	doc := &table.Document{
 		Backers: []table.Backer{{Name: "a", MaxUnavailable: 3}, {Name: "b", MaxUnavailable: 1}, {Name: "c", MaxUnavailable: 0}},
 		Pools:   []table.Pool{{Name: "x"}, {Name: "y"}, {Name: "parked", Spare: true}},
 		Queues:  []table.Queue{{Name: "q", Pools: []string{"x", "y"}, Backers: []string{"a", "b"}}, {Name: "r", Pools: []string{"y"}, Backers: []string{"a"}}},
-	})
+	}
+	b := BudgetsOf(doc)
 	g.Expect(b).To(Equal(Budgets{"x": {1, "b"}, "y": {1, "b"}, "parked": {Limit: Unlimited}}))
+	for pool, budget := range b {
+		if limit, used := table.PoolBudget(doc, pool); used {
+			g.Expect(budget.Limit).To(Equal(limit), "the preview of the table shows another budget")
+		}
+	}
 }
 
 // simulation applies the planner's steps to a fleet with faults, as the controller does.
