--- a/command/all.go
+++ b/command/all.go
@@ -13,5 +13,7 @@
 		standinCommand{},
 		&loadCommand{},
 		newTableCommand(),
+		newPoolCommand(),
+		newMaintenanceCommand(),
 	}
 }
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -75,6 +75,7 @@
 	doc               *table.Document
 	budgets           wave.Budgets
 	operationsVersion int64
+	readAt            int // number of transactions before the last read
 	loaded            bool
 	waves             map[string]*wave.Wave
 	moves             map[string]*Move
@@ -158,8 +159,10 @@
 	for _, phase := range []func(context.Context) error{
 		c.watchList, c.probe, c.stepFailures, c.stepDrains, c.stepMoves, c.stepWaves, c.planMoves, c.purge,
 	} {
-		if err := c.View.Refresh(ctx); err != nil {
-			return err
+		if c.store.transactions != c.term.readAt {
+			if err := c.load(ctx); err != nil {
+				return err
+			}
 		}
 		if err := phase(ctx); err != nil {
 			return err
@@ -179,7 +182,11 @@
 		return err
 	}
 	t := c.term
-	if t.doc = c.Document(); t.doc == nil {
+	t.readAt = c.store.transactions
+	if doc := c.Document(); doc != nil {
+		t.doc = doc
+	}
+	if t.doc == nil {
 		return nil
 	}
 	t.budgets = wave.BudgetsOf(t.doc)
--- a/fleet/detect.go
+++ b/fleet/detect.go
@@ -52,7 +52,6 @@
 	worker *drainer.Worker
 	// failing is the time of the first unanswered probe since the last answer, or zero.
 	failing time.Time
-	next    time.Time
 }
 
 // watchList reads the platform's list and registers new workers. A list that cannot be read changes nothing.
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -14,11 +14,13 @@
 
 // Store changes instance rows under the fleet lease. Each method is one transaction, conditional on the lease
 // row, on the instance rows and on the disruption rows of the pools, and each may be repeated: a
-// repeat that finds its goal reached writes nothing.
+// repeat that finds its goal reached writes nothing. A Store is used by one goroutine.
 type Store struct {
 	table platform.Table
 	fence Fence
 	now   func() time.Time
+	// transactions counts the calls; the controller reads again after each.
+	transactions int
 }
 
 // NewStore returns a store whose transactions are fenced by the lease.
@@ -27,6 +29,7 @@
 }
 
 func (s *Store) transact(ctx context.Context, build func(*txn) error) (int64, error) {
+	s.transactions++
 	return transact(ctx, s.table, s.fence, build)
 }
 
@@ -97,8 +100,8 @@
 func (s *Store) checkOrder(t *txn, d Drain) (string, error) {
 	if d.Wave != "" {
 		var w wave.Wave
-		if ok, err := t.get(wave.Prefix+d.Wave, &w); err != nil || !ok || w.Status != wave.Running {
-			return "", orChanged(err, "wave %s is %s", d.Wave, w.Status)
+		if ok, err := t.get(wave.Prefix+d.Wave, &w); err != nil || !ok || w.Status != wave.Running || w.Results[d.Instance] != "" {
+			return "", orChanged(err, "wave %s is %s, its result for %s is %q", d.Wave, w.Status, d.Instance, w.Results[d.Instance])
 		}
 		return "", nil
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -85,7 +85,9 @@
 	g := NewWithT(t)
 	ctx, tab, c := context.Background(), memtable.New(), newClock()
 	lose := true
-	tab.SetHook(func(call memtable.Call) memtable.Fault { return memtable.Fault{LoseReply: lose && call.Op == memtable.OpCommit} })
+	tab.SetHook(func(call memtable.Call) memtable.Fault {
+		return memtable.Fault{LoseReply: lose && call.Op == memtable.OpCommit}
+	})
 	a := lease.New(tab, "fleet", "a", c.now)
 	g.Expect(a.Step(ctx)).To(MatchError(memtable.ErrReplyLost))
 	token, held := a.Token()
--- a/wave/plan.go
+++ b/wave/plan.go
@@ -10,11 +10,17 @@
 	"samphirepoint/verdict"
 )
 
+// MaxInstances of a wave. Each of a wave's steps reads or writes its row, which takes about 60 B per instance: 400
+// instances with 3 steps each move 30 MB in the hours of a wave. A whole large fleet is maintained by a cycle of
+// daily waves.
+const MaxInstances = 400
+
 // Request describes the wave that an operator asks for. The selections Pools, Instances, Zone and Rack
 // narrow each other; without any of them the wave covers the whole fleet.
 type Request struct {
 	ID           string        `json:"id,omitempty"`
 	By           string        `json:"by,omitempty"`
+	Operation    string        `json:"operation,omitempty"`
 	Reason       string        `json:"reason,omitempty"`
 	Pools        []string      `json:"pools,omitempty"`
 	Instances    []string      `json:"instances,omitempty"`
@@ -34,7 +40,7 @@
 		return nil, err
 	}
 	w := &Wave{
-		ID: r.ID, By: r.By, Reason: r.Reason, Created: now, Status: Planned, RackAtOnce: r.RackAtOnce,
+		ID: r.ID, By: r.By, Operation: r.Operation, Reason: r.Reason, Created: now, Status: Planned, RackAtOnce: r.RackAtOnce,
 		DrainTimeout: cmp.Or(r.DrainTimeout, DefaultDrainTimeout),
 		Length:       cmp.Or(r.Length, DefaultLength),
 		NotBefore:    r.NotBefore,
@@ -74,6 +80,9 @@
 	if len(selected) == 0 {
 		return nil, badRequest("no instance matches pools %v, instances %v, zone %q, rack %q", r.Pools, r.Instances, r.Zone, r.Rack)
 	}
+	if len(selected) > MaxInstances {
+		return nil, badRequest("the wave would cover %d instances, at most %d are possible: select pools or a zone, or plan a cycle", len(selected), MaxInstances)
+	}
 	return selected, nil
 }
 
