--- a/dev/dev.go
+++ b/dev/dev.go
@@ -97,7 +97,6 @@
 	versions []checker.VersionSample
 	accepted []checker.Acceptance
 	fleet    []report.Worker
-	budgets  []checker.Budget
 }
 
 // Start brings a deployment up and waits until all entries are ready.
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -10,6 +10,7 @@
 	"samphirepoint/filter"
 	"samphirepoint/forward"
 	"samphirepoint/job"
+	"samphirepoint/peer"
 	"samphirepoint/verdict"
 )
 
@@ -25,7 +26,7 @@
 
 // peerRoutes adds the interface for other entries.
 func (e *Entry) peerRoutes(mux *http.ServeMux) {
-	mux.Handle("/twirp/", e.gossip.Handler())
+	mux.Handle(peer.PathPrefix, e.gossip.Handler())
 	mux.HandleFunc("POST "+forward.Path, e.handleForwarded)
 	mux.HandleFunc("POST "+forward.CancelPath, e.asPeer(e.handlePeerCancel))
 	mux.HandleFunc("GET "+forward.CancelPath, e.asPeer(e.handlePeerKnows))
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -22,7 +22,6 @@
 	verdicts  map[verdict.Verdict]metrics.Counter
 	replayed  metrics.Counter
 	latency   metrics.Timer
-	inFlight  metrics.Gauge
 }
 
 func newStats(r metrics.Registry) *stats {
