--- a/command/all.go
+++ b/command/all.go
@@ -5,6 +5,15 @@
 // All returns every subcommand of the binary.
 func All() []subcommands.Command {
 	return []subcommands.Command{
+		settingsCommand{},
+		tokenCommand{},
+		&devCommand{},
+		&entryCommand{},
 		versionCommand{},
+		standinCommand{},
+		&loadCommand{},
+		newTableCommand(),
+		newPoolCommand(),
+		newMaintenanceCommand(),
 	}
 }
