Take the mover's weights as settings relative to base costs

The settings hold weights around 1, while the policy's costs were absolute, and the entry multiplied them with the costs of one deployment.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -41,7 +41,7 @@
 	})
 }
 
-// movePolicy maps the settings to a policy; the weights are relative to those of the package.
+// movePolicy maps the settings to a policy.
 func movePolicy(m settings.Moves) mover.Policy {
 	switch m.Policy {
 	case "fixed":
@@ -49,11 +49,7 @@
 	case "greedy":
 		return &mover.Greedy{}
 	}
-	s := mover.Inzira()
-	s.BufferCost *= m.BufferCost
-	s.MoveCost *= m.MoveCost
-	s.BlockingCost *= m.BlockingCost
-	return mover.NewLearned(s)
+	return mover.NewLearned(mover.Weighted(m.BufferCost, m.MoveCost, m.BlockingCost))
 }
 
 // fleetMembers lists all entries with the fleet version that each has in force.
--- a/fleet/workers.go
+++ b/fleet/workers.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"time"
 
 	"samphirepoint/drainer"
 	"samphirepoint/instance"
@@ -99,7 +98,7 @@
 }
 
 func (h *HTTPWorkers) call(ctx context.Context, method string, in instance.Instance, path string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+in.Address+path, nil)
 	if err != nil {
--- a/mover/learned.go
+++ b/mover/learned.go
@@ -26,24 +26,26 @@
 	MinSpare int
 }
 
-// defaults are those of design section 3.10; the weights differ by deployment.
-func defaults() Settings {
-	return Settings{Window: 10 * time.Minute, Hold: time.Minute, Hysteresis: 0.15, MoveInterval: time.Minute, MinSpare: 1}
+const (
+	// moveBase is the cost of a move of weight 1, in idle instance-seconds: the instance serves neither pool
+	// while it drains, which takes up to a minute for common work.
+	moveBase = 60
+	// blockingBase is the cost of a missing slot for one second at weight 1. With it a spare instance of 8 slots
+	// pays off if it is needed for 0.3 % of the time, less than one surge of some seconds in 10 minutes.
+	blockingBase = 40
+)
+
+// Weighted returns the settings of design section 3.10 with the weights of a deployment; 1 is neutral.
+func Weighted(buffer, move, blocking float64) Settings {
+	return Settings{Window: 10 * time.Minute, Hold: time.Minute, Hysteresis: 0.15, MoveInterval: time.Minute, MinSpare: 1,
+		BufferCost: buffer, MoveCost: moveBase * move, BlockingCost: blockingBase * blocking}
 }
 
 // Inzira returns the settings for long audits and a small spare pool: buffer and moves weigh more.
-func Inzira() Settings {
-	s := defaults()
-	s.BufferCost, s.MoveCost, s.BlockingCost = 1, 60, 50
-	return s
-}
+func Inzira() Settings { return Weighted(2, 2, 1) }
 
 // Hraunvik returns the settings for short work of shoppers who give up within seconds: blocking weighs most.
-func Hraunvik() Settings {
-	s := defaults()
-	s.BufferCost, s.MoveCost, s.BlockingCost = 1, 20, 200
-	return s
-}
+func Hraunvik() Settings { return Weighted(1, 1, 5) }
 
 // Learned sizes pools by learned demand and the spare by the learned overflow of all pools together.
 type Learned struct {
