--- a/filter/deduplication.go
+++ b/filter/deduplication.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"samphirepoint/claim"
@@ -22,7 +23,10 @@
 }
 
 type call struct {
-	hash   string
+	id   string
+	hash string
+	// local is set while this entry itself works on the request, as opposed to waiting for another entry.
+	local  *atomic.Bool
 	done   chan struct{}
 	answer *Answer
 	err    error
@@ -48,7 +52,7 @@
 		return verdict.WithRetryAfter(verdict.New(verdict.MayHaveRun, http.StatusConflict, "the request with this key is not in flight here any more"), attachRetryAfter)
 	}
 	if !repeat {
-		own := &call{hash: hash, done: make(chan struct{})}
+		own := &call{id: c.Request.ID, hash: hash, local: &c.local, done: make(chan struct{})}
 		f.inFlight[key] = own
 		f.mu.Unlock()
 		c.OnEnd(func() { f.finish(key, own, c) })
@@ -58,6 +62,11 @@
 	if first.hash != hash {
 		return errKeyMismatch()
 	}
+	if first.id == c.Request.ID || (c.Forwarded && !first.local.Load()) {
+		// The request came back to an entry that waits for another entry to answer it, for instance as overflow.
+		// Waiting here would close a cycle; the claim keeps the work at most once.
+		return nil
+	}
 	c.Log.Info().Str("reason", "key in flight").Msg("request attached")
 	return f.attach(c, first)
 }
--- a/filter/filter.go
+++ b/filter/filter.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -65,6 +66,8 @@
 	Err error
 	Log zerolog.Logger
 
+	// local is set once this entry serves the request itself.
+	local   atomic.Bool
 	cleanup []func()
 }
 
--- a/filter/queue.go
+++ b/filter/queue.go
@@ -82,6 +82,7 @@
 		answer, err := f.offer(c, pool)
 		taken := err == nil || !notTaken(err)
 		f.Slots.OverflowResult(c.Request.Pool, taken)
+		c.Log.Debug().Err(err).Str("pool", pool).Bool("taken", taken).Msg("overflow offered")
 		if !taken {
 			continue
 		}
--- a/filter/route.go
+++ b/filter/route.go
@@ -69,18 +69,21 @@
 	if c.Forwarded && c.Request.Hops >= maxHops {
 		// Two owners at a time are safe, a request that travels for ever is not.
 		c.ForceLocal = true
+		c.local.Store(true)
 		return nil
 	}
 	return f.route(c)
 }
 
 func (f Route) route(c *Context) error {
+	c.local.Store(false)
 	var last error
 	var failed []string
 	for {
 		target, ok := f.Router.Owner(c.Request.Pool, slices.Concat(failed, c.Request.Visited))
 		if !ok || target.Self {
 			c.ForceLocal = !ok || len(failed)+len(c.Request.Visited) > 0
+			c.local.Store(true)
 			c.Log.Debug().Str("pool", c.Request.Pool).Str("reason", "this entry owns the pool").Msg("request routed")
 			return nil
 		}
