Count overflowed requests against limits at their home pool and offer them by weight

Change: the home owner counts requests that run elsewhere, picks them by weight below the limit, and no limit is applied where they run. Refusals are logged with their verdict.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -59,8 +59,10 @@
 	waiting   map[string]*ticket
 	running   map[string]*running
 	overflow  overflowGate
-	finishes  rateMeter
-	slots     int
+	// away counts requests of this pool's queues that other pools work on, per backer.
+	away     map[string]int
+	finishes rateMeter
+	slots    int
 }
 
 func newPool(name string, policies Policies) *pool {
@@ -73,6 +75,7 @@
 		waiting:   map[string]*ticket{},
 		running:   map[string]*running{},
 		overflow:  overflowGate{batch: 1},
+		away:      map[string]int{},
 	}
 }
 
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -1,8 +1,12 @@
 package dispatch
 
 import (
+	"math"
+	"net/http"
+	"slices"
 	"time"
 
+	"samphirepoint/fairqueue"
 	"samphirepoint/outlier"
 	"samphirepoint/placement"
 	"samphirepoint/request"
@@ -150,31 +154,80 @@
 	}
 }
 
-// spill offers requests that waited long to the other pools of their queue.
+// spill offers requests that waited long to the other pools of their queue, those of the backer with the lowest
+// use of its weight first. A request that runs in another pool counts against its backer's limit here.
 func (s *Scheduler) spill(p *pool, now time.Time) {
-	if now.Before(p.overflow.next) {
+	if now.Before(p.overflow.next) || len(p.waiting) == 0 {
 		return
 	}
-	left := p.overflow.batch
-	for id, t := range p.waiting {
-		if left == 0 {
+	candidates := p.overflowCandidates(now)
+	if len(candidates) == 0 {
+		return
+	}
+	held := map[string]int{}
+	for backer, u := range p.queue.Usage() {
+		held[backer] = u.InUse + p.away[backer]
+	}
+	shares := s.fleet.Shares[p.name]
+	for range p.overflow.batch {
+		backer, ok := neediest(candidates, held, shares)
+		if !ok {
 			return
 		}
-		if !t.wish.MayOverflow || now.Sub(t.since) < overflowAfter {
+		t := candidates[backer][0]
+		candidates[backer] = candidates[backer][1:]
+		held[backer]++
+		p.away[backer]++
+		p.queue.Remove(t.id)
+		delete(p.waiting, t.id)
+		t.ready <- result{err: verdict.Wrap(ErrOverflow, verdict.NotRun, http.StatusTooManyRequests)}
+	}
+}
+
+// overflowCandidates returns the tickets per backer that may go to another pool, the oldest first.
+func (p *pool) overflowCandidates(now time.Time) map[string][]*ticket {
+	candidates := map[string][]*ticket{}
+	for _, t := range p.waiting {
+		if t.wish.MayOverflow && now.Sub(t.since) >= overflowAfter {
+			backer := t.wish.Request.Backer
+			candidates[backer] = append(candidates[backer], t)
+		}
+	}
+	for _, list := range candidates {
+		slices.SortFunc(list, func(a, b *ticket) int { return a.wish.Request.Received.Compare(b.wish.Request.Received) })
+	}
+	return candidates
+}
+
+// neediest is the backer with candidates whose slots are lowest for its weight, among those below their limit.
+func neediest(candidates map[string][]*ticket, held map[string]int, shares map[string]fairqueue.Share) (string, bool) {
+	best, bestUse := "", math.Inf(1)
+	for backer, list := range candidates {
+		share, known := shares[backer]
+		if len(list) == 0 || (known && held[backer] >= share.Limit) {
 			continue
 		}
-		left--
-		p.queue.Remove(id)
-		delete(p.waiting, id)
-		t.ready <- result{err: verdict.Wrap(ErrOverflow, verdict.NotRun, 0)}
+		weight := share.Weight
+		if weight <= 0 {
+			weight = 1
+		}
+		if use := float64(held[backer]+1) / weight; use < bestUse {
+			best, bestUse = backer, use
+		}
 	}
+	return best, best != ""
 }
 
-// OverflowResult tells whether another pool took a request of this pool.
-func (s *Scheduler) OverflowResult(pool string, taken bool) {
+// OverflowResult ends the offer of a request of this pool to another pool, which took it or not.
+func (s *Scheduler) OverflowResult(pool, backer string, taken bool) {
 	s.do(func() {
-		if p, ok := s.pools[pool]; ok {
-			p.overflow.record(s.cfg.Now(), taken)
+		p, ok := s.pools[pool]
+		if !ok {
+			return
+		}
+		p.overflow.record(s.cfg.Now(), taken)
+		if p.away[backer]--; p.away[backer] <= 0 {
+			delete(p.away, backer)
 		}
 	})
 }
@@ -190,8 +243,8 @@
 	EstimatedWait time.Duration
 }
 
-// Usage of one backer.
-type Usage struct{ InUse, Waiting int }
+// Usage of one backer. Away counts requests of the pool that run in other pools.
+type Usage struct{ InUse, Waiting, Away int }
 
 // Usage returns the state of all pools served here.
 func (s *Scheduler) Usage() map[string]PoolUsage {
@@ -201,7 +254,12 @@
 		for name, p := range s.pools {
 			u := PoolUsage{Slots: p.slots, InUse: p.queue.InUse(), Waiting: p.queue.Len(), Backers: map[string]Usage{}, EstimatedWait: p.estimatedWait(now)}
 			for backer, b := range p.queue.Usage() {
-				u.Backers[backer] = Usage{InUse: b.InUse, Waiting: b.Waiting}
+				u.Backers[backer] = Usage{InUse: b.InUse, Waiting: b.Waiting, Away: p.away[backer]}
+			}
+			for backer, n := range p.away {
+				b := u.Backers[backer]
+				b.Away = n
+				u.Backers[backer] = b
 			}
 			usage[name] = u
 		}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -57,7 +57,11 @@
 func (e *Entry) serve(w http.ResponseWriter, c *filter.Context, chain filter.Chain) {
 	start := time.Now()
 	chain.Serve(c)
-	e.stats.request(c, time.Since(start))
+	took := time.Since(start)
+	e.stats.request(c, took)
+	if c.Err != nil {
+		c.Log.Info().Err(c.Err).Str("verdict", c.Verdict().String()).Int("status", verdict.Status(c.Err)).Dur("after", took).Bool("forwarded", c.Forwarded).Msg("request refused")
+	}
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/entry/control.go
+++ b/entry/control.go
@@ -141,10 +141,14 @@
 	for _, b := range doc.Backers {
 		view.Limits[b.Name] = b.Limit()
 	}
-	for _, u := range usage {
+	home := homePools(doc)
+	for name, u := range usage {
+		if !home[name] {
+			continue
+		}
 		for backer, b := range u.Backers {
 			own := view.Own[backer]
-			view.Own[backer] = limit.Use{InUse: own.InUse + b.InUse, Waiting: own.Waiting + b.Waiting}
+			view.Own[backer] = limit.Use{InUse: own.InUse + b.InUse + b.Away, Waiting: own.Waiting + b.Waiting}
 		}
 	}
 	parts, publish := c.divider.Round(view)
@@ -152,10 +156,21 @@
 	c.e.gossip.SetDemand(publish)
 }
 
-// shares gives weights and limits per pool. A backer's part of its limit is divided over the pools of this entry
-// by demand.
+// homePools names the pools that are the first pool of some queue. Requests that overflow count against limits at the
+// owner of their home pool, so no limit is applied to them where they run.
+func homePools(doc *table.Document) map[string]bool {
+	home := map[string]bool{}
+	for _, q := range doc.Queues {
+		home[q.Pools[0]] = true
+	}
+	return home
+}
+
+// shares gives weights and limits per pool. A backer's part of its limit is divided over the home pools of this
+// entry by demand.
 func (c *control) shares(doc *table.Document, usage map[string]dispatch.PoolUsage) map[string]map[string]fairqueue.Share {
-	pools := slices.Sorted(maps.Keys(usage))
+	home := homePools(doc)
+	pools := slices.DeleteFunc(slices.Sorted(maps.Keys(usage)), func(name string) bool { return !home[name] })
 	shares := map[string]map[string]fairqueue.Share{}
 	for _, p := range doc.Pools {
 		shares[p.Name] = map[string]fairqueue.Share{}
@@ -168,7 +183,10 @@
 		limits := perPool(b.Name, part, pools, usage)
 		for name := range shares {
 			l, demanded := limits[name]
-			if !demanded {
+			switch {
+			case !home[name]:
+				l = b.Limit()
+			case !demanded:
 				l = part
 			}
 			shares[name][b.Name] = fairqueue.Share{Weight: b.Weight, Limit: l}
@@ -182,13 +200,13 @@
 	var demands []limit.Demand
 	for _, name := range pools {
 		u := usage[name].Backers[backer]
-		if d := u.InUse + u.Waiting; d > 0 {
-			demands = append(demands, limit.Demand{Owner: name, Backer: backer, InUse: u.InUse, Demand: d})
+		if d := u.InUse + u.Away + u.Waiting; d > 0 {
+			demands = append(demands, limit.Demand{Owner: name, Backer: backer, InUse: u.InUse + u.Away, Demand: d})
 		}
 	}
 	limits := make(map[string]int, len(demands))
 	for i, l := range limit.Divide(part, demands) {
-		limits[demands[i].Owner] = l
+		limits[demands[i].Owner] = max(l-usage[demands[i].Owner].Backers[backer].Away, 0)
 	}
 	return limits
 }
--- a/filter/queue.go
+++ b/filter/queue.go
@@ -14,7 +14,7 @@
 type Slots interface {
 	Acquire(ctx context.Context, w dispatch.Wish) (*dispatch.Grant, error)
 	// OverflowResult tells whether another pool took a request that did not get a slot in its own pool.
-	OverflowResult(pool string, taken bool)
+	OverflowResult(pool, backer string, taken bool)
 }
 
 // Queue waits in the fair queue of the pool for a slot on a worker. A request that waits long may
@@ -80,15 +80,13 @@
 func (f Queue) overflow(c *Context) (*Answer, error) {
 	for _, pool := range c.Queue.Pools[1:] {
 		answer, err := f.offer(c, pool)
-		taken := err == nil || !notTaken(err)
-		f.Slots.OverflowResult(c.Request.Pool, taken)
-		c.Log.Debug().Err(err).Str("pool", pool).Bool("taken", taken).Msg("overflow offered")
-		if !taken {
-			continue
+		if err == nil || !notTaken(err) {
+			f.Slots.OverflowResult(c.Request.Pool, c.Request.Backer, true)
+			c.Log.Info().Str("pool", pool).Str("reason", "home pool is full").Msg("request overflowed")
+			return answer, err
 		}
-		c.Log.Info().Str("pool", pool).Str("reason", "home pool is full").Bool("taken", taken).Msg("request overflowed")
-		return answer, err
 	}
+	f.Slots.OverflowResult(c.Request.Pool, c.Request.Backer, false)
 	return nil, nil
 }
 
