Let urgent and short work use what other owners leave of a limit at once

Cause: each owner had an equal seventh of a backer's limit until its demand had been published and answered, up to two seconds of a four-second surge. Change: limit.Bursts gives short work the limit less what others publish or may hold unpublished; long work keeps the cautious part, since it would hold slots on.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -29,6 +29,7 @@
 	ready    chan result
 	since    time.Time
 	key      runtimes.Key
+	class    request.Class
 	estimate runtimes.Estimate
 }
 
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -204,7 +204,7 @@
 	best, bestUse := "", math.Inf(1)
 	for backer, list := range candidates {
 		share, known := shares[backer]
-		if len(list) == 0 || (known && held[backer] >= share.Limit) {
+		if len(list) == 0 || (known && held[backer] >= limitFor(list[0], share)) {
 			continue
 		}
 		weight := share.Weight
@@ -218,6 +218,14 @@
 	return best, best != ""
 }
 
+// limitFor is the limit that applies to a ticket; only urgent and short work may use the burst.
+func limitFor(t *ticket, share fairqueue.Share) int {
+	if t.class == request.Long {
+		return share.Limit
+	}
+	return share.Limit + share.Burst
+}
+
 // OverflowResult ends the offer of a request of this pool to another pool, which took it or not.
 func (s *Scheduler) OverflowResult(pool, backer string, taken bool) {
 	s.do(func() {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -255,6 +255,7 @@
 	if class == request.Learned {
 		class = s.times.Class(t.key, 0, now)
 	}
+	t.class = class
 	t.estimate = s.times.Estimate(t.key, 0, now)
 	if class != request.Long {
 		p.reserve.Arrive(now, t.estimate.Mean)
--- a/entry/control.go
+++ b/entry/control.go
@@ -31,6 +31,8 @@
 	divider limit.Policy
 	parts   map[string]int
 	round   int64
+	// published names the backers whose demand was in the last round.
+	published map[string]bool
 	// fleetVersion and pools cache the grouping of instance rows by pool.
 	fleetVersion int64
 	members      int
@@ -71,7 +73,7 @@
 		usage := c.e.scheduler.Usage()
 		if time.Since(lastRound) >= limitInterval {
 			lastRound = time.Now()
-			c.divideLimits(usage)
+			c.divideLimits(ctx, usage)
 		}
 		c.publish(usage)
 		c.e.stats.observe(usage)
@@ -127,13 +129,8 @@
 	c.fleetVersion, c.members, c.pools = f.Version, members, pools
 }
 
-// divideLimits computes which part of each backer's limit this entry may use in the next round.
-func (c *control) divideLimits(usage map[string]dispatch.PoolUsage) {
-	doc := c.e.config.Snapshot()
-	if doc == nil {
-		return
-	}
-	c.round++
+// limitView is what the division of limits works from.
+func (c *control) limitView(doc *table.Document, usage map[string]dispatch.PoolUsage) limit.View {
 	view := limit.View{Limits: map[string]int{}, Own: map[string]limit.Use{}, Demands: c.e.gossip.Demands(), Heartbeat: c.round}
 	for _, m := range c.e.gossip.Members().Alive() {
 		view.Owners = append(view.Owners, m.ID)
@@ -151,9 +148,38 @@
 			view.Own[backer] = limit.Use{InUse: own.InUse + b.InUse + b.Away, Waiting: own.Waiting + b.Waiting}
 		}
 	}
-	parts, publish := c.divider.Round(view)
+	return view
+}
+
+// divideLimits computes which part of each backer's limit this entry may use in the next round, and publishes its
+// demand. Backers whose demand is published for the first time are gossiped at once.
+func (c *control) divideLimits(ctx context.Context, usage map[string]dispatch.PoolUsage) {
+	doc := c.e.config.Snapshot()
+	if doc == nil {
+		return
+	}
+	c.round++
+	parts, publish := c.divider.Round(c.limitView(doc, usage))
 	c.parts = parts
 	c.e.gossip.SetDemand(publish)
+	news := false
+	published := map[string]bool{}
+	for _, d := range publish {
+		published[d.Backer] = true
+		news = news || !c.published[d.Backer]
+	}
+	c.published = published
+	if news {
+		go c.e.gossip.Round(ctx)
+	}
+}
+
+// bursts returns what urgent and short work may use in all; see limit.Bursts.
+func (c *control) bursts(doc *table.Document, usage map[string]dispatch.PoolUsage) map[string]int {
+	if c.e.cfg.Policies.Shares == "static-split" {
+		return c.parts
+	}
+	return limit.Bursts(c.e.cfg.ID, c.limitView(doc, usage))
 }
 
 // homePools names the pools that are the first pool of some queue. Requests that overflow count against limits at the
@@ -171,6 +197,7 @@
 func (c *control) shares(doc *table.Document, usage map[string]dispatch.PoolUsage) map[string]map[string]fairqueue.Share {
 	home := homePools(doc)
 	pools := slices.DeleteFunc(slices.Sorted(maps.Keys(usage)), func(name string) bool { return !home[name] })
+	bursts := c.bursts(doc, usage)
 	shares := map[string]map[string]fairqueue.Share{}
 	for _, p := range doc.Pools {
 		shares[p.Name] = map[string]fairqueue.Share{}
@@ -180,16 +207,18 @@
 		if !known {
 			part = b.Limit()
 		}
-		limits := perPool(b.Name, part, pools, usage)
+		burst := max(bursts[b.Name], part)
+		limits, bursting := perPool(b.Name, part, pools, usage), perPool(b.Name, burst, pools, usage)
 		for name := range shares {
 			l, demanded := limits[name]
+			top := bursting[name]
 			switch {
 			case !home[name]:
-				l = b.Limit()
+				l, top = b.Limit(), b.Limit()
 			case !demanded:
-				l = part
+				l, top = part, burst
 			}
-			shares[name][b.Name] = fairqueue.Share{Weight: b.Weight, Limit: l}
+			shares[name][b.Name] = fairqueue.Share{Weight: b.Weight, Limit: l, Burst: max(top-l, 0)}
 		}
 	}
 	return shares
--- a/fairqueue/policy.go
+++ b/fairqueue/policy.go
@@ -24,6 +24,9 @@
 	Weight float64
 	// Limit is the largest number of slots that the backer may hold in this pool now.
 	Limit int
+	// Burst is the number of slots beyond Limit that urgent and short work may hold for the moment. It ends
+	// within a second of a change, since such work does; long work would hold the slots on.
+	Burst int
 }
 
 // Policy orders the requests of one pool and accounts the slots in use per backer and class.
--- a/fairqueue/weighted.go
+++ b/fairqueue/weighted.go
@@ -69,6 +69,7 @@
 	name      string
 	weight    int64
 	limit     int
+	burst     int
 	inUse     int
 	waiting   int
 	lastGrant int64
@@ -196,18 +197,27 @@
 		share = Share{Weight: 1, Limit: math.MaxInt}
 	}
 	b.limit = share.Limit
+	b.burst = share.Burst
 	b.weight = weightUnit
 	if !math.IsNaN(share.Weight) {
 		b.weight = max(int64(math.Round(min(share.Weight, maxWeight)*weightUnit)), 1)
 	}
 }
 
+// limitAt is the limit for work of a level. Only urgent and short work may use the burst.
+func (b *backer) limitAt(l level) int {
+	if l == urgent || l == short {
+		return b.limit + b.burst
+	}
+	return b.limit
+}
+
 // refresh brings the heaps and sums up to date after a change of b. Callers change b only
 // between takeOut and refresh.
 func (w *Weighted) refresh(b *backer) {
 	runnable := false
 	for l := range levels {
-		member := b.inUse < b.limit && !b.queues[l].empty()
+		member := b.inUse < b.limitAt(l) && !b.queues[l].empty()
 		w.next[l].set(b, member)
 		w.held[l].set(b, member)
 		runnable = runnable || member
