claim: repeat a claim of unknown outcome instead of giving it up

A claim whose reply was lost was abandoned at the first read that did not show it, and a repeat of a finished key was answered 'not run' when the reply to its conflicting write was lost. The write is now repeated with the same claim id and condition until the row shows who holds the key.

Claims that ended because the caller cancelled counted as failures of the table, so three cancellations opened the breaker for everybody. Only errors of the table and the claim's own time limit count now.

Before: TestReplyOfClaimLost, TestLostConflictTellsTheTruth and TestCancelledClaimsDoNotOpenTheBreaker fail.

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,349 @@
+package claim
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"samphirepoint/platform"
+	"samphirepoint/platform/memtable"
+	"samphirepoint/verdict"
+)
+
+// objects is an in-memory platform.Objects.
+type objects struct{ m sync.Map }
+
+func (o *objects) Put(_ context.Context, key string, data []byte) error {
+	o.m.Store(key, bytes.Clone(data))
+	return nil
+}
+
+func (o *objects) Get(_ context.Context, key string) ([]byte, error) {
+	data, ok := o.m.Load(key)
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return data.([]byte), nil
+}
+
+const key = "claims/b/k"
+
+func newStore(t *testing.T, table platform.Table, owner string) *Store {
+	t.Helper()
+	s := NewStore(table, &objects{}, owner)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { s.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return s
+}
+
+func flush(t *testing.T, s *Store) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	s.Flush(ctx)
+	NewWithT(t).Expect(ctx.Err()).To(Succeed(), "records in the background did not end")
+}
+
+func record(t *testing.T, table *memtable.Table) Record {
+	t.Helper()
+	row, _ := table.Direct().Get(context.Background(), key)
+	rec, err := decode(row.Value)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return rec
+}
+
+// commitsOf counts the commits of the claim key before the n-th gets the fault.
+func nthCommit(n int32, f memtable.Fault) memtable.Hook {
+	var seen atomic.Int32
+	return func(c memtable.Call) memtable.Fault {
+		if c.Op == memtable.OpCommit && c.Touches(key) && seen.Add(1) == n {
+			return f
+		}
+		return memtable.Fault{}
+	}
+}
+
+// Guards against a second run of a key, and against a wrong answer to its repeat.
+func TestRepeatOfKey(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	ctx := context.Background()
+	table := memtable.New()
+	s, other := newStore(t, table, "a"), newStore(t, table, "b")
+	first, err := s.Take(ctx, key, "h")
+	g.Expect(err).NotTo(HaveOccurred())
+
+	var existing *Existing
+	_, err = other.Take(ctx, key, "h")
+	g.Expect(errors.As(err, &existing)).To(BeTrue())
+	g.Expect(existing.Record.State).To(Equal(Claimed))
+	g.Expect(existing.Record.Owner).To(Equal("a"))
+	g.Expect(existing.Mismatch).To(BeFalse())
+
+	_, err = other.Take(ctx, key, "another body")
+	g.Expect(errors.As(err, &existing)).To(BeTrue())
+	g.Expect(existing.Mismatch).To(BeTrue())
+
+	s.Release(first)
+	flush(t, s)
+	second, err := other.Take(ctx, key, "another body")
+	g.Expect(err).NotTo(HaveOccurred(), "a released key may be used again")
+
+	g.Expect(other.Finish(second, Outcome{Verdict: "ran", Status: 200, Body: []byte("x")})).To(BeTrue())
+	_, err = s.Take(ctx, key, "another body")
+	g.Expect(errors.As(err, &existing)).To(BeTrue())
+	g.Expect(existing.Record.State).To(Equal(Done))
+	g.Expect(existing.Record.Outcome.Body).To(Equal([]byte("x")))
+}
+
+// Guards against a claim that is lost or refused although its write took effect, or that is taken twice.
+func TestReplyOfClaimLost(t *testing.T) {
+	t.Parallel()
+	unknown := errors.New("connection reset")
+	faults := map[string]memtable.Fault{
+		"reply lost after the write":    {LoseReply: true},
+		"request lost before the write": {Before: unknown},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			table := memtable.New()
+			s := newStore(t, table, "a")
+			table.SetHook(nthCommit(1, fault))
+			c, err := s.Take(context.Background(), key, "h")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(record(t, table).ClaimID).To(Equal(c.ID))
+			g.Expect(s.Finish(c, Outcome{Verdict: "ran"})).To(BeTrue())
+			g.Expect(record(t, table).State).To(Equal(Done))
+		})
+	}
+}
+
+// Guards against the answer "not run, table down" for a key that another process holds or finished, when the
+// reply to the conflicting write is lost.
+func TestLostConflictTellsTheTruth(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	table := memtable.New()
+	s, other := newStore(t, table, "a"), newStore(t, table, "b")
+	c, err := other.Take(context.Background(), key, "h")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(other.Finish(c, Outcome{Verdict: "ran", Status: 200})).To(BeTrue())
+	table.SetHook(nthCommit(1, memtable.Fault{LoseReply: true}))
+	_, err = s.Take(context.Background(), key, "h")
+	var existing *Existing
+	g.Expect(errors.As(err, &existing)).To(BeTrue(), "got %v", err)
+	g.Expect(existing.Record.State).To(Equal(Done))
+}
+
+// Guards against a usable claim from a write that arrives after its process refused the request.
+func TestLateWriteOfAbandonedClaim(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	table := memtable.New()
+	s := newStore(t, table, "a")
+	var late platform.Write
+	var caught atomic.Bool
+	table.SetHook(func(c memtable.Call) memtable.Fault {
+		if c.Op == memtable.OpCommit && !caught.Swap(true) {
+			late = c.Writes[0]
+		}
+		return memtable.Fault{Before: errors.New("no reply")}
+	})
+	_, err := s.Take(context.Background(), key, "h")
+	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue(), "got %v", err)
+	table.SetHook(nil)
+	flush(t, s)
+	g.Expect(record(t, table).State).To(Equal(Released))
+
+	_, err = table.Direct().Commit(context.Background(), []platform.Write{late})
+	g.Expect(err).To(MatchError(platform.ErrConflict))
+	_, err = newStore(t, table, "b").Take(context.Background(), key, "h")
+	g.Expect(err).NotTo(HaveOccurred(), "the key did not run, so a repeat may run it")
+}
+
+// Guards against a usable claim from a late write whose condition is the version of a released row.
+func TestLateWriteOverReleasedRow(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	table := memtable.New()
+	s := newStore(t, table, "a")
+	first, err := s.Take(context.Background(), key, "h")
+	g.Expect(err).NotTo(HaveOccurred())
+	s.Release(first)
+	flush(t, s)
+	released, _ := table.Direct().Get(context.Background(), key)
+
+	var late platform.Write
+	table.SetHook(func(c memtable.Call) memtable.Fault {
+		if c.Op != memtable.OpCommit {
+			return memtable.Fault{}
+		}
+		if w := c.Writes[0]; w.IfVersion == released.Version && late.Key == "" {
+			late = w
+		}
+		if late.Key != "" {
+			return memtable.Fault{Before: errors.New("no reply")}
+		}
+		return memtable.Fault{}
+	})
+	_, err = s.Take(context.Background(), key, "h")
+	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue(), "got %v", err)
+	table.SetHook(nil)
+	flush(t, s)
+	_, err = table.Direct().Commit(context.Background(), []platform.Write{late})
+	g.Expect(err).To(MatchError(platform.ErrConflict))
+}
+
+// Guards against one conflicting row that fails the other rows of its transaction, and against a transaction
+// for each of them.
+func TestGroupCommitWithOneConflict(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	ctx := context.Background()
+	table := memtable.New()
+	_, err := table.Direct().Commit(ctx, []platform.Write{{Key: "claims/b/9", Value: []byte("{}")}})
+	g.Expect(err).NotTo(HaveOccurred())
+	c := newCommitter(table)
+	batch := make([]*pendingWrite, maxBatch)
+	for i := range batch {
+		batch[i] = &pendingWrite{write: platform.Write{Key: fmt.Sprintf("claims/b/%d", i)}, done: make(chan commitResult, 1)}
+	}
+	c.commit(ctx, batch)
+	for i, p := range batch {
+		r := <-p.done
+		if i == 9 {
+			g.Expect(r.err).To(MatchError(platform.ErrConflict))
+			continue
+		}
+		g.Expect(r.err).NotTo(HaveOccurred(), "row %d", i)
+	}
+	g.Expect(table.Calls(memtable.OpCommit)).To(BeNumerically("<=", 13), "1 + 2 log2(64)")
+}
+
+// Guards against an answer that waits for the table, and a record that an outage loses.
+func TestRecordThroughOutage(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	table := memtable.New()
+	s := newStore(t, table, "a")
+	c, err := s.Take(context.Background(), key, "h")
+	g.Expect(err).NotTo(HaveOccurred())
+	table.SetHook(func(memtable.Call) memtable.Fault { return memtable.Fault{Before: verdict.Unavailable(0, "down")} })
+	begin := time.Now()
+	g.Expect(s.Finish(c, Outcome{Verdict: "ran"})).To(BeFalse())
+	g.Expect(time.Since(begin)).To(BeNumerically(">=", RecordTimeout))
+	g.Expect(record(t, table).State).To(Equal(Claimed))
+	table.SetHook(nil)
+	flush(t, s)
+	g.Expect(record(t, table).State).To(Equal(Done))
+}
+
+// Guards against slots held for claims that cannot succeed, and a breaker that stays open after the outage.
+func TestBreakerOpensAndProbes(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	table := memtable.New()
+	s := newStore(t, table, "a")
+	var clock atomic.Int64
+	s.now = func() time.Time { return time.Unix(0, clock.Load()) }
+	table.SetHook(func(memtable.Call) memtable.Fault { return memtable.Fault{Before: verdict.Unavailable(0, "down")} })
+	for i := range breakerThreshold {
+		g.Expect(s.Available()).To(BeTrue(), "attempt %d", i)
+		_, err := s.Take(context.Background(), key, "h")
+		g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue())
+	}
+	g.Expect(s.Available()).To(BeFalse())
+	calls := table.Calls(memtable.OpCommit)
+	_, err := s.Take(context.Background(), key, "h")
+	g.Expect(verdict.RetryAfter(err)).To(Equal(breakerProbe))
+	g.Expect(table.Calls(memtable.OpCommit)).To(Equal(calls), "no call while open")
+	clock.Add(int64(breakerProbe))
+	table.SetHook(nil)
+	_, err = s.Take(context.Background(), key, "h")
+	g.Expect(err).NotTo(HaveOccurred(), "the probe closes the breaker")
+	g.Expect(s.Available()).To(BeTrue())
+}
+
+// Guards against a wave of cancellations that opens the breaker while the table is well.
+func TestCancelledClaimsDoNotOpenTheBreaker(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s := newStore(t, memtable.New(), "a")
+	ctx, cancel := context.WithCancelCause(context.Background())
+	cancel(verdict.ErrCancelled)
+	for range 10 * breakerThreshold {
+		_, err := s.Take(ctx, key, "h")
+		if err != nil {
+			g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue())
+		}
+	}
+	g.Expect(s.Available()).To(BeTrue())
+}
+
+// Guards against rows that are too long for the table.
+func TestLongOutcomeGoesToTheObjectStore(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	table := memtable.New()
+	s := newStore(t, table, "a")
+	c, err := s.Take(context.Background(), key, "h")
+	g.Expect(err).NotTo(HaveOccurred())
+	body := bytes.Repeat([]byte("x"), maxInlineBytes+1)
+	g.Expect(s.Finish(c, Outcome{Verdict: "ran", Body: body})).To(BeTrue())
+	o := record(t, table).Outcome
+	g.Expect(o.Body).To(BeEmpty())
+	g.Expect(s.Body(context.Background(), o)).To(Equal(body))
+}
+
+// Guards against a request that is sent by a process that was paused after its claim.
+func TestSendWindow(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	c := &Claim{Taken: time.Now()}
+	g.Expect(c.InWindow(c.Taken.Add(SendWindow - 1))).To(BeTrue())
+	g.Expect(c.InWindow(c.Taken.Add(SendWindow))).To(BeFalse())
+}
+
+// Guards against a sweep that deletes a row which was claimed again after the sweep read it.
+func TestSweepKeepsRowClaimedAgain(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	table := memtable.New()
+	s := newStore(t, table, "a")
+	for _, k := range []string{key, "claims/b/old"} {
+		c, err := s.Take(context.Background(), k, "h")
+		g.Expect(err).NotTo(HaveOccurred())
+		s.Release(c)
+	}
+	flush(t, s)
+	sweeper := newStore(t, table, "sweeper")
+	sweeper.now = func() time.Time { return time.Now().Add(Retention + time.Minute) }
+	other := newStore(t, table, "b")
+	var once sync.Once
+	table.SetHook(func(c memtable.Call) memtable.Fault {
+		f := memtable.Fault{}
+		if c.Op == memtable.OpList {
+			f.Applied = func() {
+				once.Do(func() {
+					_, err := other.Take(context.Background(), key, "h")
+					g.Expect(err).NotTo(HaveOccurred())
+				})
+			}
+		}
+		return f
+	})
+	deleted, err := sweeper.Sweep(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(deleted).To(Equal(1))
+	g.Expect(record(t, table).Owner).To(Equal("b"))
+}
--- a/claim/store.go
+++ b/claim/store.go
@@ -23,8 +23,10 @@
 	RecordTimeout = time.Second
 	// recordRetryLimit bounds background retries of a record or a release.
 	recordRetryLimit = 15 * time.Minute
-	backoffMin       = 200 * time.Millisecond
-	backoffMax       = 8 * time.Second
+	// takeAgainAfter is the pause between repeats of a claim whose reply was lost.
+	takeAgainAfter = 100 * time.Millisecond
+	backoffMin     = 200 * time.Millisecond
+	backoffMax     = 8 * time.Second
 	// maxBackground bounds records and releases that are retried in the background.
 	maxBackground = 10000
 )
@@ -94,79 +96,99 @@
 	if !s.breaker.allow(s.now()) {
 		return nil, errTableDown()
 	}
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	ctx, cancel := context.WithTimeoutCause(ctx, claimTimeout, errClaimTimeout)
 	defer cancel()
 	c := &Claim{Key: key, ID: uuid.NewString(), Taken: s.now(), hash: requestHash}
-	return s.take(ctx, c, 0)
+	return s.take(ctx, c)
 }
 
-func (s *Store) take(ctx context.Context, c *Claim, ifVersion int64) (*Claim, error) {
-	version, err := s.commits.write(ctx, platform.Write{Key: c.Key, IfVersion: ifVersion, Value: encode(s.record(c, Claimed, Outcome{}))})
-	switch {
-	case err == nil:
-		s.breaker.record(s.now(), true)
-		c.version = version
-		return c, nil
-	case errors.Is(err, errNeverSent):
-		return nil, errTableDown()
-	case errors.Is(err, platform.ErrConflict):
-		return s.takeAfterConflict(ctx, c)
-	case verdict.Is(err, verdict.NotRun):
-		s.breaker.record(s.now(), false)
-		return nil, errTableDown()
+// take writes the claim until its fate is known. The write is repeated with the same claim id and condition, so a
+// copy that arrives late either is the claim itself or fails its condition.
+func (s *Store) take(ctx context.Context, c *Claim) (*Claim, error) {
+	var ifVersion int64
+	uncertain := false
+	for {
+		version, err := s.commits.write(ctx, platform.Write{Key: c.Key, IfVersion: ifVersion, Value: encode(s.record(c, Claimed, Outcome{}))})
+		switch {
+		case err == nil:
+			s.breaker.record(s.now(), true)
+			c.version = version
+			return c, nil
+		case errors.Is(err, errNeverSent) || verdict.Is(err, verdict.NotRun):
+			return nil, s.giveUp(ctx, c, uncertain)
+		case !errors.Is(err, platform.ErrConflict):
+			uncertain = true
+		}
+		row, err := s.read(ctx, c.Key)
+		if err != nil {
+			return nil, s.giveUp(ctx, c, uncertain)
+		}
+		if row.Version == ifVersion {
+			// The write may still be on its way.
+			if sleep(ctx, takeAgainAfter) != nil {
+				return nil, s.giveUp(ctx, c, uncertain)
+			}
+			continue
+		}
+		// The row has left the state that all writes so far demand, so none of them can take effect any more.
+		uncertain, ifVersion = false, row.Version
+		claimed, err := s.judge(c, row)
+		if err != nil {
+			s.breaker.record(s.now(), true)
+			return nil, err
+		}
+		if claimed {
+			s.breaker.record(s.now(), true)
+			return c, nil
+		}
 	}
-	return s.resolve(ctx, c)
 }
 
-// takeAfterConflict reads the row that stood in the way.
-func (s *Store) takeAfterConflict(ctx context.Context, c *Claim) (*Claim, error) {
-	row, err := s.table.Get(ctx, c.Key)
-	s.breaker.record(s.now(), err == nil)
-	if err != nil {
-		// The conflict proves that this claim was not written.
-		return nil, errTableDown()
+// read reads a row, with repeats until ctx ends.
+func (s *Store) read(ctx context.Context, key string) (platform.Row, error) {
+	for {
+		row, err := s.table.Get(ctx, key)
+		if err == nil || sleep(ctx, takeAgainAfter) != nil {
+			return row, err
+		}
 	}
+}
+
+// judge says what a row means for the claim c: it is held, or another use of the key stands in the way, or, with
+// both results zero, the key may be claimed at the row's version.
+func (s *Store) judge(c *Claim, row platform.Row) (claimed bool, err error) {
 	if row.Version == 0 {
-		return s.take(ctx, c, 0)
+		return false, nil
 	}
 	rec, err := decode(row.Value)
-	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusInternalServerError)
-	}
 	switch {
+	case err != nil:
+		return false, verdict.Wrap(err, verdict.NotRun, http.StatusInternalServerError)
 	case rec.ClaimID == c.ID:
 		c.version = row.Version
-		return c, nil
+		return true, nil
 	case rec.State == Released:
-		return s.take(ctx, c, row.Version)
+		return false, nil
 	}
-	return nil, &Existing{Record: rec, Mismatch: rec.RequestHash != c.hash}
+	return false, &Existing{Record: rec, Mismatch: rec.RequestHash != c.hash}
 }
 
-// resolve finds out whether a write with a lost reply took effect. If that cannot be found out in
-// time the request is refused for good and the claim is released in the background.
-func (s *Store) resolve(ctx context.Context, c *Claim) (*Claim, error) {
-	for {
-		row, err := s.table.Get(ctx, c.Key)
-		if err == nil && row.Version > 0 {
-			rec, err := decode(row.Value)
-			if err == nil && rec.ClaimID == c.ID {
-				s.breaker.record(s.now(), true)
-				c.version = row.Version
-				return c, nil
-			}
-		}
-		if err == nil {
-			// Absent or another's: the write may still arrive late, so the claim is abandoned.
-			break
-		}
-		if sleep(ctx, backoffMin) != nil {
-			break
-		}
+// giveUp refuses a claim because the table does not answer. If a write of it may still take effect, the
+// claim is released in the background and never used.
+func (s *Store) giveUp(ctx context.Context, c *Claim, uncertain bool) error {
+	if uncertain {
+		s.Release(c)
+	}
+	switch cause := context.Cause(ctx); {
+	case cause == nil || errors.Is(cause, errClaimTimeout):
+		s.breaker.record(s.now(), false)
+		return errTableDown()
+	case errors.Is(cause, verdict.ErrCancelled):
+		return verdict.Wrap(cause, verdict.NotRun, http.StatusConflict)
+	default:
+		// The caller left or its deadline passed, which says nothing about the table.
+		return verdict.Wrap(cause, verdict.NotRun, http.StatusGatewayTimeout)
 	}
-	s.breaker.record(s.now(), false)
-	s.Release(c)
-	return nil, errTableDown()
 }
 
 // Lookup reads the record of a key; it reports false if there is none.
@@ -295,6 +317,9 @@
 	return Record{ClaimID: c.ID, Owner: s.owner, State: state, RequestHash: c.hash, Outcome: o, Updated: s.now()}
 }
 
+// errClaimTimeout is the cause of a claim's end after claimTimeout.
+var errClaimTimeout = errors.New("claim: outcome not known in time")
+
 func errTableDown() error {
 	return verdict.Unavailable(breakerProbe, "the platform's table does not answer; non-idempotent work was not started")
 }
