--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -29,6 +29,9 @@
 	Stopped
 )
 
+// ran reports whether the worker worked on the request.
+func (o Outcome) ran() bool { return o != NotSent && o != Refused && o != Leaving }
+
 // Result ends the use of a slot.
 type Result struct {
 	Outcome Outcome
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -8,6 +8,7 @@
 	"samphirepoint/outlier"
 	"samphirepoint/placement"
 	"samphirepoint/request"
+	"samphirepoint/retry"
 	"samphirepoint/runtimes"
 	"samphirepoint/worker"
 )
@@ -60,7 +61,10 @@
 	running   map[string]*running
 	overflow  overflowGate
 	finishes  rateMeter
-	slots     int
+	// meanRun is the decayed mean run time of all work.
+	meanRun time.Duration
+	// slots is the number of slots of usable workers, reserved the part that long work leaves free.
+	slots, reserved int
 }
 
 func newPool(name string, policies Policies) *pool {
@@ -118,23 +122,30 @@
 			continue
 		}
 		state := p.outliers.State(id, now)
-		m.state.Ejected, m.state.Probe = state.Ejected || state.Suspect, state.Probe
+		m.state.Ejected, m.state.Suspect, m.state.Probe = state.Ejected, state.Suspect, state.Probe
 		p.workers = append(p.workers, &m.state)
-		if !m.state.Leaving && (!m.state.Ejected || m.state.Probe) {
+		if m.usable() {
 			total += m.state.Slots
 		}
 	}
 	p.slots = total
+	p.reserved = p.reserve.Slots(now, total)
 	// A change of members can leave slots in use on workers that left; they must not block the others.
-	p.queue.SetSlots(total+p.inUseElsewhere(), p.reserve.Slots(now, total))
+	p.queue.SetSlots(total+p.inUseElsewhere(), p.reserved)
 }
 
-// inUseElsewhere counts running requests on workers that get no new work.
+// usable reports whether the worker may get new work.
+func (m *member) usable() bool {
+	return !m.gone && !m.state.Leaving && (!m.state.Ejected || m.state.Probe)
+}
+
+// inUseElsewhere counts running requests on workers that get no new work, among them workers that were
+// replaced under the same id.
 func (p *pool) inUseElsewhere() int {
 	n := 0
-	for _, m := range p.members {
-		if m.gone || m.state.Leaving || (m.state.Ejected && !m.state.Probe) {
-			n += m.state.InUse
+	for _, run := range p.running {
+		if m := run.member; !m.usable() || p.members[m.state.ID] != m {
+			n++
 		}
 	}
 	return n
@@ -146,14 +157,47 @@
 	}
 }
 
-// estimatedWait is the time until a request that arrives now gets a slot, from the number of waiting
-// requests and the rate at which slots became free lately.
-func (p *pool) estimatedWait(now time.Time) time.Duration {
-	rate := p.finishes.perSecond(now)
-	if rate <= 0 {
-		return 0
+// positioner is implemented by queues that order requests by class and backer.
+type positioner interface {
+	Position(backer string, class request.Class) fairqueue.Position
+}
+
+// waitOf estimates the time until a request of backer and class that arrives now gets a slot.
+func (p *pool) waitOf(backer string, class request.Class, now time.Time) time.Duration {
+	load := p.load(now)
+	if class == request.Long {
+		load.Slots -= p.reserved
+		load.Free = max(load.Free-p.reserved, 0)
+	}
+	if q, ok := p.queue.(positioner); ok {
+		at := q.Position(backer, class)
+		load.Ahead, load.OwnAhead, load.Share = at.Ahead, at.OwnAhead, at.Share
+	}
+	return load.Wait()
+}
+
+// estimatedWait is the time until a request behind all others gets a slot.
+func (p *pool) estimatedWait(now time.Time) time.Duration { return p.load(now).Wait() }
+
+// load is the state of the queue as its last request sees it. A few very long runs raise the mean run time for a while,
+// so the rate at which slots became free lately bounds it.
+func (p *pool) load(now time.Time) retry.Load {
+	mean := p.meanRun
+	if rate := p.finishes.perSecond(now); rate > 0 {
+		mean = min(mean, time.Duration(float64(p.slots)/rate*float64(time.Second)))
+	}
+	free := p.slots + p.inUseElsewhere() - p.queue.InUse()
+	return retry.Load{Ahead: p.queue.Len(), Slots: p.slots, Free: max(free, 0), MeanRun: mean}
+}
+
+// observe notes a run that ended.
+func (p *pool) observe(took time.Duration, now time.Time) {
+	p.finishes.add(now)
+	if p.meanRun == 0 {
+		p.meanRun = took
+		return
 	}
-	return time.Duration(float64(p.queue.Len()) / rate * float64(time.Second))
+	p.meanRun += time.Duration(meanRunDecay * float64(took-p.meanRun))
 }
 
 // overflowGate bounds how many waiting requests try another pool at a time: it doubles while they are
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -43,7 +43,7 @@
 func (s *Scheduler) grant(p *pool, t *ticket, class request.Class, c placement.Choice, now time.Time) {
 	m := p.members[c.Worker]
 	m.state.InUse++
-	if m.state.Ejected {
+	if m.state.Probe {
 		p.outliers.BeginProbe(c.Worker, t.wish.Request.ID, now)
 		m.state.Probe = false
 	}
@@ -74,8 +74,8 @@
 	m.state.InUse--
 	s.times.End(id, now, r.Outcome == Succeeded)
 	s.learn(p, run, r, now)
-	if r.Outcome != NotSent {
-		p.finishes.add(now)
+	if r.Outcome.ran() {
+		p.observe(now.Sub(run.started), now)
 	}
 	if m.gone && m.state.InUse == 0 && p.members[m.state.ID] == m {
 		m.client.Close()
@@ -97,6 +97,9 @@
 		if mean := run.ticket.estimate.Mean; mean > 0 {
 			m.observe(float64(r.Took) / float64(mean))
 		}
+	case NotSent, Stopped:
+		// The worker showed nothing, but a probe ends.
+		report(outlier.Refused)
 	case Failed, Broken:
 		report(outlier.Failed)
 	case TimedOut:
@@ -131,7 +134,7 @@
 		for _, it := range p.queue.Expired(now) {
 			t := p.waiting[it.ID]
 			delete(p.waiting, it.ID)
-			t.ready <- result{err: overloaded(p.estimatedWait(now), "deadline passed while waiting for a slot")}
+			t.ready <- result{err: s.overloaded(p.estimatedWait(now), "deadline passed while waiting for a slot")}
 		}
 		s.reclassify(p, now)
 		s.spill(p, now)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,6 +19,7 @@
 	"samphirepoint/instance"
 	"samphirepoint/placement"
 	"samphirepoint/request"
+	"samphirepoint/retry"
 	"samphirepoint/runtimes"
 	"samphirepoint/verdict"
 )
@@ -31,6 +33,8 @@
 	overflowAfter = 100 * time.Millisecond
 	// latencyDecay is the weight of a new run time in a worker's relative latency.
 	latencyDecay = 0.1
+	// meanRunDecay is the weight of a new run time in the mean of a pool.
+	meanRunDecay = 0.1
 )
 
 var (
@@ -91,6 +95,7 @@
 	pools    map[string]*pool
 	times    *runtimes.Tracker
 	sequence uint64
+	random   *rand.Rand
 	stopped  chan struct{}
 }
 
@@ -105,6 +110,7 @@
 		fleet:   Fleet{Leaving: func(string) bool { return false }},
 		pools:   map[string]*pool{},
 		times:   runtimes.New(runtimes.DefaultMaxKeys),
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		stopped: make(chan struct{}),
 	}
 }
@@ -243,18 +249,18 @@
 		t.ready <- result{err: errNotOwner(r.Pool)}
 		return
 	}
-	if err := s.shed(p, t, now); err != nil {
+	t.key = runtimes.Key{Queue: r.Queue, Backer: r.Backer, Kind: r.Kind}
+	class := r.Class
+	if class == request.Learned {
+		class = s.times.Class(t.key, 0, now)
+	}
+	if err := s.shed(p, t, class, now); err != nil {
 		t.ready <- result{err: err}
 		return
 	}
 	s.sequence++
 	t.id = strconv.FormatUint(s.sequence, 36)
 	t.since = now
-	t.key = runtimes.Key{Queue: r.Queue, Backer: r.Backer, Kind: r.Kind}
-	class := r.Class
-	if class == request.Learned {
-		class = s.times.Class(t.key, 0, now)
-	}
 	t.estimate = s.times.Estimate(t.key, 0, now)
 	if class != request.Long {
 		p.reserve.Arrive(now, t.estimate.Mean)
@@ -267,37 +273,22 @@
 	}
 }
 
-// shed refuses a request early if the queue is full or the wait would outlast its deadline.
-func (s *Scheduler) shed(p *pool, t *ticket, now time.Time) error {
+// shed refuses a request early if the queue is full or the wait would outlast its deadline. A pool without
+// usable workers keeps its requests, since its members may not be known yet.
+func (s *Scheduler) shed(p *pool, t *ticket, class request.Class, now time.Time) error {
 	r := t.wish.Request
-	wait := p.estimatedWait(now)
+	wait := p.waitOf(r.Backer, class, now)
 	switch {
 	case t.wish.MaxQueue > 0 && p.queue.Len() >= t.wish.MaxQueue:
-		return overloaded(wait, "queue of pool "+p.name+" is full")
-	case p.slots > 0 && p.shortOnTime(r, wait, now):
-		return overloaded(wait, "the wait for a slot in pool "+p.name+" would outlast the deadline")
+		return s.overloaded(wait, "queue of pool "+p.name+" is full")
+	case p.slots > 0 && retry.Shed(now, r.Deadline, wait):
+		return s.overloaded(wait, "the wait for a slot in pool "+p.name+" would outlast the deadline")
 	}
 	return nil
 }
 
-// shortOnTime compares the estimated wait with the deadline. The wait is that of the whole queue, so it is
-// applied only to requests of a backer that does not use less than its share.
-func (p *pool) shortOnTime(r *request.Request, wait time.Duration, now time.Time) bool {
-	if r.Deadline.IsZero() || r.Class == request.Urgent || now.Add(wait).Before(r.Deadline) {
-		return false
-	}
-	usage := p.queue.Usage()
-	return usage[r.Backer].Waiting*len(usage) >= p.queue.Len()
-}
-
-// retryAfterMin keeps callers from repeating a refused request at once.
-const (
-	retryAfterMin = time.Second
-	retryAfterMax = 30 * time.Second
-)
-
-func overloaded(wait time.Duration, why string) error {
-	return verdict.WithRetryAfter(verdict.New(verdict.NotRun, http.StatusTooManyRequests, "%s", why), min(max(wait, retryAfterMin), retryAfterMax))
+func (s *Scheduler) overloaded(wait time.Duration, why string) error {
+	return verdict.WithRetryAfter(verdict.New(verdict.NotRun, http.StatusTooManyRequests, "%s", why), retry.RetryAfter(s.random, wait))
 }
 
 // refuseWaiting ends the wait of a ticket that asked for a slot at once.
@@ -307,7 +298,7 @@
 	}
 	p.queue.Remove(t.id)
 	delete(p.waiting, t.id)
-	t.ready <- result{err: overloaded(0, "no free slot in pool "+p.name)}
+	t.ready <- result{err: s.overloaded(0, "no free slot in pool "+p.name)}
 }
 
 // remove takes a waiting ticket out; the answer tells withdraw that no grant follows.
