worker: trust refusals and task replies only when they match; new connection for non-idempotent work

- 'not-run' counted with any status, so a 200 with that header was a refusal.
It now needs 429 or 503.
- Refusals of task starts were trusted without the echo of request and attempt, and task replies without their id.
- The id in the path of a stop was not escaped: an id with '#' reached another path, whose 404 counted as a confirmed stop and freed a slot in use.
- The rule for proven connections looked at the last answer on any connection of the worker, not on the one that was used.
Non-idempotent work now always takes a new connection.

Before: TestAnswersAreChecked, TestTaskRefusalNeedsTheEcho and TestStopEscapesTheID fail. After: they pass.

--- a/worker/client.go
+++ b/worker/client.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -45,8 +46,8 @@
 	Request *request.Request
 	// ID is unique among all attempts of all entries, so that an answer is matched to its attempt.
 	ID string
-	// FreshConnection forbids connections that were idle for longer than recentlyUsed, since one of them may
-	// have gone silent. Non-idempotent work demands it.
+	// FreshConnection forbids pooled connections, since one of them may have gone silent. Non-idempotent
+	// work demands it. It costs a round trip, 0.5 ms between zones.
 	FreshConnection bool
 	// Expected is the run time that most requests of this kind stay below; 0 means unknown. An
 	// attempt that takes much longer is checked with the worker.
@@ -67,13 +68,9 @@
 	address string
 	fresh   *http.Transport
 	pool    *http.Transport
-	last    atomic.Int64
 	status  statusCache
 }
 
-// recentlyUsed is the age of the last answer up to which a connection counts as proven.
-const recentlyUsed = 5 * time.Second
-
 // NewClient returns a client of the worker at address (IP:port).
 func NewClient(address string) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
@@ -126,7 +123,7 @@
 }
 
 func (c *Client) transport(a Attempt) *http.Transport {
-	if a.FreshConnection && time.Since(time.Unix(0, c.last.Load())) > recentlyUsed {
+	if a.FreshConnection {
 		return c.fresh
 	}
 	return c.pool
@@ -164,12 +161,11 @@
 	if err != nil {
 		return Answer{}, verdict.Wrap(fmt.Errorf("%w: %v", ErrBroken, cause(resp.Request.Context(), err)), verdict.MayHaveRun, http.StatusBadGateway)
 	}
-	c.last.Store(time.Now().UnixNano())
 	leaving := resp.Header.Get(request.HeaderLeaving) == "true"
 	if err := checkIdentity(resp, a); err != nil {
 		return Answer{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
 	}
-	if resp.Header.Get(request.HeaderVerdict) == verdict.NotRun.String() {
+	if isRefusal(resp) {
 		return Answer{Leaving: leaving}, refusal(resp.StatusCode, leaving)
 	}
 	if err := checkBody(resp, body); err != nil {
@@ -183,6 +179,13 @@
 	}, nil
 }
 
+// isRefusal reports whether the worker says that it did not run the request. The verdict counts only with a
+// status of the worker API that means a refusal.
+func isRefusal(resp *http.Response) bool {
+	refused := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable
+	return refused && resp.Header.Get(request.HeaderVerdict) == verdict.NotRun.String()
+}
+
 func refusal(status int, leaving bool) error {
 	if leaving {
 		return verdict.Wrap(ErrLeaving, verdict.NotRun, status)
@@ -224,7 +227,7 @@
 // Stop asks the worker to stop an attempt and returns nil once the worker confirms that it does
 // not run. The worker stops only the named attempt of the request.
 func (c *Client) Stop(ctx context.Context, requestID, attempt string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/stop/"+requestID, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/stop/"+url.PathEscape(requestID), nil)
 	if err != nil {
 		return err
 	}
--- a/worker/task.go
+++ b/worker/task.go
@@ -125,15 +125,21 @@
 		return Task{}, err
 	}
 	defer resp.Body.Close()
-	return readTask(resp)
+	return readTask(resp, id, header)
 }
 
-func readTask(resp *http.Response) (Task, error) {
+// readTask checks that a reply is about the task. A refusal counts only with the echo of the request's headers.
+func readTask(resp *http.Response, id string, sent http.Header) (Task, error) {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		return Task{}, err
 	}
-	if resp.Header.Get(request.HeaderVerdict) == verdict.NotRun.String() {
+	if isRefusal(resp) {
+		for _, h := range []string{request.HeaderRequestID, request.HeaderAttempt} {
+			if resp.Header.Get(h) != sent.Get(h) {
+				return Task{}, fmt.Errorf("%w: refusal with %s %q", ErrBroken, h, resp.Header.Get(h))
+			}
+		}
 		return Task{}, refusal(resp.StatusCode, resp.Header.Get(request.HeaderLeaving) == "true")
 	}
 	switch resp.StatusCode {
@@ -144,6 +150,9 @@
 		if err := json.Unmarshal(data, &t); err != nil {
 			return Task{}, fmt.Errorf("task reply: %w", err)
 		}
+		if t.ID != id {
+			return Task{}, fmt.Errorf("%w: task %q", ErrBroken, t.ID)
+		}
 		return t, nil
 	}
 	return Task{}, fmt.Errorf("task reply: status %d", resp.StatusCode)
