--- a/command/all.go
+++ b/command/all.go
@@ -8,6 +8,7 @@
 		settingsCommand{},
 		tokenCommand{},
 		&devCommand{},
+		&compareCommand{},
 		&entryCommand{},
 		versionCommand{},
 		standinCommand{},
--- /dev/null
+++ b/command/compare.go
@@ -0,0 +1,111 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"samphirepoint/experiment"
+	"samphirepoint/load"
+)
+
+// compareCommand compares policy sets over deployments and seeds.
+type compareCommand struct {
+	deployments, sets, seeds string
+	duration, tail           time.Duration
+	rate                     float64
+	changes                  int
+	json                     bool
+}
+
+func (*compareCommand) Name() string     { return "compare" }
+func (*compareCommand) Synopsis() string { return "compare the system's policies with the baselines" }
+func (*compareCommand) Usage() string {
+	return "samphirepoint compare [flags]\n" +
+		"  Runs a deployment in one process for each combination of deployment, policy set and seed, one after the other, and prints\n" +
+		"  the measures with their spread, the shares of the backers while they are backlogged, and the properties checked.\n" +
+		"  Policy sets: " + strings.Join(setNames(), ", ") + ".\n" +
+		"  Example: samphirepoint compare -deployments inzira -sets system,fifo -seeds 1,2,3 -json\n"
+}
+
+func setNames() []string {
+	var names []string
+	for _, s := range experiment.Sets() {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+func (c *compareCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.deployments, "deployments", "inzira,hraunvik", "deployments, separated by commas")
+	f.StringVar(&c.sets, "sets", "system,fifo+random+static-split,fixed,greedy", "policy sets, separated by commas, or all")
+	f.StringVar(&c.seeds, "seeds", "1,2,3", "seeds, separated by commas")
+	f.DurationVar(&c.duration, "for", experiment.DefaultFor, "time of each run during which work is submitted")
+	f.DurationVar(&c.tail, "tail", experiment.DefaultTail, "time after the last submission after which requests in flight are given up; 0: wait for all")
+	f.Float64Var(&c.rate, "rate", load.DefaultRate, "mean requests per second of all queues together")
+	f.IntVar(&c.changes, "changes", 3, "number of table changes accepted during each run")
+	f.BoolVar(&c.json, "json", false, "print the result as one JSON object")
+}
+
+func (c *compareCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	o, err := c.options()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "samphirepoint compare:", err)
+		return subcommands.ExitUsageError
+	}
+	result, runErr := experiment.Run(ctx, o)
+	if c.json {
+		err = json.NewEncoder(os.Stdout).Encode(result)
+	} else {
+		_, err = fmt.Print(result)
+	}
+	if runErr != nil {
+		return reportFailure(runErr)
+	}
+	if err != nil {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *compareCommand) options() (experiment.Options, error) {
+	o := experiment.Options{
+		Deployments: strings.Split(c.deployments, ","), For: c.duration, Tail: c.tail, Rate: c.rate, Changes: c.changes,
+		Progress: func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) },
+	}
+	for _, d := range o.Deployments {
+		if _, err := load.Named(d); err != nil {
+			return o, err
+		}
+	}
+	names := strings.Split(c.sets, ",")
+	if c.sets == "all" {
+		names = setNames()
+	}
+	for _, name := range names {
+		set, err := experiment.Named(name)
+		if err != nil {
+			return o, err
+		}
+		o.Sets = append(o.Sets, set)
+	}
+	for _, s := range strings.Split(c.seeds, ",") {
+		seed, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			return o, fmt.Errorf("-seeds %q, expected numbers separated by commas", c.seeds)
+		}
+		o.Seeds = append(o.Seeds, seed)
+	}
+	return o, nil
+}
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -51,7 +51,9 @@
 	Deployment string
 	Entries    int
 	For        time.Duration
-	Seed       uint64
+	// Tail bounds the time after the last submission; requests still in flight are then given up. 0 waits for all of them.
+	Tail time.Duration
+	Seed uint64
 	// Rate is the mean number of requests a second; 0 uses the deployment's default.
 	Rate     float64
 	Policies settings.Policies
@@ -70,6 +72,8 @@
 	Measures report.Measures `json:"measures"`
 	Checks   checker.Report  `json:"checks"`
 	Summary  load.Summary    `json:"summary"`
+	// Evidence is what Checks was computed from.
+	Evidence checker.Input `json:"-"`
 }
 
 // OK reports whether every property held.
--- a/dev/run.go
+++ b/dev/run.go
@@ -49,6 +49,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.Options.Tail > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.Options.For+c.Options.Tail)
+		defer cancel()
+	}
 	return load.Run(ctx, load.Options{
 		Targets: c.Targets(), Deployment: d, Rate: c.Options.Rate, For: c.Options.For, Seed: c.Options.Seed, Tokens: c.Tokens,
 	})
@@ -147,14 +152,15 @@
 	for _, b := range c.Document.Backers {
 		shares[b.Name] = checker.Share{Weight: b.Weight, Limit: b.Limit()}
 	}
-	checks := checker.Check(checker.Input{
+	evidence := checker.Input{
 		Journal: journal, Records: r.Records, Pools: pools, Budgets: c.allBudgets(from), Shares: shares, Versions: c.versions, Accepted: c.accepted,
-	})
+	}
+	checks := checker.Check(evidence)
 	measures := report.Measure(report.Input{
 		Policy: c.policyName(), Deployment: c.Options.Deployment, Seed: c.Options.Seed, From: from, To: to, Workers: c.fleet,
 		Spare: c.sparePools(), Journal: journal, Records: r.Records, Pools: pools, Versions: c.versions, Accepted: c.accepted,
 	})
-	return &Result{Measures: measures, Checks: checks, Summary: r.Summary()}, nil
+	return &Result{Measures: measures, Checks: checks, Summary: r.Summary(), Evidence: evidence}, nil
 }
 
 func (c *Cluster) policyName() string {
