Add speed and capacity modes to the compare command

Cause: the cost of an entry per request and of an idle entry at 1,500 workers was not measured. Change: compare -speed drives a stand-in worker directly, through the owner of its pool and through one forward; compare -capacity measures processor time, heap, control bytes and table calls of an idle entry at ten sizes.

--- a/command/compare.go
+++ b/command/compare.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"strconv"
 	"strings"
 	"syscall"
@@ -24,7 +26,9 @@
 	duration, tail           time.Duration
 	rate                     float64
 	changes                  int
-	json                     bool
+	json, speed, capacity    bool
+	each                     time.Duration
+	connections, profile     string
 }
 
 func (*compareCommand) Name() string     { return "compare" }
@@ -34,6 +38,8 @@
 		"  Runs a deployment in one process for each combination of deployment, policy set and seed, one after the other, and prints\n" +
 		"  the measures with their spread, the shares of the backers while they are backlogged, and the properties checked.\n" +
 		"  Policy sets: " + strings.Join(setNames(), ", ") + ".\n" +
+		"  With -speed it compares a direct call of a worker with the call through one and two entries instead; with -capacity it\n" +
+		"  measures an idle entry at growing sizes of the fleet.\n" +
 		"  Example: samphirepoint compare -deployments inzira -sets system,fifo -seeds 1,2,3 -json\n"
 }
 
@@ -53,6 +59,11 @@
 	f.DurationVar(&c.tail, "tail", experiment.DefaultTail, "time after the last submission after which requests in flight are given up; 0: wait for all")
 	f.Float64Var(&c.rate, "rate", load.DefaultRate, "mean requests per second of all queues together")
 	f.IntVar(&c.changes, "changes", 3, "number of table changes accepted during each run")
+	f.BoolVar(&c.speed, "speed", false, "compare the speed of a direct call with that through entries")
+	f.StringVar(&c.connections, "connections", "1,8,64", "numbers of connections of -speed")
+	f.BoolVar(&c.capacity, "capacity", false, "measure an idle entry at growing sizes")
+	f.DurationVar(&c.each, "each", 4*time.Second, "time of each measurement of -speed and -capacity")
+	f.StringVar(&c.profile, "profile", "", "file for a processor profile of -speed or -capacity")
 	f.BoolVar(&c.json, "json", false, "print the result as one JSON object")
 }
 
@@ -64,6 +75,12 @@
 		fmt.Fprintln(os.Stderr, "samphirepoint compare:", err)
 		return subcommands.ExitUsageError
 	}
+	if c.speed || c.capacity {
+		if err := c.profiled(func() error { return c.measure(ctx) }); err != nil {
+			return reportFailure(err)
+		}
+		return subcommands.ExitSuccess
+	}
 	result, runErr := experiment.Run(ctx, o)
 	if c.json {
 		err = json.NewEncoder(os.Stdout).Encode(result)
@@ -109,3 +126,65 @@
 	}
 	return o, nil
 }
+
+// profiled runs f under the processor profile that the flags ask for.
+func (c *compareCommand) profiled(f func() error) error {
+	if c.profile == "" {
+		return f()
+	}
+	file, err := os.Create(c.profile)
+	if err != nil {
+		return err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	err = f()
+	pprof.StopCPUProfile()
+	return errors.Join(err, file.Close())
+}
+
+// measure runs -speed and -capacity.
+func (c *compareCommand) measure(ctx context.Context) error {
+	var speed []experiment.SpeedFigure
+	var capacity []experiment.IdleFigure
+	if c.speed {
+		counts, err := parseCounts(c.connections)
+		if err != nil {
+			return err
+		}
+		if speed, err = experiment.Speed(ctx, counts, c.each); err != nil {
+			return err
+		}
+	}
+	if c.capacity {
+		progress := func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }
+		var err error
+		if capacity, err = experiment.Capacity(ctx, c.each, progress); err != nil {
+			return err
+		}
+	}
+	if c.json {
+		return json.NewEncoder(os.Stdout).Encode(map[string]any{"speed": speed, "capacity": capacity})
+	}
+	if c.speed {
+		fmt.Print(experiment.SpeedText(speed))
+	}
+	if c.capacity {
+		fmt.Print(experiment.CapacityText(capacity))
+	}
+	return nil
+}
+
+func parseCounts(list string) ([]int, error) {
+	var counts []int
+	for _, s := range strings.Split(list, ",") {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 1 {
+			return nil, fmt.Errorf("-connections %q, expected positive numbers separated by commas", list)
+		}
+		counts = append(counts, n)
+	}
+	return counts, nil
+}
--- /dev/null
+++ b/experiment/capacity.go
@@ -0,0 +1,168 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphirepoint/standin"
+)
+
+const (
+	// idleSettle lets start-up work, gossip and reads of all rows end before an idle entry is measured.
+	idleSettle = 3 * time.Second
+	// ownersAtFullSize is the number of entries among which pools are divided; an entry owns its part of them.
+	ownersAtFullSize = 7
+)
+
+// IdleFigure describes an idle entry at one size.
+type IdleFigure struct {
+	size
+	Seconds float64 `json:"seconds"`
+	// PoolsInUse is the number of pools of which the entry holds queue and workers.
+	PoolsInUse int `json:"poolsInUse"`
+	// CorePercent is the processor time of the process in percent of a core. It includes the platform's stand-in, which
+	// answers about four reads a second.
+	CorePercent float64 `json:"corePercent"`
+	// HeapMB is the growth of the heap in use, after a collection, from before the entry's start.
+	HeapMB float64 `json:"heapMB"`
+	// BytesIn and BytesOut are control traffic per second with the platform, and with peers if there are any.
+	BytesIn  float64 `json:"bytesInPerSecond"`
+	BytesOut float64 `json:"bytesOutPerSecond"`
+	Reads    float64 `json:"tableReadsPerSecond"`
+	Writes   float64 `json:"tableWritesPerSecond"`
+	// DocumentBytes and RowsBytes are the stored sizes, ListBytes that of one answer of the instance list.
+	DocumentBytes int `json:"documentBytes"`
+	RowsBytes     int `json:"rowsBytes"`
+	ListBytes     int `json:"listBytes"`
+}
+
+// capacitySizes vary one dimension at a time around the size of section 1.4 of the design page.
+func capacitySizes() []size {
+	return []size{
+		{48, 67, 210}, {200, 67, 210}, {800, 67, 210}, {1500, 67, 210},
+		{1500, 5, 210}, {1500, 20, 210}, {1500, 40, 210},
+		{1500, 67, 5}, {1500, 67, 50}, {1500, 67, 100},
+	}
+}
+
+// Capacity measures an idle entry at several sizes of the fleet, one after the other.
+func Capacity(ctx context.Context, each time.Duration, progress func(string, ...any)) ([]IdleFigure, error) {
+	var list []IdleFigure
+	for _, s := range capacitySizes() {
+		f, err := idle(ctx, s, each)
+		if err != nil {
+			return list, fmt.Errorf("%+v: %w", s, err)
+		}
+		progress("%+v: %.2f %% of a core, %.1f MB", s, f.CorePercent, f.HeapMB)
+		list = append(list, f)
+	}
+	return list, nil
+}
+
+func heapInUse() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// idle measures one entry that is not the holder of the fleet lease. Each pool of its part is used once, so that the
+// scheduler holds it.
+func idle(ctx context.Context, s size, each time.Duration) (IdleFigure, error) {
+	f := IdleFigure{size: s, Seconds: each.Seconds(), PoolsInUse: (s.Pools + ownersAtFullSize - 1) / ownersAtFullSize}
+	worker, err := standin.Listen("127.0.0.1:0", echoWorker())
+	if err != nil {
+		return f, err
+	}
+	defer worker.Close()
+	address := strings.TrimPrefix(worker.URL(), "http://")
+	l, err := newLab(ctx, s, func(int) string { return address })
+	if err != nil {
+		return f, err
+	}
+	defer l.close()
+	if err := l.holdLease(ctx); err != nil {
+		return f, err
+	}
+	f.ListBytes = len(l.listed)
+	f.DocumentBytes, f.RowsBytes = l.storedBytes()
+	before := heapInUse()
+	if err := l.startEntries(ctx, 1, zerolog.Nop()); err != nil {
+		return f, err
+	}
+	if err := l.usePools(f.PoolsInUse); err != nil {
+		return f, err
+	}
+	time.Sleep(idleSettle)
+	err = l.observe(ctx, &f, before, each)
+	return f, err
+}
+
+func (l *lab) storedBytes() (document, rows int) {
+	for _, row := range l.platform.Rows("instances/") {
+		rows += len(row.Key) + len(row.Value)
+	}
+	return len(l.platform.Row("config/current").Value), rows
+}
+
+// usePools sends a request to each of the first n pools.
+func (l *lab) usePools(n int) error {
+	s := &speedLab{lab: l, client: http.DefaultClient, body: []byte("{}")}
+	for _, p := range l.document.Pools[:n] {
+		url := "http://" + l.entries[0].CallerAddress() + "/v1/queues/" + p.Name + "/requests"
+		if err := s.call(url); err != nil {
+			return fmt.Errorf("pool %s: %w", p.Name, err)
+		}
+	}
+	return nil
+}
+
+const (
+	metricIn  = "samphirepoint_control_bytes_in_total"
+	metricOut = "samphirepoint_control_bytes_out_total"
+)
+
+func (l *lab) observe(ctx context.Context, f *IdleFigure, heap uint64, each time.Duration) error {
+	in, errIn := l.metric(0, metricIn)
+	out, errOut := l.metric(0, metricOut)
+	if errIn != nil || errOut != nil {
+		return fmt.Errorf("metrics of the entry: %v, %v", errIn, errOut)
+	}
+	counters, processor, start := l.platform.Counters(), processorTime(), time.Now()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(each):
+	}
+	took := time.Since(start).Seconds()
+	f.CorePercent = 100 * (processorTime() - processor).Seconds() / took
+	after := l.platform.Counters()
+	f.Reads, f.Writes = float64(after.Reads-counters.Reads)/took, float64(after.Writes-counters.Writes)/took
+	inAfter, errIn := l.metric(0, metricIn)
+	outAfter, errOut := l.metric(0, metricOut)
+	if errIn != nil || errOut != nil {
+		return fmt.Errorf("metrics of the entry: %v, %v", errIn, errOut)
+	}
+	f.BytesIn, f.BytesOut = (inAfter-in)/took, (outAfter-out)/took
+	f.HeapMB = (float64(heapInUse()) - float64(heap)) / (1 << 20)
+	return nil
+}
+
+// CapacityText is the text form of the figures.
+func CapacityText(list []IdleFigure) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "load average %s, GOMAXPROCS %d\n%5s %5s %7s %5s %7s %7s %9s %9s %7s %8s %9s %9s %9s\n", loadAverage(), runtime.GOMAXPROCS(0),
+		"rows", "pools", "backers", "used", "core %", "heap MB", "in B/s", "out B/s", "reads/s", "writes/s", "document", "rows B", "list B")
+	for _, f := range list {
+		fmt.Fprintf(&b, "%5d %5d %7d %5d %7.2f %7.2f %9.0f %9.0f %7.2f %8.2f %9d %9d %9d\n", f.Rows, f.Pools, f.Backers, f.PoolsInUse,
+			f.CorePercent, f.HeapMB, f.BytesIn, f.BytesOut, f.Reads, f.Writes, f.DocumentBytes, f.RowsBytes, f.ListBytes)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/experiment/speed.go
@@ -0,0 +1,221 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphirepoint/request"
+	"samphirepoint/standin/workerd"
+)
+
+const (
+	// speedWorkers of 8 slots each serve 64 connections in each of the two pools.
+	speedWorkers = 8
+	// speedWarmUp opens the connections and lets the entry learn run times.
+	speedWarmUp = 500 * time.Millisecond
+)
+
+// Paths of a request in the speed comparison.
+const (
+	Direct  = "direct"
+	Owner   = "owner"
+	Forward = "forward"
+)
+
+// SpeedFigure describes one path at one number of connections.
+type SpeedFigure struct {
+	Path        string `json:"path"`
+	Connections int    `json:"connections"`
+	Requests    int    `json:"requests"`
+	Errors      int    `json:"errors"`
+	// Rate is in requests per second, the latencies and the added median in microseconds.
+	Rate      float64 `json:"requestsPerSecond"`
+	P50       float64 `json:"p50Us"`
+	P99       float64 `json:"p99Us"`
+	AddedP50  float64 `json:"addedP50Us"`
+	PartOfAll float64 `json:"partOfDirectRate"`
+	// Allocations per request in the whole process: generator, entries and worker.
+	Allocations float64 `json:"allocationsPerRequest"`
+	// ProcessorUs is the processor time of the whole process per request.
+	ProcessorUs float64 `json:"processorUsPerRequest"`
+}
+
+// speedLab has two entries and two pools, one of each owned by entry 1.
+type speedLab struct {
+	*lab
+	workers []*workerd.Server
+	client  *http.Client
+	body    []byte
+}
+
+func newSpeedLab(ctx context.Context) (*speedLab, error) {
+	s := &speedLab{body: []byte(`{"runMs":0,"payload":"speed"}`),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}}
+	for i := range 2 * speedWorkers {
+		w := workerd.New(workerd.Options{ID: fmt.Sprintf("worker-%04d", i), Seed: 1})
+		if err := w.Start("127.0.0.1:0"); err != nil {
+			s.close()
+			return nil, err
+		}
+		s.workers = append(s.workers, w)
+	}
+	var err error
+	if s.lab, err = newLab(ctx, size{Rows: 2 * speedWorkers, Pools: 2, Backers: 1}, func(i int) string { return s.workers[i].Address() }); err == nil {
+		err = s.startEntries(ctx, 2, zerolog.Nop())
+	}
+	if err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *speedLab) close() {
+	s.client.CloseIdleConnections()
+	if s.lab != nil {
+		s.lab.close()
+	}
+	for _, w := range s.workers {
+		w.Close()
+	}
+}
+
+// url returns the target of a connection on a path.
+func (s *speedLab) url(path string, connection int) string {
+	if path == Direct {
+		return "http://" + s.workers[connection%len(s.workers)].Address() + "/run"
+	}
+	pool := s.owned(0)[0]
+	if path == Forward {
+		pool = s.owned(1)[0]
+	}
+	return "http://" + s.entries[0].CallerAddress() + "/v1/queues/" + pool + "/requests"
+}
+
+func (s *speedLab) call(url string) error {
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(s.body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(request.HeaderKind, "speed")
+	if strings.HasSuffix(url, "/run") {
+		req.Header.Set(request.HeaderRequestID, "direct")
+		req.Header.Set(request.HeaderAttempt, "direct")
+	} else {
+		req.Header.Set("Authorization", "Bearer "+s.token)
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// run sends requests over a number of connections without pause and returns the latencies.
+func (s *speedLab) run(path string, connections int, d time.Duration) (latencies []time.Duration, errors int) {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	end := time.Now().Add(d)
+	for i := range connections {
+		url := s.url(path, i)
+		wait.Go(func() {
+			var own []time.Duration
+			failed := 0
+			for start := time.Now(); start.Before(end); start = time.Now() {
+				if err := s.call(url); err != nil {
+					failed++
+					continue
+				}
+				own = append(own, time.Since(start))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			latencies, errors = append(latencies, own...), errors+failed
+		})
+	}
+	wait.Wait()
+	return latencies, errors
+}
+
+func (s *speedLab) measure(path string, connections int, d time.Duration) SpeedFigure {
+	s.run(path, connections, speedWarmUp)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	processor, start := processorTime(), time.Now()
+	latencies, errors := s.run(path, connections, d)
+	took := time.Since(start)
+	processor = processorTime() - processor
+	runtime.ReadMemStats(&after)
+	slices.Sort(latencies)
+	n := len(latencies)
+	f := SpeedFigure{Path: path, Connections: connections, Requests: n, Errors: errors}
+	if n == 0 {
+		return f
+	}
+	us := func(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1000 }
+	f.Rate, f.P50, f.P99 = float64(n)/took.Seconds(), us(latencies[n/2]), us(latencies[n*99/100])
+	f.Allocations = float64(after.Mallocs-before.Mallocs) / float64(n)
+	f.ProcessorUs = us(processor) / float64(n)
+	return f
+}
+
+// Speed compares a direct call of a worker with the call through the entry that owns the pool and through one forward.
+// Generator, entries, workers and platform share one process and its processors, so the rates are limited by the sum of
+// their processor time.
+func Speed(ctx context.Context, connections []int, each time.Duration) ([]SpeedFigure, error) {
+	s, err := newSpeedLab(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	var list []SpeedFigure
+	for _, n := range connections {
+		var direct SpeedFigure
+		for _, path := range []string{Direct, Owner, Forward} {
+			if ctx.Err() != nil {
+				return list, ctx.Err()
+			}
+			f := s.measure(path, n, each)
+			if path == Direct {
+				direct = f
+			}
+			f.AddedP50 = f.P50 - direct.P50
+			if direct.Rate > 0 {
+				f.PartOfAll = f.Rate / direct.Rate
+			}
+			list = append(list, f)
+		}
+	}
+	return list, nil
+}
+
+// SpeedText is the text form of the figures.
+func SpeedText(list []SpeedFigure) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "load average %s, GOMAXPROCS %d\n%-8s %5s %10s %9s %9s %10s %8s %8s %9s %7s\n", loadAverage(), runtime.GOMAXPROCS(0),
+		"path", "conns", "requests/s", "p50 us", "p99 us", "added p50", "part", "allocs", "cpu us", "errors")
+	for _, f := range list {
+		fmt.Fprintf(&b, "%-8s %5d %10.0f %9.0f %9.0f %10.0f %8.2f %8.0f %9.0f %7d\n", f.Path, f.Connections, f.Rate, f.P50, f.P99, f.AddedP50,
+			f.PartOfAll, f.Allocations, f.ProcessorUs, f.Errors)
+	}
+	return b.String()
+}
