Read the instance list conditionally

Cause: each entry reads the whole instance list every 2 s; at 1,500 instances it is sent whole each time, far above the control budget of 5 KB/s. Change: the client sends the entity tag of its copy, the stand-in answers 304 for an unchanged list. A platform without entity tags works as before.

--- a/experiment/lab.go
+++ b/experiment/lab.go
@@ -130,7 +130,15 @@
 	return l.writeTokens()
 }
 
-func (l *lab) serveList(w http.ResponseWriter, _ *http.Request) {
+// labTag is the entity tag of the list, which does not change.
+const labTag = `"lab"`
+
+func (l *lab) serveList(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("ETag", labTag)
+	if r.Header.Get("If-None-Match") == labTag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(l.listed)
 }
--- a/standin/platformd/server.go
+++ b/standin/platformd/server.go
@@ -4,12 +4,17 @@
 package platformd
 
 import (
+	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"samphirepoint/platform"
 	"samphirepoint/standin"
 )
@@ -176,6 +181,7 @@
 	json   any
 	raw    []byte
 	rows   int // read or written; 0 counts as 1
+	tag    string
 }
 
 type faultOf func(*Faults) *Fault
@@ -250,6 +256,10 @@
 }
 
 func (a reply) send(w http.ResponseWriter) {
+	if a.tag != "" {
+		w.Header().Set("ETag", a.tag)
+		w.Header().Set("Content-Type", "application/json")
+	}
 	switch {
 	case a.json != nil:
 		standin.WriteJSON(w, a.status, a.json)
@@ -342,10 +352,20 @@
 	}
 }
 
-func (s *Server) listInstances(http.ResponseWriter, *http.Request) effect {
+// listInstances answers 304 without a body if the list is the one that the client names by its entity tag.
+func (s *Server) listInstances(_ http.ResponseWriter, r *http.Request) effect {
+	known := r.Header.Get("If-None-Match")
 	return func() reply {
 		s.counters.InstanceReads++
-		return reply{status: http.StatusOK, json: s.instances.view(time.Now(), s.faults.ListLag.D())}
+		data, err := json.Marshal(s.instances.view(time.Now(), s.faults.ListLag.D()))
+		if err != nil {
+			return reply{status: http.StatusInternalServerError, raw: []byte(err.Error())}
+		}
+		tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 16))
+		if tag == known {
+			return reply{status: http.StatusNotModified, tag: tag}
+		}
+		return reply{status: http.StatusOK, raw: data, tag: tag}
 	}
 }
 
--- a/standin/platformd/server_test.go
+++ b/standin/platformd/server_test.go
@@ -123,6 +123,42 @@
 	g.Expect(s.Faults().ListLag).To(Equal(standin.Duration(0)))
 }
 
+// countingTransport adds up the bodies of answers.
+type countingTransport struct{ bytes int64 }
+
+func (c *countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil {
+		c.bytes += resp.ContentLength
+	}
+	return resp, err
+}
+
+// An unchanged list that is sent again to each entry every 2 s would cost 150 KB/s per entry at 1,500 instances; a changed
+// one must not be hidden by the copy, nor the copy be changed by a caller.
+func TestUnchangedInstanceListIsNotSentAgain(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	_, _, url := start(t, platformd.Options{})
+	transport := &countingTransport{}
+	c := platform.NewClient(url, &http.Client{Transport: transport})
+	put(g, url+"/instances/w1", `{"kind":"worker","address":"127.0.0.1:1"}`)
+	first, err := c.Instances().List(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	first[0].ID = "changed by the caller"
+	sent := transport.bytes
+	g.Expect(sent).To(BeNumerically(">", 0))
+	again, err := c.Instances().List(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(transport.bytes).To(Equal(sent))
+	g.Expect(again).To(HaveLen(1))
+	g.Expect(again[0].ID).To(Equal("w1"))
+	put(g, url+"/instances/w1", `{"kind":"worker","address":"127.0.0.1:1","state":"leaving"}`)
+	changed, err := c.Instances().List(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changed[0].State).To(Equal(platform.StateLeaving))
+}
+
 func put(g *WithT, url, body string) {
 	req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
 	g.Expect(err).NotTo(HaveOccurred())
