Measure claims and the holder of the fleet lease in compare -capacity

Cause: the table load of non-idempotent requests and the cost of the lease holder were not measured at 1,500 workers. Change: -capacity counts transactions and rows per non-idempotent request at four numbers of connections, and measures an idle holder at four sizes.

--- a/command/compare.go
+++ b/command/compare.go
@@ -149,6 +149,7 @@
 func (c *compareCommand) measure(ctx context.Context) error {
 	var speed []experiment.SpeedFigure
 	var capacity []experiment.IdleFigure
+	var claims []experiment.ClaimFigure
 	if c.speed {
 		counts, err := parseCounts(c.connections)
 		if err != nil {
@@ -161,17 +162,21 @@
 	if c.capacity {
 		progress := func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }
 		var err error
+		if claims, err = experiment.Claims(ctx, []int{1, 8, 32, 64}, time.Second); err != nil {
+			return err
+		}
 		if capacity, err = experiment.Capacity(ctx, c.each, progress); err != nil {
 			return err
 		}
 	}
 	if c.json {
-		return json.NewEncoder(os.Stdout).Encode(map[string]any{"speed": speed, "capacity": capacity})
+		return json.NewEncoder(os.Stdout).Encode(map[string]any{"speed": speed, "capacity": capacity, "claims": claims})
 	}
 	if c.speed {
 		fmt.Print(experiment.SpeedText(speed))
 	}
 	if c.capacity {
+		fmt.Print(experiment.ClaimsText(claims))
 		fmt.Print(experiment.CapacityText(capacity))
 	}
 	return nil
--- a/experiment/capacity.go
+++ b/experiment/capacity.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,6 +24,8 @@
 // IdleFigure describes an idle entry at one size.
 type IdleFigure struct {
 	size
+	// Holder says that the entry holds the fleet lease; it then probes the workers, whose stand-in is in the same process.
+	Holder  bool    `json:"holder"`
 	Seconds float64 `json:"seconds"`
 	// PoolsInUse is the number of pools of which the entry holds queue and workers.
 	PoolsInUse int `json:"poolsInUse"`
@@ -54,8 +57,8 @@
 // Capacity measures an idle entry at several sizes of the fleet, one after the other.
 func Capacity(ctx context.Context, each time.Duration, progress func(string, ...any)) ([]IdleFigure, error) {
 	var list []IdleFigure
-	for _, s := range capacitySizes() {
-		f, err := idle(ctx, s, each)
+	for i, s := range append(capacitySizes(), holderSizes()...) {
+		f, err := idle(ctx, s, i >= len(capacitySizes()), each)
 		if err != nil {
 			return list, fmt.Errorf("%+v: %w", s, err)
 		}
@@ -65,6 +68,11 @@
 	return list, nil
 }
 
+// holderSizes are the sizes at which the holder of the fleet lease is measured.
+func holderSizes() []size {
+	return []size{{48, 67, 210}, {200, 67, 210}, {800, 67, 210}, {1500, 67, 210}}
+}
+
 func heapInUse() uint64 {
 	var m runtime.MemStats
 	runtime.GC()
@@ -73,10 +81,10 @@
 	return m.HeapAlloc
 }
 
-// idle measures one entry that is not the holder of the fleet lease. Each pool of its part is used once, so that the
+// idle measures one entry. Each pool of its part is used once, so that the
 // scheduler holds it.
-func idle(ctx context.Context, s size, each time.Duration) (IdleFigure, error) {
-	f := IdleFigure{size: s, Seconds: each.Seconds(), PoolsInUse: (s.Pools + ownersAtFullSize - 1) / ownersAtFullSize}
+func idle(ctx context.Context, s size, holder bool, each time.Duration) (IdleFigure, error) {
+	f := IdleFigure{size: s, Holder: holder, Seconds: each.Seconds(), PoolsInUse: (s.Pools + ownersAtFullSize - 1) / ownersAtFullSize}
 	worker, err := standin.Listen("127.0.0.1:0", echoWorker())
 	if err != nil {
 		return f, err
@@ -88,8 +96,10 @@
 		return f, err
 	}
 	defer l.close()
-	if err := l.holdLease(ctx); err != nil {
-		return f, err
+	if !holder {
+		if err := l.holdLease(ctx); err != nil {
+			return f, err
+		}
 	}
 	f.ListBytes = len(l.listed)
 	f.DocumentBytes, f.RowsBytes = l.storedBytes()
@@ -158,11 +168,59 @@
 // CapacityText is the text form of the figures.
 func CapacityText(list []IdleFigure) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "load average %s, GOMAXPROCS %d\n%5s %5s %7s %5s %7s %7s %9s %9s %7s %8s %9s %9s %9s\n", loadAverage(), runtime.GOMAXPROCS(0),
-		"rows", "pools", "backers", "used", "core %", "heap MB", "in B/s", "out B/s", "reads/s", "writes/s", "document", "rows B", "list B")
+	fmt.Fprintf(&b, "load average %s, GOMAXPROCS %d\n%5s %5s %7s %5s %6s %7s %7s %9s %9s %7s %8s %9s %9s %9s\n", loadAverage(), runtime.GOMAXPROCS(0),
+		"rows", "pools", "backers", "used", "holder", "core %", "heap MB", "in B/s", "out B/s", "reads/s", "writes/s", "document", "rows B", "list B")
 	for _, f := range list {
-		fmt.Fprintf(&b, "%5d %5d %7d %5d %7.2f %7.2f %9.0f %9.0f %7.2f %8.2f %9d %9d %9d\n", f.Rows, f.Pools, f.Backers, f.PoolsInUse,
+		fmt.Fprintf(&b, "%5d %5d %7d %5d %6t %7.2f %7.2f %9.0f %9.0f %7.2f %8.2f %9d %9d %9d\n", f.Rows, f.Pools, f.Backers, f.PoolsInUse, f.Holder,
 			f.CorePercent, f.HeapMB, f.BytesIn, f.BytesOut, f.Reads, f.Writes, f.DocumentBytes, f.RowsBytes, f.ListBytes)
 	}
 	return b.String()
 }
+
+// ClaimFigure is the load on the table by non-idempotent requests.
+type ClaimFigure struct {
+	Connections int `json:"connections"`
+	Requests    int `json:"requests"`
+	Errors      int `json:"errors"`
+	// Rate is in requests per second; the others are per request.
+	Rate         float64 `json:"requestsPerSecond"`
+	Transactions float64 `json:"transactionsPerRequest"`
+	RowsWritten  float64 `json:"rowsWrittenPerRequest"`
+	RowsRead     float64 `json:"rowsReadPerRequest"`
+}
+
+// Claims measures what non-idempotent requests read and write in the table at several numbers of connections.
+func Claims(ctx context.Context, connections []int, each time.Duration) ([]ClaimFigure, error) {
+	s, err := newSpeedLab(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	s.keys = &atomic.Int64{}
+	var list []ClaimFigure
+	for _, n := range connections {
+		if ctx.Err() != nil {
+			return list, ctx.Err()
+		}
+		before := s.platform.Counters()
+		latencies, errors := s.run(Owner, n, each)
+		after := s.platform.Counters()
+		f := ClaimFigure{Connections: n, Requests: len(latencies), Errors: errors, Rate: float64(len(latencies)) / each.Seconds()}
+		if r := float64(len(latencies)); r > 0 {
+			f.Transactions = float64(after.Writes-before.Writes) / r
+			f.RowsWritten, f.RowsRead = float64(after.WriteRows-before.WriteRows)/r, float64(after.ReadRows-before.ReadRows)/r
+		}
+		list = append(list, f)
+	}
+	return list, nil
+}
+
+// ClaimsText is the text form of the figures.
+func ClaimsText(list []ClaimFigure) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%5s %10s %13s %13s %10s %7s\n", "conns", "requests/s", "transactions", "rows written", "rows read", "errors")
+	for _, f := range list {
+		fmt.Fprintf(&b, "%5d %10.0f %13.3f %13.3f %10.3f %7d\n", f.Connections, f.Rate, f.Transactions, f.RowsWritten, f.RowsRead, f.Errors)
+	}
+	return b.String()
+}
--- a/experiment/speed.go
+++ b/experiment/speed.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -56,6 +57,8 @@
 	workers []*workerd.Server
 	client  *http.Client
 	body    []byte
+	// keys, if set, numbers the keys of non-idempotent requests.
+	keys *atomic.Int64
 }
 
 func newSpeedLab(ctx context.Context) (*speedLab, error) {
@@ -114,6 +117,10 @@
 		req.Header.Set(request.HeaderAttempt, "direct")
 	} else {
 		req.Header.Set("Authorization", "Bearer "+s.token)
+		if s.keys != nil {
+			req.Header.Set(request.HeaderIdempotent, "false")
+			req.Header.Set(request.HeaderIdempotencyKey, fmt.Sprintf("key-%d", s.keys.Add(1)))
+		}
 	}
 	resp, err := s.client.Do(req)
 	if err != nil {
