Add dev -serve and check the flags of dev

A newcomer had no deployment to point curl and the CLI at, and dev accepted any policy name, rate or number of entries and failed late or not at all. Serve keeps a deployment up on fixed or free ports and writes its tokens, worker addresses and the settings of one more entry into files.

--- a/command/dev.go
+++ b/command/dev.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -20,12 +22,12 @@
 
 // devCommand runs a whole deployment on loopback.
 type devCommand struct {
-	deployment, policies, moves, logLevel string
-	duration                              time.Duration
-	seed                                  uint64
-	rate                                  float64
-	entries, changes, port                int
-	json                                  bool
+	deployment, policies, moves, logLevel, dir string
+	duration                                   time.Duration
+	seed                                       uint64
+	rate                                       float64
+	entries, changes, port                     int
+	json, serve                                bool
 }
 
 func (*devCommand) Name() string     { return "dev" }
@@ -34,7 +36,11 @@
 	return "samphirepoint dev [flags]\n" +
 		"  Starts a stand-in platform, the five pools of stand-in workers and the entries of a deployment in one process, drives\n" +
 		"  its surging workload, and prints the measures and the properties checked. Exit status 1 if a property was broken.\n" +
-		"  Example: samphirepoint dev -deployment hraunvik -for 30s -seed 2\n"
+		"  With -serve, it starts the deployment without load, prints addresses, writes tokens into files, and runs until it is\n" +
+		"  interrupted; curl and the other commands work against it. Exit status 2 for bad flags.\n" +
+		"  Examples:\n" +
+		"    samphirepoint dev -deployment hraunvik -for 30s -seed 2\n" +
+		"    samphirepoint dev -serve -port 7001 -dir /tmp/samphire\n"
 }
 
 func (c *devCommand) SetFlags(f *flag.FlagSet) {
@@ -44,21 +50,29 @@
 	f.Float64Var(&c.rate, "rate", load.DefaultRate, "mean requests per second of all queues together")
 	f.IntVar(&c.entries, "entries", dev.DefaultEntries, "number of entries")
 	f.IntVar(&c.changes, "changes", 3, "number of table changes accepted during the run")
-	f.IntVar(&c.port, "port", 0, "caller port of the first entry; 0: any free port")
+	f.IntVar(&c.port, "port", 0, "caller port of the first entry; the others follow, the platform listens one below, the peer\ninterfaces 100 above; 0: any free ports")
+	f.BoolVar(&c.serve, "serve", false, "keep the deployment up without load until interrupted")
+	f.StringVar(&c.dir, "dir", "", "`DIRECTORY` for the files of tokens and addresses that -serve writes; default: a temporary one")
 	f.StringVar(&c.policies, "policies", "weighted,leastLoaded,owner", "queue, placement and shares policy; the baselines are fifo, random and static-split")
 	f.StringVar(&c.moves, "moves", "learned", "policy of instance moves: learned, fixed or greedy")
 	f.StringVar(&c.logLevel, "log", "error", "log level; info shows each decision")
 	f.BoolVar(&c.json, "json", false, "print the report as one JSON object")
 }
 
-func (c *devCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *devCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	o, err := c.options()
+	o, err := c.options(f.Args())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "samphirepoint dev:", err)
 		return subcommands.ExitUsageError
 	}
+	if c.serve {
+		if err := dev.Serve(ctx, o, os.Stdout); err != nil {
+			return reportFailure(err)
+		}
+		return subcommands.ExitSuccess
+	}
 	result, err := dev.Run(ctx, o)
 	if err != nil {
 		return reportFailure(err)
@@ -74,18 +88,81 @@
 	return subcommands.ExitSuccess
 }
 
-func (c *devCommand) options() (dev.Options, error) {
-	names := strings.Split(c.policies, ",")
-	if len(names) != 3 {
-		return dev.Options{}, fmt.Errorf("-policies %q, expected three names such as weighted,leastLoaded,owner", c.policies)
+// options checks the flags; an error is a mistake of the user.
+func (c *devCommand) options(args []string) (dev.Options, error) {
+	if err := c.check(args); err != nil {
+		return dev.Options{}, err
+	}
+	policies, err := c.parsePolicies()
+	if err != nil {
+		return dev.Options{}, err
 	}
 	moves := settings.Default().Moves
 	moves.Policy = c.moves
 	return dev.Options{
 		Deployment: c.deployment, Entries: c.entries, For: c.duration, Seed: c.seed, Rate: c.rate, Changes: c.changes, CallerPort: c.port,
-		Policies: settings.Policies{Queue: names[0], Placement: names[1], Shares: names[2]},
-		Moves:    moves,
+		Policies: policies, Moves: moves, Dir: c.dir,
 		Log:      newLog(c.logLevel),
 		Progress: func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) },
 	}, nil
 }
+
+// maxDevEntries bounds the processes' worth of work in one process; the two-year design has 8 entries.
+const maxDevEntries = 50
+
+func (c *devCommand) check(args []string) error {
+	if len(args) > 0 {
+		return fmt.Errorf("unexpected argument %q", args[0])
+	}
+	if _, err := load.Named(c.deployment); err != nil {
+		return fmt.Errorf("-deployment: %w", err)
+	}
+	if err := oneOf("-moves", c.moves, "learned", "fixed", "greedy"); err != nil {
+		return err
+	}
+	if err := oneOf("-log", c.logLevel, "debug", "info", "warn", "error"); err != nil {
+		return err
+	}
+	switch lastPort := c.port + c.entries + 100; {
+	case c.entries < 1 || c.entries > maxDevEntries:
+		return fmt.Errorf("-entries %d, expected 1 to %d", c.entries, maxDevEntries)
+	case !(c.rate > 0) || c.rate > maxDevRate:
+		return fmt.Errorf("-rate %g, expected a number of requests per second above 0, at most %d", c.rate, maxDevRate)
+	case c.duration <= 0:
+		return fmt.Errorf("-for %s, expected a duration above 0 such as 20s", c.duration)
+	case c.changes < 0:
+		return fmt.Errorf("-changes %d, expected 0 or more", c.changes)
+	case c.port != 0 && (c.port < 2 || lastPort > 65535):
+		return fmt.Errorf("-port %d, expected 0, or a port so that the ports %d to %d exist", c.port, c.port-1, lastPort)
+	case c.dir != "" && !c.serve:
+		return errors.New("-dir is used by -serve only")
+	case c.json && c.serve:
+		return errors.New("-json has no use with -serve, which prints no report")
+	}
+	return nil
+}
+
+// maxDevRate is far above what one machine can carry; it catches slips of the keyboard.
+const maxDevRate = 100_000
+
+// parsePolicies reads the three names of -policies.
+func (c *devCommand) parsePolicies() (settings.Policies, error) {
+	names := strings.Split(c.policies, ",")
+	if len(names) != 3 {
+		return settings.Policies{}, fmt.Errorf("-policies %q, expected three names such as weighted,leastLoaded,owner", c.policies)
+	}
+	for i, allowed := range [][]string{{"weighted", "fifo"}, {"leastLoaded", "random"}, {"owner", "static-split"}} {
+		if err := oneOf("-policies", names[i], allowed...); err != nil {
+			return settings.Policies{}, err
+		}
+	}
+	return settings.Policies{Queue: names[0], Placement: names[1], Shares: names[2]}, nil
+}
+
+// oneOf checks a flag that takes one of a few names.
+func oneOf(name, value string, allowed ...string) error {
+	if slices.Contains(allowed, value) {
+		return nil
+	}
+	return fmt.Errorf("%s: unknown name %q, expected %s", name, value, strings.Join(allowed, " or "))
+}
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -58,9 +58,12 @@
 	Moves    settings.Moves
 	// Changes is the number of table changes accepted during the run.
 	Changes int
-	// CallerPort is the port of the first entry's caller interface, 0 for any; the others follow.
+	// CallerPort is the port of the first entry's caller interface, 0 for any; the others follow. The platform
+	// then listens one below, and the peer interfaces 100 above.
 	CallerPort int
-	Log        zerolog.Logger
+	// Dir receives the files of tokens; empty uses a temporary directory that is deleted at the end.
+	Dir string
+	Log zerolog.Logger
 	// Progress is told what happens, for a person who waits; nil leaves it out.
 	Progress func(format string, args ...any)
 }
@@ -86,11 +89,14 @@
 	Tokens        map[string]string
 	OperatorToken string
 
-	base     string
-	dir      string
-	listener *standin.Listener
-	group    *errgroup.Group
-	stop     []context.CancelFunc
+	viewerToken string
+	base        string
+	// dir holds the token files; it is deleted at the end if removeDir.
+	dir       string
+	removeDir bool
+	listener  *standin.Listener
+	group     *errgroup.Group
+	stop      []context.CancelFunc
 
 	mu       sync.Mutex
 	changes  []platformd.Change
@@ -137,12 +143,12 @@
 }
 
 func (c *Cluster) start(ctx context.Context) error {
-	var err error
-	if c.dir, err = os.MkdirTemp("", "samphirepoint-dev-"); err != nil {
+	err := c.makeDir()
+	if err != nil {
 		return err
 	}
 	c.Platform = platformd.New(platformd.Options{Seed: c.Options.Seed, OnChange: c.keepChange})
-	if c.listener, err = c.Platform.Start("127.0.0.1:0"); err != nil {
+	if c.listener, err = c.Platform.Start(c.platformAddress()); err != nil {
 		return err
 	}
 	c.base = c.listener.URL()
@@ -158,6 +164,17 @@
 	return c.waitReady(ctx)
 }
 
+func (c *Cluster) makeDir() error {
+	if c.Options.Dir != "" {
+		c.dir = c.Options.Dir
+		return os.MkdirAll(c.dir, 0o700)
+	}
+	var err error
+	c.dir, err = os.MkdirTemp("", "samphirepoint-dev-")
+	c.removeDir = err == nil
+	return err
+}
+
 func (c *Cluster) keepChange(ch platformd.Change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -228,7 +245,7 @@
 		cfg.Policies, cfg.Moves = c.Options.Policies, c.Options.Moves
 		cfg.Listen = settings.Addresses{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0"}
 		if c.Options.CallerPort > 0 {
-			cfg.Listen.Callers = fmt.Sprintf("127.0.0.1:%d", c.Options.CallerPort+i)
+			cfg.Listen.Callers, cfg.Listen.Peers = c.addresses(i)
 		}
 		cfg.Shutdown.BalancerDelay = 0
 		if i > 0 {
@@ -255,20 +272,17 @@
 func (c *Cluster) writeTokens() (string, error) {
 	var file tokenFile
 	for _, b := range c.Document.Backers {
-		token, line := auth.NewToken(b.Name, auth.RoleBacker)
-		c.Tokens[b.Name] = token
-		file.Tokens = append(file.Tokens, line)
+		c.Tokens[b.Name] = file.newToken(b.Name, auth.RoleBacker)
 	}
-	token, line := auth.NewToken(operatorName, auth.RoleOperator)
-	c.OperatorToken = token
-	file.Tokens = append(file.Tokens, line)
+	c.OperatorToken = file.newToken(operatorName, auth.RoleOperator)
+	c.viewerToken = file.newToken(viewerName, auth.RoleViewer)
 	peerToken, _ := auth.NewToken("entries", auth.RolePeer)
 	file.PeerTokens = []string{peerToken}
 	data, err := yaml.Marshal(file)
 	if err != nil {
 		return "", err
 	}
-	path := filepath.Join(c.dir, "tokens.yaml")
+	path := filepath.Join(c.dir, fileTokens)
 	return path, os.WriteFile(path, data, 0o600)
 }
 
@@ -313,5 +327,7 @@
 	if c.listener != nil {
 		c.listener.Close()
 	}
-	_ = os.RemoveAll(c.dir)
+	if c.removeDir {
+		_ = os.RemoveAll(c.dir)
+	}
 }
--- /dev/null
+++ b/dev/serve.go
@@ -0,0 +1,140 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+
+	"samphirepoint/auth"
+)
+
+const (
+	// viewerName is the principal of the viewer token.
+	viewerName = "dev-viewer"
+	// peerPortOffset and platformPortOffset place the fixed ports of a deployment relative to CallerPort, as in
+	// the sample settings: platform 7000, callers from 7001, peers from 7101.
+	peerPortOffset     = 100
+	platformPortOffset = -1
+	// MaxFixedPortEntries keeps the caller ports below the peer ports.
+	MaxFixedPortEntries = peerPortOffset
+)
+
+// Names of the files that Serve writes, beside BACKER.token for each backer.
+const (
+	fileOperator   = "operator.token"
+	fileViewer     = "viewer.token"
+	fileLoadTokens = "load-tokens.yaml"
+	fileTokens     = "tokens.yaml"
+	fileExtraEntry = "extra-entry.yaml"
+	fileWorkers    = "workers.txt"
+)
+
+// Serve starts a deployment without load, writes its tokens and addresses into o.Dir, describes it on out and keeps
+// it up until ctx ends. The files stay, except in a directory that Serve made.
+func Serve(ctx context.Context, o Options, out io.Writer) error {
+	c, err := Start(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if err := c.writeFiles(); err != nil {
+		return err
+	}
+	c.describe(out)
+	<-ctx.Done()
+	c.Options.Progress("stopping")
+	return nil
+}
+
+// writeFiles makes the deployment usable from a shell.
+func (c *Cluster) writeFiles() error {
+	loadTokens, err := yaml.Marshal(c.Tokens)
+	if err != nil {
+		return err
+	}
+	files := map[string]string{
+		fileOperator:   c.OperatorToken + "\n",
+		fileViewer:     c.viewerToken + "\n",
+		fileLoadTokens: string(loadTokens),
+		fileExtraEntry: c.extraEntry(),
+		fileWorkers:    c.workerList(),
+	}
+	for backer, token := range c.Tokens {
+		files[backer+".token"] = token + "\n"
+	}
+	for name, content := range files {
+		if err := os.WriteFile(filepath.Join(c.dir, name), []byte(content), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// workerList has one line per worker: id, pool, address.
+func (c *Cluster) workerList() string {
+	var b strings.Builder
+	for i, w := range c.Workers {
+		fmt.Fprintf(&b, "%s %s %s\n", c.fleet[i].ID, c.fleet[i].Pool, w.Address())
+	}
+	return b.String()
+}
+
+// extraEntry returns settings for one more entry as a process of its own, which can be stopped and killed.
+func (c *Cluster) extraEntry() string {
+	names := zones[c.Options.Deployment]
+	callers, peers := "127.0.0.1:0", "127.0.0.1:0"
+	if c.Options.CallerPort > 0 {
+		callers, peers = c.addresses(c.Options.Entries)
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "# One more entry of this deployment: samphirepoint entry -settings %s\n", filepath.Join(c.dir, fileExtraEntry))
+	fmt.Fprintf(&b, "id: entry-%d\nzone: %s\nzones: [%s]\n", c.Options.Entries+1, names[0], strings.Join(names, ", "))
+	fmt.Fprintf(&b, "listen:\n  callers: %s\n  peers: %s\n", callers, peers)
+	fmt.Fprintf(&b, "platform: %s\npeers: [%s]\ntokens: %s\n", c.base, c.Entries[0].PeerAddress(), fileTokens)
+	return b.String()
+}
+
+// addresses returns the fixed addresses of entry i, counted from 0.
+func (c *Cluster) addresses(i int) (callers, peers string) {
+	port := c.Options.CallerPort + i
+	return fmt.Sprintf("127.0.0.1:%d", port), fmt.Sprintf("127.0.0.1:%d", port+peerPortOffset)
+}
+
+func (c *Cluster) platformAddress() string {
+	if c.Options.CallerPort == 0 {
+		return "127.0.0.1:0"
+	}
+	return fmt.Sprintf("127.0.0.1:%d", c.Options.CallerPort+platformPortOffset)
+}
+
+// describe tells a newcomer what runs and what to try first.
+func (c *Cluster) describe(out io.Writer) {
+	fmt.Fprintf(out, "deployment %s is up: %d workers, %d entries\n\n", c.Options.Deployment, len(c.Workers), len(c.Entries))
+	fmt.Fprintf(out, "platform   %s\n", c.base)
+	for _, e := range c.Entries {
+		fmt.Fprintf(out, "callers    http://%s\n", e.CallerAddress())
+	}
+	queue, backer := c.Document.Queues[0].Name, c.Document.Backers[0].Name
+	if allowed := c.Document.Queues[0].Backers; len(allowed) > 0 {
+		backer = allowed[0]
+	}
+	fmt.Fprintf(out, "\ntokens     %s (BACKER.token, %s, %s)\n", c.dir, fileViewer, fileOperator)
+	fmt.Fprintf(out, "workers    %s\n", filepath.Join(c.dir, fileWorkers))
+	fmt.Fprintf(out, "\nTry, in another shell:\n")
+	fmt.Fprintf(out, "  curl -i -H \"Authorization: Bearer $(cat %s)\" -d '{\"runMs\": 50}' http://%s/v1/queues/%s/requests\n",
+		filepath.Join(c.dir, backer+".token"), c.Entries[0].CallerAddress(), queue)
+	fmt.Fprintf(out, "  samphirepoint table -entry %s -token-file %s show\n", c.Entries[0].CallerAddress(), filepath.Join(c.dir, fileOperator))
+	fmt.Fprintf(out, "\nInterrupt with Ctrl-C to stop.\n")
+}
+
+// newToken returns a token and adds its line to the file.
+func (f *tokenFile) newToken(name string, role auth.Role) string {
+	token, line := auth.NewToken(name, role)
+	f.Tokens = append(f.Tokens, line)
+	return token
+}
