Refuse issue times of keys in the future

A key issued far in the future passed the age check after its claim row was deleted, so a repeat could run a non-idempotent request a second time. Issue times may lead the entry's clock by 5 min.

--- a/filter/identification.go
+++ b/filter/identification.go
@@ -26,6 +26,9 @@
 	maxDeadline = time.Hour
 	// maxJobDeadline bounds Samphire-Deadline of jobs.
 	maxJobDeadline = 7 * 24 * time.Hour
+	// maxIssueLead allows for callers whose clock is ahead. An issue time further in the future would let a repeat
+	// pass the check of claim.MaxIssueAge after the record of its key is deleted, so the request could run twice.
+	maxIssueLead = 5 * time.Minute
 	// maxNameBytes bounds ids, keys and kinds that callers choose.
 	maxNameBytes = 200
 )
@@ -139,6 +142,9 @@
 	if now.Sub(t) > claim.MaxIssueAge {
 		return time.Time{}, fmt.Errorf("%s: %q is older than %s; the record of this key may be gone", request.HeaderIdempotencyIssued, s, claim.MaxIssueAge)
 	}
+	if t.Sub(now) > maxIssueLead {
+		return time.Time{}, fmt.Errorf("%s: %q is more than %s in the future", request.HeaderIdempotencyIssued, s, maxIssueLead)
+	}
 	return t, nil
 }
 
--- /dev/null
+++ b/filter/issued_test.go
@@ -0,0 +1,24 @@
+package filter
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"samphirepoint/claim"
+)
+
+// An issue time outside the life of a claim row would let a repeat of the key run the request a second time.
+func TestIssueTimeMustBeNearTheClaim(t *testing.T) {
+	now := time.Date(2026, 12, 4, 7, 0, 0, 0, time.UTC)
+	for _, c := range []struct {
+		offset time.Duration
+		ok     bool
+	}{
+		{-claim.MaxIssueAge - time.Second, false}, {-claim.MaxIssueAge, true}, {0, true}, {maxIssueLead, true}, {maxIssueLead + time.Second, false},
+	} {
+		_, err := parseIssued(now.Add(c.offset).Format(time.RFC3339), now)
+		NewWithT(t).Expect(err == nil).To(Equal(c.ok), "%s", c.offset)
+	}
+}
