Name the reason in readyz, the worker in failed attempts, and the passed deadline

An operator saw only "not ready", could not tell from the log which worker an attempt had failed on, and callers were told "context deadline exceeded".

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -303,8 +303,21 @@
 func (e *Entry) Draining() bool { return e.draining.Load() }
 
 // Ready reports whether the balancer should send callers here.
-func (e *Entry) Ready() bool {
-	return !e.leaving.Load() && e.Document() != nil && e.fleetView.Snapshot() != nil && e.Fresh(time.Now())
+func (e *Entry) Ready() bool { return e.notReady() == "" }
+
+// notReady names what keeps the entry from taking work; empty if nothing does.
+func (e *Entry) notReady() string {
+	switch {
+	case e.leaving.Load():
+		return "entry is shutting down"
+	case e.Document() == nil:
+		return "no accepted table was read yet"
+	case e.fleetView.Snapshot() == nil:
+		return "the fleet was not read yet"
+	case !e.Fresh(time.Now()):
+		return "no contact with the table nor with a majority of the entries"
+	}
+	return ""
 }
 
 // Run serves until ctx ends and then leaves gracefully: readiness goes off, the balancer gets time to
--- a/entry/mux.go
+++ b/entry/mux.go
@@ -18,8 +18,8 @@
 	e.fleetRoutes(mux)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !e.Ready() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		if why := e.notReady(); why != "" {
+			http.Error(w, "not ready: "+why, http.StatusServiceUnavailable)
 			return
 		}
 		w.WriteHeader(http.StatusOK)
--- a/filter/dispatch.go
+++ b/filter/dispatch.go
@@ -57,6 +57,8 @@
 	failedOn []string
 	exclude  []string
 	expected time.Duration
+	// worker is that of the last attempt.
+	worker string
 }
 
 // Request implements Filter.
@@ -86,7 +88,7 @@
 // attempt sends the request once and gives the slot back.
 func (f *Dispatch) attempt(c *Context, history *attempts) (*Answer, error) {
 	grant := c.Grant
-	c.Grant = nil
+	c.Grant, history.worker = nil, grant.Worker
 	if c.Claim != nil && !c.Claim.InWindow(time.Now()) {
 		grant.Release(dispatch.Result{Outcome: dispatch.NotSent})
 		return nil, verdict.Unavailable(time.Second, "entry was paused between claim and dispatch")
@@ -192,7 +194,7 @@
 		Expected:   history.expected,
 		CannotRun:  len(history.failedOn) >= cannotRunAfter,
 	})
-	c.Log.Info().Bool("again", d.Retry).Str("reason", d.Reason).Err(err).Msg("attempt failed")
+	c.Log.Info().Str("pool", c.Request.Pool).Str("worker", history.worker).Int("try", history.tries).Bool("again", d.Retry).Str("reason", d.Reason).Err(err).Msg("attempt failed")
 	return d.Retry && pause(c.Ctx, d.After)
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -198,6 +198,9 @@
 
 func (c *Client) transportError(fc *filter.Context, err error, wrote bool) error {
 	if cause := context.Cause(fc.Ctx); cause != nil {
+		if errors.Is(cause, context.DeadlineExceeded) {
+			cause = errors.New("deadline passed")
+		}
 		if wrote {
 			return verdict.Wrap(cause, verdict.MayHaveRun, http.StatusGatewayTimeout)
 		}
