Report cancelled jobs without a status, and a cancel that is under way

A job that was stopped showed status 200, and a running job did not show that its cancel was accepted. Its owner logged a warning about another owner when the cancel had only changed the row.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -75,23 +75,26 @@
 
 // jobStatus is the JSON form of a job towards callers.
 type jobStatus struct {
-	ID       string     `json:"id"`
-	Queue    string     `json:"queue"`
-	State    job.State  `json:"state"`
-	Verdict  string     `json:"verdict,omitempty"`
-	Worker   string     `json:"worker,omitempty"`
-	Status   int        `json:"status,omitempty"`
-	Error    string     `json:"error,omitempty"`
-	Accepted time.Time  `json:"accepted"`
-	Updated  time.Time  `json:"updated"`
-	Deadline *time.Time `json:"deadline,omitempty"`
+	ID      string    `json:"id"`
+	Queue   string    `json:"queue"`
+	State   job.State `json:"state"`
+	Verdict string    `json:"verdict,omitempty"`
+	Worker  string    `json:"worker,omitempty"`
+	Status  int       `json:"status,omitempty"`
+	// CancelRequested is set until the worker has confirmed the stop.
+	CancelRequested bool       `json:"cancelRequested,omitempty"`
+	Error           string     `json:"error,omitempty"`
+	Accepted        time.Time  `json:"accepted"`
+	Updated         time.Time  `json:"updated"`
+	Deadline        *time.Time `json:"deadline,omitempty"`
 }
 
 func describe(rec *job.Record) jobStatus {
 	s := jobStatus{ID: rec.ID, Queue: rec.Queue, State: rec.State, Verdict: rec.Verdict, Worker: rec.Worker, Error: rec.Error, Accepted: rec.Accepted, Updated: rec.Updated}
-	if rec.State.Final() {
+	if rec.State.Final() && rec.State != job.Cancelled {
 		s.Status = rec.Status
 	}
+	s.CancelRequested = rec.CancelRequested && !rec.State.Final()
 	if !rec.Deadline.IsZero() {
 		s.Deadline = &rec.Deadline
 	}
--- a/job/runner.go
+++ b/job/runner.go
@@ -307,10 +307,13 @@
 		if err == nil {
 			return
 		}
-		if errors.Is(err, errLost) && !r.refreshVersion() {
+		lost := errors.Is(err, errLost)
+		if lost && !r.refreshVersion() {
 			return
 		}
-		r.log.Warn().Err(err).Msg("end of the job cannot be written yet")
+		if !lost { // otherwise a cancel changed the row, and the new version is tried
+			r.log.Warn().Err(err).Msg("end of the job cannot be written yet")
+		}
 		time.Sleep(delay)
 	}
 }
