--- a/admin/table_client.go
+++ b/admin/table_client.go
@@ -199,7 +199,7 @@
 			failures = append(failures, fmt.Errorf("%s: %w", address, err))
 		}
 	}
-	err := fmt.Errorf("no entry could answer:\n%w", errors.Join(failures...))
+	err := fmt.Errorf("no entry could do this:\n%w", errors.Join(failures...))
 	if mayHaveRun {
 		return nil, verdict.Wrap(fmt.Errorf("%w\nthe request may have taken effect; look at the draft and the history", err), verdict.MayHaveRun, http.StatusServiceUnavailable)
 	}
