Give help and mistakes of the command line their exit status

Asking for help exited with 2 and printed to standard error, an unknown command printed only the list, and missing flags of load and the stand-ins, an unreadable token file and values refused with 400 exited with 1. The report of dev names its parts; a second interrupt ends dev and load at once. Waits that are the same are printed once.

--- a/command/dev.go
+++ b/command/dev.go
@@ -62,6 +62,8 @@
 func (c *devCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// A second interrupt ends the process at once.
+	context.AfterFunc(ctx, stop)
 	o, err := c.options(f.Args())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "samphirepoint dev:", err)
@@ -80,7 +82,8 @@
 	if c.json {
 		err = json.NewEncoder(os.Stdout).Encode(result)
 	} else {
-		_, err = fmt.Printf("%s\n%s\n%s", result.Summary, result.Measures, result.Checks)
+		_, err = fmt.Printf("What callers were told:\n%s\nMeasures (docs/design.md, section 1.2):\n%s\nProperties (docs/design.md, section 1.1):\n%s\n%s\n",
+			result.Summary, result.Measures, result.Checks, conclusion(result))
 	}
 	if err != nil || !result.OK() {
 		return subcommands.ExitFailure
@@ -88,6 +91,14 @@
 	return subcommands.ExitSuccess
 }
 
+// conclusion is the last line of the report.
+func conclusion(r *dev.Result) string {
+	if r.OK() {
+		return "all properties that could be checked held"
+	}
+	return fmt.Sprintf("BROKEN: %d violations of the properties, see above", len(r.Checks.Violations))
+}
+
 // options checks the flags; an error is a mistake of the user.
 func (c *devCommand) options(args []string) (dev.Options, error) {
 	if err := c.check(args); err != nil {
--- a/command/fleet.go
+++ b/command/fleet.go
@@ -96,7 +96,7 @@
 		return subcommands.ExitUsageError
 	}
 	printError(c.stderr, c.flags.json, err)
-	return subcommands.ExitFailure
+	return statusOf(err)
 }
 
 func (c *fleetCommand) execute(ctx context.Context, args []string) error {
--- a/command/load.go
+++ b/command/load.go
@@ -52,9 +52,12 @@
 func (c *loadCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// A second interrupt ends the process at once.
+	context.AfterFunc(ctx, stop)
 	o, err := c.options()
 	if err != nil {
-		return reportFailure(err)
+		fmt.Fprintln(os.Stderr, "samphirepoint load:", err)
+		return subcommands.ExitUsageError
 	}
 	result, err := load.Run(ctx, o)
 	if err != nil {
@@ -68,11 +71,17 @@
 
 func (c *loadCommand) options() (load.Options, error) {
 	if c.targets == "" || c.tokenFile == "" {
-		return load.Options{}, fmt.Errorf("load: -target and -token-file are required")
+		return load.Options{}, fmt.Errorf("-target and -token-file are required")
 	}
 	d, err := load.Named(c.deployment)
 	if err != nil {
-		return load.Options{}, err
+		return load.Options{}, fmt.Errorf("-deployment: %w", err)
+	}
+	if !(c.rate > 0) || c.rate > maxDevRate {
+		return load.Options{}, fmt.Errorf("-rate %g, expected a number of requests per second above 0, at most %d", c.rate, maxDevRate)
+	}
+	if c.duration <= 0 {
+		return load.Options{}, fmt.Errorf("-for %s, expected a duration above 0 such as 30s", c.duration)
 	}
 	data, err := os.ReadFile(c.tokenFile)
 	if err != nil {
@@ -80,7 +89,7 @@
 	}
 	var tokens map[string]string
 	if err := yaml.Unmarshal(data, &tokens); err != nil {
-		return load.Options{}, fmt.Errorf("%s: %w", c.tokenFile, err)
+		return load.Options{}, fmt.Errorf("-token-file %s: %w", c.tokenFile, err)
 	}
 	return load.Options{Targets: strings.Split(c.targets, ","), Deployment: d, Rate: c.rate, For: c.duration, Seed: c.seed,
 		Tokens: tokens, Spread: c.spread, CancelShare: c.cancels, CancelWaveAt: c.wave}, nil
--- a/command/pool.go
+++ b/command/pool.go
@@ -155,8 +155,13 @@
 }
 
 func printWaits(w io.Writer, waits []wave.Wait) {
+	seen := map[string]bool{}
 	for _, wait := range waits {
-		fmt.Fprintln(w, wait)
+		// Several instances of a wave wait for the same budget.
+		if line := wait.String(); !seen[line] {
+			seen[line] = true
+			fmt.Fprintln(w, line)
+		}
 	}
 }
 
--- a/command/standin.go
+++ b/command/standin.go
@@ -27,9 +27,13 @@
 func (standinCommand) Execute(ctx context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
 	c := subcommands.NewCommander(f, "samphirepoint standin")
 	c.Register(c.HelpCommand(), "")
-	c.Register(&standinPlatformCommand{}, "")
-	c.Register(&standinWorkerCommand{}, "")
-	c.Register(&standinProxyCommand{}, "")
+	for _, s := range []subcommands.Command{&standinPlatformCommand{}, &standinWorkerCommand{}, &standinProxyCommand{}} {
+		if s.Name() == f.Arg(0) && isHelp(f.Arg(1)) {
+			printHelp(os.Stdout, s)
+			return subcommands.ExitSuccess
+		}
+		c.Register(s, "")
+	}
 	return c.Execute(ctx, args...)
 }
 
--- a/command/standin_proxy.go
+++ b/command/standin_proxy.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
+	"os"
 
 	"github.com/google/subcommands"
 
@@ -33,7 +33,8 @@
 
 func (c *standinProxyCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if c.target == "" {
-		return reportFailure(errors.New("standin proxy: -target is required"))
+		fmt.Fprintln(os.Stderr, "samphirepoint standin proxy: -target is required")
+		return subcommands.ExitUsageError
 	}
 	p, err := faultproxy.New(c.listen, c.target)
 	if err != nil {
--- a/command/standin_worker.go
+++ b/command/standin_worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -43,7 +42,8 @@
 
 func (c *standinWorkerCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if c.options.ID == "" {
-		return reportFailure(errors.New("standin worker: -id is required"))
+		fmt.Fprintln(os.Stderr, "samphirepoint standin worker: -id is required")
+		return subcommands.ExitUsageError
 	}
 	s := workerd.New(c.options)
 	if err := s.Start(c.listen); err != nil {
--- a/command/table.go
+++ b/command/table.go
@@ -105,7 +105,7 @@
 		return subcommands.ExitUsageError
 	}
 	c.printError(err)
-	return subcommands.ExitFailure
+	return statusOf(err)
 }
 
 func (c *tableCommand) execute(ctx context.Context, args []string) error {
@@ -171,13 +171,22 @@
 	}
 	token, err := os.ReadFile(tokenFile)
 	if err != nil {
-		return nil, fmt.Errorf("token: %w", err)
+		return nil, usagef("-token-file: %w", err)
 	}
 	return admin.NewClient(addresses, strings.TrimSpace(string(token)), &http.Client{}), nil
 }
 
 func (c *tableCommand) printError(err error) { printError(c.stderr, c.flags.json, err) }
 
+// statusOf tells a mistake in the arguments, which the entry answers with 400, from a refusal.
+func statusOf(err error) subcommands.ExitStatus {
+	var refusal *admin.Error
+	if errors.As(err, &refusal) && refusal.Status == http.StatusBadRequest {
+		return subcommands.ExitUsageError
+	}
+	return subcommands.ExitFailure
+}
+
 // printError prints a refusal; with -json in the form of the admin API.
 func printError(w io.Writer, asJSON bool, err error) {
 	if !asJSON {
--- a/command/table_actions.go
+++ b/command/table_actions.go
@@ -16,7 +16,7 @@
 // tableActions lists the actions in the order of the help text.
 var tableActions = []tableAction{
 	{"show", "", "print the table in force, or the draft", "show -draft", draftFlag, tableShow},
-	{"set", "CELL VALUE [CELL VALUE...]", "change cells of the draft; see set -h", "set inzira.weight 3 pools/pumps.region gasabo", setFlags, tableSet},
+	{"set", "CELL VALUE [CELL VALUE...]", "change cells of the draft", "set inzira.weight 3 pools/pumps.region gasabo", setFlags, tableSet},
 	{"diff", "", "print the changes of the draft, their effect, and what blocks them", "diff", nil, tableDiff},
 	{"accept", "", "put the draft in force", "accept -draft 12 -reason \"audit week\"", acceptFlags, tableAccept},
 	{"discard", "", "remove the draft", "discard -draft 12", discardFlags, tableDiscard},
@@ -265,7 +265,7 @@
 	}
 	data, err := r.readFile(r.args[0])
 	if err != nil {
-		return err
+		return usageError{err}
 	}
 	draft, err := r.client.ImportCSV(ctx, data)
 	if err != nil {
--- a/command/token.go
+++ b/command/token.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -33,7 +34,18 @@
 	flags := flag.NewFlagSet("token new", flag.ContinueOnError)
 	name := flags.String("name", "", "name of the backer or operator")
 	role := flags.String("role", "", "backer, viewer, operator or peer")
-	if err := flags.Parse(f.Args()[1:]); err != nil {
+	flags.Usage = func() {
+		fmt.Fprint(os.Stderr, c.Usage())
+		flags.PrintDefaults()
+	}
+	switch err := flags.Parse(f.Args()[1:]); {
+	case errors.Is(err, flag.ErrHelp):
+		return subcommands.ExitSuccess
+	case err != nil:
+		return subcommands.ExitUsageError
+	}
+	if flags.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "samphirepoint token new: unexpected argument %q\n", flags.Arg(0))
 		return subcommands.ExitUsageError
 	}
 	if *role == string(auth.RolePeer) {
@@ -46,7 +58,7 @@
 		err = fmt.Errorf("-name is missing")
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(os.Stderr, "samphirepoint token new:", err)
 		return subcommands.ExitUsageError
 	}
 	token, entry := auth.NewToken(*name, parsed)
--- a/dev/run.go
+++ b/dev/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"samphirepoint/admin"
@@ -25,7 +26,8 @@
 	}
 	defer c.Close()
 	o = c.Options
-	o.Progress("%d workers and %d entries are ready; callers: %v", len(c.Workers), len(c.Entries), c.Targets())
+	o.Progress("%d workers and %d entries are ready; submitting work for %s", len(c.Workers), len(c.Entries), o.For)
+	o.Progress("long work may need a minute more to finish; interrupt to report early, twice to end at once")
 	watch, stopWatch := context.WithCancel(ctx)
 	defer stopWatch()
 	go c.sampleVersions(watch)
@@ -37,6 +39,7 @@
 		return nil, err
 	}
 	to := time.Now()
+	o.Progress("all work is answered; judging")
 	if o.Changes > 0 {
 		time.Sleep(settleTime)
 	}
@@ -115,6 +118,7 @@
 
 // tellProgress prints the state of the pools once in a while.
 func (c *Cluster) tellProgress(ctx context.Context) {
+	started := time.Now()
 	ticker := time.NewTicker(5 * time.Second)
 	defer ticker.Stop()
 	for {
@@ -123,12 +127,23 @@
 			return
 		case <-ticker.C:
 		}
-		running := map[string]int{}
-		for i, w := range c.Workers {
-			running[c.fleet[i].Pool] += len(w.Status().Running)
-		}
-		c.Options.Progress("slots in use per pool: %v", running)
+		c.Options.Progress("after %s, slots in use: %s", time.Since(started).Round(time.Second), c.slotsInUse())
+	}
+}
+
+// slotsInUse lists the pools in the order of the table.
+func (c *Cluster) slotsInUse() string {
+	running, slots := map[string]int{}, map[string]int{}
+	for i, w := range c.Workers {
+		st := w.Status()
+		running[c.fleet[i].Pool] += len(st.Running)
+		slots[c.fleet[i].Pool] += st.Slots
+	}
+	var parts []string
+	for _, p := range c.Document.Pools {
+		parts = append(parts, fmt.Sprintf("%s %d/%d", p.Name, running[p.Name], slots[p.Name]))
 	}
+	return strings.Join(parts, ", ")
 }
 
 // judge collects the evidence and computes checks and measures.
--- a/main.go
+++ b/main.go
@@ -3,20 +3,11 @@
 
 import (
 	"context"
-	"flag"
 	"os"
 
-	"github.com/google/subcommands"
-
 	"samphirepoint/command"
 )
 
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(subcommands.FlagsCommand(), "")
-	for _, c := range command.All() {
-		subcommands.Register(c, "")
-	}
-	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+	os.Exit(int(command.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr)))
 }
