Remove the gauges of pools that went to another entry, and demand a token file

Sums of samphirepoint_pool_slots over the entries counted a pool twice after its owner had changed. Without the tokens setting, an entry failed with "open : no such file or directory".

--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -193,12 +193,16 @@
 // Usage of one backer.
 type Usage struct{ InUse, Waiting int }
 
-// Usage returns the state of all pools served here.
+// Usage returns the state of all pools served here: those that this entry owns, and former ones in which its
+// work still runs.
 func (s *Scheduler) Usage() map[string]PoolUsage {
 	usage := map[string]PoolUsage{}
 	ok := s.ask(func() {
 		now := s.cfg.Now()
 		for name, p := range s.pools {
+			if !p.owned && p.queue.InUse() == 0 && p.queue.Len() == 0 {
+				continue
+			}
 			u := PoolUsage{Slots: p.slots, InUse: p.queue.InUse(), Waiting: p.queue.Len(), Backers: map[string]Usage{}, EstimatedWait: p.estimatedWait(now)}
 			for backer, b := range p.queue.Usage() {
 				u.Backers[backer] = Usage{InUse: b.InUse, Waiting: b.Waiting}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -126,6 +127,9 @@
 }
 
 func (e *Entry) openSecurity() error {
+	if e.cfg.Tokens == "" {
+		return errors.New("settings: tokens: missing, expected the name of the token file; an entry does not run without authentication")
+	}
 	tokens, err := auth.Open(e.cfg.Tokens)
 	if err != nil {
 		return err
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -22,6 +22,8 @@
 	verdicts  map[verdict.Verdict]metrics.Counter
 	replayed  metrics.Counter
 	latency   metrics.Timer
+	// pools are those with gauges; only the control goroutine uses it.
+	pools map[string]bool
 }
 
 func newStats(r metrics.Registry) *stats {
@@ -31,6 +33,7 @@
 		replayed:  metrics.GetOrRegisterCounter("requests.replayed", r),
 		latency:   metrics.GetOrRegisterTimer("requests.duration", r),
 		verdicts:  map[verdict.Verdict]metrics.Counter{},
+		pools:     map[string]bool{},
 	}
 	for _, v := range []verdict.Verdict{verdict.NotRun, verdict.Ran, verdict.MayHaveRun} {
 		name := "requests." + strings.ReplaceAll(v.String(), "-", "_")
@@ -48,9 +51,19 @@
 	}
 }
 
-// observe sets the gauges of the pools served here.
+// observe sets the gauges of the pools served here, and removes those of pools that went to another entry: sums
+// over the entries would count their slots twice.
 func (s *stats) observe(usage map[string]dispatch.PoolUsage) {
+	for name := range s.pools {
+		if _, served := usage[name]; !served {
+			for _, gauge := range []string{"slots", "in_use", "waiting"} {
+				s.registry.Unregister("pool." + name + "." + gauge)
+			}
+			delete(s.pools, name)
+		}
+	}
 	for name, u := range usage {
+		s.pools[name] = true
 		metrics.GetOrRegisterGauge("pool."+name+".slots", s.registry).Update(int64(u.Slots))
 		metrics.GetOrRegisterGauge("pool."+name+".in_use", s.registry).Update(int64(u.InUse))
 		metrics.GetOrRegisterGauge("pool."+name+".waiting", s.registry).Update(int64(u.Waiting))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,7 +24,7 @@
 	Platform string
 	// Peers are the peer addresses of other entries that are tried first.
 	Peers []string
-	// Tokens is the path of the file with bearer tokens; empty disables authentication.
+	// Tokens is the path of the file with bearer tokens. An entry does not start without it.
 	Tokens     string
 	CallerTLS  TLS
 	PeerTLS    TLS
