--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -126,6 +127,9 @@
 }
 
 func (e *Entry) openSecurity() error {
+	if e.cfg.Tokens == "" {
+		return errors.New("settings: tokens: missing, expected the name of the token file; an entry does not run without authentication")
+	}
 	tokens, err := auth.Open(e.cfg.Tokens)
 	if err != nil {
 		return err
@@ -303,8 +307,21 @@
 func (e *Entry) Draining() bool { return e.draining.Load() }
 
 // Ready reports whether the balancer should send callers here.
-func (e *Entry) Ready() bool {
-	return !e.leaving.Load() && e.Document() != nil && e.fleetView.Snapshot() != nil && e.Fresh(time.Now())
+func (e *Entry) Ready() bool { return e.notReady() == "" }
+
+// notReady names what keeps the entry from taking work; empty if nothing does.
+func (e *Entry) notReady() string {
+	switch {
+	case e.leaving.Load():
+		return "entry is shutting down"
+	case e.Document() == nil:
+		return "no accepted table was read yet"
+	case e.fleetView.Snapshot() == nil:
+		return "the fleet was not read yet"
+	case !e.Fresh(time.Now()):
+		return "no contact with the table nor with a majority of the entries"
+	}
+	return ""
 }
 
 // Run serves until ctx ends and then leaves gracefully: readiness goes off, the balancer gets time to
