--- a/load/load.go
+++ b/load/load.go
@@ -210,7 +210,7 @@
 	defer cancel()
 	req, err := g.newRequest(ctx, a, issued, rec)
 	if err != nil {
-		rec.fail(err)
+		rec.Fail(err)
 		return
 	}
 	time.Sleep(g.options.Deployment.OneWay)
@@ -222,9 +222,9 @@
 	}
 	resp, err := g.client.Do(req)
 	if err != nil {
-		rec.fail(err)
+		rec.Fail(err)
 	} else {
-		rec.fill(resp)
+		rec.Fill(resp)
 	}
 	time.Sleep(g.options.Deployment.OneWay)
 	rec.Ended = time.Now()
--- a/load/record.go
+++ b/load/record.go
@@ -90,12 +90,12 @@
 	return r.Verdict != "ran" && r.Verdict != "not-run"
 }
 
-// fill takes over an answer.
-func (r *Record) fill(resp *http.Response) {
+// Fill takes over an answer and closes its body.
+func (r *Record) Fill(resp *http.Response) {
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		r.fail(err)
+		r.Fail(err)
 		return
 	}
 	h := resp.Header
@@ -118,7 +118,8 @@
 	}
 }
 
-func (r *Record) fail(err error) {
+// Fail notes why there was no complete answer.
+func (r *Record) Fail(err error) {
 	r.Err = err.Error()
 	var netErr net.Error
 	var op *net.OpError
