--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -79,6 +79,13 @@
 			}
 		}
 	})
+	// Readiness is read first, so that a ready entry is never shown with a version from before it was ready.
+	ready := 0.0
+	if e.Ready() {
+		ready = 1
+	}
+	add("samphirepoint_ready", ready)
+	add("samphirepoint_config_version", float64(e.ConfigVersion()))
 	slices.Sort(lines)
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	fmt.Fprintln(w, strings.Join(lines, "\n"))
