Announce new demand to all owners at once

Change: demand that others do not expect is published within 250 ms and exchanged with all live peers, at most every 3 s.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -190,9 +190,9 @@
 }
 
 // SetFleet takes over new snapshots. Requests that wait in a pool that another entry owns now are refused
-// with ErrNotOwner, so that the receivers submit them there; running ones go on.
+// with ErrNotOwner, so that the receivers submit them there; running ones go on. On return the snapshots are in force.
 func (s *Scheduler) SetFleet(f Fleet) {
-	s.do(func() {
+	s.ask(func() {
 		s.fleet = f
 		now := s.cfg.Now()
 		for name, p := range s.pools {
--- a/entry/control.go
+++ b/entry/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"samphirepoint/dispatch"
+	"samphirepoint/fairqueue"
 	"samphirepoint/instance"
 	"samphirepoint/limit"
 	"samphirepoint/membership"
@@ -30,6 +31,8 @@
 	round   int64
 	// published names the backers whose demand was in the last round.
 	published map[string]bool
+	// announced is the time of the last announcement of new demand.
+	announced time.Time
 	// fleetVersion and pools cache the grouping of instance rows by pool.
 	fleetVersion int64
 	members      int
@@ -68,21 +71,23 @@
 		case <-ticker.C:
 		}
 		usage := c.e.scheduler.Usage()
+		c.e.stats.observe(usage)
+		doc, fleet := c.e.config.Snapshot(), c.e.fleetView.Snapshot()
+		if doc == nil || fleet == nil {
+			continue
+		}
+		view := c.limitView(doc, usage)
 		if time.Since(lastRound) >= limitInterval {
 			lastRound = time.Now()
-			c.divideLimits(ctx, usage)
+			c.divideLimits(view)
 		}
-		c.publish(usage)
-		c.e.stats.observe(usage)
+		c.announce(ctx, view)
+		c.publish(doc, fleet, sharesPerPool(doc, usage, c.shareParts(doc, view)))
 	}
 }
 
 // publish hands the scheduler the fleet as this entry sees it.
-func (c *control) publish(usage map[string]dispatch.PoolUsage) {
-	doc, fleet := c.e.config.Snapshot(), c.e.fleetView.Snapshot()
-	if doc == nil || fleet == nil {
-		return
-	}
+func (c *control) publish(doc *table.Document, fleet *instance.Fleet, shares map[string]map[string]fairqueue.Share) {
 	snapshot := c.e.gossip.Members()
 	c.group(fleet, len(snapshot.Alive()))
 	owned := map[string]bool{}
@@ -93,7 +98,7 @@
 		Pools:   c.pools,
 		Owned:   owned,
 		Leaving: c.e.gossip.Leaving,
-		Shares:  sharesPerPool(doc, usage, c.shareParts(doc, usage)),
+		Shares:  shares,
 	})
 	c.e.noteFleet(fleet)
 }
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"time"
 
 	"samphirepoint/dispatch"
 	"samphirepoint/fairqueue"
@@ -11,35 +12,41 @@
 	"samphirepoint/table"
 )
 
+// announceInterval is the least time between two announcements of new demand. With 8 entries and 800 bytes an exchange
+// they cost at most 1.9 KB/s.
+const announceInterval = 3 * time.Second
+
 // divideLimits computes which part of each backer's limit this entry may use in the next round, and publishes its
-// demand. Backers whose demand is published for the first time are gossiped at once.
-func (c *control) divideLimits(ctx context.Context, usage map[string]dispatch.PoolUsage) {
-	doc := c.e.config.Snapshot()
-	if doc == nil {
-		return
-	}
+// demand.
+func (c *control) divideLimits(view limit.View) {
 	c.round++
-	parts, publish := c.divider.Round(c.limitView(doc, usage))
+	view.Heartbeat = c.round
+	parts, publish := c.divider.Round(view)
 	c.parts = parts
 	c.e.gossip.SetDemand(publish)
-	news := false
-	published := map[string]bool{}
+	c.published = map[string]bool{}
 	for _, d := range publish {
-		published[d.Backer] = true
-		news = news || !c.published[d.Backer]
+		c.published[d.Backer] = true
 	}
-	c.published = published
-	if news {
-		go c.e.gossip.Round(ctx)
+}
+
+// announce tells all other owners at once when a backer's demand has become large here, so that the time for which
+// several owners use up the same limit is that of a message and not of some gossip rounds.
+func (c *control) announce(ctx context.Context, view limit.View) {
+	if time.Since(c.announced) < announceInterval || !limit.News(c.e.cfg.ID, view, c.published) {
+		return
 	}
+	c.announced = time.Now()
+	c.divideLimits(view)
+	go c.e.gossip.Announce(ctx)
 }
 
 // bursts returns what urgent and short work may use in all; see limit.Bursts.
-func (c *control) bursts(doc *table.Document, usage map[string]dispatch.PoolUsage) map[string]int {
+func (c *control) bursts(view limit.View) map[string]int {
 	if c.e.cfg.Policies.Shares == "static-split" {
 		return c.parts
 	}
-	return limit.Bursts(c.e.cfg.ID, c.limitView(doc, usage))
+	return limit.Bursts(c.e.cfg.ID, view)
 }
 
 // homePools names the pools that are the first pool of some queue. Requests that overflow count against limits at the
@@ -88,8 +95,8 @@
 }
 
 // shareParts gives this entry's part of each limit, and the burst beyond it.
-func (c *control) shareParts(doc *table.Document, usage map[string]dispatch.PoolUsage) map[string]fairqueue.Share {
-	bursts := c.bursts(doc, usage)
+func (c *control) shareParts(doc *table.Document, view limit.View) map[string]fairqueue.Share {
+	bursts := c.bursts(view)
 	parts := make(map[string]fairqueue.Share, len(doc.Backers))
 	for _, b := range doc.Backers {
 		part, known := c.parts[b.Name]
--- a/limit/burst_test.go
+++ b/limit/burst_test.go
@@ -1,6 +1,8 @@
 package limit_test
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -40,3 +42,93 @@
 	}
 	g.Expect(sum).To(BeNumerically("<=", 40))
 }
+
+// owner is one owner in a simulation of work that ends within a second.
+type owner struct {
+	name    string
+	divider *limit.Divider
+	use     int
+	ends    []int // steps at which slots become free
+	heard   map[string][]limit.Demand
+	said    map[string]bool
+	last    int // step of the last announcement
+}
+
+// Guards against a limit that several surging owners exceed for longer than 2 s. Owners act every 250 ms, publish
+// each second, announce new demand to all at most every 3 s, and gossip reaches each other owner within 1 to 3 s.
+func TestBurstsExceedLimitsOnlyForMoments(t *testing.T) {
+	const (
+		stepsPerSecond, seconds, owners, total = 20, 60, 7, 140
+		tolerance                              = owners // one slot per entry
+	)
+	for seed := range uint64(20) {
+		rnd := rand.New(rand.NewPCG(seed, 7))
+		names := []string{"a", "b", "c", "d", "e", "f", "g"}
+		all := map[string]*owner{}
+		surge := map[string]int{}
+		for _, n := range names {
+			all[n] = &owner{name: n, divider: limit.NewDivider(n), heard: map[string][]limit.Demand{}, said: map[string]bool{}, last: -1000}
+			surge[n] = rnd.IntN(seconds * stepsPerSecond)
+		}
+		over, worst := 0, 0
+		for step := range seconds * stepsPerSecond {
+			for i, n := range names {
+				o := all[n]
+				demand := 3
+				if d := step - surge[n]; d >= 0 && d < 4*stepsPerSecond {
+					demand = 90
+				}
+				o.run(step, demand, total, names, all, rnd, (step+i)%5 == 0, (step+3*i)%stepsPerSecond == 0)
+			}
+			sum := 0
+			for _, o := range all {
+				sum += o.use
+			}
+			if sum > total+tolerance {
+				over++
+				worst = max(worst, over)
+			} else {
+				over = 0
+			}
+		}
+		if worst > 2*stepsPerSecond {
+			t.Errorf("seed %d: limit exceeded for %.2f s at a stretch", seed, float64(worst)/stepsPerSecond)
+		}
+	}
+}
+
+// run is one step of an owner: slots become free, and on its control ticks it publishes and fills what it may use.
+func (o *owner) run(step, demand, total int, names []string, all map[string]*owner, rnd *rand.Rand, control, round bool) {
+	for len(o.ends) > 0 && o.ends[0] <= step {
+		o.ends, o.use = o.ends[1:], o.use-1
+	}
+	if !control {
+		return
+	}
+	v := limit.View{Owners: names, Limits: map[string]int{"x": total}, Own: map[string]limit.Use{"x": {InUse: o.use, Waiting: max(demand-o.use, 0)}}, Heartbeat: int64(step + 1)}
+	for _, d := range o.heard {
+		v.Demands = append(v.Demands, d...)
+	}
+	announce := step-o.last >= 60 && limit.News(o.name, v, o.said)
+	if round || announce {
+		_, publish := o.divider.Round(v)
+		o.said = map[string]bool{}
+		for _, d := range publish {
+			o.said[d.Backer] = true
+		}
+		for _, other := range all {
+			// Without an announcement gossip takes about a round to each other owner.
+			if other != o && (announce || rnd.IntN(2) == 0) {
+				other.heard[o.name] = publish
+			}
+		}
+		if announce {
+			o.last = step
+		}
+	}
+	for o.use < min(limit.Bursts(o.name, v)["x"], demand) {
+		o.use++
+		o.ends = append(o.ends, step+2+rnd.IntN(18))
+	}
+	slices.Sort(o.ends)
+}
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -174,7 +174,23 @@
 
 // Round produces a heartbeat and exchanges views with some peers. It returns when all have answered or failed.
 func (g *Gossip) Round(ctx context.Context) {
-	targets := g.begin()
+	g.exchangeAll(ctx, g.begin())
+}
+
+// Announce exchanges views with all live peers at once, for news that must not wait for a round. It costs a message
+// per peer, so callers limit its rate.
+func (g *Gossip) Announce(ctx context.Context) {
+	s := g.Members()
+	var targets []target
+	for _, m := range s.Alive() {
+		if m.ID != s.Self {
+			targets = append(targets, target{m, m.Address})
+		}
+	}
+	g.exchangeAll(ctx, targets)
+}
+
+func (g *Gossip) exchangeAll(ctx context.Context, targets []target) {
 	ctx, cancel := context.WithTimeout(ctx, g.config.Interval*8/10)
 	defer cancel()
 	var group errgroup.Group
