filter: send forwarded requests on when the owner drains or is stale

A forwarded request met 503 at an owner that shut down or had lost contact, and the receiver passed that to its caller although the next owner could serve. The refusal is now 421, after which the receiver looks the owner up again. TestAdmission covers callers and peers.

--- a/filter/admission.go
+++ b/filter/admission.go
@@ -1,10 +1,12 @@
 package filter
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
 	"samphirepoint/auth"
+	"samphirepoint/dispatch"
 	"samphirepoint/table"
 	"samphirepoint/verdict"
 )
@@ -43,14 +45,14 @@
 		return verdict.New(verdict.NotRun, http.StatusForbidden, "token of role %q may not do this, expected role %q", principal.Role, want)
 	}
 	if f.State.Draining() {
-		return verdict.Unavailable(staleRetryAfter, "entry is shutting down")
+		return c.unavailable("entry is shutting down")
 	}
 	c.Document = f.State.Document()
 	if c.Document == nil {
-		return verdict.Unavailable(staleRetryAfter, "entry has no configuration yet")
+		return c.unavailable("entry has no configuration yet")
 	}
 	if !f.State.Fresh(time.Now()) {
-		return verdict.Unavailable(staleRetryAfter, "entry has no contact with the table nor with a majority of the entries")
+		return c.unavailable("entry has no contact with the table nor with a majority of the entries")
 	}
 	if c.HTTP.ContentLength > f.MaxBodyBytes {
 		return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body of %d bytes is longer than %d", c.HTTP.ContentLength, f.MaxBodyBytes)
@@ -59,6 +61,15 @@
 	return nil
 }
 
+// unavailable refuses work at an entry that serves nobody now. A forwarded request is refused as sent to the
+// wrong entry, so that its receiver submits it to the next owner.
+func (c *Context) unavailable(why string) error {
+	if c.Forwarded {
+		return verdict.Wrap(fmt.Errorf("%w: %s", dispatch.ErrNotOwner, why), verdict.NotRun, http.StatusMisdirectedRequest)
+	}
+	return verdict.Unavailable(staleRetryAfter, "%s", why)
+}
+
 func (Admission) role(c *Context) auth.Role {
 	if c.Forwarded {
 		return auth.RolePeer
