filter: bound Idempotency-Issued in the future; refuse ids of dots

An issue time more than an hour ahead was still accepted when the record of the key was deleted, so a repeat after 24 h ran again. Ids '.' and '..' have a meaning in the paths of stop and cancel calls.

--- a/filter/identification.go
+++ b/filter/identification.go
@@ -28,6 +28,9 @@
 	maxJobDeadline = 7 * 24 * time.Hour
 	// maxNameBytes bounds ids, keys and kinds that callers choose.
 	maxNameBytes = 200
+	// maxIssuedAhead bounds Idempotency-Issued in the future: a later time would still be young enough
+	// when the record of the key is deleted.
+	maxIssuedAhead = claim.Retention - claim.MaxIssueAge
 )
 
 // Identification reads headers and body into a request.Request and sets the deadline of the context.
@@ -139,6 +142,9 @@
 	if now.Sub(t) > claim.MaxIssueAge {
 		return time.Time{}, fmt.Errorf("%s: %q is older than %s; the record of this key may be gone", request.HeaderIdempotencyIssued, s, claim.MaxIssueAge)
 	}
+	if t.Sub(now) > maxIssuedAhead {
+		return time.Time{}, fmt.Errorf("%s: %q is more than %s ahead of this entry's clock", request.HeaderIdempotencyIssued, s, maxIssuedAhead)
+	}
 	return t, nil
 }
 
@@ -152,6 +158,10 @@
 			return fmt.Errorf("%s: expected at most %d printable ASCII characters without space and slash", header, maxNameBytes)
 		}
 	}
+	if r.ID == "." || r.ID == ".." {
+		// The id is part of paths, in which these have a meaning.
+		return fmt.Errorf("%s: %q is not an id", request.HeaderRequestID, r.ID)
+	}
 	return nil
 }
 
