claim: wait for the release of a claim before the answer

A refused request was answered while the release of its claim was under way, so an immediate repeat met 'may have run'.

--- a/claim/store.go
+++ b/claim/store.go
@@ -40,8 +40,11 @@
 	hash    string
 }
 
+// SendBy is the end of the time in which the request may be sent.
+func (c *Claim) SendBy() time.Time { return c.Taken.Add(SendWindow) }
+
 // InWindow reports whether the request may still be sent.
-func (c *Claim) InWindow(now time.Time) bool { return now.Sub(c.Taken) < SendWindow }
+func (c *Claim) InWindow(now time.Time) bool { return now.Before(c.SendBy()) }
 
 // Existing is the error of Take when the key was used before.
 type Existing struct {
@@ -177,7 +180,7 @@
 // claim is released in the background and never used.
 func (s *Store) giveUp(ctx context.Context, c *Claim, uncertain bool) error {
 	if uncertain {
-		s.Release(c)
+		s.abandon(c)
 	}
 	switch cause := context.Cause(ctx); {
 	case cause == nil || errors.Is(cause, errClaimTimeout):
@@ -225,8 +228,13 @@
 const flushPoll = 20 * time.Millisecond
 
 // Release gives the key back: the request was not sent and will not be sent under this claim.
-// It does not wait for the table.
-func (s *Store) Release(c *Claim) { s.settle(c, Released, Outcome{}, 0) }
+// It waits for the table up to RecordTimeout, so that a repeat finds the key free.
+func (s *Store) Release(c *Claim) (recorded bool) {
+	return s.settle(c, Released, Outcome{}, RecordTimeout)
+}
+
+// abandon releases a claim that may not have been written, in the background.
+func (s *Store) abandon(c *Claim) { s.settle(c, Released, Outcome{}, 0) }
 
 // settle writes the final state in the background and waits up to wait for it.
 func (s *Store) settle(c *Claim, state State, o Outcome, wait time.Duration) bool {
--- a/filter/claims.go
+++ b/filter/claims.go
@@ -63,7 +63,7 @@
 	if holder.Self {
 		return errInFlight()
 	}
-	answer, err := f.Forwarder.Forward(c, holder, ForwardOptions{Pool: c.Request.Pool, Attach: true})
+	answer, err := c.forward(f.Forwarder, holder, ForwardOptions{Pool: c.Request.Pool, Attach: true})
 	if err != nil {
 		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusConflict)
 	}
@@ -96,7 +96,9 @@
 		return
 	}
 	if !c.Sent {
-		f.Store.Release(c.Claim)
+		if !f.Store.Release(c.Claim) {
+			c.Log.Warn().Str("reason", "table does not answer").Msg("claim is released later")
+		}
 		return
 	}
 	if !f.Store.Finish(c.Claim, outcomeOf(c)) {
