filter: no forwards with a claim in hand, no waits in a circle, no failures by a dead neighbor

- After a refusal by a worker, a request whose claim is held here could go to another entry, which found the claim and waited for this one until the deadline.
It now stays here, at most for the send window (TestHolderOfAClaimDoesNotForward).
- Two entries that took each other for the owner attached each other's request to their own and waited for each other.
A forwarded request no longer attaches to one that is worked on elsewhere; the claim decides (TestForwardedRepeatDoesNotWaitForARequestElsewhere).
- The death of a neighbor during an overflow failed the request.
It keeps its place at home, marked as uncertain (TestOverflowToDeadNeighbor).
- Attempts outside the send window were repeated up to 16 times; failures on one worker counted as several.

--- a/filter/deduplication.go
+++ b/filter/deduplication.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"samphirepoint/claim"
@@ -22,10 +23,12 @@
 }
 
 type call struct {
-	hash   string
-	done   chan struct{}
-	answer *Answer
-	err    error
+	hash string
+	// elsewhere is above 0 while another entry works on the request.
+	elsewhere atomic.Int32
+	done      chan struct{}
+	answer    *Answer
+	err       error
 }
 
 // NewDeduplication returns a filter without requests in flight.
@@ -51,10 +54,15 @@
 		own := &call{hash: hash, done: make(chan struct{})}
 		f.inFlight[key] = own
 		f.mu.Unlock()
+		c.call = own
 		c.OnEnd(func() { f.finish(key, own, c) })
 		return nil
 	}
 	f.mu.Unlock()
+	if c.Forwarded && !c.Attach && first.elsewhere.Load() > 0 {
+		// Two entries that take each other for the owner would wait for each other. The claim decides.
+		return nil
+	}
 	if first.hash != hash {
 		return errKeyMismatch()
 	}
--- a/filter/dispatch.go
+++ b/filter/dispatch.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"samphirepoint/claim"
 	"samphirepoint/dispatch"
 	"samphirepoint/retry"
 	"samphirepoint/verdict"
@@ -57,6 +59,8 @@
 	failedOn []string
 	exclude  []string
 	expected time.Duration
+	// late is set when the claim is too old for another attempt.
+	late bool
 }
 
 // Request implements Filter.
@@ -72,7 +76,7 @@
 		if again := f.again(c, &history, answer, err); !again {
 			return f.conclude(c, &history, answer, err)
 		}
-		grant, err := f.Queue.acquire(c, history.exclude)
+		grant, err := f.nextGrant(c, &history)
 		if err != nil || grant == nil {
 			return c.weaken(err)
 		}
@@ -80,6 +84,27 @@
 	}
 }
 
+// nextGrant waits for a slot for another attempt, with a claim no longer than the claim allows.
+func (f *Dispatch) nextGrant(c *Context, history *attempts) (*dispatch.Grant, error) {
+	if c.Claim == nil {
+		return f.Queue.acquire(c, history.exclude)
+	}
+	whole := c.Ctx
+	ctx, cancel := context.WithDeadline(whole, c.Claim.SendBy())
+	defer cancel()
+	c.Ctx = ctx
+	grant, err := f.Queue.acquire(c, history.exclude)
+	c.Ctx = whole
+	if err != nil && ctx.Err() != nil && whole.Err() == nil {
+		err = errTooLate()
+	}
+	return grant, err
+}
+
+func errTooLate() error {
+	return verdict.Unavailable(time.Second, "no worker took the request within %s of its claim", claim.SendWindow)
+}
+
 // failed reports an answer that says that the worker could not do the work.
 func failed(a *Answer) bool { return a != nil && a.Status >= http.StatusInternalServerError }
 
@@ -89,7 +114,8 @@
 	c.Grant = nil
 	if c.Claim != nil && !c.Claim.InWindow(time.Now()) {
 		grant.Release(dispatch.Result{Outcome: dispatch.NotSent})
-		return nil, verdict.Unavailable(time.Second, "entry was paused between claim and dispatch")
+		history.late = true
+		return nil, errTooLate()
 	}
 	id := fmt.Sprintf("%s-%d-%d", f.EntryID, f.started, f.sequence.Add(1))
 	c.Log.Info().Str("pool", c.Request.Pool).Str("worker", grant.Worker).Str("attempt", id).
@@ -168,10 +194,10 @@
 
 // again decides about another attempt.
 func (f *Dispatch) again(c *Context, history *attempts, answer *Answer, err error) bool {
-	if failed(answer) {
+	if failed(answer) && !slices.Contains(history.failedOn, answer.Worker) {
 		history.failedOn = append(history.failedOn, answer.Worker)
 	}
-	if c.Ctx.Err() != nil {
+	if c.Ctx.Err() != nil || history.late {
 		return false
 	}
 	v := verdict.Ran
--- a/filter/filter.go
+++ b/filter/filter.go
@@ -65,6 +65,8 @@
 	Err error
 	Log zerolog.Logger
 
+	// call is the request's entry among those in flight, nil for idempotent and attached requests.
+	call    *call
 	cleanup []func()
 }
 
--- a/filter/queue.go
+++ b/filter/queue.go
@@ -51,7 +51,9 @@
 			NoWait:      c.NoWait,
 			MayOverflow: f.mayOverflow(c),
 			MaxQueue:    c.Queue.MaxLength,
-			Force:       c.ForceLocal,
+			// A request whose claim this entry holds is sent by this entry or not at all: the next owner
+			// would find the claim and wait for this one.
+			Force: c.ForceLocal || c.Claim != nil,
 		})
 		if errors.Is(err, dispatch.ErrOverflow) {
 			if answer, err := f.overflow(c); answer != nil || err != nil {
@@ -73,13 +75,14 @@
 
 // mayOverflow holds for a request in the home pool of its queue that was not sent to a worker before.
 func (f Queue) mayOverflow(c *Context) bool {
-	return !c.NoWait && !c.Sent && len(c.Queue.Pools) > 1 && c.Request.Pool == c.Queue.Pools[0]
+	return !c.NoWait && !c.Sent && c.Claim == nil && len(c.Queue.Pools) > 1 && c.Request.Pool == c.Queue.Pools[0]
 }
 
 // overflow offers the request to the other pools of its queue. Both results nil: none had a free slot.
 func (f Queue) overflow(c *Context) (*Answer, error) {
 	for _, pool := range c.Queue.Pools[1:] {
 		answer, err := f.offer(c, pool)
+		c.noteUncertain(err)
 		taken := err == nil || !notTaken(err)
 		f.Slots.OverflowResult(c.Request.Pool, taken)
 		if !taken {
@@ -96,11 +99,19 @@
 	if !ok {
 		return nil, errNoOwner(pool)
 	}
-	return f.Forwarder.Forward(c, target, ForwardOptions{Pool: pool, NoWait: true})
+	answer, err := c.forward(f.Forwarder, target, ForwardOptions{Pool: pool, NoWait: true})
+	if errors.Is(err, ErrUnreachable) {
+		f.Router.Suspect(c.Ctx, target)
+	}
+	return answer, err
 }
 
-// notTaken reports a refusal after which the request may stay in its home pool.
+// notTaken reports an offer after which the request may stay in its home pool: it was refused as not run, or the other
+// entry broke off, after which idempotent work is repeated and the claim decides about the rest.
 func notTaken(err error) bool {
+	if errors.Is(err, ErrUnreachable) {
+		return true
+	}
 	if !verdict.Is(err, verdict.NotRun) {
 		return false
 	}
--- a/filter/route.go
+++ b/filter/route.go
@@ -85,7 +85,7 @@
 			return nil
 		}
 		c.Log.Info().Str("pool", c.Request.Pool).Str("owner", target.ID).Str("reason", "owner of the pool").Msg("request routed")
-		answer, err := f.Forwarder.Forward(c, target, ForwardOptions{Pool: c.Request.Pool})
+		answer, err := c.forward(f.Forwarder, target, ForwardOptions{Pool: c.Request.Pool})
 		if err == nil {
 			c.Answer = answer
 			return nil
@@ -117,7 +117,7 @@
 		return nil, nil
 	}
 	c.Log.Info().Str("pool", c.Request.Pool).Str("owner", target.ID).Str("relay", via.ID).Str("reason", "owner is cut off from this entry").Msg("request routed")
-	answer, err := f.Forwarder.Forward(c, via, ForwardOptions{Pool: c.Request.Pool})
+	answer, err := c.forward(f.Forwarder, via, ForwardOptions{Pool: c.Request.Pool})
 	if err != nil && f.again(err) {
 		c.noteUncertain(err)
 		return nil, nil
@@ -145,6 +145,15 @@
 // Response implements Filter.
 func (Route) Response(*Context) {}
 
+// forward sends the request to another entry. Meanwhile the request in flight here is marked as worked on elsewhere.
+func (c *Context) forward(f Forwarder, to Target, o ForwardOptions) (*Answer, error) {
+	if c.call != nil {
+		c.call.elsewhere.Add(1)
+		defer c.call.elsewhere.Add(-1)
+	}
+	return f.Forward(c, to, o)
+}
+
 // noteUncertain remembers that an earlier submission may run, whatever a later one says.
 func (c *Context) noteUncertain(err error) {
 	if verdict.Of(err) != verdict.NotRun {
