job: continue jobs to their end, and start non-idempotent ones once

- The scan passed a context that had ended to the jobs it adopted, so they saw a shutdown: waiting jobs were placed only by notice, and tasks taken over were renewed only once per scan.
- A waiting job kept the name of an entry that had lost the pool, and nobody continued it while that entry lived.
- The id of a job names its pool, so a repeat of a key after the queue moved to another pool ran again.
A row per key now names the job; it costs one row in the transaction of the acceptance.
- A job that waited again after a run was cancelled as not run.
- The cancel of a job on a dead worker never ended; it ends now when the lease has lapsed.

--- a/job/manager.go
+++ b/job/manager.go
@@ -32,9 +32,13 @@
 	checkpointMax   = 10 * time.Minute
 	// cannotRunAfter is the number of different workers on which a job must fail to be given up.
 	cannotRunAfter = 3
+	// maxFailures ends a job in a pool with too few different workers.
+	maxFailures = 2 * cannotRunAfter
 	// retryDelay is the first pause after the table or a worker failed.
 	retryDelay    = 250 * time.Millisecond
 	retryDelayMax = 5 * time.Second
+	// reloadPause is the pause after a write that met a change by a caller.
+	reloadPause = 10 * time.Millisecond
 )
 
 // Slots grants slots of pools.
@@ -105,8 +109,8 @@
 
 func (m *Manager) scan(ctx context.Context) {
 	for _, pool := range m.cfg.Cluster.OwnedPools() {
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-		jobs, err := m.cfg.Store.Active(ctx, pool)
+		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		jobs, err := m.cfg.Store.Active(readCtx, pool)
 		cancel()
 		if err != nil {
 			m.cfg.Log.Warn().Err(err).Str("pool", pool).Msg("jobs of the pool cannot be listed")
@@ -122,13 +126,26 @@
 	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	rec, err := m.cfg.Store.Find(readCtx, id)
-	if err != nil || rec == nil || rec.State.Final() {
-		return
+	switch {
+	case err != nil || rec == nil:
+	case rec.State.Final():
+		m.stopWaiting(id)
+	default:
+		m.adopt(ctx, rec)
+	}
+}
+
+// stopWaiting ends the wait for a slot of a job that its caller cancelled.
+func (m *Manager) stopWaiting(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if cancel, ok := m.mine[id]; ok {
+		cancel()
 	}
-	m.adopt(ctx, rec)
 }
 
-// adopt starts to run a job unless this process runs it already or its owner is alive.
+// adopt starts to run a job unless this process runs it already or a live owner runs it. A job that waits
+// belongs to the owner of its pool, whoever waited with it before.
 func (m *Manager) adopt(ctx context.Context, rec *Record) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -138,11 +155,14 @@
 		}
 		return
 	}
-	if rec.Owner != "" && rec.Owner != m.cfg.Owner && m.cfg.Cluster.Alive(rec.Owner) {
+	if rec.State == Running && rec.Owner != m.cfg.Owner && m.cfg.Cluster.Alive(rec.Owner) {
 		return
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	m.mine[rec.ID] = cancel
+	if rec.CancelRequested {
+		cancel()
+	}
 	m.wg.Add(1)
 	go func() {
 		defer m.wg.Done()
@@ -169,7 +189,7 @@
 		}
 		rec.CancelRequested = true
 		if rec.State == Queued {
-			rec.State, rec.Verdict, rec.Error = Cancelled, "not-run", "cancelled by the caller while waiting"
+			rec.State, rec.Verdict, rec.Error = Cancelled, rec.waitingVerdict().String(), "cancelled by the caller while waiting"
 			err = s.Finish(ctx, rec)
 		} else {
 			err = s.Update(ctx, rec)
@@ -180,20 +200,39 @@
 	}
 }
 
-// Sweep deletes results older than Retention and returns how many.
+// Sweep deletes results older than Retention, and keys whose job is gone, and returns how many rows.
 func (s *Store) Sweep(ctx context.Context) (int, error) {
+	results, err := s.sweep(ctx, PrefixResults, func(row platform.Row) bool {
+		rec, err := decode(row.Value, row.Version)
+		return err == nil && s.Now().Sub(rec.Updated) > Retention
+	})
+	if err != nil {
+		return results, err
+	}
+	keys, err := s.sweep(ctx, prefixKeys, func(row platform.Row) bool {
+		k, err := decodeKey(row.Value)
+		if err != nil || s.Now().Sub(k.Accepted) <= Retention {
+			return false
+		}
+		rec, err := s.Find(ctx, k.ID)
+		return err == nil && rec == nil
+	})
+	return results + keys, err
+}
+
+// sweep deletes the rows under prefix that are expired.
+func (s *Store) sweep(ctx context.Context, prefix string, expired func(platform.Row) bool) (int, error) {
 	const page = 200
 	deleted, after := 0, ""
 	for {
-		rows, err := s.Table.List(ctx, PrefixResults, after, page)
+		rows, err := s.Table.List(ctx, prefix, after, page)
 		if err != nil || len(rows) == 0 {
 			return deleted, err
 		}
 		after = rows[len(rows)-1].Key
 		var writes []platform.Write
 		for _, row := range rows {
-			rec, err := decode(row.Value, row.Version)
-			if err == nil && s.Now().Sub(rec.Updated) > Retention {
+			if expired(row) {
 				writes = append(writes, platform.Write{Key: row.Key, IfVersion: row.Version, Delete: true})
 			}
 		}
--- a/job/record.go
+++ b/job/record.go
@@ -13,6 +13,7 @@
 
 	"samphirepoint/claim"
 	"samphirepoint/request"
+	"samphirepoint/verdict"
 )
 
 // Keys in the platform's table. A job is under PrefixActive until it ends and under PrefixResults then, so that
@@ -20,6 +21,9 @@
 const (
 	PrefixActive  = "jobs/"
 	PrefixResults = "results/"
+	// prefixKeys holds the job of each key of a non-idempotent job. The id of a job names its pool, which changes
+	// with the queue's row in the configuration; the key does not.
+	prefixKeys = "jobkeys/"
 	// prefixBodies holds bodies and results in the object store that are too long for a row.
 	prefixBodies = "jobbodies/"
 )
@@ -74,6 +78,10 @@
 	Checkpoint json.RawMessage `json:"checkpoint,omitempty"`
 	// FailedOn lists the workers on which the job failed.
 	FailedOn []string `json:"failedOn,omitempty"`
+	// Failures counts the runs that failed.
+	Failures int `json:"failures,omitempty"`
+	// MayHaveRun is set before a task is started and cleared only if the worker refused it.
+	MayHaveRun bool `json:"mayHaveRun,omitempty"`
 	// CancelRequested asks the owner to stop the job.
 	CancelRequested bool `json:"cancelRequested,omitempty"`
 
@@ -97,6 +105,34 @@
 	return r.Pool + "." + r.Backer + "-" + row[strings.LastIndexByte(row, '/')+1:]
 }
 
+// keyRow is the value of a row under prefixKeys.
+type keyRow struct {
+	ID       string    `json:"id"`
+	Accepted time.Time `json:"accepted"`
+}
+
+// rowOfKey names the row of a non-idempotent job's key.
+func rowOfKey(r *request.Request) string {
+	return prefixKeys + strings.TrimPrefix(claim.RowKey(r.Backer, r.Queue, r.Key, r.KeyIssued), claim.Prefix)
+}
+
+func (k keyRow) encode() []byte {
+	data, err := json.Marshal(k)
+	if err != nil {
+		// keyRow holds only a string and a time.
+		panic(err)
+	}
+	return data
+}
+
+func decodeKey(data []byte) (keyRow, error) {
+	var k keyRow
+	if err := json.Unmarshal(data, &k); err != nil {
+		return keyRow{}, fmt.Errorf("row of a job's key: %w", err)
+	}
+	return k, nil
+}
+
 // splitID returns the pool that an id names.
 func splitID(id string) (pool string, ok bool) {
 	i := strings.LastIndexByte(id, '.')
@@ -127,6 +163,14 @@
 	return r, nil
 }
 
+// waitingVerdict is the verdict of a job that ends while it waits; an earlier task of it may have run.
+func (r *Record) waitingVerdict() verdict.Verdict {
+	if r.MayHaveRun {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
 // request is the job as a request for the scheduler and the worker.
 func (r *Record) request() *request.Request {
 	class := r.Class
--- a/job/store.go
+++ b/job/store.go
@@ -47,11 +47,16 @@
 			return nil, false, refusedStore(err)
 		}
 	}
-	// The check of the result row makes sure that a repeat after the end does not start the job again.
-	versions, err := s.Table.Commit(ctx, []platform.Write{
+	// The check of the result row makes sure that a repeat after the end does not start the job again, and the row of
+	// the key that a repeat does not start it in another pool.
+	writes := []platform.Write{
 		{Key: activeKey(rec.Pool, rec.ID), IfVersion: 0, Value: rec.encode()},
 		{Key: resultKey(rec.Pool, rec.ID), IfVersion: 0, Check: true},
-	})
+	}
+	if !r.Idempotent {
+		writes = append(writes, platform.Write{Key: rowOfKey(r), IfVersion: 0, Value: keyRow{ID: rec.ID, Accepted: rec.Accepted}.encode()})
+	}
+	versions, err := s.Table.Commit(ctx, writes)
 	if err == nil {
 		rec.version = versions[0]
 		return rec, false, nil
@@ -59,12 +64,12 @@
 	if verdict.Is(err, verdict.NotRun) {
 		return nil, false, refusedStore(err)
 	}
-	return s.existing(ctx, rec, err)
+	return s.existing(ctx, r, rec, err)
 }
 
 // existing looks for the row after a conflict or a lost reply.
-func (s *Store) existing(ctx context.Context, rec *Record, cause error) (*Record, bool, error) {
-	found, err := s.Find(ctx, rec.ID)
+func (s *Store) existing(ctx context.Context, r *request.Request, rec *Record, cause error) (*Record, bool, error) {
+	found, err := s.findByKey(ctx, r, rec.ID)
 	switch {
 	case err != nil:
 		return nil, false, verdict.Wrap(err, verdict.MayHaveRun, http.StatusServiceUnavailable)
@@ -76,6 +81,25 @@
 	return found, !found.Accepted.Equal(rec.Accepted), nil
 }
 
+// findByKey returns the job of a non-idempotent request's key, or the job with the id.
+func (s *Store) findByKey(ctx context.Context, r *request.Request, id string) (*Record, error) {
+	if r.Idempotent {
+		return s.Find(ctx, id)
+	}
+	row, err := s.Table.Get(ctx, rowOfKey(r))
+	if err != nil {
+		return nil, err
+	}
+	if row.Version == 0 {
+		return s.Find(ctx, id)
+	}
+	k, err := decodeKey(row.Value)
+	if err != nil {
+		return nil, err
+	}
+	return s.Find(ctx, k.ID)
+}
+
 func refusedStore(err error) error {
 	return verdict.WithRetryAfter(verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable), time.Second)
 }
