entry: cancel only the backer's own requests when the other entry cannot be reached

Requests of two backers may share an id they chose. The cancel of one reached both when the entry that worked on them did not answer. TestTrackerCancels covers it; its signature is new, so it has no run on the old code.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -208,7 +208,7 @@
 	forwardedTo, found := e.tracker.cancel(id, backer)
 	for _, entryID := range forwardedTo {
 		if known, err := e.forwarder.Cancel(ctx, entryID, id+"@"+backer); err != nil || !known {
-			e.tracker.cancelHere(id)
+			e.tracker.cancelHere(id, backer)
 		}
 	}
 	return found
--- a/entry/tracker.go
+++ b/entry/tracker.go
@@ -89,12 +89,15 @@
 	return forwardedTo, found
 }
 
-// cancelHere cancels requests with this id although another entry works on them, because that entry cannot be reached.
-func (t *tracker) cancelHere(id string) {
+// cancelHere cancels a backer's requests with this id although another entry works on them, because that entry
+// cannot be reached. An empty backer matches all.
+func (t *tracker) cancelHere(id, backer string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.requests[id] {
-		r.cancel(verdict.ErrCancelled)
+		if backer == "" || r.backer == backer {
+			r.cancel(verdict.ErrCancelled)
+		}
 	}
 }
 
