--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -17,27 +17,11 @@
 	"samphirepoint/verdict"
 )
 
-// objects is an in-memory platform.Objects.
-type objects struct{ m sync.Map }
-
-func (o *objects) Put(_ context.Context, key string, data []byte) error {
-	o.m.Store(key, bytes.Clone(data))
-	return nil
-}
-
-func (o *objects) Get(_ context.Context, key string) ([]byte, error) {
-	data, ok := o.m.Load(key)
-	if !ok {
-		return nil, platform.ErrNotFound
-	}
-	return data.([]byte), nil
-}
-
 const key = "claims/b/k"
 
 func newStore(t *testing.T, table platform.Table, owner string) *Store {
 	t.Helper()
-	s := NewStore(table, &objects{}, owner)
+	s := NewStore(table, &memtable.Objects{}, owner)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { s.Run(ctx); close(done) }()
--- a/claim/race_test.go
+++ b/claim/race_test.go
@@ -97,7 +97,7 @@
 		ran, holding := 0, 0
 		for _, owner := range []string{"a", "b"} {
 			p := drawPlan(t)
-			s := NewStore(&faulty{Table: table, faults: p.faults, late: &late}, &objects{}, owner)
+			s := NewStore(&faulty{Table: table, faults: p.faults, late: &late}, &memtable.Objects{}, owner)
 			ctx, cancel := context.WithCancel(context.Background())
 			owners.Add(1)
 			go s.Run(ctx)
--- a/filter/chain_test.go
+++ b/filter/chain_test.go
@@ -145,7 +145,7 @@
 	t.Parallel()
 	g := NewWithT(t)
 	w := newWorld(t, 1, 1)
-	other := claim.NewStore(w.table, &objects{}, "x")
+	other := claim.NewStore(w.table, &memtable.Objects{}, "x")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go other.Run(ctx)
--- a/filter/harness_test.go
+++ b/filter/harness_test.go
@@ -112,23 +112,11 @@
 
 func (policy) NoteLeaving(string) {}
 
-type objects struct{ sync.Map }
-
-func (o *objects) Put(_ context.Context, key string, data []byte) error {
-	o.Store(key, bytes.Clone(data))
-	return nil
-}
-
-func (o *objects) Get(_ context.Context, key string) ([]byte, error) {
-	data, _ := o.Load(key)
-	return data.([]byte), nil
-}
-
 func newWorld(t *testing.T, workers, slots int) *world {
 	t.Helper()
 	w := &world{t: t, table: memtable.New(), cancels: map[string]context.CancelCauseFunc{},
 		router: &fakeRouter{owners: map[string][]string{}, alive: map[string]bool{}}, peers: &fakePeers{answer: noSlot}}
-	w.claims = claim.NewStore(w.table, &objects{}, "self")
+	w.claims = claim.NewStore(w.table, &memtable.Objects{}, "self")
 	w.scheduler = dispatch.New(dispatch.Config{Log: zerolog.Nop(), Policies: dispatch.Policies{
 		Queue:     func() fairqueue.Policy { return fairqueue.NewWeighted() },
 		Placement: func() placement.Policy { return placement.LeastLoaded{Rand: rand.New(rand.NewPCG(1, 2))} },
--- a/filter/route.go
+++ b/filter/route.go
@@ -103,7 +103,7 @@
 				return c.weaken(err)
 			}
 		}
-		if f.pause(c) != nil {
+		if !pause(c.Ctx, rerouteDelay) {
 			return c.weaken(last)
 		}
 	}
@@ -131,17 +131,6 @@
 	return errors.Is(err, ErrUnreachable) || errors.Is(err, dispatch.ErrNotOwner)
 }
 
-func (f Route) pause(c *Context) error {
-	timer := time.NewTimer(rerouteDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-c.Ctx.Done():
-		return c.Ctx.Err()
-	}
-}
-
 // Response implements Filter.
 func (Route) Response(*Context) {}
 
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -1,7 +1,6 @@
 package job
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,7 +18,6 @@
 	"samphirepoint/fairqueue"
 	"samphirepoint/instance"
 	"samphirepoint/placement"
-	"samphirepoint/platform"
 	"samphirepoint/platform/memtable"
 	"samphirepoint/request"
 	"samphirepoint/standin/workerd"
@@ -29,21 +27,6 @@
 
 const patience = 20 * time.Second
 
-type objects struct{ sync.Map }
-
-func (o *objects) Put(_ context.Context, key string, data []byte) error {
-	o.Store(key, bytes.Clone(data))
-	return nil
-}
-
-func (o *objects) Get(_ context.Context, key string) ([]byte, error) {
-	data, ok := o.Load(key)
-	if !ok {
-		return nil, platform.ErrNotFound
-	}
-	return data.([]byte), nil
-}
-
 // world is a pool of workers with the table that its managers share.
 type world struct {
 	t       *testing.T
@@ -57,7 +40,7 @@
 func newWorld(t *testing.T, workers int) *world {
 	t.Helper()
 	w := &world{t: t, table: memtable.New()}
-	w.store = &Store{Table: w.table, Objects: &objects{}, Now: time.Now}
+	w.store = &Store{Table: w.table, Objects: &memtable.Objects{}, Now: time.Now}
 	w.fleet = dispatch.Fleet{Pools: map[string][]instance.Instance{}, Owned: map[string]bool{"p": true}, Leaving: func(string) bool { return false }}
 	for i := range workers {
 		s := workerd.New(workerd.Options{ID: fmt.Sprint("w", i)})
