--- a/filter/chain_test.go
+++ b/filter/chain_test.go
@@ -12,6 +12,7 @@
 
 	"samphirepoint/claim"
 	"samphirepoint/dispatch"
+	"samphirepoint/job"
 	"samphirepoint/platform/memtable"
 	"samphirepoint/request"
 	"samphirepoint/standin/workerd"
@@ -270,6 +271,56 @@
 	g.Expect(w.starts()).To(Equal(1))
 }
 
+// pausing stands between claim and dispatch and takes longer than the send window.
+type pausing struct{}
+
+func (pausing) Name() string { return "pausing" }
+
+func (pausing) Request(c *Context) error {
+	c.Claim.Taken = c.Claim.Taken.Add(-claim.SendWindow)
+	return nil
+}
+
+func (pausing) Response(*Context) {}
+
+// Guards against a request that is sent by an owner which was paused after its claim: by then its receiver has
+// gone to the next owner.
+func TestPausedOwnerDoesNotSend(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	w := newWorld(t, 1, 1)
+	awake := w.chain
+	w.chain = append(append(Chain{}, awake[:5]...), pausing{}, awake[5])
+	begin := time.Now()
+	c := w.serve(callSpec{key: "k", body: `{"runMs":1}`})
+	g.Expect(c.Verdict()).To(Equal(verdict.NotRun), "error %v", c.Err)
+	g.Expect(time.Since(begin)).To(BeNumerically("<", claim.SendWindow), "no repeats of an attempt that is too late")
+	g.Expect(w.starts()).To(BeZero())
+	g.Expect(w.inUse()).To(BeZero())
+	w.chain = awake
+	g.Expect(w.serve(callSpec{key: "k", body: `{"runMs":1}`}).Err).NotTo(HaveOccurred())
+}
+
+// Guards against a repeat of a job's key that starts the job again.
+func TestJobIsReplayedByKey(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	w := newWorld(t, 0, 0)
+	notices := 0
+	w.chain = Chain{Identification{EntryID: "self", Track: w.track, Job: true}, AcceptJob{
+		Store:  &job.Store{Table: w.table, Objects: &memtable.Objects{}, Now: time.Now},
+		Notice: func(context.Context, *job.Record) { notices++ },
+	}}
+	first, second := w.serve(callSpec{key: "k", body: "{}"}), w.serve(callSpec{key: "k", body: "{}"})
+	g.Expect(first.Err).NotTo(HaveOccurred())
+	g.Expect(second.Answer.Replayed).To(BeTrue())
+	g.Expect(second.Job.ID).To(Equal(first.Job.ID))
+	g.Expect(notices).To(Equal(1))
+	other := w.serve(callSpec{key: "k", body: "[]"})
+	g.Expect(verdict.Status(other.Err)).To(Equal(http.StatusUnprocessableEntity))
+	g.Expect(other.Verdict()).To(Equal(verdict.NotRun))
+}
+
 // Guards against an answer that is cut or swapped and reaches the caller, and a second run of a key.
 func TestBrokenAnswerOfNonIdempotentRequest(t *testing.T) {
 	t.Parallel()
