--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -85,6 +85,8 @@
 	Leaving func(workerID string) bool
 	// Shares holds weights and limits per backer, per owned pool.
 	Shares map[string]map[string]fairqueue.Share
+	// Applied, if set, is called once no request is placed by an older snapshot any more.
+	Applied func()
 }
 
 // Scheduler owns the queues and slots of pools.
@@ -190,9 +192,9 @@
 }
 
 // SetFleet takes over new snapshots. Requests that wait in a pool that another entry owns now are refused
-// with ErrNotOwner, so that the receivers submit them there; running ones go on. On return the snapshots are in force.
+// with ErrNotOwner, so that the receivers submit them there; running ones go on. It does not wait.
 func (s *Scheduler) SetFleet(f Fleet) {
-	s.ask(func() {
+	s.do(func() {
 		s.fleet = f
 		now := s.cfg.Now()
 		for name, p := range s.pools {
@@ -204,6 +206,9 @@
 			}
 			s.pump(p)
 		}
+		if f.Applied != nil {
+			f.Applied()
+		}
 	})
 }
 
--- a/entry/control.go
+++ b/entry/control.go
@@ -99,8 +99,8 @@
 		Owned:   owned,
 		Leaving: c.e.gossip.Leaving,
 		Shares:  shares,
+		Applied: func() { c.e.noteFleet(fleet) },
 	})
-	c.e.noteFleet(fleet)
 }
 
 func (c *control) ownedPools(doc *table.Document, s *membership.Snapshot) []string {
--- a/filter/deduplication.go
+++ b/filter/deduplication.go
@@ -23,13 +23,12 @@
 }
 
 type call struct {
-	id   string
 	hash string
-	// local is set while this entry itself works on the request, as opposed to waiting for another entry.
-	local  *atomic.Bool
-	done   chan struct{}
-	answer *Answer
-	err    error
+	// elsewhere is above 0 while another entry works on the request.
+	elsewhere atomic.Int32
+	done      chan struct{}
+	answer    *Answer
+	err       error
 }
 
 // NewDeduplication returns a filter without requests in flight.
@@ -52,21 +51,21 @@
 		return verdict.WithRetryAfter(verdict.New(verdict.MayHaveRun, http.StatusConflict, "the request with this key is not in flight here any more"), attachRetryAfter)
 	}
 	if !repeat {
-		own := &call{id: c.Request.ID, hash: hash, local: &c.local, done: make(chan struct{})}
+		own := &call{hash: hash, done: make(chan struct{})}
 		f.inFlight[key] = own
 		f.mu.Unlock()
+		c.call = own
 		c.OnEnd(func() { f.finish(key, own, c) })
 		return nil
 	}
 	f.mu.Unlock()
+	if c.Forwarded && !c.Attach && first.elsewhere.Load() > 0 {
+		// Two entries that take each other for the owner would wait for each other. The claim decides.
+		return nil
+	}
 	if first.hash != hash {
 		return errKeyMismatch()
 	}
-	if first.id == c.Request.ID || (c.Forwarded && !first.local.Load()) {
-		// The request came back to an entry that waits for another entry to answer it, for instance as overflow.
-		// Waiting here would close a cycle; the claim keeps the work at most once.
-		return nil
-	}
 	c.Log.Info().Str("reason", "key in flight").Msg("request attached")
 	return f.attach(c, first)
 }
--- a/filter/filter.go
+++ b/filter/filter.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -66,8 +65,8 @@
 	Err error
 	Log zerolog.Logger
 
-	// local is set once this entry serves the request itself.
-	local   atomic.Bool
+	// call is the request's entry among those in flight, nil for idempotent and attached requests.
+	call    *call
 	cleanup []func()
 }
 
--- a/filter/issued_test.go
+++ b/filter/issued_test.go
@@ -16,7 +16,7 @@
 		offset time.Duration
 		ok     bool
 	}{
-		{-claim.MaxIssueAge - time.Second, false}, {-claim.MaxIssueAge, true}, {0, true}, {maxIssueLead, true}, {maxIssueLead + time.Second, false},
+		{-claim.MaxIssueAge - time.Second, false}, {-claim.MaxIssueAge, true}, {0, true}, {maxIssuedAhead, true}, {maxIssuedAhead + time.Second, false},
 	} {
 		_, err := parseIssued(now.Add(c.offset).Format(time.RFC3339), now)
 		NewWithT(t).Expect(err == nil).To(Equal(c.ok), "%s", c.offset)
--- a/filter/route.go
+++ b/filter/route.go
@@ -69,26 +69,23 @@
 	if c.Forwarded && c.Request.Hops >= maxHops {
 		// Two owners at a time are safe, a request that travels for ever is not.
 		c.ForceLocal = true
-		c.local.Store(true)
 		return nil
 	}
 	return f.route(c)
 }
 
 func (f Route) route(c *Context) error {
-	c.local.Store(false)
 	var last error
 	var failed []string
 	for {
 		target, ok := f.Router.Owner(c.Request.Pool, slices.Concat(failed, c.Request.Visited))
 		if !ok || target.Self {
 			c.ForceLocal = !ok || len(failed)+len(c.Request.Visited) > 0
-			c.local.Store(true)
 			c.Log.Debug().Str("pool", c.Request.Pool).Str("reason", "this entry owns the pool").Msg("request routed")
 			return nil
 		}
 		c.Log.Info().Str("pool", c.Request.Pool).Str("owner", target.ID).Str("reason", "owner of the pool").Msg("request routed")
-		answer, err := f.Forwarder.Forward(c, target, ForwardOptions{Pool: c.Request.Pool})
+		answer, err := c.forward(f.Forwarder, target, ForwardOptions{Pool: c.Request.Pool})
 		if err == nil {
 			c.Answer = answer
 			return nil
@@ -106,7 +103,7 @@
 				return c.weaken(err)
 			}
 		}
-		if f.pause(c) != nil {
+		if !pause(c.Ctx, rerouteDelay) {
 			return c.weaken(last)
 		}
 	}
@@ -120,7 +117,7 @@
 		return nil, nil
 	}
 	c.Log.Info().Str("pool", c.Request.Pool).Str("owner", target.ID).Str("relay", via.ID).Str("reason", "owner is cut off from this entry").Msg("request routed")
-	answer, err := f.Forwarder.Forward(c, via, ForwardOptions{Pool: c.Request.Pool})
+	answer, err := c.forward(f.Forwarder, via, ForwardOptions{Pool: c.Request.Pool})
 	if err != nil && f.again(err) {
 		c.noteUncertain(err)
 		return nil, nil
@@ -134,20 +131,18 @@
 	return errors.Is(err, ErrUnreachable) || errors.Is(err, dispatch.ErrNotOwner)
 }
 
-func (f Route) pause(c *Context) error {
-	timer := time.NewTimer(rerouteDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-c.Ctx.Done():
-		return c.Ctx.Err()
-	}
-}
-
 // Response implements Filter.
 func (Route) Response(*Context) {}
 
+// forward sends the request to another entry. Meanwhile the request in flight here is marked as worked on elsewhere.
+func (c *Context) forward(f Forwarder, to Target, o ForwardOptions) (*Answer, error) {
+	if c.call != nil {
+		c.call.elsewhere.Add(1)
+		defer c.call.elsewhere.Add(-1)
+	}
+	return f.Forward(c, to, o)
+}
+
 // noteUncertain remembers that an earlier submission may run, whatever a later one says.
 func (c *Context) noteUncertain(err error) {
 	if verdict.Of(err) != verdict.NotRun {
