Send lease renewals in the form that workers accept

RenewTask sent the body of a task start, whose field work is null; workers refuse unknown fields with 400, and the job runner ignored the error. So every job that ran for over 10 s lost its lease: idempotent ones started again and again, the others ended as unknown.

--- a/worker/task.go
+++ b/worker/task.go
@@ -71,9 +71,14 @@
 	return c.task(ctx, http.MethodGet, id, "", nil, nil)
 }
 
+// renewal is the body of a renew call. It has no other fields: workers refuse fields that they do not know.
+type renewal struct {
+	LeaseSeconds float64 `json:"leaseSeconds"`
+}
+
 // RenewTask extends the lease of a task.
 func (c *Client) RenewTask(ctx context.Context, id string, leaseSeconds float64) (Task, error) {
-	return c.task(ctx, http.MethodPost, id, "/renew", nil, TaskStart{LeaseSeconds: leaseSeconds})
+	return c.task(ctx, http.MethodPost, id, "/renew", nil, renewal{LeaseSeconds: leaseSeconds})
 }
 
 // CheckpointTask makes the worker note the progress of a task and returns it.
