--- a/table/errors.go
+++ b/table/errors.go
@@ -116,9 +116,9 @@
 // Error names both versions.
 func (e *DraftChangedError) Error() string {
 	if e.Present == 0 {
-		return fmt.Sprintf("draft %d was accepted or discarded by another operator; version %d is in force", e.Seen, e.Accepted)
+		return fmt.Sprintf("there is no draft %d; it was accepted or discarded in the meantime, and version %d is in force", e.Seen, e.Accepted)
 	}
-	return fmt.Sprintf("draft %d is no longer there, since another operator changed or replaced it; read draft %d", e.Seen, e.Present)
+	return fmt.Sprintf("draft %d was changed or replaced in the meantime; read draft %d", e.Seen, e.Present)
 }
 
 // StaleDraftError reports a draft whose base version is no longer in force. Nothing was written.
