--- a/filter/queue_test.go
+++ b/filter/queue_test.go
@@ -26,7 +26,7 @@
 	return &dispatch.Grant{}, nil
 }
 
-func (s *lateSlots) OverflowResult(string, bool) {}
+func (s *lateSlots) OverflowResult(string, string, bool) {}
 
 type selfRouter struct{ Router }
 
