Send retries on new connections

Cause: TestSilentConnections: when all connections between entries and workers go silent, each retry met another silent connection and cost two seconds, so a request with a deadline of 6 s ended as may-have-run. Change: an attempt after one that may have run opens a new connection.

--- a/filter/dispatch.go
+++ b/filter/dispatch.go
@@ -124,9 +124,10 @@
 		Dur("waited", grant.Waited).Str("reason", grant.Reason).Msg("request placed")
 	sent := time.Now()
 	answer, err := grant.Client.Run(c.Ctx, worker.Attempt{
-		Request:         c.Request,
-		ID:              id,
-		FreshConnection: !c.Request.Idempotent,
+		Request: c.Request,
+		ID:      id,
+		// What silenced a connection to one worker may have silenced those to others, so a retry does not risk one.
+		FreshConnection: !c.Request.Idempotent || history.tries > 0,
 		Expected:        grant.Expected,
 	})
 	if !verdict.Is(err, verdict.NotRun) {
