--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -280,14 +280,15 @@
 }
 
 // shed refuses a request early if the queue is full or the wait would outlast its deadline. A pool without
-// usable workers keeps its requests, since its members may not be known yet.
+// usable workers keeps its requests, since its members may not be known yet. The estimate is not applied to a repeat: its
+// caller cannot be told any more that the work did not run, and after a stall the estimate is too high.
 func (s *Scheduler) shed(p *pool, t *ticket, class request.Class, now time.Time) error {
 	r := t.wish.Request
 	wait := p.waitOf(r.Backer, class, now)
 	switch {
 	case t.wish.MaxQueue > 0 && p.queue.Len() >= t.wish.MaxQueue:
 		return s.overloaded(wait, "queue of pool "+p.name+" is full")
-	case p.slots > 0 && retry.Shed(now, r.Deadline, wait):
+	case len(t.wish.Exclude) == 0 && p.slots > 0 && retry.Shed(now, r.Deadline, wait):
 		return s.overloaded(wait, "the wait for a slot in pool "+p.name+" would outlast the deadline")
 	}
 	return nil
