--- a/filter/queue.go
+++ b/filter/queue.go
@@ -89,7 +89,8 @@
 	return verdict.New(verdict.NotRun, http.StatusGatewayTimeout, "deadline passed while waiting for a slot")
 }
 
-// mayOverflow holds for a request in the home pool of its queue that was not sent to a worker before.
+// mayOverflow holds for a request in the home pool of its queue that was not sent to a worker before. A request whose
+// key is claimed stays, since the other pool would find the claim and refuse the request.
 func (f Queue) mayOverflow(c *Context) bool {
 	return !c.NoWait && !c.Sent && c.Claim == nil && len(c.Queue.Pools) > 1 && c.Request.Pool == c.Queue.Pools[0]
 }
