Let entries without the table see drains through their peers

An entry that could gossip but not read the table held every drain up for ever: it was in contact and never had the draining row, so no instance left its pool. After a failed poll of fleet/version an entry now asks a peer for newer rows, as it does for the configuration. The version in gossip is the one that the scheduler works by; before it was that of the rows read, up to 250 ms ahead. Ruled out: the lease, which another entry took within 12 s. Before: TestLiveHolderLost waited for member entry-1 until its end (80 s). After: the wave ends with the entry cut off.

--- a/entry/cluster.go
+++ b/entry/cluster.go
@@ -8,13 +8,10 @@
 	"time"
 
 	"samphirepoint/filter"
-	"samphirepoint/instance"
 	"samphirepoint/membership"
 	"samphirepoint/retry"
 )
 
-type instanceFleet = instance.Fleet
-
 // router implements filter.Router and filter.Holders from the member view.
 type router struct{ e *Entry }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -213,12 +213,13 @@
 		Traffic:     e.traffic,
 		Log:         e.log,
 	})
-	e.fleetView = fleet.NewView(e.platform, func(ctx context.Context) (*instanceFleet, error) { return e.gossip.FetchFleet(ctx, 0) })
+	e.fleetView = fleet.NewView(e.platform, e.gossip.FetchFleet)
 	e.config = e.newSyncer()
 	e.gossip.Bind(peer.Hooks{
-		Document: e.config.Snapshot,
-		Install:  func(d *table.Document) int64 { return e.config.Install(d) },
-		Fleet:    e.fleetView.Snapshot,
+		Document:     e.config.Snapshot,
+		Install:      func(d *table.Document) int64 { return e.config.Install(d) },
+		Fleet:        e.fleetView.Snapshot,
+		AppliedFleet: e.appliedFleet.Load,
 	})
 }
 
--- a/fleet/store_test.go
+++ b/fleet/store_test.go
@@ -182,7 +182,7 @@
 	g := NewWithT(t)
 	ctx, w := context.Background(), newWorld(4)
 	peer := &instance.Fleet{Version: 1, Instances: map[string]instance.Instance{"old": {ID: "old"}}}
-	v := NewView(w.table, func(context.Context) (*instance.Fleet, error) { return peer, nil })
+	v := NewView(w.table, func(context.Context, int64) (*instance.Fleet, error) { return peer, nil })
 	w.table.SetHook(func(memtable.Call) memtable.Fault { return memtable.Fault{Before: errors.New("down")} })
 	g.Expect(v.Refresh(ctx)).NotTo(Succeed())
 	v.fallBack(ctx)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -26,8 +26,9 @@
 	maxSingleReads = 64
 )
 
-// Fallback returns the rows that a peer holds, for a start while the table is down.
-type Fallback func(ctx context.Context) (*instance.Fleet, error)
+// Fallback returns the rows that a peer holds, or nil if none are newer than version known. It serves entries that
+// cannot read the table, at their start and while others can: a drain waits until each entry in contact has seen it.
+type Fallback func(ctx context.Context, known int64) (*instance.Fleet, error)
 
 // View is an entry's copy of the instance rows. Snapshot may be called from any goroutine.
 type View struct {
@@ -92,14 +93,14 @@
 	return time.Duration(rand.Int64N(int64(limit))) + time.Millisecond
 }
 
-// fallBack asks a peer while there is no snapshot at all.
+// fallBack asks a peer for a newer snapshot.
 func (v *View) fallBack(ctx context.Context) {
-	if v.fallback == nil || v.current.Load() != nil {
+	if v.fallback == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	if f, err := v.fallback(ctx); err == nil && f != nil {
+	if f, err := v.fallback(ctx, v.Version()); err == nil && f != nil {
 		v.Install(f)
 	}
 }
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -72,6 +72,9 @@
 	Install func(*table.Document) int64
 	// Fleet returns the fleet snapshot, nil before the first one.
 	Fleet func() *instance.Fleet
+	// AppliedFleet returns the fleet version that the entry's scheduler works by; nil uses that of Fleet. A drain that
+	// counted a version as seen before the scheduler has it would let the instance go while work is still sent to it.
+	AppliedFleet func() int64
 }
 
 // Gossip is the entry's connection to its peers.
@@ -286,6 +289,9 @@
 	if fleet != nil {
 		fleetVersion = fleet.Version
 	}
+	if f := g.hooks.Load().AppliedFleet; f != nil {
+		fleetVersion = f()
+	}
 	g.view.SetVersions(config, fleetVersion)
 	if doc == nil || doc == g.doc {
 		return
