Plan each move of a round for another instance

A plan with several moves picked the same instance for each of them, since the rows that the loop had just written were not among the known moves. The instance would then move from pool to pool. Found by reading; the greedy policy plans several moves at once, the learned one at most one per pool.

--- a/fleet/steps.go
+++ b/fleet/steps.go
@@ -431,6 +431,7 @@
 		if err := c.store.CreateMove(ctx, move); err != nil {
 			return err
 		}
+		c.term.moves[move.ID] = &move // the next of this plan takes another instance
 		c.done("move", in.ID).Str("from", m.From).Str("to", m.To).Str("why", m.Why).Msg("move planned")
 	}
 	return nil
