Delete old history, operation ids and ended waves

Rows config/history and config/operations were never deleted. The lease holder keeps the last 10,000 versions, none older than a year, operation ids for 7 days and ended waves for 35 days (60 before). Ended moves are kept for 24 h as before.

--- a/admin/fleet_client.go
+++ b/admin/fleet_client.go
@@ -73,7 +73,7 @@
 	return &r, c.Do(ctx, http.MethodPost, PathMaintenance, body, &r)
 }
 
-// Waves returns all waves that are not older than 60 days.
+// Waves returns all waves that ended within the last 35 days or have not ended.
 func (c FleetClient) Waves(ctx context.Context) (*WavesReply, error) {
 	var r WavesReply
 	return &r, c.Do(ctx, http.MethodGet, PathMaintenance, nil, &r)
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -90,6 +90,7 @@
 	nextPlan          time.Time
 	nextPurge         time.Time
 	moveCount         int
+	retention         retention
 }
 
 // NewController returns a controller. The caller runs the view.
--- /dev/null
+++ b/fleet/retain_test.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"samphirepoint/platform"
+	"samphirepoint/table"
+	"samphirepoint/wave"
+)
+
+// Guards against rows that pile up for ever, against the loss of records that are still to be kept, and against
+// deletions by a former holder.
+func TestRetention(t *testing.T) {
+	g := NewWithT(t)
+	ctx, w := context.Background(), newWorld(0)
+	const current = keepVersions + 250
+	put := func(key, value string) {
+		_, err := w.table.Commit(ctx, []platform.Write{{Key: key, IfVersion: platform.AnyVersion, Value: []byte(value)}})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	stamp := func(age time.Duration) string { return w.t.Add(-age).Format(time.RFC3339) }
+	put(table.KeyVersion, strconv.Itoa(current))
+	for v := 1; v <= current; v++ {
+		put(table.HistoryKey(int64(v)), fmt.Sprintf(`{"version":%d,"at":%q}`, v, stamp(time.Hour)))
+	}
+	put(table.HistoryKey(251), fmt.Sprintf(`{"version":251,"at":%q}`, stamp(keepHistory+time.Hour)))
+	for i := range 1200 {
+		put(fmt.Sprintf("%s%04d", table.PrefixOperations, i), fmt.Sprintf(`{"at":%q}`, stamp(time.Duration(i%10)*24*time.Hour)))
+	}
+	put(wave.Prefix+"old", fmt.Sprintf(`{"id":"old","status":"done","ended":%q}`, stamp(keepWaves+time.Hour)))
+	put(wave.Prefix+"new", fmt.Sprintf(`{"id":"new","status":"done","ended":%q}`, stamp(keepWaves-time.Hour)))
+	p := w.process("a", -1)
+	for range 10 * 60 {
+		w.tick(ctx)
+	}
+	g.Expect(w.faults).To(BeEmpty())
+	keys := func(prefix string) map[string]bool {
+		found := map[string]bool{}
+		g.Expect(listPages(ctx, w.table, prefix, func(row platform.Row) error { found[row.Key] = true; return nil })).To(Succeed())
+		return found
+	}
+	history := keys(table.PrefixHistory)
+	g.Expect(history).To(HaveLen(keepVersions - 1))
+	g.Expect(history).To(And(HaveKey(table.HistoryKey(252)), HaveKey(table.HistoryKey(current)), Not(HaveKey(table.HistoryKey(251)))))
+	operations := keys(table.PrefixOperations)
+	g.Expect(operations).To(HaveLen(1200 * 7 / 10))
+	g.Expect(operations).To(And(HaveKey(table.PrefixOperations+"0006"), Not(HaveKey(table.PrefixOperations+"0008"))))
+	g.Expect(keys(wave.Prefix)).To(And(HaveKey(wave.Prefix+"new"), Not(HaveKey(wave.Prefix+"old"))))
+
+	// Another process takes the lease while this one believes to hold it.
+	put("leases/fleet", `{"holder":"b","nonce":"b","token":99}`)
+	g.Expect(p.ctl.delete(ctx, []platform.Write{{Key: table.HistoryKey(300), IfVersion: platform.AnyVersion, Delete: true}}, "history")).To(Succeed())
+	g.Expect(keys(table.PrefixHistory)).To(HaveKey(table.HistoryKey(300)))
+}
--- a/fleet/steps.go
+++ b/fleet/steps.go
@@ -21,7 +21,7 @@
 	planInterval = 5 * time.Second
 	// Rows of ended moves and waves are kept for operators.
 	keepMoves     = 24 * time.Hour
-	keepWaves     = 60 * 24 * time.Hour
+	keepWaves     = 35 * 24 * time.Hour
 	purgeInterval = time.Minute
 )
 
@@ -531,7 +531,7 @@
 	return best, found
 }
 
-// purge deletes the rows of moves and waves that ended long ago.
+// purge deletes the rows of moves and waves that ended long ago, and old rows of the table's history.
 func (c *Controller) purge(ctx context.Context) error {
 	now := c.Now()
 	if now.Before(c.term.nextPurge) {
@@ -552,5 +552,5 @@
 			}
 		}
 	}
-	return nil
+	return c.retain(ctx)
 }
--- a/table/accept.go
+++ b/table/accept.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	operation, err := encode(operationRow{Version: r.Version, Operator: r.Operator})
+	operation, err := encode(operationRow{Version: r.Version, Operator: r.Operator, At: r.At})
 	if err != nil {
 		return nil, err
 	}
--- a/table/history.go
+++ b/table/history.go
@@ -12,7 +12,7 @@
 )
 
 // PrefixOperations holds one row per accepted operation id, so that a repeated accept finds the
-// version of the first one however long ago it was.
+// version of the first one. The holder of the fleet lease deletes old rows.
 const PrefixOperations = "config/operations/"
 
 // Record is a row of the history: who accepted which changes, when and why.
@@ -34,6 +34,8 @@
 type operationRow struct {
 	Version  int64  `json:"version"`
 	Operator string `json:"operator"`
+	// At is the time of the accept, after which the row is kept for 7 days.
+	At time.Time `json:"at"`
 }
 
 // HistoryKey returns the key of the history row of a version. Versions have leading zeros so
