--- a/dev/dev.go
+++ b/dev/dev.go
@@ -25,6 +25,7 @@
 	"samphirepoint/examples"
 	"samphirepoint/fleet"
 	"samphirepoint/load"
+	"samphirepoint/mover"
 	"samphirepoint/platform"
 	"samphirepoint/report"
 	"samphirepoint/settings"
@@ -68,6 +69,14 @@
 	Log zerolog.Logger
 	// Progress is told what happens, for a person who waits; nil leaves it out.
 	Progress func(format string, args ...any)
+	// Document replaces the deployment's initial table.
+	Document *table.Document
+	// Workers is the number of workers per pool; nil uses that of the deployments.
+	Workers map[string]int
+	// PlatformOf returns the base URL by which an entry reaches the platform at base, such as that of a proxy; nil uses base.
+	PlatformOf func(entry, base string) (string, error)
+	// MovePolicy makes the policy of moves of an entry; nil uses that of Moves.
+	MovePolicy func() mover.Policy
 }
 
 // Result of a run.
@@ -98,6 +107,7 @@
 	// dir holds the token files; it is deleted at the end if removeDir.
 	dir       string
 	removeDir bool
+	tokens    string
 	listener  *standin.Listener
 	group     *errgroup.Group
 	stop      []context.CancelFunc
@@ -112,9 +122,12 @@
 // Start brings a deployment up and waits until all entries are ready.
 func Start(ctx context.Context, o Options) (*Cluster, error) {
 	o = withDefaults(o)
-	doc, err := examples.Table(o.Deployment)
-	if err != nil {
-		return nil, err
+	doc := o.Document
+	if doc == nil {
+		var err error
+		if doc, err = examples.Table(o.Deployment); err != nil {
+			return nil, err
+		}
 	}
 	c := &Cluster{Options: o, Document: doc, Tokens: map[string]string{}, group: &errgroup.Group{}}
 	if err := c.start(ctx); err != nil {
@@ -140,6 +153,9 @@
 	if o.Moves == (settings.Moves{}) {
 		o.Moves = settings.Default().Moves
 	}
+	if o.Workers == nil {
+		o.Workers = poolSizes
+	}
 	if o.Progress == nil {
 		o.Progress = func(string, ...any) {}
 	}
@@ -200,7 +216,7 @@
 func (c *Cluster) startWorkers() error {
 	names := zones[c.Options.Deployment]
 	for _, pool := range c.Document.Pools {
-		for i := range poolSizes[pool.Name] {
+		for i := range c.Options.Workers[pool.Name] {
 			rack := i / workersPerRack
 			w := workerd.New(workerd.Options{
 				ID: fmt.Sprintf("%s-%02d", pool.Name, i+1), Zone: names[rack%len(names)], Rack: fmt.Sprintf("%s-r%d", pool.Name, rack+1),
@@ -237,33 +253,54 @@
 }
 
 func (c *Cluster) startEntries() error {
-	tokens, err := c.writeTokens()
-	if err != nil {
+	var err error
+	if c.tokens, err = c.writeTokens(); err != nil {
 		return err
 	}
-	names := zones[c.Options.Deployment]
 	for i := range c.Options.Entries {
-		cfg := settings.Default()
-		cfg.ID, cfg.Zone, cfg.Zones = fmt.Sprintf("entry-%d", i+1), names[i%len(names)], names
-		cfg.Platform, cfg.Tokens = c.base, tokens
-		cfg.Policies, cfg.Moves = c.Options.Policies, c.Options.Moves
-		cfg.Listen = settings.Addresses{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+		listen := settings.Addresses{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0"}
 		if c.Options.CallerPort > 0 {
-			cfg.Listen.Callers, cfg.Listen.Peers = c.addresses(i)
+			listen.Callers, listen.Peers = c.addresses(i)
 		}
-		cfg.Shutdown.BalancerDelay = 0
-		if i > 0 {
-			cfg.Peers = []string{c.Entries[0].PeerAddress()}
+		if err := c.startEntry(fmt.Sprintf("entry-%d", i+1), listen); err != nil {
+			return err
 		}
-		e, err := entry.New(&cfg, entry.Options{Log: c.Options.Log})
-		if err != nil {
+	}
+	return nil
+}
+
+// startEntry adds an entry, which learns of the others from the first one.
+func (c *Cluster) startEntry(id string, listen settings.Addresses) error {
+	names := zones[c.Options.Deployment]
+	cfg := settings.Default()
+	cfg.ID, cfg.Zone, cfg.Zones = id, names[len(c.Entries)%len(names)], names
+	cfg.Platform, cfg.Tokens = c.base, c.tokens
+	if c.Options.PlatformOf != nil {
+		var err error
+		if cfg.Platform, err = c.Options.PlatformOf(id, c.base); err != nil {
 			return err
 		}
-		c.Entries = append(c.Entries, e)
-		ctx, cancel := context.WithCancel(context.Background())
-		c.stop = append(c.stop, cancel)
-		c.group.Go(func() error { return e.Run(ctx) })
 	}
+	cfg.Policies, cfg.Moves = c.Options.Policies, c.Options.Moves
+	cfg.Listen = listen
+	cfg.Shutdown.BalancerDelay = 0
+	if len(c.Entries) > 0 {
+		cfg.Peers = []string{c.Entries[0].PeerAddress()}
+	}
+	options := entry.Options{Log: c.Options.Log}
+	if c.Options.MovePolicy != nil {
+		options.MovePolicy = c.Options.MovePolicy()
+	}
+	e, err := entry.New(&cfg, options)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.mu.Lock()
+	c.Entries = append(c.Entries, e)
+	c.mu.Unlock()
+	c.stop = append(c.stop, cancel)
+	c.group.Go(func() error { return e.Run(ctx) })
 	return nil
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,7 @@
 	"samphirepoint/job"
 	"samphirepoint/lease"
 	"samphirepoint/membership"
+	"samphirepoint/mover"
 	"samphirepoint/peer"
 	"samphirepoint/placement"
 	"samphirepoint/platform"
@@ -99,6 +100,8 @@
 	Log zerolog.Logger
 	// Platform is the HTTP client for the platform; nil uses one of its own.
 	Platform *http.Client
+	// MovePolicy decides on moves of instances; nil uses that of the settings.
+	MovePolicy mover.Policy
 }
 
 // New binds the listeners and builds the parts; Run starts them.
@@ -122,7 +125,7 @@
 	e.platform = platform.NewClient(cfg.Platform, e.platformHTTP(o.Platform))
 	e.buildPeers()
 	e.buildTraffic()
-	e.buildFleet()
+	e.buildFleet(o.MovePolicy)
 	return e, nil
 }
 
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -24,7 +24,10 @@
 )
 
 // buildFleet creates the controller that decides about drains, waves and moves while this entry holds the fleet lease.
-func (e *Entry) buildFleet() {
+func (e *Entry) buildFleet(policy mover.Policy) {
+	if policy == nil {
+		policy = movePolicy(e.cfg.Moves)
+	}
 	e.lease = lease.New(e.platform, leaseName, e.processName(), time.Now)
 	e.demands = &demands{e: e}
 	e.controller = fleet.NewController(fleet.Config{
@@ -36,7 +39,7 @@
 		Members:   e.fleetMembers,
 		Document:  e.config.Snapshot,
 		Demand:    e.demands.byPool,
-		Policy:    movePolicy(e.cfg.Moves),
+		Policy:    policy,
 		Log:       e.log,
 	})
 }
