forward: leave time for the owner's refusal before the deadline

A request that waited at its owner until the deadline ended at both entries at once, and the receiver told its caller 'may have run' for what the owner refused as not run. The owner's deadline is now a tenth, at most 100 ms, earlier. TestDeadlineLeavesTimeForTheAnswer covers it.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -115,7 +115,7 @@
 	h.Set(request.HeaderHops, strconv.Itoa(r.Hops+1))
 	h.Set(request.HeaderVisited, strings.Join(append(r.Visited[:len(r.Visited):len(r.Visited)], c.peers.Self()), ","))
 	h.Set(request.HeaderIdempotent, strconv.FormatBool(r.Idempotent))
-	h.Set(request.HeaderDeadline, max(time.Until(r.Deadline), time.Millisecond).String())
+	h.Set(request.HeaderDeadline, deadlineThere(time.Until(r.Deadline)).String())
 	setIf(h, request.HeaderIdempotencyKey, r.Key)
 	setIf(h, request.HeaderKind, r.Kind)
 	setIf(h, request.HeaderClass, r.Class.String())
@@ -132,6 +132,18 @@
 	return req, nil
 }
 
+// answerMargin is the part of a deadline, one in so many, and maxAnswerMargin the longest time that a forwarded request is
+// cut short, so that the owner's verdict on a request whose deadline passed arrives before the deadline here.
+const (
+	answerMargin    = 10
+	maxAnswerMargin = 100 * time.Millisecond
+)
+
+// deadlineThere is the deadline of a request at the entry that it is forwarded to.
+func deadlineThere(left time.Duration) time.Duration {
+	return max(left-min(left/answerMargin, maxAnswerMargin), time.Millisecond)
+}
+
 func setIf(h http.Header, name, value string) {
 	if value != "" {
 		h.Set(name, value)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -112,6 +112,26 @@
 	g.Expect(time.Since(begin)).To(BeNumerically("<", time.Second))
 }
 
+// Guards against "may have run" for a request that waited at its owner until the deadline: the owner's refusal
+// must arrive before the receiver's own deadline.
+func TestDeadlineLeavesTimeForTheAnswer(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var there time.Duration
+	_, err := forwardTo(t, ctx, func(w http.ResponseWriter, r *http.Request) {
+		there, _ = time.ParseDuration(r.Header.Get(request.HeaderDeadline))
+		reply(200, "ok", nil)(w, r)
+	}, true)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(there).To(BeNumerically("<=", time.Minute-maxAnswerMargin))
+	g.Expect(there).To(BeNumerically(">", time.Minute-2*time.Second))
+	for _, left := range []time.Duration{-time.Second, 0, time.Millisecond} {
+		g.Expect(deadlineThere(left)).To(Equal(time.Millisecond))
+	}
+	g.Expect(deadlineThere(100 * time.Millisecond)).To(Equal(90 * time.Millisecond))
+}
+
 // Guards against parts of a request that get lost between entries, among them the issue time that is part of a key.
 func TestRequestArrivesWhole(t *testing.T) {
 	g := NewWithT(t)
