dispatch: estimate the wait of a full pool from the slots that come free

The mean of ended runs is too low while long runs hold slots, so requests waited until their deadline instead of being refused at once. A pool that was full for two windows of the rate meter goes by the rate (TestShedBehindLongWork).

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -61,6 +61,8 @@
 	running   map[string]*running
 	overflow  overflowGate
 	finishes  rateMeter
+	// freeAt is the last time at which the pool had a free slot.
+	freeAt time.Time
 	// meanRun is the decayed mean run time of all work.
 	meanRun time.Duration
 	// slots is the number of slots of usable workers, reserved the part that long work leaves free.
@@ -132,6 +134,9 @@
 	p.reserved = p.reserve.Slots(now, total)
 	// A change of members can leave slots in use on workers that left; they must not block the others.
 	p.queue.SetSlots(total+p.inUseElsewhere(), p.reserved)
+	if p.free() > 0 {
+		p.freeAt = now
+	}
 }
 
 // usable reports whether the worker may get new work.
@@ -179,17 +184,24 @@
 // estimatedWait is the time until a request behind all others gets a slot.
 func (p *pool) estimatedWait(now time.Time) time.Duration { return p.load(now).Wait() }
 
-// load is the state of the queue as its last request sees it. A few very long runs raise the mean run time for a while,
-// so the rate at which slots became free lately bounds it.
+// load is the state of the queue as its last request sees it. In a pool that has been full for the whole window of the
+// rate meter, the rate at which slots became free gives the mean run time of what holds the slots; the mean of ended runs
+// would be too low, since long runs hold slots and seldom end. Before that the rate only bounds the mean.
 func (p *pool) load(now time.Time) retry.Load {
 	mean := p.meanRun
 	if rate := p.finishes.perSecond(now); rate > 0 {
-		mean = min(mean, time.Duration(float64(p.slots)/rate*float64(time.Second)))
+		byRate := time.Duration(float64(p.slots) / rate * float64(time.Second))
+		if now.Sub(p.freeAt) < 2*rateWindow {
+			byRate = min(mean, byRate)
+		}
+		mean = byRate
 	}
-	free := p.slots + p.inUseElsewhere() - p.queue.InUse()
-	return retry.Load{Ahead: p.queue.Len(), Slots: p.slots, Free: max(free, 0), MeanRun: mean}
+	return retry.Load{Ahead: p.queue.Len(), Slots: p.slots, Free: p.free(), MeanRun: mean}
 }
 
+// free is the number of slots that the queue may grant.
+func (p *pool) free() int { return max(p.slots+p.inUseElsewhere()-p.queue.InUse(), 0) }
+
 // observe notes a run that ended.
 func (p *pool) observe(took time.Duration, now time.Time) {
 	p.finishes.add(now)
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -313,6 +313,37 @@
 	g.Expect(refused).To(BeFalse())
 }
 
+// Guards against requests that wait until their deadline although the pool is full of long work: the slots that
+// come free decide, and not the short mean of the runs that ended.
+func TestShedBehindLongWork(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench()
+	b.setFleet(fleetOf(true, 1, 4))
+	for range 3 {
+		_, _ = answer(b.acquire(b.wish()))
+	}
+	running, waiting := b.acquire(b.wish()), b.acquire(b.wish())
+	for range 60 {
+		r, ok := answer(running)
+		g.Expect(ok).To(BeTrue())
+		b.now = b.now.Add(100 * time.Millisecond)
+		r.grant.Release(Result{Outcome: Succeeded})
+		b.drain()
+		running, waiting = waiting, b.acquire(b.wish())
+		b.tick()
+	}
+	for range 20 {
+		b.acquire(b.wish())
+	}
+	w := b.wish()
+	w.Request.Deadline = b.now.Add(time.Second)
+	r, _ := answer(b.acquire(w))
+	g.Expect(verdict.Is(r.err, verdict.NotRun)).To(BeTrue(), "20 requests at 10 a second need 2 s")
+	w.Request.Deadline = b.now.Add(4 * time.Second)
+	_, refused := answer(b.acquire(w))
+	g.Expect(refused).To(BeFalse())
+}
+
 // Guards against requests that wait at an entry which does not own the pool any more.
 func TestOwnershipLost(t *testing.T) {
 	g := NewWithT(t)
