Give a worker work again as soon as it says that it takes some

Cause: news that a worker is leaving counted for a minute, so a drained and rebooted worker idled: none of 900 requests in 20 s went to it (seen with dev -serve and pool move). Change: the owner asks a worker that the fleet counts as serving and the list does not show as leaving; its answer takes back older news, and later news counts again.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -369,6 +369,7 @@
 		e.control.Run,
 		e.controller.Run,
 		e.followList,
+		e.followReturns,
 		e.register,
 		e.sweep,
 		func(ctx context.Context) error { e.claims.Run(ctx); return nil },
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -94,6 +94,7 @@
 	known     map[string]map[uint32]int64 // what a member knew with its last message, see decoded
 	demand    *demandTable
 	leaving   leavingTable
+	back      backTable
 	schedule  schedule
 	doc       *table.Document
 	pools     []membership.Pool
@@ -125,6 +126,7 @@
 		known:    map[string]map[uint32]int64{},
 		demand:   newDemandTable(c.Self.ID),
 		leaving:  leavingTable{},
+		back:     backTable{},
 		schedule: schedule{rand: c.Rand},
 	}
 	if g.clients == nil {
@@ -216,6 +218,7 @@
 	g.view.Tick(now)
 	g.view.Expire(now)
 	g.leaving.expire(now)
+	g.back.expire(now)
 	g.refresh()
 	g.publish(now)
 	s := g.shown.Load()
@@ -391,9 +394,28 @@
 }
 
 func (g *Gossip) noteLeaving(worker string, since, now time.Time) {
-	if worker == "" || !g.leaving.note(worker, since, now) {
+	if worker == "" || since.Before(g.back[worker]) || !g.leaving.note(worker, since, now) {
 		return
 	}
+	g.showLeaving()
+}
+
+// NoteBack takes back the news that a worker is leaving, because the worker said at time at that it takes work. Later
+// news counts again.
+func (g *Gossip) NoteBack(worker string, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	since, ok := g.leaving[worker]
+	if !ok || !since.Before(at) {
+		return
+	}
+	delete(g.leaving, worker)
+	g.back[worker] = at
+	g.showLeaving()
+}
+
+// showLeaving copies the table for readers without the lock.
+func (g *Gossip) showLeaving() {
 	shown := make(leavingTable, len(g.leaving))
 	for w, t := range g.leaving {
 		shown[w] = t
--- a/peer/leaving.go
+++ b/peer/leaving.go
@@ -22,6 +22,19 @@
 // leavingTable maps workers to the time at which they were found to be leaving.
 type leavingTable map[string]time.Time
 
+// backTable maps workers to the time at which they said that they take work again. Older news that they are leaving, which
+// other entries may still pass on, does not count.
+type backTable map[string]time.Time
+
+// expire drops entries older than any news that is still passed on.
+func (t backTable) expire(now time.Time) {
+	for worker, at := range t {
+		if now.Sub(at) >= leavingKept {
+			delete(t, worker)
+		}
+	}
+}
+
 // note adds a worker and reports whether that is news. A repeat does not make the news younger, otherwise it would
 // be passed on for as long as the worker refuses work.
 func (t leavingTable) note(worker string, since, now time.Time) bool {
