Give up the first attempt of short idempotent work on a worker that hangs

Cause: a hung worker says that it runs the request, so the attempt lasted until the caller's deadline (TestHungWorkerDoesNotHoldShortWork without the change: may-have-run after 20 s). Change: the first attempt ends after 10 times the p90 run time, at least 2 s, and another worker gets the request; the slot counts as used until the hung worker confirms the stop. After: the test answers within 4.3 s.

--- a/filter/dispatch.go
+++ b/filter/dispatch.go
@@ -11,6 +11,7 @@
 
 	"samphirepoint/claim"
 	"samphirepoint/dispatch"
+	"samphirepoint/request"
 	"samphirepoint/retry"
 	"samphirepoint/verdict"
 	"samphirepoint/worker"
@@ -123,7 +124,9 @@
 	c.Log.Info().Str("pool", c.Request.Pool).Str("worker", grant.Worker).Str("attempt", id).
 		Dur("waited", grant.Waited).Str("reason", grant.Reason).Msg("request placed")
 	sent := time.Now()
-	answer, err := grant.Client.Run(c.Ctx, worker.Attempt{
+	ctx, cancel := attemptContext(c, grant, history)
+	defer cancel()
+	answer, err := grant.Client.Run(ctx, worker.Attempt{
 		Request: c.Request,
 		ID:      id,
 		// What silenced a connection to one worker may have silenced those to others, so a retry does not risk one.
@@ -134,7 +137,7 @@
 		c.Sent = true
 	}
 	c.noteUncertain(err)
-	f.settle(c, grant, id, answer, err, time.Since(sent))
+	f.settle(c, ctx, grant, id, answer, err, time.Since(sent))
 	history.expected = grant.Expected
 	history.exclude = append(history.exclude, grant.Worker)
 	if err != nil {
@@ -143,14 +146,35 @@
 	return &Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body, Worker: grant.Worker}, nil
 }
 
-// settle returns the slot with what the attempt says about the worker.
-func (f *Dispatch) settle(c *Context, grant *dispatch.Grant, id string, answer worker.Answer, err error, took time.Duration) {
+const (
+	// attemptFactor times the p90 run time is the time after which the first attempt of short idempotent work is given up
+	// for another worker. A worker that hangs runs the request for ever as far as it can tell.
+	attemptFactor = 10
+	// attemptMin keeps work with very short run times from being repeated in a short stall.
+	attemptMin = 2 * time.Second
+)
+
+// attemptContext bounds the first attempt of short idempotent work; later attempts have the whole deadline, since the work
+// may be a straggler.
+func attemptContext(c *Context, grant *dispatch.Grant, history *attempts) (context.Context, context.CancelFunc) {
+	if !c.Request.Idempotent || history.tries > 0 || grant.Expected <= 0 || grant.Expected >= request.ShortLimit {
+		return context.WithCancel(c.Ctx)
+	}
+	return context.WithTimeout(c.Ctx, max(attemptFactor*grant.Expected, attemptMin))
+}
+
+// settle returns the slot with what the attempt says about the worker. ctx is that of the attempt.
+func (f *Dispatch) settle(c *Context, ctx context.Context, grant *dispatch.Grant, id string, answer worker.Answer, err error, took time.Duration) {
 	if answer.Leaving || errors.Is(err, worker.ErrLeaving) {
 		f.Leavings.NoteLeaving(grant.Worker)
 	}
-	if err != nil && c.Ctx.Err() != nil && verdict.Of(err) != verdict.NotRun {
+	if err != nil && ctx.Err() != nil && verdict.Of(err) != verdict.NotRun {
 		// The worker may still run the request: the slot is free only when it confirms the stop.
-		go stopAndRelease(grant, c.Request.ID, id)
+		ended := dispatch.Stopped
+		if c.Ctx.Err() == nil {
+			ended = dispatch.TimedOut
+		}
+		go stopAndRelease(grant, c.Request.ID, id, ended)
 		return
 	}
 	grant.Release(dispatch.Result{Outcome: outcome(answer, err), Took: took})
@@ -181,13 +205,13 @@
 )
 
 // stopAndRelease keeps the slot until the worker confirms that the attempt does not run any more.
-func stopAndRelease(grant *dispatch.Grant, requestID, attempt string) {
+func stopAndRelease(grant *dispatch.Grant, requestID, attempt string, ended dispatch.Outcome) {
 	for range stopAttempts {
 		ctx, cancel := waitContext(stopTimeout)
 		err := grant.Client.Stop(ctx, requestID, attempt)
 		cancel()
 		if err == nil {
-			grant.Release(dispatch.Result{Outcome: dispatch.Stopped})
+			grant.Release(dispatch.Result{Outcome: ended})
 			return
 		}
 		time.Sleep(stopTimeout / 2)
