filter: read the row again when a repeat misses the request in flight

A repeat that was forwarded to the holder of its claim met 409 if the request ended on the way, although its outcome was recorded by then. TestClaimOfAnotherProcess covers it.

--- a/filter/chain_test.go
+++ b/filter/chain_test.go
@@ -151,7 +151,7 @@
 	defer cancel()
 	go other.Run(ctx)
 	body := `{"runMs":1}`
-	_, err := other.Take(ctx, claim.RowKey("b", "q", "k", time.Time{}), request.BodyHash([]byte(body)))
+	taken, err := other.Take(ctx, claim.RowKey("b", "q", "k", time.Time{}), request.BodyHash([]byte(body)))
 	g.Expect(err).NotTo(HaveOccurred())
 
 	c := w.serve(callSpec{key: "k", body: body})
@@ -168,6 +168,14 @@
 	g.Expect(c.Err).NotTo(HaveOccurred())
 	g.Expect(options.Attach).To(BeTrue())
 	g.Expect(string(c.Answer.Body)).To(Equal("its answer"))
+
+	w.peers.answer = func(*Context, Target, ForwardOptions) (*Answer, error) {
+		other.Finish(taken, claim.Outcome{Verdict: "ran", Status: 200, Body: []byte("recorded")})
+		return nil, verdict.New(verdict.MayHaveRun, http.StatusConflict, "not in flight any more")
+	}
+	c = w.serve(callSpec{key: "k", body: body})
+	g.Expect(c.Err).NotTo(HaveOccurred(), "the request ended while the repeat was under way")
+	g.Expect(string(c.Answer.Body)).To(Equal("recorded"))
 	g.Expect(w.starts()).To(BeZero())
 	g.Eventually(w.inUse, patience).Should(BeZero())
 }
--- a/filter/claims.go
+++ b/filter/claims.go
@@ -65,13 +65,22 @@
 	}
 	answer, err := c.forward(f.Forwarder, holder, ForwardOptions{Pool: c.Request.Pool, Attach: true})
 	if err != nil {
-		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusConflict)
+		return f.afterMiss(c, err)
 	}
 	answer.Replayed = true
 	c.Answer = answer
 	return nil
 }
 
+// afterMiss answers a repeat that was not attached at the claim's holder: the request may have ended meanwhile.
+func (f Claims) afterMiss(c *Context, miss error) error {
+	rec, found, err := f.Store.Lookup(c.Ctx, claimKey(c.Request))
+	if err == nil && found && rec.State == claim.Done {
+		return f.replay(c, rec.Outcome)
+	}
+	return verdict.Wrap(miss, verdict.MayHaveRun, http.StatusConflict)
+}
+
 func errInFlight() error {
 	return verdict.WithRetryAfter(verdict.New(verdict.MayHaveRun, http.StatusConflict, "the request with this key has no recorded outcome yet"), attachRetryAfter)
 }
