Fix the data race on the context of a waiting job

The goroutine that ends the wait read the variable that the deadline's context replaced. The race detector reported it in TestLiveLongJobs, with a job that has a deadline.

--- a/job/runner.go
+++ b/job/runner.go
@@ -349,19 +349,19 @@
 
 // untilStopped is a context that ends with the job's deadline, a cancel or the shutdown of the entry.
 func (r *runner) untilStopped() (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(context.Background())
+	base, cancel := context.WithCancel(context.Background())
 	go func() {
 		select {
-		case <-ctx.Done():
+		case <-base.Done():
 		case <-r.stop:
 		case <-r.leave:
 		}
 		cancel()
 	}()
 	if r.rec.Deadline.IsZero() {
-		return ctx, cancel
+		return base, cancel
 	}
-	ctx, cancelDeadline := context.WithDeadline(ctx, r.rec.Deadline)
+	ctx, cancelDeadline := context.WithDeadline(base, r.rec.Deadline)
 	return ctx, func() { cancelDeadline(); cancel() }
 }
 
