Take the evidence of a live test before asking the platform

The harness held its lock while it asked the platform, which calls the harness back under its own lock: three tests hung in one run. No check changes.

--- a/dev/live_test.go
+++ b/dev/live_test.go
@@ -379,8 +379,10 @@
 		l.stopLoad()
 	}
 	l.loads.Wait()
+	// The platform calls keepChange under its own lock, so nothing here asks it with mu held.
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	changes, records, versions, accepted := slices.Clone(l.changes), slices.Clone(l.records), slices.Clone(l.versions), slices.Clone(l.accepted)
+	l.mu.Unlock()
 	var journal []workerd.Event
 	last := map[string]int{} // a worker that was replaced under its id goes on with the sequence of the former one
 	for _, w := range append(slices.Clone(l.retired), l.Workers...) {
@@ -392,14 +394,14 @@
 			journal = append(journal, e)
 		}
 	}
-	pools, err := checker.PoolSamples(l.changes)
+	pools, err := checker.PoolSamples(changes)
 	l.Expect(err).NotTo(gomega.HaveOccurred())
 	shares := map[string]checker.Share{}
 	for _, b := range l.Document.Backers {
 		shares[b.Name] = checker.Share{Weight: b.Weight, Limit: b.Limit()}
 	}
-	report := checker.Check(checker.Input{Journal: journal, Records: l.records, Pools: pools, Budgets: l.allBudgets(time.Time{}),
-		Shares: shares, Versions: l.versions, Accepted: l.accepted, Shutdowns: l.shutdowns})
+	report := checker.Check(checker.Input{Journal: journal, Records: records, Pools: pools, Budgets: l.allBudgets(time.Time{}),
+		Shares: shares, Versions: versions, Accepted: accepted, Shutdowns: l.shutdowns})
 	for _, v := range report.Violations {
 		if !slices.Contains(allowed, v.Property) {
 			l.t.Errorf("%s", report)
@@ -407,7 +409,7 @@
 		}
 	}
 	l.fenced()
-	r := load.Result{Records: l.records}
+	r := load.Result{Records: records}
 	l.t.Logf("%s", r.Summary())
 	l.t.Logf("facts %v", report.Checked)
 	return report
@@ -425,7 +427,7 @@
 		instance.Rebooting: {instance.Rebooting, instance.Serving, instance.Failed},
 		instance.Failed:    {instance.Failed, instance.Serving},
 	}
-	for _, ch := range l.changes {
+	for _, ch := range l.history() {
 		switch id, isInstance := strings.CutPrefix(ch.Row.Key, instance.Prefix); {
 		case ch.Row.Version == 0:
 			delete(states, id)
