--- a/admin/fleet.go
+++ b/admin/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"net/http"
 	"slices"
 	"strings"
@@ -57,33 +56,8 @@
 
 type fleetHandler struct{ opt FleetOptions }
 
-// serve authenticates the request, bounds its body and time, and writes the answer.
 func (h *fleetHandler) serve(role auth.Role, answer func(call) (any, error)) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		principal, err := authorize(h.opt.Verifier, role, r)
-		if err != nil {
-			writeTableError(w, err)
-			return
-		}
-		body, err := readTableBody(w, r)
-		if err != nil {
-			writeTableError(w, err)
-			return
-		}
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), tableTimeout)
-		defer cancel()
-		reply, err := answer(call{ctx: ctx, request: r, operator: principal.Name, body: body})
-		log := h.opt.Log.Info().Str("operator", principal.Name).Str("method", r.Method).Str("path", r.URL.Path)
-		if err != nil {
-			log.Err(err).Msg("fleet request refused")
-			writeTableError(w, err)
-			return
-		}
-		if r.Method != http.MethodGet {
-			log.Msg("fleet request done")
-		}
-		writeReply(w, reply)
-	}
+	return serve(h.opt.Verifier, h.opt.Log, "fleet", role, answer)
 }
 
 // snapshot returns the fleet and the configuration that this entry holds.
--- a/admin/table.go
+++ b/admin/table.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	// maxTableBodyBytes bounds request bodies. The table takes about 50 KB at the two-year size.
-	maxTableBodyBytes = 1 << 20
+	// maxBodyBytes bounds request bodies. The table takes about 50 KB at the two-year size.
+	maxBodyBytes = 1 << 20
 	// tableTimeout bounds the work on one request, which goes on if the caller disconnects, so
 	// that a lost caller does not leave a write half resolved.
 	tableTimeout = 15 * time.Second
--- a/admin/table_errors.go
+++ b/admin/table_errors.go
@@ -6,9 +6,6 @@
 	"net/http"
 	"strconv"
 
-	"github.com/rs/zerolog"
-
-	"samphirepoint/auth"
 	"samphirepoint/request"
 	"samphirepoint/table"
 	"samphirepoint/verdict"
@@ -37,7 +34,7 @@
 	return err
 }
 
-func tableErrorBody(err error) ErrorBody {
+func errorBodyOf(err error) ErrorBody {
 	body := ErrorBody{Error: err.Error()}
 	var invalid *table.InvalidError
 	var conflict *table.ConflictError
@@ -53,19 +50,19 @@
 	return body
 }
 
-func writeTableError(w http.ResponseWriter, err error) {
+func writeError(w http.ResponseWriter, err error) {
 	err = classifyTable(err)
 	w.Header().Set(request.HeaderVerdict, verdict.Of(err).String())
 	if d := verdict.RetryAfter(err); d > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(max(d.Seconds(), 1))))
 	}
-	writeTableJSON(w, verdict.Status(err), tableErrorBody(err))
+	writeJSON(w, verdict.Status(err), errorBodyOf(err))
 }
 
 func writeReply(w http.ResponseWriter, reply any) {
 	raw, ok := reply.(rawReply)
 	if !ok {
-		writeTableJSON(w, http.StatusOK, reply)
+		writeJSON(w, http.StatusOK, reply)
 		return
 	}
 	w.Header().Set("Content-Type", raw.contentType)
@@ -73,13 +70,9 @@
 	_, _ = w.Write(raw.data)
 }
 
-func writeTableJSON(w http.ResponseWriter, status int, v any) {
+func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	// A failed write means that the caller is gone.
 	_ = json.NewEncoder(w).Encode(v)
 }
-
-func (h *tableHandler) logChange(p auth.Principal, r *http.Request) *zerolog.Event {
-	return h.opt.Log.Info().Str("operator", p.Name).Str("method", r.Method).Str("path", r.URL.Path)
-}
--- a/admin/table_handler.go
+++ b/admin/table_handler.go
@@ -3,18 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"strconv"
 
 	"samphirepoint/auth"
-	"samphirepoint/request"
 	"samphirepoint/table"
-	"samphirepoint/verdict"
 )
 
 // RegisterTable adds the table's routes to mux.
@@ -34,100 +27,8 @@
 
 type tableHandler struct{ opt TableOptions }
 
-// call is one authenticated request with its bounded body.
-type call struct {
-	ctx      context.Context
-	request  *http.Request
-	operator string
-	body     []byte
-}
-
-// rawReply is an answer that is not JSON.
-type rawReply struct {
-	contentType string
-	data        []byte
-}
-
 func (h *tableHandler) serve(role auth.Role, answer func(call) (any, error)) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		principal, err := authorize(h.opt.Verifier, role, r)
-		if err != nil {
-			writeTableError(w, err)
-			return
-		}
-		body, err := readTableBody(w, r)
-		if err != nil {
-			writeTableError(w, err)
-			return
-		}
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), tableTimeout)
-		defer cancel()
-		reply, err := answer(call{ctx: ctx, request: r, operator: principal.Name, body: body})
-		if err != nil {
-			h.logChange(principal, r).Err(err).Msg("table request refused")
-			writeTableError(w, err)
-			return
-		}
-		if r.Method != http.MethodGet {
-			h.logChange(principal, r).Msg("table request done")
-		}
-		writeReply(w, reply)
-	}
-}
-
-// authorize lets operators do everything and viewers read.
-func authorize(v auth.Verifier, role auth.Role, r *http.Request) (auth.Principal, error) {
-	p, err := v.Identify(r)
-	if err != nil {
-		return p, err
-	}
-	if p.Role == auth.RoleOperator || p.Role == auth.RoleViewer && role == auth.RoleViewer {
-		return p, nil
-	}
-	return p, verdict.New(verdict.NotRun, http.StatusForbidden, "%s has role %s; this needs role %s", p.Name, p.Role, role)
-}
-
-func readTableBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTableBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body is larger than %d bytes", maxTableBodyBytes)
-	}
-	return body, verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest)
-}
-
-// decode reads the body as exactly one JSON value without unknown fields.
-func (c call) decode(into any) error {
-	d := json.NewDecoder(bytes.NewReader(c.body))
-	d.DisallowUnknownFields()
-	if err := d.Decode(into); err != nil {
-		return verdict.New(verdict.NotRun, http.StatusBadRequest, "body: %v", err)
-	}
-	if _, err := d.Token(); err != io.EOF {
-		return verdict.New(verdict.NotRun, http.StatusBadRequest, "body: expected one JSON value, found more")
-	}
-	return nil
-}
-
-// number reads a query parameter that is a whole number, 0 or greater.
-func (c call) number(name string, absent int64) (int64, error) {
-	text := c.request.URL.Query().Get(name)
-	if text == "" {
-		return absent, nil
-	}
-	n, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || n < 0 {
-		return 0, verdict.New(verdict.NotRun, http.StatusBadRequest, "query parameter %s = %q: expected a whole number, 0 or greater", name, text)
-	}
-	return n, nil
-}
-
-// operation returns the id under which a repeat of the edit is recognized.
-func (c call) operation() string {
-	if id := c.request.Header.Get(request.HeaderIdempotencyKey); id != "" {
-		return id
-	}
-	return rand.Text()
+	return serve(h.opt.Verifier, h.opt.Log, "table", role, answer)
 }
 
 func (h *tableHandler) show(c call) (any, error) { return h.opt.Store.Current(c.ctx) }
