Hedge short idempotent work that takes far longer than expected

Change: a second worker gets the request beside the first, within the retry budget and only on a free slot; the first good answer wins and the other attempt is stopped.

--- a/filter/dispatch.go
+++ b/filter/dispatch.go
@@ -111,7 +111,7 @@
 // failed reports an answer that says that the worker could not do the work.
 func failed(a *Answer) bool { return a != nil && a.Status >= http.StatusInternalServerError }
 
-// attempt sends the request once and gives the slot back.
+// attempt sends the request once, or to a second worker as well if the first one takes far longer than expected.
 func (f *Dispatch) attempt(c *Context, history *attempts) (*Answer, error) {
 	grant := c.Grant
 	c.Grant, history.worker = nil, grant.Worker
@@ -120,58 +120,120 @@
 		history.late = true
 		return nil, errTooLate()
 	}
+	// What silenced a connection to one worker may have silenced those to others, so a retry does not risk one.
+	fresh := !c.Request.Idempotent || history.tries > 0
+	delay, hedged := hedgeAfter(c, grant, history)
+	if !hedged {
+		return f.note(c, history, f.send(c.Ctx, c, grant, fresh))
+	}
+	return f.hedge(c, history, grant, delay)
+}
+
+// sent is the result of sending a request to a worker.
+type sent struct {
+	grant  *dispatch.Grant
+	answer *Answer
+	err    error
+}
+
+// send sends the request to the granted worker and gives the slot back. It does not change c, so that two may run at once.
+func (f *Dispatch) send(ctx context.Context, c *Context, grant *dispatch.Grant, fresh bool) sent {
 	id := fmt.Sprintf("%s-%d-%d", f.EntryID, f.started, f.sequence.Add(1))
 	c.Log.Info().Str("pool", c.Request.Pool).Str("worker", grant.Worker).Str("attempt", id).
 		Dur("waited", grant.Waited).Str("reason", grant.Reason).Msg("request placed")
-	sent := time.Now()
-	ctx, cancel := attemptContext(c, grant, history)
-	defer cancel()
-	answer, err := grant.Client.Run(ctx, worker.Attempt{
-		Request: c.Request,
-		ID:      id,
-		// What silenced a connection to one worker may have silenced those to others, so a retry does not risk one.
-		FreshConnection: !c.Request.Idempotent || history.tries > 0,
-		Expected:        grant.Expected,
-	})
-	if !verdict.Is(err, verdict.NotRun) {
-		c.Sent = true
-	}
-	c.noteUncertain(err)
-	f.settle(c, ctx, grant, id, answer, err, time.Since(sent))
-	history.expected = grant.Expected
-	history.exclude = append(history.exclude, grant.Worker)
+	begin := time.Now()
+	answer, err := grant.Client.Run(ctx, worker.Attempt{Request: c.Request, ID: id, FreshConnection: fresh, Expected: grant.Expected})
+	f.settle(ctx, c, grant, id, answer, err, time.Since(begin))
 	if err != nil {
-		return nil, err
+		return sent{grant: grant, err: err}
+	}
+	return sent{grant: grant, answer: &Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body, Worker: grant.Worker}}
+}
+
+// note takes the result over into the request and its history.
+func (f *Dispatch) note(c *Context, history *attempts, s sent) (*Answer, error) {
+	if !verdict.Is(s.err, verdict.NotRun) {
+		c.Sent = true
 	}
-	return &Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body, Worker: grant.Worker}, nil
+	c.noteUncertain(s.err)
+	history.worker, history.expected = s.grant.Worker, s.grant.Expected
+	history.exclude = append(history.exclude, s.grant.Worker)
+	return s.answer, s.err
 }
 
 const (
-	// attemptFactor times the p90 run time is the time after which the first attempt of short idempotent work is given up
-	// for another worker. A worker that hangs runs the request for ever as far as it can tell.
-	attemptFactor = 10
-	// attemptMin keeps work with very short run times from being repeated in a short stall.
-	attemptMin = 2 * time.Second
+	// hedgeFactor times the p90 run time is the time after which short idempotent work is sent to a second worker. A worker
+	// that hangs says that it runs the request for as long as it is asked.
+	hedgeFactor = 10
+	// hedgeMin keeps work with very short run times from being sent twice in a short stall.
+	hedgeMin = 2 * time.Second
 )
 
-// attemptContext bounds the first attempt of short idempotent work; later attempts have the whole deadline, since the work
-// may be a straggler.
-func attemptContext(c *Context, grant *dispatch.Grant, history *attempts) (context.Context, context.CancelFunc) {
+// hedgeAfter is the time after which the first attempt of short idempotent work gets a second one beside it. The
+// first goes on, since the work may be a straggler.
+func hedgeAfter(c *Context, grant *dispatch.Grant, history *attempts) (time.Duration, bool) {
 	if !c.Request.Idempotent || history.tries > 0 || grant.Expected <= 0 || grant.Expected >= request.ShortLimit {
-		return context.WithCancel(c.Ctx)
+		return 0, false
+	}
+	return max(hedgeFactor*grant.Expected, hedgeMin), true
+}
+
+// hedge waits for the first good answer of up to two workers and stops the other.
+func (f *Dispatch) hedge(c *Context, history *attempts, grant *dispatch.Grant, delay time.Duration) (*Answer, error) {
+	ctx, cancel := context.WithCancel(c.Ctx)
+	defer cancel()
+	results := make(chan sent, 2)
+	begin := func(g *dispatch.Grant, fresh bool) { results <- f.send(ctx, c, g, fresh) }
+	go begin(grant, false)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	running := 1
+	for {
+		select {
+		case s := <-results:
+			running--
+			answer, err := f.note(c, history, s)
+			if running == 0 || (err == nil && !failed(answer)) {
+				return answer, err
+			}
+		case <-timer.C:
+			if second := f.secondGrant(c, grant); second != nil {
+				running++
+				go begin(second, true)
+			}
+		}
+	}
+}
+
+// secondGrant takes a free slot on another worker within the retry budget, or returns nil.
+func (f *Dispatch) secondGrant(c *Context, first *dispatch.Grant) *dispatch.Grant {
+	d := f.Retries.Decide(time.Now(), c.Request.Pool, retry.Attempt{
+		Verdict: verdict.MayHaveRun, Idempotent: true, Deadline: c.Request.Deadline, Tries: 1, Expected: first.Expected,
+	})
+	c.Log.Info().Bool("second", d.Retry).Str("worker", first.Worker).Str("reason", "attempt takes far longer than expected").Msg("request hedged")
+	if !d.Retry {
+		return nil
+	}
+	grant, err := f.Queue.Slots.Acquire(c.Ctx, dispatch.Wish{Request: c.Request, Exclude: []string{first.Worker}, NoWait: true, Force: c.ForceLocal})
+	if err != nil {
+		return nil
+	}
+	if grant.Worker == first.Worker {
+		grant.Release(dispatch.Result{Outcome: dispatch.NotSent})
+		return nil
 	}
-	return context.WithTimeout(c.Ctx, max(attemptFactor*grant.Expected, attemptMin))
+	return grant
 }
 
 // settle returns the slot with what the attempt says about the worker. ctx is that of the attempt.
-func (f *Dispatch) settle(c *Context, ctx context.Context, grant *dispatch.Grant, id string, answer worker.Answer, err error, took time.Duration) {
+func (f *Dispatch) settle(ctx context.Context, c *Context, grant *dispatch.Grant, id string, answer worker.Answer, err error, took time.Duration) {
 	if answer.Leaving || errors.Is(err, worker.ErrLeaving) {
 		f.Leavings.NoteLeaving(grant.Worker)
 	}
 	if err != nil && ctx.Err() != nil && verdict.Of(err) != verdict.NotRun {
 		// The worker may still run the request: the slot is free only when it confirms the stop.
 		ended := dispatch.Stopped
-		if c.Ctx.Err() == nil {
+		if took > max(hedgeFactor*grant.Expected, hedgeMin) {
 			ended = dispatch.TimedOut
 		}
 		go stopAndRelease(grant, c.Request.ID, id, ended)
