--- a/peer/server.go
+++ b/peer/server.go
@@ -16,7 +16,7 @@
 // maxRequestBytes bounds a request of a peer; the largest is a configuration document with 210 backers (40 KB).
 const maxRequestBytes = 8 << 20
 
-// PathPrefix is the path of the peer service for the integrator's mux.
+// PathPrefix is the path of the peer service in the mux of the peer address.
 const PathPrefix = peerpb.PeerPathPrefix
 
 // Handler serves the peer API. With a verifier, each call needs a peer token.
