--- a/entry/control.go
+++ b/entry/control.go
@@ -21,8 +21,8 @@
 )
 
 // control owns the control state: it reads the snapshots of configuration, fleet and members, and
-// publishes what follows from them to the scheduler and to gossip. All methods but wake and
-// update run in its goroutine.
+// publishes what follows from them to the scheduler and to gossip. All methods but wake
+// run in its goroutine.
 type control struct {
 	e       *Entry
 	kick    chan struct{}
@@ -55,9 +55,6 @@
 	}
 }
 
-// update is wake for callers that are about to wait.
-func (c *control) update() { c.wake() }
-
 // Run publishes until ctx ends.
 func (c *control) Run(ctx context.Context) error {
 	ticker := time.NewTicker(controlInterval)
--- a/filter/identification.go
+++ b/filter/identification.go
@@ -173,7 +173,7 @@
 		r.Visited = strings.Split(v, ",")
 	}
 	hops, err := strconv.Atoi(h.Get(request.HeaderHops))
-	if err != nil || r.Backer == "" || r.Pool == "" {
+	if err != nil || hops < 0 || r.Backer == "" || r.Pool == "" {
 		return errors.New("forwarded request without backer, pool or number of hops")
 	}
 	r.Hops = hops
