End the overflow of a request that is cancelled as it leaves the queue

Cause: such a request counted as running in another pool for good, so its backer lost a slot of its limit in this pool. Found by reading; TestWithdrawRacingOverflow guards it.

--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -237,12 +237,21 @@
 			return
 		}
 		p.overflow.record(s.cfg.Now(), taken)
-		if p.away[backer]--; p.away[backer] <= 0 {
-			delete(p.away, backer)
-		}
+		s.endAway(pool, backer)
 	})
 }
 
+// endAway takes back that a request of the pool runs elsewhere.
+func (s *Scheduler) endAway(pool, backer string) {
+	p, ok := s.pools[pool]
+	if !ok {
+		return
+	}
+	if p.away[backer]--; p.away[backer] <= 0 {
+		delete(p.away, backer)
+	}
+}
+
 // PoolUsage is the state of a pool for gossip, metrics and reports.
 type PoolUsage struct {
 	Slots   int
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -41,6 +41,8 @@
 	// ErrOverflow tells the caller of Acquire that the request waited long and may try
 	// another pool. The request is no longer queued.
 	ErrOverflow = errors.New("no slot in time, another pool may have one")
+	// errWithdrawn ends the wait of a ticket whose caller gave up.
+	errWithdrawn = errors.New("request does not wait any more")
 	// ErrNotOwner reports that this entry does not own the pool.
 	ErrNotOwner = errors.New("this entry does not own the pool")
 )
@@ -183,6 +185,10 @@
 		if r.grant != nil {
 			r.grant.Release(Result{Outcome: NotSent})
 		}
+		if errors.Is(r.err, ErrOverflow) {
+			// The ticket counts as running elsewhere from the moment it left the queue.
+			s.do(func() { s.endAway(t.wish.Request.Pool, t.wish.Request.Backer) })
+		}
 	case <-s.stopped:
 	}
 	if errors.Is(context.Cause(ctx), verdict.ErrCancelled) {
@@ -319,5 +325,5 @@
 	}
 	p.queue.Remove(t.id)
 	delete(p.waiting, t.id)
-	t.ready <- result{err: ErrOverflow}
+	t.ready <- result{err: errWithdrawn}
 }
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -363,3 +363,24 @@
 	r, ok := answer(forced)
 	g.Expect(ok && r.grant != nil).To(BeTrue())
 }
+
+// Guards against a backer that loses a slot of its limit for good each time a request is cancelled while it leaves the
+// queue for another pool.
+func TestWithdrawRacingOverflow(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench()
+	b.setFleet(fleetOf(true, 1, 1))
+	b.acquire(b.wish())
+	w := b.wish()
+	w.MayOverflow = true
+	waiting := b.acquire(w)
+	b.now = b.now.Add(overflowAfter)
+	b.tick()
+	g.Expect(b.pools["p"].away).To(HaveKeyWithValue("b", 1))
+
+	ctx, cancel := context.WithCancelCause(context.Background())
+	cancel(verdict.ErrCancelled)
+	g.Expect(verdict.Is(b.withdraw(ctx, waiting), verdict.NotRun)).To(BeTrue())
+	b.drain()
+	g.Expect(b.pools["p"].away).To(BeEmpty())
+}
