--- a/entry/shares.go
+++ b/entry/shares.go
@@ -84,7 +84,7 @@
 		if !known {
 			continue
 		}
-		limits, tops := limit.Divide(share.Limit, demands), limit.Divide(share.Limit+share.Burst, demands)
+		limits, tops := limit.Divide(share.Limit, demands), limit.Fill(share.Limit+share.Burst, demands)
 		for i, d := range demands {
 			away := usage[d.Owner].Backers[backer].Away
 			l := max(limits[i]-away, 0)
--- a/limit/burst.go
+++ b/limit/burst.go
@@ -62,6 +62,28 @@
 	return min(own, max(left, 0)/claimants)
 }
 
+// Fill divides total over demands by max-min fairness if they exceed it, so that the smallest demands are served in full, and in
+// proportion to them otherwise.
+func Fill(total int, demands []Demand) []int {
+	sum := 0
+	order := make([]int, len(demands))
+	for i, d := range demands {
+		sum += d.Demand
+		order[i] = i
+	}
+	if sum <= total {
+		return Divide(total, demands)
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return demands[a].Demand - demands[b].Demand })
+	parts := make([]int, len(demands))
+	left := max(total, 0)
+	for n, i := range order {
+		parts[i] = min(max(demands[i].Demand, 0), left/(len(order)-n))
+		left -= parts[i]
+	}
+	return parts
+}
+
 // News reports whether the own demand of a backer that is not published exceeds what the others assume of a silent owner.
 func News(self string, v View, published map[string]bool) bool {
 	owners := sorted(v.Owners)
--- a/limit/burst_test.go
+++ b/limit/burst_test.go
@@ -58,6 +58,16 @@
 	g.Expect(limit.Bursts("a", v)["x"]).To(Equal(5), "the first request must not wait for a round")
 }
 
+// Guards against a pool with light work that gets a slot at a time because another pool of the same owner surges.
+func TestFillServesSmallDemandsFirst(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(limit.Fill(10, []limit.Demand{{Owner: "p", Demand: 60}, {Owner: "q", Demand: 3}})).To(Equal([]int{7, 3}))
+	g.Expect(limit.Fill(10, []limit.Demand{{Owner: "p", Demand: 60}, {Owner: "q", Demand: 60}})).To(Equal([]int{5, 5}))
+	parts := limit.Fill(10, []limit.Demand{{Owner: "p", Demand: 4}, {Owner: "q", Demand: 1}})
+	g.Expect(parts[0] + parts[1]).To(Equal(10))
+	g.Expect(parts[1]).To(BeNumerically(">=", 1))
+}
+
 // owner is one owner in a simulation of work that ends within a second.
 type owner struct {
 	name    string
