Name the worker that a request is meant for

Change: requests and tasks carry Samphire-Worker, and a worker refuses as not run what is meant for another one.

--- a/filter/dispatch.go
+++ b/filter/dispatch.go
@@ -142,7 +142,7 @@
 	c.Log.Info().Str("pool", c.Request.Pool).Str("worker", grant.Worker).Str("attempt", id).
 		Dur("waited", grant.Waited).Str("reason", grant.Reason).Msg("request placed")
 	begin := time.Now()
-	answer, err := grant.Client.Run(ctx, worker.Attempt{Request: c.Request, ID: id, FreshConnection: fresh, Expected: grant.Expected})
+	answer, err := grant.Client.Run(ctx, worker.Attempt{Request: c.Request, ID: id, Worker: grant.Worker, FreshConnection: fresh, Expected: grant.Expected})
 	f.settle(ctx, c, grant, id, answer, err, time.Since(begin))
 	if err != nil {
 		return sent{grant: grant, err: err}
--- a/job/runner.go
+++ b/job/runner.go
@@ -92,7 +92,7 @@
 		return r.requeue("row was not written", ranBefore)
 	}
 	r.log.Info().Str("pool", r.rec.Pool).Str("worker", grant.Worker).Str("task", r.rec.Task).Str("reason", grant.Reason).Msg("job placed")
-	return r.start(grant, worker.TaskStart{ID: r.rec.Task, LeaseSeconds: leaseSeconds, Checkpoint: r.rec.Checkpoint, Work: req.Body}, ranBefore)
+	return r.start(grant, worker.TaskStart{ID: r.rec.Task, Worker: grant.Worker, LeaseSeconds: leaseSeconds, Checkpoint: r.rec.Checkpoint, Work: req.Body}, ranBefore)
 }
 
 // notPlaced handles the end of the wait without a slot.
--- a/standin/workerd/run.go
+++ b/standin/workerd/run.go
@@ -129,7 +129,7 @@
 	}
 	work, workErr := parseWork(body)
 	s.mu.Lock()
-	if why := s.admit(); why != nil {
+	if why := s.admit(r); why != nil {
 		s.mu.Unlock()
 		s.refuse(w, r, "", *why)
 		return
--- a/standin/workerd/server.go
+++ b/standin/workerd/server.go
@@ -388,10 +388,13 @@
 }
 
 // admit reports why new work is refused, or nil. The caller holds mu.
-func (s *Server) admit() *refusal {
+func (s *Server) admit(r *http.Request) *refusal {
+	meant := r.Header.Get(request.HeaderWorker)
 	switch {
 	case s.off:
 		return &refusal{silent: true}
+	case meant != "" && meant != s.options.ID:
+		return &refusal{status: http.StatusServiceUnavailable, reason: "meant for worker " + meant}
 	case s.mode.Mode == Leave || s.draining:
 		return &refusal{status: http.StatusServiceUnavailable, reason: "leaving", leaving: true}
 	case s.mode.Mode == Refuse:
--- a/standin/workerd/server_test.go
+++ b/standin/workerd/server_test.go
@@ -207,3 +207,18 @@
 	g.Expect(json.Unmarshal(data, &task)).To(Succeed(), string(data))
 	return task
 }
+
+// A worker that has taken over the address of another one must refuse its work, or an instance works for two pools.
+func TestRefusesWorkMeantForAnotherWorker(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t, workerd.Options{ID: "w2"})
+	c := worker.NewClient(s.Address())
+	defer c.Close()
+	a := attempt("r1", `{}`)
+	a.Worker = "w1"
+	_, err := c.Run(context.Background(), a)
+	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue())
+	a.Worker = "w2"
+	_, err = c.Run(context.Background(), a)
+	g.Expect(err).NotTo(HaveOccurred())
+}
--- a/standin/workerd/task.go
+++ b/standin/workerd/task.go
@@ -93,7 +93,7 @@
 		writeTask(w, http.StatusOK, state)
 		return
 	}
-	if why := s.admit(); why != nil {
+	if why := s.admit(r); why != nil {
 		s.mu.Unlock()
 		s.refuse(w, r, id, *why)
 		return
--- a/worker/client.go
+++ b/worker/client.go
@@ -46,6 +46,9 @@
 	Request *request.Request
 	// ID is unique among all attempts of all entries, so that an answer is matched to its attempt.
 	ID string
+	// Worker is the id of the worker that is meant, so that another one that has taken over its address refuses the
+	// request. Empty leaves it out.
+	Worker string
 	// FreshConnection forbids pooled connections, since one of them may have gone silent. Non-idempotent
 	// work demands it. It costs a round trip, 0.5 ms between zones.
 	FreshConnection bool
@@ -142,6 +145,9 @@
 	h := req.Header
 	h.Set(request.HeaderRequestID, a.Request.ID)
 	h.Set(request.HeaderAttempt, a.ID)
+	if a.Worker != "" {
+		h.Set(request.HeaderWorker, a.Worker)
+	}
 	h.Set(request.HeaderBacker, a.Request.Backer)
 	h.Set(request.HeaderQueue, a.Request.Queue)
 	h.Set(request.HeaderPool, a.Request.Pool)
--- a/worker/task.go
+++ b/worker/task.go
@@ -33,6 +33,8 @@
 // TaskStart starts a task; a second start with the same id changes nothing.
 type TaskStart struct {
 	ID string `json:"-"`
+	// Worker is the id of the worker that is meant; see Attempt.
+	Worker string `json:"-"`
 	// LeaseSeconds is the time after which the worker stops a task that is not renewed.
 	LeaseSeconds float64 `json:"leaseSeconds"`
 	// Checkpoint continues the work of an earlier task; its form is the worker's own.
@@ -55,6 +57,9 @@
 	header := http.Header{}
 	header.Set(request.HeaderRequestID, r.ID)
 	header.Set(request.HeaderAttempt, t.ID)
+	if t.Worker != "" {
+		header.Set(request.HeaderWorker, t.Worker)
+	}
 	header.Set(request.HeaderBacker, r.Backer)
 	header.Set(request.HeaderQueue, r.Queue)
 	header.Set(request.HeaderPool, r.Pool)
