--- a/command/fleet.go
+++ b/command/fleet.go
@@ -25,9 +25,7 @@
 
 // fleetFlags are the flags of all actions.
 type fleetFlags struct {
-	entry, tokenFile string
-	json             bool
-
+	operatorFlags
 	dryRun                     bool
 	operation, reason          string
 	to, from, region           string
@@ -72,31 +70,11 @@
 }
 
 // SetFlags implements subcommands.Command.
-func (c *fleetCommand) SetFlags(f *flag.FlagSet) {
-	c.flags.entry, c.flags.tokenFile = c.getenv(envEntry), c.getenv(envTokenFile)
-	c.commonFlags(f)
-}
-
-// commonFlags adds the flags that may stand before and after the action.
-func (c *fleetCommand) commonFlags(f *flag.FlagSet) {
-	f.StringVar(&c.flags.entry, "entry", c.flags.entry, "`ADDR[,ADDR]` of entries, tried in turn; default from "+envEntry)
-	f.StringVar(&c.flags.tokenFile, "token-file", c.flags.tokenFile, "`FILE` with the operator's bearer token; default from "+envTokenFile)
-	f.BoolVar(&c.flags.json, "json", c.flags.json, "print JSON")
-}
+func (c *fleetCommand) SetFlags(f *flag.FlagSet) { c.flags.init(f, c.getenv) }
 
 // Execute implements subcommands.Command.
 func (c *fleetCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	err := c.execute(ctx, f.Args())
-	var usage usageError
-	switch {
-	case err == nil, errors.Is(err, flag.ErrHelp):
-		return subcommands.ExitSuccess
-	case errors.As(err, &usage):
-		fmt.Fprintf(c.stderr, "samphirepoint %s: %v\n", c.name, err)
-		return subcommands.ExitUsageError
-	}
-	printError(c.stderr, c.flags.json, err)
-	return statusOf(err)
+	return c.flags.finish(c.stderr, c.name, c.execute(ctx, f.Args()))
 }
 
 func (c *fleetCommand) execute(ctx context.Context, args []string) error {
@@ -129,7 +107,7 @@
 		}
 		positional, args = append(positional, f.Arg(0)), f.Args()[1:]
 	}
-	client, err := newClient(c.flags.entry, c.flags.tokenFile)
+	client, err := c.flags.client()
 	if err != nil {
 		return err
 	}
@@ -139,7 +117,7 @@
 func (c *fleetCommand) actionFlags(a fleetAction) *flag.FlagSet {
 	f := flag.NewFlagSet(c.name+" "+a.name, flag.ContinueOnError)
 	f.SetOutput(c.stderr)
-	c.commonFlags(f)
+	c.flags.register(f)
 	if a.flags != nil {
 		a.flags(f, &c.flags)
 	}
--- a/command/table.go
+++ b/command/table.go
@@ -7,7 +7,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strings"
 
@@ -17,11 +16,6 @@
 )
 
 // Environment variables with the defaults of flags.
-const (
-	envEntry     = "SAMPHIREPOINT_ENTRY"
-	envTokenFile = "SAMPHIREPOINT_TOKEN_FILE"
-)
-
 // tableCommand shows and changes the table through the admin API.
 type tableCommand struct {
 	stdin          io.Reader
@@ -32,9 +26,7 @@
 
 // tableFlags are the flags of all actions.
 type tableFlags struct {
-	entry, tokenFile string
-	json             bool
-
+	operatorFlags
 	draft                               bool
 	draftVersion, before                int64
 	limit                               int
@@ -57,11 +49,6 @@
 	args   []string
 }
 
-// usageError is a mistake in the command line, reported with exit status 2.
-type usageError struct{ error }
-
-func usagef(format string, args ...any) error { return usageError{fmt.Errorf(format, args...)} }
-
 func newTableCommand() *tableCommand {
 	return &tableCommand{stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr, getenv: os.Getenv}
 }
@@ -81,31 +68,11 @@
 }
 
 // SetFlags implements subcommands.Command.
-func (c *tableCommand) SetFlags(f *flag.FlagSet) {
-	c.flags.entry, c.flags.tokenFile = c.getenv(envEntry), c.getenv(envTokenFile)
-	c.commonFlags(f)
-}
-
-// commonFlags adds the flags that may stand before and after the action.
-func (c *tableCommand) commonFlags(f *flag.FlagSet) {
-	f.StringVar(&c.flags.entry, "entry", c.flags.entry, "`ADDR[,ADDR]` of entries, tried in turn; default from "+envEntry)
-	f.StringVar(&c.flags.tokenFile, "token-file", c.flags.tokenFile, "`FILE` with the operator's bearer token; default from "+envTokenFile)
-	f.BoolVar(&c.flags.json, "json", c.flags.json, "print JSON")
-}
+func (c *tableCommand) SetFlags(f *flag.FlagSet) { c.flags.init(f, c.getenv) }
 
 // Execute implements subcommands.Command.
 func (c *tableCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	err := c.execute(ctx, f.Args())
-	var usage usageError
-	switch {
-	case err == nil, errors.Is(err, flag.ErrHelp):
-		return subcommands.ExitSuccess
-	case errors.As(err, &usage):
-		fmt.Fprintln(c.stderr, "samphirepoint table:", err)
-		return subcommands.ExitUsageError
-	}
-	c.printError(err)
-	return statusOf(err)
+	return c.flags.finish(c.stderr, c.Name(), c.execute(ctx, f.Args()))
 }
 
 func (c *tableCommand) execute(ctx context.Context, args []string) error {
@@ -130,7 +97,7 @@
 		return usageError{err}
 	}
 	f.Visit(func(set *flag.Flag) { c.flags.baseGiven = c.flags.baseGiven || set.Name == "base" })
-	client, err := c.client()
+	client, err := c.flags.client()
 	if err != nil {
 		return err
 	}
@@ -140,7 +107,7 @@
 func (c *tableCommand) actionFlags(a tableAction) *flag.FlagSet {
 	f := flag.NewFlagSet("table "+a.name, flag.ContinueOnError)
 	f.SetOutput(c.stderr)
-	c.commonFlags(f)
+	c.flags.register(f)
 	if a.flags != nil {
 		a.flags(f, &c.flags)
 	}
@@ -151,57 +118,6 @@
 	return f
 }
 
-func (c *tableCommand) client() (*admin.Client, error) {
-	return newClient(c.flags.entry, c.flags.tokenFile)
-}
-
-// newClient returns a client of the entries in the list, with the token in the file.
-func newClient(entries, tokenFile string) (*admin.Client, error) {
-	var addresses []string
-	for _, a := range strings.Split(entries, ",") {
-		if a = strings.TrimSpace(a); a != "" {
-			addresses = append(addresses, a)
-		}
-	}
-	if len(addresses) == 0 {
-		return nil, usagef("no entry: set -entry or %s", envEntry)
-	}
-	if tokenFile == "" {
-		return nil, usagef("no token: set -token-file or %s", envTokenFile)
-	}
-	token, err := os.ReadFile(tokenFile)
-	if err != nil {
-		return nil, usagef("-token-file: %w", err)
-	}
-	return admin.NewClient(addresses, strings.TrimSpace(string(token)), &http.Client{}), nil
-}
-
-func (c *tableCommand) printError(err error) { printError(c.stderr, c.flags.json, err) }
-
-// statusOf tells a mistake in the arguments, which the entry answers with 400, from a refusal.
-func statusOf(err error) subcommands.ExitStatus {
-	var refusal *admin.Error
-	if errors.As(err, &refusal) && refusal.Status == http.StatusBadRequest {
-		return subcommands.ExitUsageError
-	}
-	return subcommands.ExitFailure
-}
-
-// printError prints a refusal; with -json in the form of the admin API.
-func printError(w io.Writer, asJSON bool, err error) {
-	if !asJSON {
-		fmt.Fprintln(w, err)
-		return
-	}
-	body := admin.ErrorBody{Error: err.Error()}
-	var refusal *admin.Error
-	if errors.As(err, &refusal) {
-		body = refusal.Body
-		body.Error = refusal.Error()
-	}
-	_ = printJSON(w, body)
-}
-
 func printJSON(w io.Writer, v any) error {
 	e := json.NewEncoder(w)
 	e.SetIndent("", "  ")
