Scan for jobs when members change instead of every 5 s

Cause: scans of 10 pools every 5 s took 0.8 KB/s of the 5 KB/s for control at the two-year size, and a takeover waited up to 7.5 s of the 10 s that a task's lease lasts. Change: a change of members or of owned pools starts a scan; the periodic scan, every 20 s, only makes up for lost notices. After: worked out 0.2 KB/s for scans at rest; bytes were not measured again.

--- a/entry/control.go
+++ b/entry/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"time"
 
 	"samphirepoint/dispatch"
@@ -33,6 +35,8 @@
 	published map[string]bool
 	// announced is the time of the last announcement of new demand.
 	announced time.Time
+	// view names the live members and the owned pools of the last tick.
+	view string
 	// fleetVersion and pools cache the grouping of instance rows by pool.
 	fleetVersion int64
 	members      int
@@ -88,9 +92,11 @@
 	snapshot := c.e.gossip.Members()
 	c.group(fleet, len(snapshot.Alive()))
 	owned := map[string]bool{}
-	for _, pool := range c.ownedPools(doc, snapshot) {
+	ownedPools := c.ownedPools(doc, snapshot)
+	for _, pool := range ownedPools {
 		owned[pool] = true
 	}
+	c.noteMembers(snapshot, ownedPools)
 	c.e.scheduler.SetFleet(dispatch.Fleet{
 		Pools:   c.pools,
 		Owned:   owned,
@@ -100,6 +106,19 @@
 	})
 }
 
+// noteMembers starts a scan for jobs when members or owned pools have changed.
+func (c *control) noteMembers(s *membership.Snapshot, owned []string) {
+	var view strings.Builder
+	for _, m := range s.Alive() {
+		fmt.Fprintf(&view, "%s@%d leaving=%t,", m.ID, m.Incarnation, m.Leaving)
+	}
+	view.WriteString(strings.Join(owned, ","))
+	if now := view.String(); now != c.view {
+		c.view = now
+		c.e.jobs.Rescan()
+	}
+}
+
 func (c *control) ownedPools(doc *table.Document, s *membership.Snapshot) []string {
 	if c.e.cfg.Policies.Shares != "static-split" {
 		return s.Owned(c.e.cfg.ID)
--- a/job/manager.go
+++ b/job/manager.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// scanInterval is the time between two reads of the active rows of an owned pool. New jobs do not wait for
-	// it: the accepting entry notifies the owner.
-	scanInterval = 5 * time.Second
+	// scanInterval is the time between two reads of the active rows of an owned pool. It only makes up for lost
+	// notices: the accepting entry tells the owner of a new job, and Rescan follows each change of members.
+	scanInterval = 20 * time.Second
 	// leaseSeconds of a task and renewInterval leave two renewals that may fail.
 	leaseSeconds  = 10.0
 	renewInterval = 3 * time.Second
@@ -68,6 +68,7 @@
 type Manager struct {
 	cfg     Config
 	notices chan string
+	rescan  chan struct{}
 	// mu guards mine.
 	mu   sync.Mutex
 	mine map[string]context.CancelFunc
@@ -76,7 +77,7 @@
 
 // NewManager returns a Manager; Run starts it.
 func NewManager(cfg Config) *Manager {
-	return &Manager{cfg: cfg, notices: make(chan string, 1024), mine: map[string]context.CancelFunc{}}
+	return &Manager{cfg: cfg, notices: make(chan string, 1024), rescan: make(chan struct{}, 1), mine: map[string]context.CancelFunc{}}
 }
 
 // Notify tells the manager of a new job or of a change made by a caller. It does not block: a lost notice
@@ -100,6 +101,8 @@
 			return nil
 		case id := <-m.notices:
 			m.adoptByID(ctx, id)
+		case <-m.rescan:
+			m.scan(ctx)
 		case <-timer.C:
 			m.scan(ctx)
 			timer.Reset(scanInterval/2 + rand.N(scanInterval))
@@ -107,6 +110,15 @@
 	}
 }
 
+// Rescan looks for jobs now, since their owner may be gone or the pool has come to this entry. The lease of
+// a task lasts 10 s, so waiting for the next scan would stop it.
+func (m *Manager) Rescan() {
+	select {
+	case m.rescan <- struct{}{}:
+	default:
+	}
+}
+
 func (m *Manager) scan(ctx context.Context) {
 	for _, pool := range m.cfg.Cluster.OwnedPools() {
 		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
