--- /dev/null
+++ b/fleet/step_drains.go
@@ -0,0 +1,173 @@
+package fleet
+
+import (
+	"context"
+
+	"samphirepoint/drainer"
+	"samphirepoint/instance"
+	"samphirepoint/wave"
+)
+
+// stepDrains decides on all draining and rebooting instances, and on serving ones whose worker still drains.
+func (c *Controller) stepDrains(ctx context.Context) error {
+	fleet := c.View.Snapshot()
+	c.forget(fleet)
+	inputs := map[string]drainer.Input{}
+	for id, in := range fleet.Instances {
+		if in.State != instance.Failed {
+			inputs[id] = c.drainInput(fleet, in)
+		}
+	}
+	for _, id := range sortedKeys(inputs) {
+		in := inputs[id]
+		in.Mates = c.mates(fleet, in.Instance, inputs)
+		d := drainer.Decide(in)
+		c.term.waits = append(c.term.waits, d.Waits...)
+		if err := c.apply(ctx, in.Instance, d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// forget drops the memory of drains that have ended.
+func (c *Controller) forget(fleet *instance.Fleet) {
+	for id := range c.term.drainVersion {
+		if fleet.Instances[id].State != instance.Draining {
+			delete(c.term.drainVersion, id)
+			delete(c.term.checkpointed, id)
+		}
+	}
+}
+
+func (c *Controller) drainInput(fleet *instance.Fleet, in instance.Instance) drainer.Input {
+	t := c.term
+	input := drainer.Input{Now: c.Now(), Instance: in}
+	if p := t.probes[in.ID]; p != nil {
+		input.Worker = p.worker
+	}
+	if in.State == instance.Serving {
+		return input
+	}
+	if in.State == instance.Draining && t.drainVersion[in.ID] == 0 {
+		// A former holder started the drain; the present snapshot holds its row at the latest.
+		t.drainVersion[in.ID] = fleet.Version
+	}
+	input.DrainVersion, input.Checkpointed = t.drainVersion[in.ID], t.checkpointed[in.ID]
+	input.Members = c.Members()
+	input.DrainTimeout, input.RebootTimeout = wave.DefaultDrainTimeout, wave.DefaultRebootTimeout
+	if in.TargetPool != "" {
+		input.Deadline = in.Since.Add(moveDeadline)
+		if m := c.moveOf(in); m == nil || m.Status.Ended() {
+			input.Abandon = "the move was cancelled"
+		}
+		return input
+	}
+	w := t.waves[in.Wave]
+	if w == nil {
+		input.Abandon = "the wave does not exist any more"
+		return input
+	}
+	input.DrainTimeout, input.Deadline = w.DrainTimeout, w.Deadline
+	switch older := t.waves[w.YieldTo]; {
+	case w.Status == wave.Cancelled:
+		input.Abandon = "the wave was cancelled"
+	case older != nil && older.Status == wave.Running:
+		input.Abandon = "the wave gives way to wave " + older.ID
+	}
+	return input
+}
+
+func (c *Controller) mates(fleet *instance.Fleet, in instance.Instance, inputs map[string]drainer.Input) []drainer.Mate {
+	w := c.term.waves[in.Wave]
+	if w == nil || in.State != instance.Draining {
+		return nil
+	}
+	var mates []drainer.Mate
+	for _, id := range w.Mates(in.ID, fleet) {
+		mate := fleet.Instances[id]
+		ready := mate.Wave == w.ID && (mate.State == instance.Rebooting || mate.State == instance.Draining && drainer.Drained(inputs[id]))
+		mates = append(mates, drainer.Mate{ID: id, Ready: ready})
+	}
+	return mates
+}
+
+// moveOf returns the move that drains the instance; a running one is preferred to one that has ended.
+func (c *Controller) moveOf(in instance.Instance) *Move {
+	var found *Move
+	for _, id := range sortedKeys(c.term.moves) {
+		m := c.term.moves[id]
+		if m.Instance == in.ID && m.To == in.TargetPool && (found == nil || found.Status.Ended()) {
+			found = m
+		}
+	}
+	return found
+}
+
+// apply executes a decision.
+func (c *Controller) apply(ctx context.Context, in instance.Instance, d drainer.Decision) error {
+	var err error
+	switch d.Action {
+	case drainer.Drain:
+		c.call(ctx, "drain", in, c.Workers.Drain)
+	case drainer.Undrain:
+		c.call(ctx, "undrain", in, c.Workers.Undrain)
+	case drainer.RebootWorker:
+		c.call(ctx, "reboot", in, c.Workers.Reboot)
+	case drainer.Checkpoint:
+		c.tasks(ctx, "checkpoint", in, d.Tasks, c.Workers.Checkpoint)
+		c.term.checkpointed[in.ID] = c.Now()
+	case drainer.Stop:
+		c.tasks(ctx, "stop", in, d.Tasks, c.Workers.Stop)
+	case drainer.Reboot:
+		_, err = c.store.Reboot(ctx, in.ID, in.Wave)
+	case drainer.Serve:
+		_, err = c.store.Serve(ctx, in.ID, in.Wave, wave.Maintained)
+	case drainer.Fail:
+		if _, err = c.store.Fail(ctx, in.ID, d.Reason); err == nil {
+			c.term.record(in, c.Now())
+		}
+	case drainer.Release:
+		if m := c.moveOf(in); m != nil {
+			_, err = c.store.FinishMove(ctx, *m)
+		}
+	case drainer.GiveUp:
+		err = c.giveUp(ctx, in, d.Reason)
+	default:
+		return nil
+	}
+	if err != nil {
+		return c.tolerate(err, string(d.Action), in.ID)
+	}
+	c.done(string(d.Action), in.ID).Str("pool", in.Pool).Str("wave", in.Wave).Str("target", in.TargetPool).Str("why", d.Reason).Msg("drain step")
+	if d.Action == drainer.Release || d.Action == drainer.GiveUp {
+		c.call(ctx, "undrain", in, c.Workers.Undrain)
+	}
+	return nil
+}
+
+func (c *Controller) tasks(ctx context.Context, step string, in instance.Instance, ids []string, f func(context.Context, instance.Instance, string) error) {
+	for _, id := range ids {
+		c.call(ctx, step, in, func(ctx context.Context, in instance.Instance) error { return f(ctx, in, id) })
+	}
+}
+
+// giveUp returns a draining instance to service in its pool.
+func (c *Controller) giveUp(ctx context.Context, in instance.Instance, why string) error {
+	if in.TargetPool != "" {
+		m := Move{Instance: in.ID}
+		if found := c.moveOf(in); found != nil {
+			m = *found
+		}
+		_, err := c.store.AbortMove(ctx, m, MoveFailed, why)
+		return err
+	}
+	result := wave.NotMaintained
+	if w := c.term.waves[in.Wave]; w != nil && w.Status == wave.Cancelled {
+		result = wave.Skipped
+	} else if w != nil && c.Now().Before(w.Deadline) {
+		result = "" // the wave gives way and drains the instance again later
+	}
+	_, err := c.store.Serve(ctx, in.ID, in.Wave, result)
+	return err
+}
