State the hedge delay once and use slices.Contains

The delay was computed in two places of filter/dispatch.go, and package placement had its own copy of a standard function. Behaviour is unchanged.

--- a/filter/dispatch.go
+++ b/filter/dispatch.go
@@ -175,9 +175,12 @@
 	if !c.Request.Idempotent || history.tries > 0 || grant.Expected <= 0 || grant.Expected >= request.ShortLimit {
 		return 0, false
 	}
-	return max(hedgeFactor*grant.Expected, hedgeMin), true
+	return hedgeDelay(grant.Expected), true
 }
 
+// hedgeDelay is the time that an attempt with an expected run time takes at most if nothing is wrong.
+func hedgeDelay(expected time.Duration) time.Duration { return max(hedgeFactor*expected, hedgeMin) }
+
 // hedge waits for the first good answer of up to two workers and stops the other.
 func (f *Dispatch) hedge(c *Context, history *attempts, grant *dispatch.Grant, delay time.Duration) (*Answer, error) {
 	ctx, cancel := context.WithCancel(c.Ctx)
@@ -233,7 +236,7 @@
 	if err != nil && ctx.Err() != nil && verdict.Of(err) != verdict.NotRun {
 		// The worker may still run the request: the slot is free only when it confirms the stop.
 		ended := dispatch.Stopped
-		if took > max(hedgeFactor*grant.Expected, hedgeMin) {
+		if took > hedgeDelay(grant.Expected) {
 			ended = dispatch.TimedOut
 		}
 		go stopAndRelease(grant, c.Request.ID, id, ended)
--- a/placement/leastloaded.go
+++ b/placement/leastloaded.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -42,7 +43,7 @@
 func (w *Worker) candidate(now time.Time, want Want) (float64, bool) {
 	const slotsPerWorker = 8
 	free := w.Free(now)
-	if free == 0 || contains(want.Exclude, w.ID) {
+	if free == 0 || slices.Contains(want.Exclude, w.ID) {
 		return 0, false
 	}
 	load := slotsPerWorker * float64(w.Slots-free) / float64(w.Slots)
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -70,7 +71,7 @@
 func (r Random) Pick(now time.Time, workers []*Worker, want Want) (Choice, bool) {
 	var free []*Worker
 	for _, w := range workers {
-		if w.Free(now) > 0 && !contains(want.Exclude, w.ID) {
+		if w.Free(now) > 0 && !slices.Contains(want.Exclude, w.ID) {
 			free = append(free, w)
 		}
 	}
@@ -79,12 +80,3 @@
 	}
 	return Choice{Worker: free[r.Rand.IntN(len(free))].ID, Reason: "random"}, true
 }
-
-func contains(list []string, s string) bool {
-	for _, e := range list {
-		if e == s {
-			return true
-		}
-	}
-	return false
-}
