--- a/admin/fleet_test.go
+++ b/admin/fleet_test.go
@@ -12,7 +12,7 @@
 	"samphirepoint/auth"
 	"samphirepoint/fleet"
 	"samphirepoint/instance"
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services/memtable"
 	"samphirepoint/table"
 	"samphirepoint/wave"
 )
--- a/admin/table_test.go
+++ b/admin/table_test.go
@@ -15,7 +15,7 @@
 
 	"samphirepoint/admin"
 	"samphirepoint/auth"
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services/memtable"
 	"samphirepoint/table"
 	"samphirepoint/verdict"
 )
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -9,7 +9,7 @@
 
 	"samphirepoint/checker"
 	"samphirepoint/load"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/standin/platformd"
 	"samphirepoint/standin/workerd"
 )
@@ -207,9 +207,9 @@
 func TestPoolSamples(t *testing.T) {
 	g := NewWithT(t)
 	samples, err := checker.PoolSamples([]platformd.Change{
-		{Time: at(0), Row: platform.Row{Key: "instances/w1", Version: 1, Value: []byte(`{"pool":"p","state":"serving","address":"1:1"}`)}},
-		{Time: at(1), Row: platform.Row{Key: "claims/x", Version: 1}},
-		{Time: at(2), Row: platform.Row{Key: "instances/w1"}},
+		{Time: at(0), Row: services.Row{Key: "instances/w1", Version: 1, Value: []byte(`{"pool":"p","state":"serving","address":"1:1"}`)}},
+		{Time: at(1), Row: services.Row{Key: "claims/x", Version: 1}},
+		{Time: at(2), Row: services.Row{Key: "instances/w1"}},
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(samples).To(Equal([]checker.PoolSample{{Time: at(0), Instance: "w1", Address: "1:1", Pool: "p", State: "serving"},
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -12,14 +12,14 @@
 
 	. "github.com/onsi/gomega"
 
-	"samphirepoint/platform"
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services"
+	"samphirepoint/services/memtable"
 	"samphirepoint/verdict"
 )
 
 const key = "claims/b/k"
 
-func newStore(t *testing.T, table platform.Table, owner string) *Store {
+func newStore(t *testing.T, table services.Table, owner string) *Store {
 	t.Helper()
 	s := NewStore(table, &memtable.Objects{}, owner)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -135,7 +135,7 @@
 	g := NewWithT(t)
 	table := memtable.New()
 	s := newStore(t, table, "a")
-	var late platform.Write
+	var late services.Write
 	var caught atomic.Bool
 	table.SetHook(func(c memtable.Call) memtable.Fault {
 		if c.Op == memtable.OpCommit && !caught.Swap(true) {
@@ -149,8 +149,8 @@
 	flush(t, s)
 	g.Expect(record(t, table).State).To(Equal(Released))
 
-	_, err = table.Direct().Commit(context.Background(), []platform.Write{late})
-	g.Expect(err).To(MatchError(platform.ErrConflict))
+	_, err = table.Direct().Commit(context.Background(), []services.Write{late})
+	g.Expect(err).To(MatchError(services.ErrConflict))
 	_, err = newStore(t, table, "b").Take(context.Background(), key, "h")
 	g.Expect(err).NotTo(HaveOccurred(), "the key did not run, so a repeat may run it")
 }
@@ -167,7 +167,7 @@
 	flush(t, s)
 	released, _ := table.Direct().Get(context.Background(), key)
 
-	var late platform.Write
+	var late services.Write
 	table.SetHook(func(c memtable.Call) memtable.Fault {
 		if c.Op != memtable.OpCommit {
 			return memtable.Fault{}
@@ -184,8 +184,8 @@
 	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue(), "got %v", err)
 	table.SetHook(nil)
 	flush(t, s)
-	_, err = table.Direct().Commit(context.Background(), []platform.Write{late})
-	g.Expect(err).To(MatchError(platform.ErrConflict))
+	_, err = table.Direct().Commit(context.Background(), []services.Write{late})
+	g.Expect(err).To(MatchError(services.ErrConflict))
 }
 
 // Guards against one conflicting row that fails the other rows of its transaction, and against a transaction
@@ -195,18 +195,18 @@
 	g := NewWithT(t)
 	ctx := context.Background()
 	table := memtable.New()
-	_, err := table.Direct().Commit(ctx, []platform.Write{{Key: "claims/b/9", Value: []byte("{}")}})
+	_, err := table.Direct().Commit(ctx, []services.Write{{Key: "claims/b/9", Value: []byte("{}")}})
 	g.Expect(err).NotTo(HaveOccurred())
 	c := newCommitter(table)
 	batch := make([]*pendingWrite, maxBatch)
 	for i := range batch {
-		batch[i] = &pendingWrite{write: platform.Write{Key: fmt.Sprintf("claims/b/%d", i)}, done: make(chan commitResult, 1)}
+		batch[i] = &pendingWrite{write: services.Write{Key: fmt.Sprintf("claims/b/%d", i)}, done: make(chan commitResult, 1)}
 	}
 	c.commit(ctx, batch)
 	for i, p := range batch {
 		r := <-p.done
 		if i == 9 {
-			g.Expect(r.err).To(MatchError(platform.ErrConflict))
+			g.Expect(r.err).To(MatchError(services.ErrConflict))
 			continue
 		}
 		g.Expect(r.err).NotTo(HaveOccurred(), "row %d", i)
--- a/claim/committer.go
+++ b/claim/committer.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 )
 
 const (
@@ -21,13 +21,13 @@
 
 // committer collects single-row writes into shared transactions (group commit).
 type committer struct {
-	table   platform.Table
+	table   services.Table
 	pending chan *pendingWrite
 	slots   chan struct{}
 }
 
 type pendingWrite struct {
-	write platform.Write
+	write services.Write
 	done  chan commitResult
 }
 
@@ -36,7 +36,7 @@
 	err     error
 }
 
-func newCommitter(t platform.Table) *committer {
+func newCommitter(t services.Table) *committer {
 	return &committer{
 		table:   t,
 		pending: make(chan *pendingWrite, maxBatch),
@@ -93,7 +93,7 @@
 // then written on their own: one such row costs about 2 log2(batch) more transactions.
 func (c *committer) commit(ctx context.Context, batch []*pendingWrite) {
 	versions, err := c.transact(ctx, batch)
-	if errors.Is(err, platform.ErrConflict) && len(batch) > 1 {
+	if errors.Is(err, services.ErrConflict) && len(batch) > 1 {
 		half := len(batch) / 2
 		c.commit(ctx, batch[:half])
 		c.commit(ctx, batch[half:])
@@ -109,7 +109,7 @@
 }
 
 func (c *committer) transact(ctx context.Context, batch []*pendingWrite) ([]int64, error) {
-	writes := make([]platform.Write, len(batch))
+	writes := make([]services.Write, len(batch))
 	for i, p := range batch {
 		writes[i] = p.write
 	}
@@ -119,7 +119,7 @@
 }
 
 // write hands w to the next transaction and waits for its outcome.
-func (c *committer) write(ctx context.Context, w platform.Write) (int64, error) {
+func (c *committer) write(ctx context.Context, w services.Write) (int64, error) {
 	p := &pendingWrite{write: w, done: make(chan commitResult, 1)}
 	select {
 	case c.pending <- p:
--- a/claim/cost_test.go
+++ b/claim/cost_test.go
@@ -10,7 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services/memtable"
 )
 
 // Guards against more than the two row writes per non-idempotent request that the table can bear (design
--- a/claim/race_test.go
+++ b/claim/race_test.go
@@ -9,8 +9,8 @@
 
 	"pgregory.net/rapid"
 
-	"samphirepoint/platform"
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services"
+	"samphirepoint/services/memtable"
 	"samphirepoint/verdict"
 )
 
@@ -24,7 +24,7 @@
 // faulty applies a plan to the calls of one owner on a shared table. It also repeats a lost write later, as
 // a network may.
 type faulty struct {
-	platform.Table
+	services.Table
 	mu     sync.Mutex
 	faults []memtable.Fault
 	late   *sync.WaitGroup
@@ -41,16 +41,16 @@
 	return head
 }
 
-func (f *faulty) Get(ctx context.Context, key string) (platform.Row, error) {
+func (f *faulty) Get(ctx context.Context, key string) (services.Row, error) {
 	fault := f.next()
 	time.Sleep(fault.Delay)
 	if fault.LoseReply || fault.Before != nil {
-		return platform.Row{}, memtable.ErrReplyLost
+		return services.Row{}, memtable.ErrReplyLost
 	}
 	return f.Table.Get(ctx, key)
 }
 
-func (f *faulty) Commit(ctx context.Context, writes []platform.Write) ([]int64, error) {
+func (f *faulty) Commit(ctx context.Context, writes []services.Write) ([]int64, error) {
 	fault := f.next()
 	time.Sleep(fault.Delay)
 	if fault.Before != nil {
--- a/claim/store.go
+++ b/claim/store.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/uuid"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/verdict"
 )
 
@@ -63,8 +63,8 @@
 
 // Store takes, records and releases claims. Run must be running.
 type Store struct {
-	table      platform.Table
-	objects    platform.Objects
+	table      services.Table
+	objects    services.Objects
 	owner      string
 	commits    *committer
 	breaker    breaker
@@ -73,7 +73,7 @@
 }
 
 // NewStore returns a store whose claims name owner, which must be unique per process start.
-func NewStore(t platform.Table, o platform.Objects, owner string) *Store {
+func NewStore(t services.Table, o services.Objects, owner string) *Store {
 	return &Store{
 		table:      t,
 		objects:    o,
@@ -111,7 +111,7 @@
 	var ifVersion int64
 	uncertain := false
 	for {
-		version, err := s.commits.write(ctx, platform.Write{Key: c.Key, IfVersion: ifVersion, Value: encode(s.record(c, Claimed, Outcome{}))})
+		version, err := s.commits.write(ctx, services.Write{Key: c.Key, IfVersion: ifVersion, Value: encode(s.record(c, Claimed, Outcome{}))})
 		switch {
 		case err == nil:
 			s.breaker.record(s.now(), true)
@@ -119,7 +119,7 @@
 			return c, nil
 		case errors.Is(err, errNeverSent) || verdict.Is(err, verdict.NotRun):
 			return nil, s.giveUp(ctx, c, uncertain)
-		case !errors.Is(err, platform.ErrConflict):
+		case !errors.Is(err, services.ErrConflict):
 			uncertain = true
 		}
 		row, err := s.read(ctx, c.Key)
@@ -148,7 +148,7 @@
 }
 
 // read reads a row, with repeats until ctx ends.
-func (s *Store) read(ctx context.Context, key string) (platform.Row, error) {
+func (s *Store) read(ctx context.Context, key string) (services.Row, error) {
 	for {
 		row, err := s.table.Get(ctx, key)
 		if err == nil || sleep(ctx, takeAgainAfter) != nil {
@@ -159,7 +159,7 @@
 
 // judge says what a row means for the claim c: it is held, or another use of the key stands in the way, or, with
 // both results zero, the key may be claimed at the row's version.
-func (s *Store) judge(c *Claim, row platform.Row) (claimed bool, err error) {
+func (s *Store) judge(c *Claim, row services.Row) (claimed bool, err error) {
 	if row.Version == 0 {
 		return false, nil
 	}
@@ -287,12 +287,12 @@
 		}
 		o.Object, o.Body = key, nil
 	}
-	w := platform.Write{Key: c.Key, IfVersion: c.version, Value: encode(s.record(c, state, *o))}
+	w := services.Write{Key: c.Key, IfVersion: c.version, Value: encode(s.record(c, state, *o))}
 	_, err := s.commits.write(ctx, w)
 	if err == nil {
 		return true, nil
 	}
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, services.ErrConflict) {
 		return false, err
 	}
 	row, err := s.table.Get(ctx, c.Key)
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 )
 
 // sweepPage is the number of rows read and deleted at a time.
@@ -29,7 +29,7 @@
 			if err != nil || s.now().Sub(rec.Updated) < Retention {
 				continue
 			}
-			if _, err := s.commits.write(ctx, platform.Write{Key: row.Key, IfVersion: row.Version, Delete: true}); err == nil {
+			if _, err := s.commits.write(ctx, services.Write{Key: row.Key, IfVersion: row.Version, Delete: true}); err == nil {
 				deleted++
 			}
 		}
--- a/command/fleet_test.go
+++ b/command/fleet_test.go
@@ -18,7 +18,7 @@
 	"samphirepoint/admin"
 	"samphirepoint/fleet"
 	"samphirepoint/instance"
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services/memtable"
 	"samphirepoint/table"
 )
 
--- a/command/table_test.go
+++ b/command/table_test.go
@@ -16,7 +16,7 @@
 
 	"samphirepoint/admin"
 	"samphirepoint/auth"
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services/memtable"
 	"samphirepoint/table"
 )
 
--- a/configsync/configsync_test.go
+++ b/configsync/configsync_test.go
@@ -18,7 +18,7 @@
 	"samphirepoint/membership"
 	"samphirepoint/peer"
 	"samphirepoint/peer/peerpb"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/table"
 )
 
@@ -49,7 +49,7 @@
 	mu      sync.Mutex // guards rows, cut and paused against background pushes
 	clock   atomic.Int64
 	entries []*entry
-	rows    map[string]platform.Row
+	rows    map[string]services.Row
 	cut     func(from, to string) bool
 	// noTransfer makes the transfer of documents fail.
 	noTransfer bool
@@ -57,7 +57,7 @@
 }
 
 func newCluster(n int) *cluster {
-	c := &cluster{rows: map[string]platform.Row{}, cut: func(string, string) bool { return false }}
+	c := &cluster{rows: map[string]services.Row{}, cut: func(string, string) bool { return false }}
 	c.clock.Store(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).UnixNano())
 	c.commit(1)
 	for i := range n {
@@ -86,9 +86,9 @@
 
 // list shows the instance list with all entries to all entries.
 func (c *cluster) list() {
-	var list []platform.Instance
+	var list []services.Instance
 	for _, e := range c.entries {
-		list = append(list, platform.Instance{ID: e.id, Kind: platform.KindEntry, Address: e.id, State: platform.StateLive})
+		list = append(list, services.Instance{ID: e.id, Kind: services.KindEntry, Address: e.id, State: services.StateLive})
 	}
 	for _, e := range c.entries {
 		e.gossip.SetListed(list)
@@ -101,8 +101,8 @@
 	data, _ := json.Marshal(doc)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rows[table.KeyVersion] = platform.Row{Key: table.KeyVersion, Version: version, Value: fmt.Append(nil, version)}
-	c.rows[table.KeyCurrent] = platform.Row{Key: table.KeyCurrent, Version: version, Value: data}
+	c.rows[table.KeyVersion] = services.Row{Key: table.KeyVersion, Version: version, Value: fmt.Append(nil, version)}
+	c.rows[table.KeyCurrent] = services.Row{Key: table.KeyCurrent, Version: version, Value: data}
 	return doc
 }
 
@@ -159,19 +159,19 @@
 
 type tableLink struct{ e *entry }
 
-func (t tableLink) Get(_ context.Context, key string) (platform.Row, error) {
+func (t tableLink) Get(_ context.Context, key string) (services.Row, error) {
 	t.e.c.mu.Lock()
 	defer t.e.c.mu.Unlock()
 	if t.e.noTable {
-		return platform.Row{}, errDown
+		return services.Row{}, errDown
 	}
 	return t.e.c.rows[key], nil
 }
 
-func (t tableLink) List(context.Context, string, string, int) ([]platform.Row, error) {
+func (t tableLink) List(context.Context, string, string, int) ([]services.Row, error) {
 	return nil, errDown
 }
-func (t tableLink) Commit(context.Context, []platform.Write) ([]int64, error) { return nil, errDown }
+func (t tableLink) Commit(context.Context, []services.Write) ([]int64, error) { return nil, errDown }
 
 type link struct{ e *entry }
 
@@ -371,9 +371,9 @@
 	g.Expect(s.Poll(context.Background())).To(Succeed())
 	c.commit(5)
 	g.Expect(s.Poll(context.Background())).To(Succeed())
-	c.rows[table.KeyVersion] = platform.Row{Version: 9, Value: []byte("9")}
+	c.rows[table.KeyVersion] = services.Row{Version: 9, Value: []byte("9")}
 	g.Expect(s.Poll(context.Background())).NotTo(Succeed())
-	c.rows[table.KeyCurrent] = platform.Row{Version: 9, Value: []byte("{")}
+	c.rows[table.KeyCurrent] = services.Row{Version: 9, Value: []byte("{")}
 	g.Expect(s.Poll(context.Background())).NotTo(Succeed())
 	g.Expect(s.Version()).To(Equal(int64(5)))
 	c.commit(3)
--- a/configsync/syncer.go
+++ b/configsync/syncer.go
@@ -21,7 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphirepoint/membership"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/table"
 )
 
@@ -68,7 +68,7 @@
 
 // Config describes a Syncer.
 type Config struct {
-	Table        platform.Table
+	Table        services.Table
 	Peers        Peers
 	PollInterval time.Duration
 	FreshFor     time.Duration
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -26,8 +26,8 @@
 	"samphirepoint/fleet"
 	"samphirepoint/load"
 	"samphirepoint/mover"
-	"samphirepoint/platform"
 	"samphirepoint/report"
+	"samphirepoint/services"
 	"samphirepoint/settings"
 	"samphirepoint/standin"
 	"samphirepoint/standin/platformd"
@@ -234,13 +234,13 @@
 
 // bootstrap writes the instance rows and the first version of the table.
 func (c *Cluster) bootstrap(ctx context.Context) error {
-	client := platform.NewClient(c.base, nil)
+	client := services.NewClient(c.base, nil)
 	rows := fleet.NewStore(client, nil, time.Now)
-	byPool := map[string][]platform.Instance{}
+	byPool := map[string][]services.Instance{}
 	for i, w := range c.Workers {
 		st := w.Status()
-		byPool[c.fleet[i].Pool] = append(byPool[c.fleet[i].Pool], platform.Instance{
-			ID: st.ID, Kind: platform.KindWorker, Address: w.Address(), Zone: st.Zone, Rack: st.Rack, Slots: st.Slots,
+		byPool[c.fleet[i].Pool] = append(byPool[c.fleet[i].Pool], services.Instance{
+			ID: st.ID, Kind: services.KindWorker, Address: w.Address(), Zone: st.Zone, Rack: st.Rack, Slots: st.Slots,
 		})
 	}
 	for pool, list := range byPool {
--- a/entry/control.go
+++ b/entry/control.go
@@ -11,7 +11,7 @@
 	"samphirepoint/instance"
 	"samphirepoint/limit"
 	"samphirepoint/membership"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/table"
 )
 
@@ -189,10 +189,10 @@
 	}
 }
 
-func (e *Entry) takeList(list []platform.Instance) {
+func (e *Entry) takeList(list []services.Instance) {
 	e.gossip.SetListed(list)
 	for _, in := range list {
-		if in.Kind == platform.KindWorker && in.State == platform.StateLeaving {
+		if in.Kind == services.KindWorker && in.State == services.StateLeaving {
 			e.gossip.NoteLeaving(in.ID)
 		}
 	}
@@ -202,13 +202,13 @@
 // register keeps this entry on the platform's list.
 func (e *Entry) register(ctx context.Context) error {
 	for {
-		state := platform.StateLive
+		state := services.StateLive
 		if e.leaving.Load() {
-			state = platform.StateLeaving
+			state = services.StateLeaving
 		}
 		callCtx, cancel := context.WithTimeout(ctx, platformTimeout)
-		err := e.platform.Register(callCtx, platform.Instance{
-			ID: e.cfg.ID, Kind: platform.KindEntry, Address: e.PeerAddress(), Zone: e.cfg.Zone, Region: e.cfg.Region, State: state,
+		err := e.platform.Register(callCtx, services.Instance{
+			ID: e.cfg.ID, Kind: services.KindEntry, Address: e.PeerAddress(), Zone: e.cfg.Zone, Region: e.cfg.Region, State: state,
 		})
 		cancel()
 		if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,7 +36,7 @@
 	"samphirepoint/mover"
 	"samphirepoint/peer"
 	"samphirepoint/placement"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/settings"
 	"samphirepoint/table"
 )
@@ -63,7 +63,7 @@
 	tokens   *auth.Store
 	traffic  *peer.Traffic
 
-	platform  *platform.Client
+	platform  *services.Client
 	gossip    *peer.Gossip
 	config    *configsync.Syncer
 	fleetView *fleet.View
@@ -87,7 +87,7 @@
 	// appliedFleet is the fleet version that the scheduler works by.
 	appliedFleet atomic.Int64
 	// list is the last instance list of the platform.
-	list atomic.Pointer[[]platform.Instance]
+	list atomic.Pointer[[]services.Instance]
 
 	callerListener, peerListener net.Listener
 	callerTLS, peerTLS           *tls.Config
@@ -122,7 +122,7 @@
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
-	e.platform = platform.NewClient(cfg.Platform, e.platformHTTP(o.Platform))
+	e.platform = services.NewClient(cfg.Platform, e.platformHTTP(o.Platform))
 	e.buildPeers()
 	e.buildTraffic()
 	e.buildFleet(o.MovePolicy)
--- a/entry/returning.go
+++ b/entry/returning.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"samphirepoint/instance"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/worker"
 )
 
@@ -42,7 +42,7 @@
 	listed := map[string]bool{}
 	if list := e.list.Load(); list != nil {
 		for _, in := range *list {
-			listed[in.ID] = in.State == platform.StateLeaving
+			listed[in.ID] = in.State == services.StateLeaving
 		}
 	}
 	owned := map[string]bool{}
--- a/experiment/lab.go
+++ b/experiment/lab.go
@@ -21,8 +21,8 @@
 	"samphirepoint/fleet"
 	"samphirepoint/lease"
 	"samphirepoint/membership"
-	"samphirepoint/platform"
 	"samphirepoint/request"
+	"samphirepoint/services"
 	"samphirepoint/settings"
 	"samphirepoint/standin"
 	"samphirepoint/standin/platformd"
@@ -53,7 +53,7 @@
 	document *table.Document
 	platform *platformd.Server
 	listed   []byte
-	list     []platform.Instance
+	list     []services.Instance
 	listener *standin.Listener
 	dir      string
 	tokens   string
@@ -87,8 +87,8 @@
 	return d
 }
 
-func labInstance(row int, address string) platform.Instance {
-	return platform.Instance{ID: fmt.Sprintf("worker-%04d", row), Kind: platform.KindWorker, Address: address, State: platform.StateLive,
+func labInstance(row int, address string) services.Instance {
+	return services.Instance{ID: fmt.Sprintf("worker-%04d", row), Kind: services.KindWorker, Address: address, State: services.StateLive,
 		Zone: fmt.Sprintf("zone-%d", row/4%5), Region: fmt.Sprintf("region-%d", row/4%2), Rack: fmt.Sprintf("rack-%03d", row/4), Slots: labSlots}
 }
 
@@ -103,9 +103,9 @@
 	if l.listener, err = standin.Listen("127.0.0.1:0", mux); err != nil {
 		return err
 	}
-	client := platform.NewClient(l.listener.URL(), nil)
+	client := services.NewClient(l.listener.URL(), nil)
 	store := fleet.NewStore(client, nil, time.Now)
-	byPool := map[string][]platform.Instance{}
+	byPool := map[string][]services.Instance{}
 	for i := range l.size.Rows {
 		in := labInstance(i, address(i))
 		l.list = append(l.list, in)
@@ -161,7 +161,7 @@
 func (l *lab) holdLease(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	l.stop = append(l.stop, cancel)
-	held := lease.New(platform.NewClient(l.listener.URL(), nil), "fleet", "lab", time.Now)
+	held := lease.New(services.NewClient(l.listener.URL(), nil), "fleet", "lab", time.Now)
 	if err := held.Step(ctx); err != nil {
 		return err
 	}
--- a/filter/chain_test.go
+++ b/filter/chain_test.go
@@ -13,8 +13,8 @@
 	"samphirepoint/claim"
 	"samphirepoint/dispatch"
 	"samphirepoint/job"
-	"samphirepoint/platform/memtable"
 	"samphirepoint/request"
+	"samphirepoint/services/memtable"
 	"samphirepoint/standin/workerd"
 	"samphirepoint/verdict"
 )
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -12,7 +12,7 @@
 	"samphirepoint/instance"
 	"samphirepoint/lease"
 	"samphirepoint/mover"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/table"
 	"samphirepoint/wave"
 )
@@ -39,8 +39,8 @@
 
 // Config holds what the controller works with. Policy, Demand, Assign and Suspects may be nil.
 type Config struct {
-	Table     platform.Table
-	Instances platform.Instances
+	Table     services.Table
+	Instances services.Instances
 	Lease     *lease.Lease
 	View      *View
 	Workers   Workers
@@ -53,7 +53,7 @@
 	Policy mover.Policy
 	// Assign returns the pool of a new instance, or "" to leave it unregistered. By default new
 	// instances join the first spare pool.
-	Assign func(platform.Instance, *table.Document) string
+	Assign func(services.Instance, *table.Document) string
 	// Suspects returns instances that the dispatcher has trouble with; they are probed at each step.
 	Suspects func() []string
 	Now      func() time.Time
@@ -104,7 +104,7 @@
 	return &Controller{Config: c, store: NewStore(c.Table, c.Lease, c.Now), ops: NewOperations(c.Table, c.Now)}
 }
 
-func firstSpare(_ platform.Instance, doc *table.Document) string {
+func firstSpare(_ services.Instance, doc *table.Document) string {
 	for _, p := range doc.Pools {
 		if p.Spare {
 			return p.Name
--- a/fleet/controller_test.go
+++ b/fleet/controller_test.go
@@ -9,7 +9,7 @@
 
 	"samphirepoint/drainer"
 	"samphirepoint/instance"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/wave"
 )
 
@@ -141,7 +141,7 @@
 
 type emptyList struct{}
 
-func (emptyList) List(context.Context) ([]platform.Instance, error) { return nil, nil }
+func (emptyList) List(context.Context) ([]services.Instance, error) { return nil, nil }
 
 // A cancelled wave must return drained instances to service and let those that reboot finish.
 func TestCancel(t *testing.T) {
--- a/fleet/detect.go
+++ b/fleet/detect.go
@@ -11,7 +11,7 @@
 
 	"samphirepoint/drainer"
 	"samphirepoint/instance"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 )
 
 const (
@@ -43,7 +43,7 @@
 type listState struct {
 	next    time.Time
 	at      time.Time
-	workers map[string]platform.Instance
+	workers map[string]services.Instance
 	trusted bool
 }
 
@@ -67,10 +67,10 @@
 		return nil
 	}
 	fleet := c.View.Snapshot()
-	l.workers, l.at = map[string]platform.Instance{}, now
+	l.workers, l.at = map[string]services.Instance{}, now
 	known := 0
 	for _, p := range all {
-		if p.Kind != platform.KindWorker {
+		if p.Kind != services.KindWorker {
 			continue
 		}
 		l.workers[p.ID] = p
@@ -85,7 +85,7 @@
 
 // register creates rows for listed workers without one and takes over new addresses.
 func (c *Controller) register(ctx context.Context, fleet *instance.Fleet) error {
-	fresh := map[string][]platform.Instance{}
+	fresh := map[string][]services.Instance{}
 	for _, id := range sortedKeys(c.term.list.workers) {
 		p := c.term.list.workers[id]
 		in, ok := fleet.Instances[id]
@@ -94,7 +94,7 @@
 			if _, err := c.store.Relocate(ctx, p); c.tolerate(err, "relocate", id) != nil {
 				return err
 			}
-		case !ok && p.State == platform.StateLive:
+		case !ok && p.State == services.StateLive:
 			if pool := c.Assign(p, c.term.doc); pool != "" {
 				fresh[pool] = append(fresh[pool], p)
 			}
@@ -173,7 +173,7 @@
 	for _, id := range ids {
 		p := t.probes[id]
 		listed, ok := t.list.workers[id]
-		leaving := ok && listed.State == platform.StateLeaving
+		leaving := ok && listed.State == services.StateLeaving
 		if fleet.Instances[id].State != instance.Serving || leaving || p != nil && !p.failing.IsZero() {
 			due[id] = true
 		}
@@ -256,7 +256,7 @@
 		return c.tolerate(err, "remove", in.ID)
 	case ok && answers && p.worker.Draining:
 		c.call(ctx, "undrain", in, c.Workers.Undrain)
-	case ok && answers && listed.State == platform.StateLive:
+	case ok && answers && listed.State == services.StateLive:
 		if _, err := c.store.Return(ctx, listed); err != nil {
 			return c.tolerate(err, "return", in.ID)
 		}
--- a/fleet/operations.go
+++ b/fleet/operations.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/verdict"
 	"samphirepoint/wave"
 )
@@ -15,12 +15,12 @@
 // Operations are the writes of operators: they create and change waves and moves, conditional on the rows'
 // versions, and leave the instance rows to the controller. Any entry may execute them.
 type Operations struct {
-	table platform.Table
+	table services.Table
 	now   func() time.Time
 }
 
 // NewOperations returns the operators' side of the table.
-func NewOperations(t platform.Table, now func() time.Time) *Operations {
+func NewOperations(t services.Table, now func() time.Time) *Operations {
 	return &Operations{table: t, now: now}
 }
 
@@ -169,7 +169,7 @@
 // pageSize of lists: 500 instance rows are about 150 KB.
 const pageSize = 500
 
-func listPages(ctx context.Context, t platform.Table, prefix string, each func(platform.Row) error) error {
+func listPages(ctx context.Context, t services.Table, prefix string, each func(services.Row) error) error {
 	after := ""
 	for {
 		rows, err := t.List(ctx, prefix, after, pageSize)
@@ -188,9 +188,9 @@
 	}
 }
 
-func listRows[T any](ctx context.Context, t platform.Table, prefix string) ([]*T, error) {
+func listRows[T any](ctx context.Context, t services.Table, prefix string) ([]*T, error) {
 	var all []*T
-	err := listPages(ctx, t, prefix, func(row platform.Row) error {
+	err := listPages(ctx, t, prefix, func(row services.Row) error {
 		v := new(T)
 		all = append(all, v)
 		return json.Unmarshal(row.Value, v)
--- a/fleet/retain.go
+++ b/fleet/retain.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/table"
 )
 
@@ -69,16 +69,16 @@
 			return fmt.Errorf("row %s: %w", rows[0].Key, err)
 		}
 	}
-	var deletes []platform.Write
+	var deletes []services.Write
 	beyond := current - keepVersions
 	switch {
 	case len(rows) == 0 || oldest.Version >= current:
 	case oldest.Version <= beyond:
 		for v := oldest.Version; v <= beyond && len(deletes) < historyBatch; v++ {
-			deletes = append(deletes, platform.Write{Key: table.HistoryKey(v), IfVersion: platform.AnyVersion, Delete: true})
+			deletes = append(deletes, services.Write{Key: table.HistoryKey(v), IfVersion: services.AnyVersion, Delete: true})
 		}
 	case now.Sub(oldest.At) > keepHistory:
-		deletes = append(deletes, platform.Write{Key: rows[0].Key, IfVersion: rows[0].Version, Delete: true})
+		deletes = append(deletes, services.Write{Key: rows[0].Key, IfVersion: rows[0].Version, Delete: true})
 	}
 	if len(deletes) == 0 {
 		r.nextHistory = now.Add(historyInterval)
@@ -107,14 +107,14 @@
 	if len(rows) == operationsPage {
 		r.after = rows[len(rows)-1].Key
 	}
-	var deletes []platform.Write
+	var deletes []services.Write
 	for _, row := range rows {
 		var op struct{ At time.Time }
 		if err := json.Unmarshal(row.Value, &op); err != nil {
 			return fmt.Errorf("row %s: %w", row.Key, err)
 		}
 		if now.Sub(op.At) > keepConfigOperations {
-			deletes = append(deletes, platform.Write{Key: row.Key, IfVersion: row.Version, Delete: true})
+			deletes = append(deletes, services.Write{Key: row.Key, IfVersion: row.Version, Delete: true})
 		}
 	}
 	return c.delete(ctx, deletes, "operations")
@@ -122,7 +122,7 @@
 
 // delete commits deletions under the lease. A conflict leaves the rows to a later purge; a lost reply needs no
 // reaction, since rows that are gone are not listed again.
-func (c *Controller) delete(ctx context.Context, deletes []platform.Write, what string) error {
+func (c *Controller) delete(ctx context.Context, deletes []services.Write, what string) error {
 	if len(deletes) == 0 {
 		return nil
 	}
@@ -132,8 +132,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	if _, err := c.Table.Commit(ctx, append([]platform.Write{condition}, deletes...)); err != nil {
-		if errors.Is(err, platform.ErrConflict) {
+	if _, err := c.Table.Commit(ctx, append([]services.Write{condition}, deletes...)); err != nil {
+		if errors.Is(err, services.ErrConflict) {
 			return nil
 		}
 		return err
--- a/fleet/retain_test.go
+++ b/fleet/retain_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/table"
 	"samphirepoint/wave"
 )
@@ -21,7 +21,7 @@
 	ctx, w := context.Background(), newWorld(0)
 	const current = keepVersions + 250
 	put := func(key, value string) {
-		_, err := w.table.Commit(ctx, []platform.Write{{Key: key, IfVersion: platform.AnyVersion, Value: []byte(value)}})
+		_, err := w.table.Commit(ctx, []services.Write{{Key: key, IfVersion: services.AnyVersion, Value: []byte(value)}})
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 	stamp := func(age time.Duration) string { return w.t.Add(-age).Format(time.RFC3339) }
@@ -42,7 +42,7 @@
 	g.Expect(w.faults).To(BeEmpty())
 	keys := func(prefix string) map[string]bool {
 		found := map[string]bool{}
-		g.Expect(listPages(ctx, w.table, prefix, func(row platform.Row) error { found[row.Key] = true; return nil })).To(Succeed())
+		g.Expect(listPages(ctx, w.table, prefix, func(row services.Row) error { found[row.Key] = true; return nil })).To(Succeed())
 		return found
 	}
 	history := keys(table.PrefixHistory)
@@ -55,6 +55,6 @@
 
 	// Another process takes the lease while this one believes to hold it.
 	put("leases/fleet", `{"holder":"b","nonce":"b","token":99}`)
-	g.Expect(p.ctl.delete(ctx, []platform.Write{{Key: table.HistoryKey(300), IfVersion: platform.AnyVersion, Delete: true}}, "history")).To(Succeed())
+	g.Expect(p.ctl.delete(ctx, []services.Write{{Key: table.HistoryKey(300), IfVersion: services.AnyVersion, Delete: true}}, "history")).To(Succeed())
 	g.Expect(keys(table.PrefixHistory)).To(HaveKey(table.HistoryKey(300)))
 }
--- a/fleet/size_test.go
+++ b/fleet/size_test.go
@@ -7,25 +7,25 @@
 	"time"
 
 	"samphirepoint/instance"
-	"samphirepoint/platform"
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services"
+	"samphirepoint/services/memtable"
 	"samphirepoint/table"
 	"samphirepoint/wave"
 )
 
 // counting adds up the bytes of rows that a process reads.
 type counting struct {
-	platform.Table
+	services.Table
 	bytes, reads int
 }
 
-func (c *counting) Get(ctx context.Context, key string) (platform.Row, error) {
+func (c *counting) Get(ctx context.Context, key string) (services.Row, error) {
 	row, err := c.Table.Get(ctx, key)
 	c.bytes, c.reads = c.bytes+len(row.Value)+len(row.Key), c.reads+1
 	return row, err
 }
 
-func (c *counting) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (c *counting) List(ctx context.Context, prefix, after string, limit int) ([]services.Row, error) {
 	rows, err := c.Table.List(ctx, prefix, after, limit)
 	c.reads++
 	for _, row := range rows {
@@ -49,7 +49,7 @@
 	}
 	p := w.process("a", -1)
 	n := 0
-	p.ctl.Assign = func(platform.Instance, *table.Document) string { n++; return fmt.Sprintf("p%02d", n%67) }
+	p.ctl.Assign = func(services.Instance, *table.Document) string { n++; return fmt.Sprintf("p%02d", n%67) }
 	w.tick(ctx)
 	w.tick(ctx)
 	if got := len(w.rows()); got != 1500 {
--- a/fleet/step_moves.go
+++ b/fleet/step_moves.go
@@ -8,7 +8,7 @@
 
 	"samphirepoint/instance"
 	"samphirepoint/mover"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/table"
 	"samphirepoint/wave"
 )
@@ -79,7 +79,7 @@
 
 func (c *Controller) registerByMove(ctx context.Context, m *Move) ([]wave.Wait, error) {
 	listed, ok := c.term.list.workers[m.Instance]
-	if !ok || listed.State != platform.StateLive {
+	if !ok || listed.State != services.StateLive {
 		return []wave.Wait{m.waitFor(wave.KindInstance, m.Instance, "it is not listed as live")}, nil
 	}
 	_, err := c.store.RegisterByMove(ctx, *m, listed)
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"samphirepoint/instance"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/verdict"
 	"samphirepoint/wave"
 )
@@ -16,7 +16,7 @@
 // row, on the instance rows and on the disruption rows of the pools, and each may be repeated: a
 // repeat that finds its goal reached writes nothing. A Store is used by one goroutine.
 type Store struct {
-	table platform.Table
+	table services.Table
 	fence Fence
 	now   func() time.Time
 	// transactions counts the calls; the controller reads again after each.
@@ -24,7 +24,7 @@
 }
 
 // NewStore returns a store whose transactions are fenced by the lease.
-func NewStore(t platform.Table, fence Fence, now func() time.Time) *Store {
+func NewStore(t services.Table, fence Fence, now func() time.Time) *Store {
 	return &Store{table: t, fence: fence, now: now}
 }
 
@@ -34,7 +34,7 @@
 }
 
 // Register creates rows for instances of the platform's list in the pool. Rows that exist stay as they are.
-func (s *Store) Register(ctx context.Context, list []platform.Instance, pool string) (int64, error) {
+func (s *Store) Register(ctx context.Context, list []services.Instance, pool string) (int64, error) {
 	return s.transact(ctx, func(t *txn) error {
 		for _, p := range list {
 			if _, err := s.register(t, p, pool); err != nil {
@@ -45,7 +45,7 @@
 	})
 }
 
-func (s *Store) register(t *txn, p platform.Instance, pool string) (instance.Instance, error) {
+func (s *Store) register(t *txn, p services.Instance, pool string) (instance.Instance, error) {
 	in, ok, err := t.instance(p.ID)
 	if err != nil || ok {
 		return in, err
@@ -260,7 +260,7 @@
 }
 
 // RegisterByMove creates the row of a listed instance that has none, in the target pool.
-func (s *Store) RegisterByMove(ctx context.Context, m Move, p platform.Instance) (int64, error) {
+func (s *Store) RegisterByMove(ctx context.Context, m Move, p services.Instance) (int64, error) {
 	return s.transact(ctx, func(t *txn) error {
 		in, err := s.register(t, p, m.To)
 		if err != nil {
@@ -290,7 +290,7 @@
 }
 
 // Return puts a failed instance back into service, with the address of the platform's list.
-func (s *Store) Return(ctx context.Context, p platform.Instance) (int64, error) {
+func (s *Store) Return(ctx context.Context, p services.Instance) (int64, error) {
 	return s.transact(ctx, func(t *txn) error {
 		in, ok, err := t.instance(p.ID)
 		if err != nil || !ok || in.State != instance.Failed {
@@ -304,7 +304,7 @@
 }
 
 // Relocate takes over address, zone and rack from the platform's list.
-func (s *Store) Relocate(ctx context.Context, p platform.Instance) (int64, error) {
+func (s *Store) Relocate(ctx context.Context, p services.Instance) (int64, error) {
 	return s.transact(ctx, func(t *txn) error {
 		in, ok, err := t.instance(p.ID)
 		if err != nil || !ok {
@@ -318,7 +318,7 @@
 	})
 }
 
-func locate(in *instance.Instance, p platform.Instance) {
+func locate(in *instance.Instance, p services.Instance) {
 	in.Address, in.Zone, in.Region, in.Rack, in.Slots = p.Address, p.Zone, p.Region, p.Rack, p.Slots
 }
 
--- a/fleet/store_test.go
+++ b/fleet/store_test.go
@@ -12,8 +12,8 @@
 
 	"samphirepoint/instance"
 	"samphirepoint/lease"
-	"samphirepoint/platform"
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services"
+	"samphirepoint/services/memtable"
 	"samphirepoint/wave"
 )
 
@@ -73,7 +73,7 @@
 			case 2:
 				w.t = w.t.Add(time.Duration(rapid.IntRange(0, 15).Draw(rt, "s")) * time.Second)
 			case 3:
-				_, _ = s.Register(ctx, []platform.Instance{w.workers[id].in}, "p")
+				_, _ = s.Register(ctx, []services.Instance{w.workers[id].in}, "p")
 			case 4, 5:
 				if ops.CreateMoves(ctx, move) == nil {
 					_, _ = s.StartDrain(ctx, Drain{Instance: id, Version: in.Version, Move: move.ID, Budget: budget})
@@ -121,7 +121,7 @@
 		}
 		return memtable.Fault{}
 	})
-	_, err := s.Register(ctx, []platform.Instance{w.workers["w00"].in}, "p")
+	_, err := s.Register(ctx, []services.Instance{w.workers["w00"].in}, "p")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(lost).To(Equal(1))
 	row, err := w.table.Direct().Get(ctx, instance.KeyFleetVersion)
@@ -145,7 +145,7 @@
 		}
 		return memtable.Fault{}
 	})
-	_, err := NewStore(w.table, a, w.now).Register(ctx, []platform.Instance{w.workers["w00"].in}, "p")
+	_, err := NewStore(w.table, a, w.now).Register(ctx, []services.Instance{w.workers["w00"].in}, "p")
 	g.Expect(err).To(MatchError(lease.ErrNotHeld))
 	g.Expect(w.rows()).To(BeEmpty())
 	_, held := b.Token()
@@ -190,7 +190,7 @@
 	w.table.SetHook(nil)
 	l := lease.New(w.table, LeaseName, "a", w.now)
 	g.Expect(l.Step(ctx)).To(Succeed())
-	_, err := NewStore(w.table, l, w.now).Register(ctx, []platform.Instance{w.workers["w00"].in}, "p")
+	_, err := NewStore(w.table, l, w.now).Register(ctx, []services.Instance{w.workers["w00"].in}, "p")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(v.Refresh(ctx)).To(Succeed())
 	g.Expect(v.Snapshot().Instances).To(And(HaveKey("w00"), Not(HaveKey("old"))))
@@ -222,7 +222,7 @@
 	g.Expect(l.Step(ctx)).To(Succeed())
 	s, v := NewStore(w.table, l, w.now), NewView(w.table, nil)
 	for i, id := range sortedKeys(w.workers) {
-		_, err := s.Register(ctx, []platform.Instance{w.workers[id].in}, "p")
+		_, err := s.Register(ctx, []services.Instance{w.workers[id].in}, "p")
 		g.Expect(err).NotTo(HaveOccurred())
 		if i == 0 {
 			g.Expect(v.Refresh(ctx)).To(Succeed())
--- a/fleet/txn.go
+++ b/fleet/txn.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"samphirepoint/instance"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/verdict"
 )
 
@@ -31,20 +31,20 @@
 
 // Fence gives the condition that ties a transaction to a lease.
 type Fence interface {
-	Condition() (platform.Write, error)
+	Condition() (services.Write, error)
 	Token() (int64, bool)
 }
 
 // txn collects the rows of one transaction. Rows that are only read become conditions.
 type txn struct {
 	ctx   context.Context
-	table platform.Table
+	table services.Table
 	rows  map[string]*txnRow
 	order []string
 }
 
 type txnRow struct {
-	row   platform.Row
+	row   services.Row
 	value any
 	dirty bool
 	del   bool
@@ -156,12 +156,12 @@
 }
 
 // writes returns the elements of the commit, or nil if nothing changes.
-func (t *txn) writes(fence Fence) ([]platform.Write, error) {
+func (t *txn) writes(fence Fence) ([]services.Write, error) {
 	if len(t.dirty("")) == 0 {
 		return nil, nil
 	}
 	var token int64
-	var writes []platform.Write
+	var writes []services.Write
 	if fence != nil {
 		condition, err := fence.Condition()
 		if err != nil {
@@ -175,7 +175,7 @@
 	}
 	for _, key := range t.order {
 		r := t.rows[key]
-		w := platform.Write{Key: key, IfVersion: r.row.Version, Check: !r.dirty, Delete: r.del}
+		w := services.Write{Key: key, IfVersion: r.row.Version, Check: !r.dirty, Delete: r.del}
 		if r.dirty && !r.del {
 			value, err := json.Marshal(r.value)
 			if err != nil {
@@ -218,7 +218,7 @@
 // that arrives late cannot apply twice, because each row's version is a condition.
 //
 // It returns the fleet version of the commit, or 0 if no instance row was written by it.
-func transact(ctx context.Context, table platform.Table, fence Fence, build func(*txn) error) (int64, error) {
+func transact(ctx context.Context, table services.Table, fence Fence, build func(*txn) error) (int64, error) {
 	var last error
 	unknown := false // whether an earlier commit may have taken effect
 	for range attempts {
@@ -230,7 +230,7 @@
 		if !repeatable(err) {
 			break
 		}
-		unknown = unknown || !errors.Is(err, platform.ErrConflict)
+		unknown = unknown || !errors.Is(err, services.ErrConflict)
 		if ctx.Err() != nil {
 			break
 		}
@@ -238,7 +238,7 @@
 	switch {
 	case unknown:
 		last = verdict.Wrap(fmt.Errorf("the outcome of a transaction is unknown: %w", last), verdict.MayHaveRun, http.StatusServiceUnavailable)
-	case errors.Is(last, platform.ErrConflict):
+	case errors.Is(last, services.ErrConflict):
 		last = unavailable(fmt.Errorf("after %d attempts: %w", attempts, last))
 	}
 	return 0, last
@@ -257,10 +257,10 @@
 // repeatable reports whether the rows must be read again to know what happened.
 func repeatable(err error) bool {
 	var c commitError
-	return errors.As(err, &c) && (errors.Is(err, platform.ErrConflict) || !verdict.Is(err, verdict.NotRun))
+	return errors.As(err, &c) && (errors.Is(err, services.ErrConflict) || !verdict.Is(err, verdict.NotRun))
 }
 
-func attempt(ctx context.Context, table platform.Table, fence Fence, build func(*txn) error) (int64, error) {
+func attempt(ctx context.Context, table services.Table, fence Fence, build func(*txn) error) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	t := &txn{ctx: ctx, table: table, rows: map[string]*txnRow{}}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"samphirepoint/instance"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 )
 
 const (
@@ -32,7 +32,7 @@
 
 // View is an entry's copy of the instance rows. Snapshot may be called from any goroutine.
 type View struct {
-	table    platform.Table
+	table    services.Table
 	fallback Fallback
 	current  atomic.Pointer[snapshot]
 	refresh  sync.Mutex
@@ -46,7 +46,7 @@
 }
 
 // NewView returns an empty view. fallback may be nil.
-func NewView(t platform.Table, fallback Fallback) *View {
+func NewView(t services.Table, fallback Fallback) *View {
 	return &View{table: t, fallback: fallback}
 }
 
@@ -161,7 +161,7 @@
 		return v.readChanged(ctx, old, version, ids)
 	}
 	f := &instance.Fleet{Version: version, Instances: map[string]instance.Instance{}}
-	err := listPages(ctx, v.table, instance.Prefix, func(row platform.Row) error {
+	err := listPages(ctx, v.table, instance.Prefix, func(row services.Row) error {
 		in, err := decode(row)
 		f.Instances[in.ID] = in
 		return err
@@ -211,7 +211,7 @@
 	return f, nil
 }
 
-func decode(row platform.Row) (instance.Instance, error) {
+func decode(row services.Row) (instance.Instance, error) {
 	var in instance.Instance
 	if err := json.Unmarshal(row.Value, &in); err != nil {
 		return in, err
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -13,8 +13,8 @@
 	"samphirepoint/drainer"
 	"samphirepoint/instance"
 	"samphirepoint/lease"
-	"samphirepoint/platform"
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services"
+	"samphirepoint/services/memtable"
 	"samphirepoint/table"
 	"samphirepoint/wave"
 )
@@ -34,7 +34,7 @@
 }
 
 type fakeWorker struct {
-	in       platform.Instance
+	in       services.Instance
 	draining bool
 	running  []drainer.Work
 	downTill time.Time
@@ -66,8 +66,8 @@
 	}
 	for i := range n {
 		id := fmt.Sprintf("w%02d", i)
-		w.workers[id] = &fakeWorker{in: platform.Instance{ID: id, Kind: platform.KindWorker, Address: "10.0.0.1:1", Zone: fmt.Sprintf("z%d", i/4%2),
-			Rack: fmt.Sprintf("r%d", i/4), State: platform.StateLive, Slots: 8}}
+		w.workers[id] = &fakeWorker{in: services.Instance{ID: id, Kind: services.KindWorker, Address: "10.0.0.1:1", Zone: fmt.Sprintf("z%d", i/4%2),
+			Rack: fmt.Sprintf("r%d", i/4), State: services.StateLive, Slots: 8}}
 	}
 	return w
 }
@@ -84,7 +84,7 @@
 	p.view = NewView(p, nil)
 	p.ctl = NewController(Config{Table: p, Instances: w, Lease: p.lease, View: p.view, Workers: p, Members: w.members,
 		Document: func() *table.Document { return w.doc }, Now: w.now, Log: zerolog.Nop(),
-		Assign: func(in platform.Instance, _ *table.Document) string { return []string{"p", "q"}[int(in.ID[2]-'0')%2] }})
+		Assign: func(in services.Instance, _ *table.Document) string { return []string{"p", "q"}[int(in.ID[2]-'0')%2] }})
 	w.procs = append(w.procs, p)
 	return p
 }
@@ -113,9 +113,9 @@
 	}
 }
 
-// List implements platform.Instances.
-func (w *world) List(context.Context) ([]platform.Instance, error) {
-	var all []platform.Instance
+// List implements services.Instances.
+func (w *world) List(context.Context) ([]services.Instance, error) {
+	var all []services.Instance
 	for _, k := range sortedKeys(w.workers) {
 		f := w.workers[k]
 		if f.dead || w.t.Before(f.downTill) {
@@ -123,7 +123,7 @@
 		}
 		in := f.in
 		if f.draining {
-			in.State = platform.StateLeaving
+			in.State = services.StateLeaving
 		}
 		all = append(all, in)
 	}
@@ -176,15 +176,15 @@
 	}
 }
 
-// Get implements platform.Table for the process.
-func (p *process) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements services.Table for the process.
+func (p *process) Get(ctx context.Context, key string) (services.Row, error) {
 	if p.dead {
-		return platform.Row{}, errDead
+		return services.Row{}, errDead
 	}
 	return p.w.table.Get(ctx, key)
 }
 
-func (p *process) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (p *process) List(ctx context.Context, prefix, after string, limit int) ([]services.Row, error) {
 	if p.dead {
 		return nil, errDead
 	}
@@ -192,7 +192,7 @@
 }
 
 // Commit takes effect for the last time and loses its reply when the process dies.
-func (p *process) Commit(ctx context.Context, writes []platform.Write) ([]int64, error) {
+func (p *process) Commit(ctx context.Context, writes []services.Write) ([]int64, error) {
 	if p.dead {
 		return nil, errDead
 	}
--- a/integration/world_test.go
+++ b/integration/world_test.go
@@ -31,7 +31,7 @@
 	"samphirepoint/fleet"
 	"samphirepoint/load"
 	"samphirepoint/membership"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/standin"
 	"samphirepoint/standin/faultproxy"
 	"samphirepoint/standin/platformd"
@@ -183,10 +183,10 @@
 func (w *world) bootstrap() {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	client := platform.NewClient("http://"+w.platform, nil)
+	client := services.NewClient("http://"+w.platform, nil)
 	rows := fleet.NewStore(client, nil, time.Now)
 	for _, worker := range w.workers {
-		_, err := rows.Register(ctx, []platform.Instance{{ID: worker.id, Kind: platform.KindWorker, Address: worker.proxy.Address(),
+		_, err := rows.Register(ctx, []services.Instance{{ID: worker.id, Kind: services.KindWorker, Address: worker.proxy.Address(),
 			Zone: "z1", Rack: "r-" + worker.id, Slots: workerd.DefaultSlots}}, worker.pool)
 		w.Expect(err).NotTo(HaveOccurred())
 	}
@@ -245,7 +245,7 @@
 		}
 	}
 	file := filepath.Join(w.dir, e.id+".yaml")
-	data := fmt.Sprintf(settingsYAML, e.id, e.callers, e.peers, e.front, e.platform.Address(), strings.Join(fronts, ", "), e.id+".tokens.yaml")
+	data := fmt.Sprintf(settingsYAML, e.id, e.callers, e.peers, e.front, e.services.Address(), strings.Join(fronts, ", "), e.id+".tokens.yaml")
 	w.Expect(os.WriteFile(file, []byte(data), 0o600)).To(Succeed())
 	e.starts++
 	e.session = w.start(fmt.Sprintf("%s.%d", e.id, e.starts), "entry", "-settings", file)
--- a/job/manager.go
+++ b/job/manager.go
@@ -10,8 +10,8 @@
 	"github.com/rs/zerolog"
 
 	"samphirepoint/dispatch"
-	"samphirepoint/platform"
 	"samphirepoint/request"
+	"samphirepoint/services"
 	"samphirepoint/worker"
 )
 
@@ -214,14 +214,14 @@
 
 // Sweep deletes results older than Retention, and keys whose job is gone, and returns how many rows.
 func (s *Store) Sweep(ctx context.Context) (int, error) {
-	results, err := s.sweep(ctx, PrefixResults, func(row platform.Row) bool {
+	results, err := s.sweep(ctx, PrefixResults, func(row services.Row) bool {
 		rec, err := decode(row.Value, row.Version)
 		return err == nil && s.Now().Sub(rec.Updated) > Retention
 	})
 	if err != nil {
 		return results, err
 	}
-	keys, err := s.sweep(ctx, prefixKeys, func(row platform.Row) bool {
+	keys, err := s.sweep(ctx, prefixKeys, func(row services.Row) bool {
 		k, err := decodeKey(row.Value)
 		if err != nil || s.Now().Sub(k.Accepted) <= Retention {
 			return false
@@ -233,7 +233,7 @@
 }
 
 // sweep deletes the rows under prefix that are expired.
-func (s *Store) sweep(ctx context.Context, prefix string, expired func(platform.Row) bool) (int, error) {
+func (s *Store) sweep(ctx context.Context, prefix string, expired func(services.Row) bool) (int, error) {
 	const page = 200
 	deleted, after := 0, ""
 	for {
@@ -242,10 +242,10 @@
 			return deleted, err
 		}
 		after = rows[len(rows)-1].Key
-		var writes []platform.Write
+		var writes []services.Write
 		for _, row := range rows {
 			if expired(row) {
-				writes = append(writes, platform.Write{Key: row.Key, IfVersion: row.Version, Delete: true})
+				writes = append(writes, services.Write{Key: row.Key, IfVersion: row.Version, Delete: true})
 			}
 		}
 		if len(writes) == 0 {
--- a/job/store.go
+++ b/job/store.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	"samphirepoint/platform"
 	"samphirepoint/request"
+	"samphirepoint/services"
 	"samphirepoint/verdict"
 )
 
@@ -25,8 +25,8 @@
 
 // Store reads and writes job rows.
 type Store struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   services.Table
+	Objects services.Objects
 	Now     func() time.Time
 }
 
@@ -49,12 +49,12 @@
 	}
 	// The check of the result row makes sure that a repeat after the end does not start the job again, and the row of
 	// the key that a repeat does not start it in another pool.
-	writes := []platform.Write{
+	writes := []services.Write{
 		{Key: activeKey(rec.Pool, rec.ID), IfVersion: 0, Value: rec.encode()},
 		{Key: resultKey(rec.Pool, rec.ID), IfVersion: 0, Check: true},
 	}
 	if !r.Idempotent {
-		writes = append(writes, platform.Write{Key: rowOfKey(r), IfVersion: 0, Value: keyRow{ID: rec.ID, Accepted: rec.Accepted}.encode()})
+		writes = append(writes, services.Write{Key: rowOfKey(r), IfVersion: 0, Value: keyRow{ID: rec.ID, Accepted: rec.Accepted}.encode()})
 	}
 	versions, err := s.Table.Commit(ctx, writes)
 	if err == nil {
@@ -151,7 +151,7 @@
 // Update writes a changed row of an active job. errLost means that another process changed it.
 func (s *Store) Update(ctx context.Context, rec *Record) error {
 	rec.Updated = s.Now()
-	return s.commit(ctx, rec, []platform.Write{{Key: activeKey(rec.Pool, rec.ID), IfVersion: rec.version, Value: rec.encode()}})
+	return s.commit(ctx, rec, []services.Write{{Key: activeKey(rec.Pool, rec.ID), IfVersion: rec.version, Value: rec.encode()}})
 }
 
 // Finish moves a job in a final state to the results.
@@ -164,14 +164,14 @@
 		rec.ResultObject, rec.Result = key, nil
 	}
 	rec.Body, rec.Updated = nil, s.Now()
-	return s.commit(ctx, rec, []platform.Write{
+	return s.commit(ctx, rec, []services.Write{
 		{Key: activeKey(rec.Pool, rec.ID), IfVersion: rec.version, Delete: true},
 		{Key: resultKey(rec.Pool, rec.ID), IfVersion: 0, Value: rec.encode()},
 	})
 }
 
 // commit writes and, after a lost reply, reads back whether the write took effect.
-func (s *Store) commit(ctx context.Context, rec *Record, writes []platform.Write) error {
+func (s *Store) commit(ctx context.Context, rec *Record, writes []services.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	versions, err := s.Table.Commit(ctx, writes)
@@ -190,7 +190,7 @@
 		rec.version = found.version
 		return nil
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, services.ErrConflict) {
 		return errLost
 	}
 	return err
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -16,7 +16,7 @@
 
 	"github.com/google/uuid"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 )
 
 const (
@@ -50,7 +50,7 @@
 
 // Lease is one process's view of a lease row. It is safe for concurrent use.
 type Lease struct {
-	table platform.Table
+	table services.Table
 	key   string
 	name  string
 	nonce string
@@ -72,20 +72,20 @@
 }
 
 // New returns a lease that is not held yet. now must carry a monotonic reading, as time.Now does.
-func New(table platform.Table, name, holder string, now func() time.Time) *Lease {
+func New(table services.Table, name, holder string, now func() time.Time) *Lease {
 	return &Lease{table: table, key: Prefix + name, name: holder, nonce: uuid.NewString(), now: now}
 }
 
 // Condition returns the element that makes a transaction fail once another holder took
 // the lease. It returns ErrNotHeld if the lease is not held or its time has run out by the
 // monotonic clock, as after a pause of the process.
-func (l *Lease) Condition() (platform.Write, error) {
+func (l *Lease) Condition() (services.Write, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.held || !l.now().Before(l.validUntil) {
-		return platform.Write{}, ErrNotHeld
+		return services.Write{}, ErrNotHeld
 	}
-	return platform.Write{Key: l.key, IfVersion: l.version, Check: true}, nil
+	return services.Write{Key: l.key, IfVersion: l.version, Check: true}, nil
 }
 
 // Token returns the fencing token and whether the lease is held now.
@@ -169,7 +169,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = l.table.Commit(ctx, []platform.Write{{Key: l.key, IfVersion: version, Value: value}})
+	_, err = l.table.Commit(ctx, []services.Write{{Key: l.key, IfVersion: version, Value: value}})
 	return err
 }
 
@@ -187,7 +187,7 @@
 		l.pending = start
 	}
 	l.mu.Unlock()
-	versions, err := l.table.Commit(ctx, []platform.Write{{Key: l.key, IfVersion: version, Value: value}})
+	versions, err := l.table.Commit(ctx, []services.Write{{Key: l.key, IfVersion: version, Value: value}})
 	if err == nil {
 		l.install(record, versions[0], start)
 		return nil
@@ -197,7 +197,7 @@
 }
 
 func ignoreConflict(err error) error {
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, services.ErrConflict) {
 		return nil
 	}
 	return err
@@ -256,7 +256,7 @@
 	l.seen, l.version, l.record = true, version, r
 }
 
-func (l *Lease) read(ctx context.Context) (platform.Row, Record, error) {
+func (l *Lease) read(ctx context.Context) (services.Row, Record, error) {
 	row, err := l.table.Get(ctx, l.key)
 	if err != nil || row.Version == 0 {
 		return row, Record{}, err
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	"samphirepoint/lease"
-	"samphirepoint/platform"
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services"
+	"samphirepoint/services/memtable"
 )
 
 type clock struct {
@@ -71,8 +71,8 @@
 	_, err = a.Condition()
 	g.Expect(err).To(MatchError(lease.ErrNotHeld))
 	g.Expect(b.Step(ctx)).To(Succeed())
-	_, err = tab.Commit(ctx, []platform.Write{stale, {Key: "x"}})
-	g.Expect(err).To(MatchError(platform.ErrConflict))
+	_, err = tab.Commit(ctx, []services.Write{stale, {Key: "x"}})
+	g.Expect(err).To(MatchError(services.ErrConflict))
 	g.Expect(a.Step(ctx)).To(Succeed())
 	_, held := a.Token()
 	g.Expect(held).To(BeFalse())
@@ -122,7 +122,7 @@
 	ctx, tab, c := context.Background(), memtable.New(), newClock()
 	a := lease.New(tab, "fleet", "a", c.now)
 	g.Expect(a.Step(ctx)).To(Succeed())
-	var late []platform.Write
+	var late []services.Write
 	tab.SetHook(func(call memtable.Call) memtable.Fault {
 		if call.Op == memtable.OpCommit && late == nil {
 			late = call.Writes
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -19,7 +19,7 @@
 	"samphirepoint/limit"
 	"samphirepoint/membership"
 	"samphirepoint/peer/peerpb"
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/table"
 )
 
@@ -347,10 +347,10 @@
 
 // SetListed takes over the entries in the platform's instance list; their Address is that of the peer API. Before the
 // first call the members of the view alone count for a majority.
-func (g *Gossip) SetListed(list []platform.Instance) {
+func (g *Gossip) SetListed(list []services.Instance) {
 	ids, addresses := []string{}, []string{}
 	for _, in := range list {
-		if in.Kind == platform.KindEntry && in.State == platform.StateLive {
+		if in.Kind == services.KindEntry && in.State == services.StateLive {
 			ids = append(ids, in.ID)
 			addresses = append(addresses, in.Address)
 		}
--- a/platform/client.go
+++ b/services/client.go
@@ -1,4 +1,4 @@
-package platform
+package services
 
 import (
 	"bytes"
--- a/platform/memtable/memtable.go
+++ b/services/memtable/memtable.go
@@ -1,4 +1,4 @@
-// Package memtable is an in-memory platform.Table for tests, with a hook that makes calls fail,
+// Package memtable is an in-memory services.Table for tests, with a hook that makes calls fail,
 // wait or lose their reply.
 package memtable
 
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/verdict"
 )
 
@@ -20,10 +20,10 @@
 // verdict is MayHaveRun, as for a connection that breaks before the reply.
 var ErrReplyLost = errors.New("memtable: reply lost")
 
-// Op names a method of platform.Table.
+// Op names a method of services.Table.
 type Op string
 
-// Methods of platform.Table.
+// Methods of services.Table.
 const (
 	OpGet    Op = "get"
 	OpList   Op = "list"
@@ -38,7 +38,7 @@
 	// Key is the key of a Get or the prefix of a List.
 	Key string
 	// Writes are the elements of a Commit.
-	Writes []platform.Write
+	Writes []services.Write
 }
 
 // Touches reports whether the call reads or writes a key with the given prefix.
@@ -76,10 +76,10 @@
 // itself to let another writer in first; the hook is not called for calls it makes through Direct.
 type Hook func(Call) Fault
 
-// Table is an in-memory platform.Table. It is safe for concurrent use.
+// Table is an in-memory services.Table. It is safe for concurrent use.
 type Table struct {
 	mu     sync.Mutex
-	rows   map[string]platform.Row
+	rows   map[string]services.Row
 	last   map[string]int64 // highest version that a key ever had
 	counts map[Op]int
 	hook   Hook
@@ -87,7 +87,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{rows: map[string]platform.Row{}, last: map[string]int64{}, counts: map[Op]int{}}
+	return &Table{rows: map[string]services.Row{}, last: map[string]int64{}, counts: map[Op]int{}}
 }
 
 // SetHook replaces the hook; nil removes it.
@@ -105,24 +105,24 @@
 }
 
 // Direct returns a view of the same rows that bypasses the hook and the counters.
-func (t *Table) Direct() platform.Table { return direct{t} }
+func (t *Table) Direct() services.Table { return direct{t} }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
-	var row platform.Row
+// Get implements services.Table.
+func (t *Table) Get(ctx context.Context, key string) (services.Row, error) {
+	var row services.Row
 	err := t.call(ctx, Call{Op: OpGet, Key: key}, func() error {
 		row = t.get(key)
 		return nil
 	})
 	if err != nil {
-		return platform.Row{}, err
+		return services.Row{}, err
 	}
 	return row, nil
 }
 
-// List implements platform.Table. A limit of 0 or less means no limit.
-func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	var rows []platform.Row
+// List implements services.Table. A limit of 0 or less means no limit.
+func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]services.Row, error) {
+	var rows []services.Row
 	err := t.call(ctx, Call{Op: OpList, Key: prefix}, func() error {
 		rows = t.list(prefix, after, limit)
 		return nil
@@ -133,9 +133,9 @@
 	return rows, nil
 }
 
-// Commit implements platform.Table. A deleted row's new version is 0 and that of a Check element
+// Commit implements services.Table. A deleted row's new version is 0 and that of a Check element
 // is the row's version. A key may appear only once in a transaction.
-func (t *Table) Commit(ctx context.Context, writes []platform.Write) ([]int64, error) {
+func (t *Table) Commit(ctx context.Context, writes []services.Write) ([]int64, error) {
 	var versions []int64
 	err := t.call(ctx, Call{Op: OpCommit, Writes: writes}, func() (err error) {
 		versions, err = t.commit(writes)
@@ -190,20 +190,20 @@
 	}
 }
 
-func (t *Table) get(key string) platform.Row {
+func (t *Table) get(key string) services.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{Key: key}
+		return services.Row{Key: key}
 	}
 	return clone(row)
 }
 
-func (t *Table) list(prefix, after string, limit int) []platform.Row {
+func (t *Table) list(prefix, after string, limit int) []services.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rows := []platform.Row{}
+	rows := []services.Row{}
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, clone(row))
@@ -216,7 +216,7 @@
 	return rows
 }
 
-func (t *Table) commit(writes []platform.Write) ([]int64, error) {
+func (t *Table) commit(writes []services.Write) ([]int64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	seen := make(map[string]bool, len(writes))
@@ -227,8 +227,8 @@
 		seen[w.Key] = true
 	}
 	for _, w := range writes {
-		if w.IfVersion != platform.AnyVersion && t.rows[w.Key].Version != w.IfVersion {
-			return nil, platform.ErrConflict
+		if w.IfVersion != services.AnyVersion && t.rows[w.Key].Version != w.IfVersion {
+			return nil, services.ErrConflict
 		}
 	}
 	versions := make([]int64, len(writes))
@@ -238,7 +238,7 @@
 	return versions, nil
 }
 
-func (t *Table) apply(w platform.Write) int64 {
+func (t *Table) apply(w services.Write) int64 {
 	switch {
 	case w.Check:
 		return t.rows[w.Key].Version
@@ -247,24 +247,24 @@
 		return 0
 	}
 	t.last[w.Key]++
-	row := platform.Row{Key: w.Key, Version: t.last[w.Key], Value: bytes.Clone(w.Value)}
+	row := services.Row{Key: w.Key, Version: t.last[w.Key], Value: bytes.Clone(w.Value)}
 	t.rows[w.Key] = row
 	return row.Version
 }
 
-func clone(r platform.Row) platform.Row {
+func clone(r services.Row) services.Row {
 	r.Value = bytes.Clone(r.Value)
 	return r
 }
 
 type direct struct{ t *Table }
 
-func (d direct) Get(_ context.Context, key string) (platform.Row, error) { return d.t.get(key), nil }
+func (d direct) Get(_ context.Context, key string) (services.Row, error) { return d.t.get(key), nil }
 
-func (d direct) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (d direct) List(_ context.Context, prefix, after string, limit int) ([]services.Row, error) {
 	return d.t.list(prefix, after, limit), nil
 }
 
-func (d direct) Commit(_ context.Context, writes []platform.Write) ([]int64, error) {
+func (d direct) Commit(_ context.Context, writes []services.Write) ([]int64, error) {
 	return d.t.commit(writes)
 }
--- a/platform/memtable/memtable_test.go
+++ b/services/memtable/memtable_test.go
@@ -8,20 +8,20 @@
 
 	. "github.com/onsi/gomega"
 
-	"samphirepoint/platform"
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services"
+	"samphirepoint/services/memtable"
 )
 
 // A version that repeats after a delete would let an old condition match a new row.
 func TestVersionsDoNotRepeatAfterDelete(t *testing.T) {
 	g := NewWithT(t)
 	ctx, tab := context.Background(), memtable.New()
-	v, err := tab.Commit(ctx, []platform.Write{{Key: "a", Value: []byte("1")}})
+	v, err := tab.Commit(ctx, []services.Write{{Key: "a", Value: []byte("1")}})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(v).To(Equal([]int64{1}))
-	_, err = tab.Commit(ctx, []platform.Write{{Key: "a", IfVersion: 1, Delete: true}})
+	_, err = tab.Commit(ctx, []services.Write{{Key: "a", IfVersion: 1, Delete: true}})
 	g.Expect(err).NotTo(HaveOccurred())
-	v, err = tab.Commit(ctx, []platform.Write{{Key: "a", Value: []byte("2")}})
+	v, err = tab.Commit(ctx, []services.Write{{Key: "a", Value: []byte("2")}})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(v).To(Equal([]int64{2}))
 }
@@ -30,8 +30,8 @@
 func TestCommitIsAllOrNothing(t *testing.T) {
 	g := NewWithT(t)
 	ctx, tab := context.Background(), memtable.New()
-	_, err := tab.Commit(ctx, []platform.Write{{Key: "a", IfVersion: platform.AnyVersion}, {Key: "b", IfVersion: 3, Check: true}})
-	g.Expect(err).To(MatchError(platform.ErrConflict))
+	_, err := tab.Commit(ctx, []services.Write{{Key: "a", IfVersion: services.AnyVersion}, {Key: "b", IfVersion: 3, Check: true}})
+	g.Expect(err).To(MatchError(services.ErrConflict))
 	row, err := tab.Get(ctx, "a")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(row.Version).To(BeZero())
@@ -50,7 +50,7 @@
 		}[c.Writes[0].Key]
 	})
 	put := func(key string) error {
-		_, err := tab.Commit(ctx, []platform.Write{{Key: key}})
+		_, err := tab.Commit(ctx, []services.Write{{Key: key}})
 		return err
 	}
 	g.Expect(put("before")).To(MatchError(refused))
--- a/platform/platform.go
+++ b/services/services.go
@@ -1,8 +1,8 @@
-// Package platform describes the services that the platform offers to samphirepoint: a
+// Package services describes the services that the platform offers to samphirepoint: a
 // transactional table, an object store and a lagging list of instances. The interfaces are
 // small so that another platform needs only another adapter; Client speaks the HTTP protocol of
 // the stand-in platform.
-package platform
+package services
 
 import (
 	"context"
--- a/standin/platformd/instances.go
+++ b/standin/platformd/instances.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 )
 
 const (
@@ -18,7 +18,7 @@
 type listing struct {
 	from     time.Time
 	present  bool
-	instance platform.Instance
+	instance services.Instance
 }
 
 type registration struct {
@@ -31,7 +31,7 @@
 	registrations map[string]*registration
 }
 
-func (l *instanceList) put(now time.Time, in platform.Instance) {
+func (l *instanceList) put(now time.Time, in services.Instance) {
 	reg := l.registrations[in.ID]
 	if reg == nil {
 		reg = &registration{}
@@ -56,9 +56,9 @@
 }
 
 // view returns the instances that were registered at time now-lag.
-func (l *instanceList) view(now time.Time, lag time.Duration) []platform.Instance {
+func (l *instanceList) view(now time.Time, lag time.Duration) []services.Instance {
 	at := now.Add(-lag)
-	list := []platform.Instance{}
+	list := []services.Instance{}
 	for id, reg := range l.registrations {
 		reg.expire(now)
 		if last, _ := reg.last(); !last.present && now.Sub(last.from) > historyKept {
--- a/standin/platformd/instances_test.go
+++ b/standin/platformd/instances_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 )
 
 // A killed process must vanish from the list by itself, a renewed one must stay.
@@ -14,7 +14,7 @@
 	g := NewWithT(t)
 	l := instanceList{registrations: map[string]*registration{}}
 	t0 := time.Unix(1000, 0)
-	in := platform.Instance{ID: "w1", Kind: platform.KindWorker}
+	in := services.Instance{ID: "w1", Kind: services.KindWorker}
 	l.put(t0, in)
 	l.put(t0.Add(5*time.Second), in)
 	g.Expect(l.view(t0.Add(10*time.Second), 0)).To(HaveLen(1))
--- a/standin/platformd/server.go
+++ b/standin/platformd/server.go
@@ -15,7 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/standin"
 )
 
@@ -133,17 +133,17 @@
 }
 
 // Row reads a row past all faults and counters.
-func (s *Server) Row(key string) platform.Row {
+func (s *Server) Row(key string) services.Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.table.get(key)
 }
 
 // Rows lists rows past all faults and counters.
-func (s *Server) Rows(prefix string) []platform.Row {
+func (s *Server) Rows(prefix string) []services.Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.list(platform.ListQuery{Prefix: prefix})
+	return s.table.list(services.ListQuery{Prefix: prefix})
 }
 
 func (s *Server) routes() {
@@ -279,7 +279,7 @@
 }
 
 func (s *Server) listRows(w http.ResponseWriter, r *http.Request) effect {
-	var q platform.ListQuery
+	var q services.ListQuery
 	if !standin.ReadJSON(w, r, &q) {
 		return nil
 	}
@@ -292,7 +292,7 @@
 }
 
 func (s *Server) commit(w http.ResponseWriter, r *http.Request) effect {
-	var q platform.CommitQuery
+	var q services.CommitQuery
 	if !standin.ReadJSON(w, r, &q) {
 		return nil
 	}
@@ -308,12 +308,12 @@
 		}
 		s.counters.Writes++
 		s.note(q.Writes)
-		return reply{status: http.StatusOK, json: platform.CommitReply{Versions: versions}, rows: len(q.Writes)}
+		return reply{status: http.StatusOK, json: services.CommitReply{Versions: versions}, rows: len(q.Writes)}
 	}
 }
 
 // note counts the written rows and reports them to the observer.
-func (s *Server) note(writes []platform.Write) {
+func (s *Server) note(writes []services.Write) {
 	now := time.Now()
 	for _, w := range writes {
 		if w.Check {
@@ -370,7 +370,7 @@
 }
 
 func (s *Server) putInstance(w http.ResponseWriter, r *http.Request) effect {
-	var in platform.Instance
+	var in services.Instance
 	if !standin.ReadJSON(w, r, &in) {
 		return nil
 	}
@@ -378,9 +378,9 @@
 		in.ID = r.PathValue("id")
 	}
 	if in.State == "" {
-		in.State = platform.StateLive
+		in.State = services.StateLive
 	}
-	if in.ID != r.PathValue("id") || (in.Kind != platform.KindWorker && in.Kind != platform.KindEntry) {
+	if in.ID != r.PathValue("id") || (in.Kind != services.KindWorker && in.Kind != services.KindEntry) {
 		http.Error(w, "id of the path and kind worker or entry expected", http.StatusBadRequest)
 		return nil
 	}
--- a/standin/platformd/server_test.go
+++ b/standin/platformd/server_test.go
@@ -9,13 +9,13 @@
 
 	. "github.com/onsi/gomega"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/standin"
 	"samphirepoint/standin/platformd"
 	"samphirepoint/verdict"
 )
 
-func start(t *testing.T, o platformd.Options) (*platformd.Server, *platform.Client, string) {
+func start(t *testing.T, o platformd.Options) (*platformd.Server, *services.Client, string) {
 	t.Helper()
 	s := platformd.New(o)
 	l, err := s.Start("127.0.0.1:0")
@@ -23,7 +23,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(l.Close)
-	return s, platform.NewClient(l.URL(), &http.Client{}), l.URL()
+	return s, services.NewClient(l.URL(), &http.Client{}), l.URL()
 }
 
 // A version that repeats after a delete would let an old condition match a new row.
@@ -31,15 +31,15 @@
 	g := NewWithT(t)
 	ctx := context.Background()
 	_, c, _ := start(t, platformd.Options{})
-	v, err := c.Commit(ctx, []platform.Write{{Key: "claims/a b/1", Value: []byte("x")}})
+	v, err := c.Commit(ctx, []services.Write{{Key: "claims/a b/1", Value: []byte("x")}})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(v).To(Equal([]int64{1}))
-	_, err = c.Commit(ctx, []platform.Write{{Key: "claims/a b/1", IfVersion: 1, Delete: true}})
+	_, err = c.Commit(ctx, []services.Write{{Key: "claims/a b/1", IfVersion: 1, Delete: true}})
 	g.Expect(err).NotTo(HaveOccurred())
 	row, err := c.Get(ctx, "claims/a b/1")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(row.Version).To(BeZero())
-	v, err = c.Commit(ctx, []platform.Write{{Key: "claims/a b/1", Value: []byte("y")}})
+	v, err = c.Commit(ctx, []services.Write{{Key: "claims/a b/1", Value: []byte("y")}})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(v[0]).To(BeNumerically(">", 1))
 }
@@ -49,12 +49,12 @@
 	g := NewWithT(t)
 	ctx := context.Background()
 	_, c, _ := start(t, platformd.Options{})
-	_, err := c.Commit(ctx, []platform.Write{{Key: "a", Value: []byte("1")}, {Key: "b", IfVersion: 3, Check: true}})
-	g.Expect(err).To(MatchError(platform.ErrConflict))
+	_, err := c.Commit(ctx, []services.Write{{Key: "a", Value: []byte("1")}, {Key: "b", IfVersion: 3, Check: true}})
+	g.Expect(err).To(MatchError(services.ErrConflict))
 	rows, err := c.List(ctx, "", "", 10)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(rows).To(BeEmpty())
-	_, err = c.Commit(ctx, []platform.Write{{Key: "a"}, {Key: "a"}})
+	_, err = c.Commit(ctx, []services.Write{{Key: "a"}, {Key: "a"}})
 	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue())
 }
 
@@ -64,13 +64,13 @@
 	ctx := context.Background()
 	s, c, _ := start(t, platformd.Options{})
 	s.SetFaults(platformd.Faults{Table: platformd.Fault{LoseReplies: 1}})
-	_, err := c.Commit(ctx, []platform.Write{{Key: "a", Value: []byte("1")}})
+	_, err := c.Commit(ctx, []services.Write{{Key: "a", Value: []byte("1")}})
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(verdict.Of(err)).To(Equal(verdict.MayHaveRun))
 	g.Expect(s.Row("a").Version).To(Equal(int64(1)))
 
 	s.SetFaults(platformd.Faults{Table: platformd.Fault{Down: true}})
-	_, err = c.Commit(ctx, []platform.Write{{Key: "b", Value: []byte("1")}})
+	_, err = c.Commit(ctx, []services.Write{{Key: "b", Value: []byte("1")}})
 	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue())
 	g.Expect(s.Row("b").Version).To(BeZero())
 	g.Expect(s.Counters().LostReplies).To(Equal(int64(1)))
@@ -85,7 +85,7 @@
 	s.SetFaults(platformd.Faults{Table: platformd.Fault{WritesPerSecond: 20}})
 	began := time.Now()
 	for range 3 {
-		_, err := c.Commit(ctx, []platform.Write{{Key: "a", IfVersion: platform.AnyVersion}, {Key: "b", IfVersion: platform.AnyVersion}})
+		_, err := c.Commit(ctx, []services.Write{{Key: "a", IfVersion: services.AnyVersion}, {Key: "b", IfVersion: services.AnyVersion}})
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 	g.Expect(time.Since(began)).To(BeNumerically(">=", 290*time.Millisecond))
@@ -97,7 +97,7 @@
 	ctx := context.Background()
 	_, c, _ := start(t, platformd.Options{})
 	_, err := c.Objects().Get(ctx, "results/1")
-	g.Expect(err).To(MatchError(platform.ErrNotFound))
+	g.Expect(err).To(MatchError(services.ErrNotFound))
 	g.Expect(c.Objects().Put(ctx, "results/1", []byte("abc"))).To(Succeed())
 	data, err := c.Objects().Get(ctx, "results/1")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -113,13 +113,13 @@
 	list, err := c.Instances().List(ctx)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(list).To(BeEmpty())
-	g.Eventually(func() []platform.Instance { list, _ = c.Instances().List(ctx); return list }).WithTimeout(5 * time.Second).Should(HaveLen(1))
+	g.Eventually(func() []services.Instance { list, _ = c.Instances().List(ctx); return list }).WithTimeout(5 * time.Second).Should(HaveLen(1))
 	put(g, url+"/instances/w1", `{"kind":"worker","address":"127.0.0.1:1","state":"leaving"}`)
 	list, _ = c.Instances().List(ctx)
-	g.Expect(list[0].State).To(Equal(platform.StateLive))
+	g.Expect(list[0].State).To(Equal(services.StateLive))
 	put(g, url+"/faults", `{"listLag":"0s"}`)
 	list, _ = c.Instances().List(ctx)
-	g.Expect(list[0].State).To(Equal(platform.StateLeaving))
+	g.Expect(list[0].State).To(Equal(services.StateLeaving))
 	g.Expect(s.Faults().ListLag).To(Equal(standin.Duration(0)))
 }
 
@@ -141,7 +141,7 @@
 	ctx := context.Background()
 	_, _, url := start(t, platformd.Options{})
 	transport := &countingTransport{}
-	c := platform.NewClient(url, &http.Client{Transport: transport})
+	c := services.NewClient(url, &http.Client{Transport: transport})
 	put(g, url+"/instances/w1", `{"kind":"worker","address":"127.0.0.1:1"}`)
 	first, err := c.Instances().List(ctx)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -156,7 +156,7 @@
 	put(g, url+"/instances/w1", `{"kind":"worker","address":"127.0.0.1:1","state":"leaving"}`)
 	changed, err := c.Instances().List(ctx)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(changed[0].State).To(Equal(platform.StateLeaving))
+	g.Expect(changed[0].State).To(Equal(services.StateLeaving))
 }
 
 func put(g *WithT, url, body string) {
--- a/standin/platformd/store.go
+++ b/standin/platformd/store.go
@@ -6,13 +6,13 @@
 	"strings"
 	"time"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 )
 
 // Change is a committed change of one row, for checkers that need the full history.
 type Change struct {
 	Time time.Time
-	Row  platform.Row // Version 0 after a delete
+	Row  services.Row // Version 0 after a delete
 }
 
 // cell is a row or the trace of a deleted one, which keeps versions from repeating.
@@ -27,16 +27,16 @@
 	cells map[string]cell
 }
 
-func (s *store) get(key string) platform.Row {
+func (s *store) get(key string) services.Row {
 	c := s.cells[key]
 	if !c.present {
-		return platform.Row{Key: key}
+		return services.Row{Key: key}
 	}
-	return platform.Row{Key: key, Version: c.version, Value: c.value}
+	return services.Row{Key: key, Version: c.version, Value: c.value}
 }
 
-func (s *store) list(q platform.ListQuery) []platform.Row {
-	rows := []platform.Row{}
+func (s *store) list(q services.ListQuery) []services.Row {
+	rows := []services.Row{}
 	for key, c := range s.cells {
 		if c.present && strings.HasPrefix(key, q.Prefix) && key > q.After {
 			rows = append(rows, s.get(key))
@@ -50,7 +50,7 @@
 }
 
 // validate refuses transactions whose result would depend on the order of the writes.
-func validate(writes []platform.Write) error {
+func validate(writes []services.Write) error {
 	if len(writes) == 0 {
 		return fmt.Errorf("transaction without writes")
 	}
@@ -62,7 +62,7 @@
 		if seen[w.Key] {
 			return fmt.Errorf("key %q twice in one transaction", w.Key)
 		}
-		if w.IfVersion < platform.AnyVersion {
+		if w.IfVersion < services.AnyVersion {
 			return fmt.Errorf("key %q: version %d", w.Key, w.IfVersion)
 		}
 		seen[w.Key] = true
@@ -71,10 +71,10 @@
 }
 
 // commit applies all writes or none. The new version of a deleted row is 0, that of a checked row its current one.
-func (s *store) commit(writes []platform.Write) ([]int64, error) {
+func (s *store) commit(writes []services.Write) ([]int64, error) {
 	for _, w := range writes {
-		if w.IfVersion != platform.AnyVersion && s.get(w.Key).Version != w.IfVersion {
-			return nil, platform.ErrConflict
+		if w.IfVersion != services.AnyVersion && s.get(w.Key).Version != w.IfVersion {
+			return nil, services.ErrConflict
 		}
 	}
 	versions := make([]int64, len(writes))
@@ -87,7 +87,7 @@
 	return versions, nil
 }
 
-func (s *store) apply(w platform.Write) {
+func (s *store) apply(w services.Write) {
 	c := s.cells[w.Key]
 	switch {
 	case w.Delete && c.present:
--- a/standin/workerd/register.go
+++ b/standin/workerd/register.go
@@ -10,14 +10,14 @@
 	"strings"
 	"time"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 )
 
 // renewInterval leaves two renewals that may fail before a registration expires after 6 s.
 const renewInterval = 2 * time.Second
 
 // Register puts an instance into the list of the platform at base.
-func Register(ctx context.Context, c *http.Client, base string, in platform.Instance) error {
+func Register(ctx context.Context, c *http.Client, base string, in services.Instance) error {
 	data, err := json.Marshal(in)
 	if err != nil {
 		return err
--- a/standin/workerd/server.go
+++ b/standin/workerd/server.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"samphirepoint/platform"
 	"samphirepoint/request"
+	"samphirepoint/services"
 	"samphirepoint/standin"
 	"samphirepoint/verdict"
 )
@@ -428,20 +428,20 @@
 	}
 }
 
-func (s *Server) describe() platform.Instance {
+func (s *Server) describe() services.Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.usage = Usage{Slots: len(s.running), AsOf: time.Now()}
-	state := platform.StateLive
+	state := services.StateLive
 	if s.leavingLocked() {
-		state = platform.StateLeaving
+		state = services.StateLeaving
 	}
 	o := s.options
 	address := o.Advertise
 	if address == "" {
 		address = s.address // fixed before the registration starts
 	}
-	return platform.Instance{ID: o.ID, Kind: platform.KindWorker, Address: address, Zone: o.Zone, Region: o.Region,
+	return services.Instance{ID: o.ID, Kind: services.KindWorker, Address: address, Zone: o.Zone, Region: o.Region,
 		Rack: o.Rack, State: state, Slots: o.Slots}
 }
 
--- a/standin/workerd/server_test.go
+++ b/standin/workerd/server_test.go
@@ -14,8 +14,8 @@
 
 	. "github.com/onsi/gomega"
 
-	"samphirepoint/platform"
 	"samphirepoint/request"
+	"samphirepoint/services"
 	"samphirepoint/standin/platformd"
 	"samphirepoint/standin/workerd"
 	"samphirepoint/verdict"
@@ -181,17 +181,17 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	defer l.Close()
 	s := start(t, workerd.Options{ID: "w9", Zone: "gasabo", Rack: "r2", Platform: l.URL()})
-	c := platform.NewClient(l.URL(), &http.Client{})
-	state := func() platform.State {
+	c := services.NewClient(l.URL(), &http.Client{})
+	state := func() services.State {
 		list, err := c.Instances().List(context.Background())
 		if err != nil || len(list) != 1 {
 			return ""
 		}
 		return list[0].State
 	}
-	g.Eventually(state).WithTimeout(5 * time.Second).Should(Equal(platform.StateLive))
+	g.Eventually(state).WithTimeout(5 * time.Second).Should(Equal(services.StateLive))
 	s.Drain(true)
-	g.Eventually(state).WithTimeout(5 * time.Second).Should(Equal(platform.StateLeaving))
+	g.Eventually(state).WithTimeout(5 * time.Second).Should(Equal(services.StateLeaving))
 }
 
 func call(g *WithT, method string, s *workerd.Server, path, body string) workerd.Task {
--- a/table/accept.go
+++ b/table/accept.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"strings"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 )
 
 // AcceptRequest asks to put the draft in force.
@@ -51,7 +51,7 @@
 	}
 	err := s.run(ctx, transaction{
 		id: req.Operation,
-		plan: func(ctx context.Context) ([]platform.Write, bool, error) {
+		plan: func(ctx context.Context) ([]services.Write, bool, error) {
 			if ok, err := found(ctx); ok || err != nil {
 				result.Repeated = ok
 				return nil, ok, err
@@ -76,7 +76,7 @@
 	return result, nil
 }
 
-func (s *Store) planAccept(ctx context.Context, req AcceptRequest) (*Document, []platform.Write, error) {
+func (s *Store) planAccept(ctx context.Context, req AcceptRequest) (*Document, []services.Write, error) {
 	draft, err := s.Draft(ctx)
 	if err != nil {
 		return nil, nil, err
@@ -94,7 +94,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	writes = append(writes, platform.Write{Key: KeyDraft, IfVersion: draft.Version, Delete: true})
+	writes = append(writes, services.Write{Key: KeyDraft, IfVersion: draft.Version, Delete: true})
 	return doc, writes, nil
 }
 
@@ -114,7 +114,7 @@
 }
 
 // acceptWrites returns the writes that put a document in force over the given row version.
-func acceptWrites(r Record, currentRow int64) ([]platform.Write, error) {
+func acceptWrites(r Record, currentRow int64) ([]services.Write, error) {
 	current, err := encode(r.Document)
 	if err != nil {
 		return nil, err
@@ -127,9 +127,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return []platform.Write{
+	return []services.Write{
 		{Key: KeyCurrent, IfVersion: currentRow, Value: current},
-		{Key: KeyVersion, IfVersion: platform.AnyVersion, Value: strconv.AppendInt(nil, r.Version, 10)},
+		{Key: KeyVersion, IfVersion: services.AnyVersion, Value: strconv.AppendInt(nil, r.Version, 10)},
 		{Key: HistoryKey(r.Version), IfVersion: 0, Value: history},
 		{Key: PrefixOperations + r.Operation, IfVersion: 0, Value: operation},
 	}, nil
@@ -147,7 +147,7 @@
 	var planned presentDraft
 	return s.run(ctx, transaction{
 		id: "discard",
-		plan: func(ctx context.Context) ([]platform.Write, bool, error) {
+		plan: func(ctx context.Context) ([]services.Write, bool, error) {
 			present, err := s.present(ctx)
 			if err != nil {
 				return nil, false, err
@@ -156,7 +156,7 @@
 				return nil, done, err
 			}
 			planned = present
-			return []platform.Write{{Key: KeyDraft, IfVersion: present.Draft, Delete: true}}, false, nil
+			return []services.Write{{Key: KeyDraft, IfVersion: present.Draft, Delete: true}}, false, nil
 		},
 		applied: func(ctx context.Context) (bool, error) {
 			present, err := s.present(ctx)
@@ -212,7 +212,7 @@
 	}
 	err := s.run(ctx, transaction{
 		id: bootstrapOperation,
-		plan: func(ctx context.Context) ([]platform.Write, bool, error) {
+		plan: func(ctx context.Context) ([]services.Write, bool, error) {
 			current, row, err := s.readCurrent(ctx)
 			if err != nil || row != 0 {
 				return nil, err == nil, err
--- a/table/draft.go
+++ b/table/draft.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 )
 
 // Draft is the change that operators prepare together. There is at most one.
@@ -206,7 +206,7 @@
 	newID := rand.Text()
 	err := s.run(ctx, transaction{
 		id: operation,
-		plan: func(ctx context.Context) ([]platform.Write, bool, error) {
+		plan: func(ctx context.Context) ([]services.Write, bool, error) {
 			draft, err := s.Draft(ctx)
 			if err != nil {
 				return nil, false, err
@@ -264,7 +264,7 @@
 	return Diff(d.Document, next), nil
 }
 
-func draftWrites(draft *Draft, operation, newID string) ([]platform.Write, bool, error) {
+func draftWrites(draft *Draft, operation, newID string) ([]services.Write, bool, error) {
 	if draft.Version == 0 {
 		draft.ID = newID
 	}
@@ -274,7 +274,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	return []platform.Write{
+	return []services.Write{
 		{Key: KeyDraft, IfVersion: draft.Version, Value: value},
 		{Key: KeyCurrent, IfVersion: draft.currentRow, Check: true},
 	}, false, nil
--- a/table/helpers_test.go
+++ b/table/helpers_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services/memtable"
 	"samphirepoint/table"
 )
 
--- a/table/history.go
+++ b/table/history.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/verdict"
 )
 
@@ -44,7 +44,7 @@
 
 // DecodeCurrent returns the document in row config/current, nil for an absent row. The value of
 // the row is the document in JSON.
-func DecodeCurrent(row platform.Row) (*Document, error) {
+func DecodeCurrent(row services.Row) (*Document, error) {
 	if row.Version == 0 {
 		return nil, nil
 	}
@@ -56,7 +56,7 @@
 }
 
 // decodeRow fails with verdict NotRun, since rows are decoded before anything is written.
-func decodeRow(row platform.Row, into any) error {
+func decodeRow(row services.Row, into any) error {
 	if err := json.Unmarshal(row.Value, into); err != nil {
 		return verdict.Wrap(fmt.Errorf("row %s, version %d: %w", row.Key, row.Version, err), verdict.NotRun, http.StatusInternalServerError)
 	}
--- a/table/race_test.go
+++ b/table/race_test.go
@@ -5,8 +5,8 @@
 
 	. "github.com/onsi/gomega"
 
-	"samphirepoint/platform"
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services"
+	"samphirepoint/services/memtable"
 	"samphirepoint/table"
 )
 
@@ -90,7 +90,7 @@
 	r := newRace(t)
 	r.setsWeight()
 	r.at(memtable.OpCommit, table.KeyCurrent, memtable.Fault{}, func() {
-		_, err := r.tab.Direct().Commit(ctx, []platform.Write{{Key: table.KeyCurrent, IfVersion: 1, Value: []byte(`{"version":7}`)}})
+		_, err := r.tab.Direct().Commit(ctx, []services.Write{{Key: table.KeyCurrent, IfVersion: 1, Value: []byte(`{"version":7}`)}})
 		r.Expect(err).NotTo(HaveOccurred())
 	})
 	_, err := accept(r.store, "a1")
--- a/table/store.go
+++ b/table/store.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"samphirepoint/platform"
+	"samphirepoint/services"
 	"samphirepoint/verdict"
 )
 
@@ -50,12 +50,12 @@
 // ErrNoChange, ErrOperationReused, ErrContention, or an error with verdict NotRun) means that
 // nothing was written. An *UnknownOutcomeError means that the write may have taken effect.
 type Store struct {
-	table platform.Table
+	table services.Table
 	opt   Options
 }
 
 // NewStore returns a store on the given table.
-func NewStore(t platform.Table, opt Options) *Store {
+func NewStore(t services.Table, opt Options) *Store {
 	if opt.Now == nil {
 		opt.Now = time.Now
 	}
@@ -93,14 +93,14 @@
 	return d, row.Version, nil
 }
 
-func (s *Store) get(ctx context.Context, key string) (platform.Row, error) {
+func (s *Store) get(ctx context.Context, key string) (services.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	row, err := s.table.Get(ctx, key)
 	return row, readError(err)
 }
 
-func (s *Store) list(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (s *Store) list(ctx context.Context, prefix, after string, limit int) ([]services.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	rows, err := s.table.List(ctx, prefix, after, limit)
@@ -115,7 +115,7 @@
 	return verdict.WithRetryAfter(verdict.Wrap(fmt.Errorf("table: %w", err), verdict.NotRun, http.StatusServiceUnavailable), retryAfter)
 }
 
-func (s *Store) commit(ctx context.Context, writes []platform.Write) error {
+func (s *Store) commit(ctx context.Context, writes []services.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := s.table.Commit(ctx, writes)
@@ -126,7 +126,7 @@
 type transaction struct {
 	id string
 	// plan reads the state and returns the writes, or done if the operation took effect before.
-	plan func(context.Context) (writes []platform.Write, done bool, err error)
+	plan func(context.Context) (writes []services.Write, done bool, err error)
 	// applied reads back whether the operation took effect.
 	applied func(context.Context) (bool, error)
 }
@@ -135,7 +135,7 @@
 // sends the very same writes again: each is conditional on row versions that never repeat, so at
 // most one copy takes effect, and a conflict proves that no copy can take effect any more.
 func (s *Store) run(ctx context.Context, t transaction) error {
-	var pending []platform.Write
+	var pending []services.Write
 	var last error
 	for attempt := range commitAttempts {
 		if attempt > 0 && !s.pause(ctx, attempt) {
@@ -153,7 +153,7 @@
 		if err == nil {
 			return nil
 		}
-		conflict := errors.Is(err, platform.ErrConflict)
+		conflict := errors.Is(err, services.ErrConflict)
 		refused := conflict || verdict.Is(err, verdict.NotRun)
 		if refused && pending == nil {
 			if !conflict {
--- a/table/store_test.go
+++ b/table/store_test.go
@@ -10,8 +10,8 @@
 
 	. "github.com/onsi/gomega"
 
-	"samphirepoint/platform"
-	"samphirepoint/platform/memtable"
+	"samphirepoint/services"
+	"samphirepoint/services/memtable"
 	"samphirepoint/table"
 	"samphirepoint/verdict"
 )
@@ -225,7 +225,7 @@
 	_, err := s.SetCells(ctx, "e1", "aline", []table.Edit{edit("inzira.weight", "2", "3"), edit("umoja.weight", "1", "2")})
 	g.Expect(err).NotTo(HaveOccurred())
 	newer := `{"version":7,"backers":[{"name":"inzira","weight":5},{"name":"umoja","weight":1}],"pools":[],"queues":[]}`
-	_, err = tab.Commit(ctx, []platform.Write{{Key: table.KeyCurrent, IfVersion: 1, Value: []byte(newer)}})
+	_, err = tab.Commit(ctx, []services.Write{{Key: table.KeyCurrent, IfVersion: 1, Value: []byte(newer)}})
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = accept(s, "a1")
 	g.Expect(err).To(MatchError(&table.StaleDraftError{Base: 1, Accepted: 7}))
