--- a/integration/world_test.go
+++ b/integration/world_test.go
@@ -245,7 +245,7 @@
 		}
 	}
 	file := filepath.Join(w.dir, e.id+".yaml")
-	data := fmt.Sprintf(settingsYAML, e.id, e.callers, e.peers, e.front, e.services.Address(), strings.Join(fronts, ", "), e.id+".tokens.yaml")
+	data := fmt.Sprintf(settingsYAML, e.id, e.callers, e.peers, e.front, e.platform.Address(), strings.Join(fronts, ", "), e.id+".tokens.yaml")
 	w.Expect(os.WriteFile(file, []byte(data), 0o600)).To(Succeed())
 	e.starts++
 	e.session = w.start(fmt.Sprintf("%s.%d", e.id, e.starts), "entry", "-settings", file)
