--- /dev/null
+++ b/cluster/members.go
@@ -0,0 +1,137 @@
+package cluster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is the value of a daemon's row.
+type Member struct {
+	Node        string           `json:"n"`
+	Incarnation string           `json:"i"`
+	Address     string           `json:"a"`
+	Zone        string           `json:"z"`
+	Beat        int64            `json:"b"`
+	Leaving     bool             `json:"l,omitempty"`
+	Pools       map[string]int64 `json:"p,omitempty"`
+	Version     int64            `json:"v,omitempty"`
+}
+
+// observed is a member as this daemon has seen it change.
+type observed struct {
+	Member
+	changedAt time.Duration
+	refused   int
+}
+
+// View is what a daemon knows of the others. It is not safe for concurrent use.
+type View struct {
+	self    string
+	members map[string]*observed
+	// deadAfter is the time without a change after which a member counts as dead.
+	deadAfter time.Duration
+}
+
+// NewView returns an empty view of the daemon self.
+func NewView(self string, deadAfter time.Duration) *View {
+	return &View{self: self, members: map[string]*observed{}, deadAfter: deadAfter}
+}
+
+// Observe takes in all rows as read at now.
+func (v *View) Observe(list []Member, now time.Duration) {
+	seen := map[string]bool{}
+	for _, m := range list {
+		seen[m.Node] = true
+		o := v.members[m.Node]
+		if o == nil || o.Incarnation != m.Incarnation || o.Beat != m.Beat {
+			v.members[m.Node] = &observed{Member: m, changedAt: now}
+			continue
+		}
+		o.Member = m
+	}
+	for n := range v.members {
+		if !seen[n] {
+			delete(v.members, n)
+		}
+	}
+}
+
+// Postpone moves all observations on by a time in which nothing could be observed.
+func (v *View) Postpone(d time.Duration) {
+	for _, o := range v.members {
+		o.changedAt += d
+	}
+}
+
+// Refused notes that a daemon's address refused a connection: its process is gone.
+func (v *View) Refused(node string) {
+	if o := v.members[node]; o != nil {
+		o.refused++
+	}
+}
+
+// refusedLimit is how many refused connections in a row, without a beat between, mean death.
+const refusedLimit = 2
+
+// Alive returns the members that beat, in order of their names.
+func (v *View) Alive(now time.Duration) []Member {
+	var out []Member
+	for _, o := range v.members {
+		if o.Node == v.self || (now-o.changedAt <= v.deadAfter && o.refused < refusedLimit) {
+			out = append(out, o.Member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
+	return out
+}
+
+// Owner returns the member that claims a pool with the highest token.
+func Owner(members []Member, pool string) (Member, bool) {
+	var best Member
+	found := false
+	for _, m := range members {
+		if t, ok := m.Pools[pool]; ok && (!found || t > best.Pools[pool]) {
+			best, found = m, true
+		}
+	}
+	return best, found
+}
+
+// Assign says which member is to take each pool that no living member owns: the one with the fewest pools, among equals
+// the one with the highest hash. Members that leave get none, and what they have counts as free if handOver is set.
+func Assign(members []Member, pools []string, handOver bool) map[string]string {
+	load := map[string]int{}
+	var able []Member
+	for _, m := range members {
+		if !m.Leaving {
+			able = append(able, m)
+			load[m.Node] = 0
+		}
+	}
+	out := map[string]string{}
+	if len(able) == 0 {
+		return out
+	}
+	var free []string
+	for _, p := range slices.Sorted(slices.Values(pools)) {
+		o, ok := Owner(members, p)
+		if ok && (!o.Leaving || !handOver) {
+			load[o.Node]++
+			continue
+		}
+		free = append(free, p)
+	}
+	for _, p := range free {
+		best := slices.MinFunc(able, func(a, b Member) int {
+			return cmp.Or(cmp.Compare(load[a.Node], load[b.Node]), cmp.Compare(rank(b.Node, p), rank(a.Node, p)))
+		})
+		out[p] = best.Node
+		load[best.Node]++
+	}
+	return out
+}
+
+func rank(node, pool string) uint64 { return xxhash.Sum64String(node + "\x00" + pool) }
--- /dev/null
+++ b/cluster/node.go
@@ -0,0 +1,353 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphirepoint/catalog"
+	"samphirepoint/engine"
+	"samphirepoint/owner"
+	"samphirepoint/rows"
+	"samphirepoint/verdict"
+)
+
+// TableMembers holds one row a daemon.
+const TableMembers = "members"
+
+const (
+	// beatInterval is the time between two writes of the daemon's row.
+	beatInterval = 400 * time.Millisecond
+	// deadAfter is how long a row may stand still.
+	deadAfter = 1700 * time.Millisecond
+	// settleTime is how long a starting daemon looks before it takes pools that others may be about to take.
+	settleTime = 500 * time.Millisecond
+	// storeTime bounds one call to the store.
+	storeTime = 800 * time.Millisecond
+	// claimPause is the least time between two tries to take the same pool.
+	claimPause = 300 * time.Millisecond
+)
+
+// Roster reads the platform's list of workers by pool.
+type Roster interface {
+	Workers(ctx context.Context) (map[string][]engine.WorkerInfo, error)
+}
+
+// Settings are what a Node needs.
+type Settings struct {
+	Name        string
+	Incarnation string
+	Address     string
+	Zone        string
+	Store       rows.Store
+	Workers     owner.Workers
+	Adviser     owner.Adviser
+	Roster      Roster
+	Options     engine.Options
+	Log         zerolog.Logger
+	Now         func() time.Duration
+}
+
+// Node is one daemon's part in the cluster.
+type Node struct {
+	set     Settings
+	catalog atomic.Pointer[catalog.Catalog]
+	leaving atomic.Bool
+	peers   *peerClient
+
+	mu     sync.Mutex
+	view   *View
+	owned  map[string]*owner.Owner
+	tried  map[string]time.Duration
+	beat   int64
+	lastOK time.Duration
+	roster map[string][]engine.WorkerInfo
+	kick   chan struct{}
+	since  time.Duration
+	extra  []string
+	// onOwned starts what belongs to an ownership that is no pool, such as the fleet's.
+	claims map[string]int64
+}
+
+// NewNode returns a daemon that has not joined yet.
+func NewNode(s Settings) *Node {
+	return &Node{
+		set: s, view: NewView(s.Name, deadAfter), owned: map[string]*owner.Owner{}, tried: map[string]time.Duration{},
+		kick: make(chan struct{}, 1), peers: newPeerClient(), since: s.Now(), claims: map[string]int64{},
+	}
+}
+
+// SetCatalog puts a newer version in force.
+func (n *Node) SetCatalog(c *catalog.Catalog) {
+	old := n.catalog.Load()
+	if old != nil && old.Version >= c.Version {
+		return
+	}
+	n.catalog.Store(c)
+	n.set.Log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Msg("configuration in force")
+	n.mu.Lock()
+	owned := maps.Clone(n.owned)
+	n.mu.Unlock()
+	for pool, o := range owned {
+		o.SetQueues(c.QueuesOf(pool))
+	}
+	n.Kick()
+}
+
+// Catalog is the configuration in force, or nil.
+func (n *Node) Catalog() *catalog.Catalog { return n.catalog.Load() }
+
+// Kick lets the next beat come at once.
+func (n *Node) Kick() {
+	select {
+	case n.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run beats, observes and takes pools until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		began := n.set.Now()
+		n.round(ctx)
+		wait := beatInterval - (n.set.Now() - began)
+		t := time.NewTimer(max(wait, 20*time.Millisecond))
+		select {
+		case <-ctx.Done():
+		case <-n.kick:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, o := range n.owned {
+		o.Stop()
+	}
+	return nil
+}
+
+func (n *Node) round(ctx context.Context) {
+	n.writeBeat(ctx)
+	if !n.observe(ctx) {
+		return
+	}
+	n.takePools(ctx)
+}
+
+// self is the daemon's row as it is now.
+func (n *Node) self() Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.beat++
+	m := Member{
+		Node: n.set.Name, Incarnation: n.set.Incarnation, Address: n.set.Address, Zone: n.set.Zone, Beat: n.beat,
+		Leaving: n.leaving.Load(), Pools: map[string]int64{},
+	}
+	for p, o := range n.owned {
+		m.Pools[p] = o.Token()
+	}
+	if c := n.catalog.Load(); c != nil {
+		m.Version = c.Version
+	}
+	return m
+}
+
+func (n *Node) writeBeat(ctx context.Context) {
+	m := n.self()
+	value, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // A member holds plain values only.
+	}
+	c, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	key := rows.Key{Table: TableMembers, Name: n.set.Name}
+	if _, err := n.set.Store.Transact(c, rows.Tx{Writes: []rows.Write{{Key: key, Value: value}}}); err != nil {
+		n.set.Log.Warn().Err(err).Msg("beat not written")
+	}
+}
+
+// observe reads all members. While the store can't be read, nobody is taken for dead.
+func (n *Node) observe(ctx context.Context) bool {
+	c, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	list, _, err := n.set.Store.Read(c, TableMembers, "")
+	now := n.set.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err != nil {
+		n.set.Log.Warn().Err(err).Msg("members not read")
+		return false
+	}
+	if gap := now - n.lastOK; n.lastOK != 0 && gap > deadAfter/2 {
+		n.view.Postpone(gap)
+	}
+	n.lastOK = now
+	var members []Member
+	for _, r := range list {
+		var m Member
+		if json.Unmarshal(r.Value, &m) == nil && m.Node != "" {
+			members = append(members, m)
+		}
+	}
+	n.view.Observe(members, now)
+	return true
+}
+
+// StoreSeen is how long ago the store last answered.
+func (n *Node) StoreSeen() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.set.Now() - n.lastOK
+}
+
+// Alive returns the members that beat.
+func (n *Node) Alive() []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.Alive(n.set.Now())
+}
+
+func (n *Node) takePools(ctx context.Context) {
+	cat := n.catalog.Load()
+	if cat == nil || n.leaving.Load() || n.set.Now()-n.since < settleTime {
+		return
+	}
+	alive := n.Alive()
+	for pool, node := range Assign(alive, append(cat.Working(), n.extra...), false) {
+		if node == n.set.Name && n.mayTry(pool) {
+			n.take(ctx, pool)
+		}
+	}
+}
+
+func (n *Node) mayTry(pool string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.set.Now()
+	if o := n.owned[pool]; o != nil {
+		return false
+	}
+	if t, ok := n.tried[pool]; ok && now-t < claimPause {
+		return false
+	}
+	n.tried[pool] = now
+	return true
+}
+
+// take claims a pool and serves it. It returns once the claim has succeeded or failed.
+func (n *Node) take(ctx context.Context, pool string) error {
+	c, cancel := context.WithTimeout(ctx, 2*storeTime)
+	defer cancel()
+	claim, ver, err := Claim(c, n.set.Store, pool, owner.Claim{Node: n.set.Name, Incarnation: n.set.Incarnation, Address: n.set.Address})
+	if err != nil {
+		n.set.Log.Warn().Str("pool", pool).Err(err).Msg("pool not taken")
+		return err
+	}
+	n.own(ctx, pool, claim.Token, ver)
+	return nil
+}
+
+func (n *Node) own(ctx context.Context, pool string, token, ver int64) {
+	o := owner.New(ctx, owner.Settings{
+		Pool: pool, Token: token, ClaimVer: ver, Store: n.set.Store, Workers: n.set.Workers, Adviser: n.set.Adviser,
+		Options: n.set.Options, Log: n.set.Log, Now: n.set.Now,
+	})
+	n.mu.Lock()
+	n.owned[pool] = o
+	list := n.roster[pool]
+	n.mu.Unlock()
+	go func() {
+		_ = o.Run()
+		n.mu.Lock()
+		if n.owned[pool] == o {
+			delete(n.owned, pool)
+		}
+		n.mu.Unlock()
+		n.Kick()
+	}()
+	if cat := n.catalog.Load(); cat != nil {
+		o.SetQueues(cat.QueuesOf(pool))
+	}
+	if list != nil {
+		o.SetRoster(list)
+	}
+	n.Kick()
+	n.announce(ctx, pool, token)
+}
+
+// Claim raises a pool's token by one conditional write. A write without an answer is looked up, so
+// the outcome is known unless err says otherwise.
+func Claim(ctx context.Context, store rows.Store, pool string, c owner.Claim) (owner.Claim, int64, error) {
+	key := rows.Key{Table: owner.TableOwners, Part: pool, Name: owner.OwnerKey}
+	for {
+		list, _, err := store.Read(ctx, owner.TableOwners, pool)
+		if err != nil {
+			return c, 0, err
+		}
+		var old owner.Claim
+		ver := int64(0)
+		for _, r := range list {
+			if r.Name == owner.OwnerKey {
+				ver = r.Ver
+				_ = json.Unmarshal(r.Value, &old)
+			}
+		}
+		if c.Token != 0 && old == c {
+			return c, ver, nil
+		}
+		c.Token = old.Token + 1
+		value, err := json.Marshal(c)
+		if err != nil {
+			return c, 0, err
+		}
+		v, err := store.Transact(ctx, rows.Tx{Expected: []rows.Condition{{Key: key, Ver: ver}}, Writes: []rows.Write{{Key: key, Value: value}}})
+		if err == nil {
+			return c, v, nil
+		}
+		if verdict.Is(err, verdict.NotRun) || ctx.Err() != nil {
+			return c, 0, err
+		}
+	}
+}
+
+// FollowRoster reads the list of workers while this daemon owns pools.
+func (n *Node) FollowRoster(ctx context.Context, every time.Duration) error {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		busy := len(n.owned) > 0
+		n.mu.Unlock()
+		if busy {
+			n.readRoster(ctx)
+		}
+		t := time.NewTimer(every)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+func (n *Node) readRoster(ctx context.Context) {
+	c, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	list, err := n.set.Roster.Workers(c)
+	if err != nil {
+		n.set.Log.Warn().Err(err).Msg("workers not read")
+		return
+	}
+	n.mu.Lock()
+	n.roster = list
+	owned := maps.Clone(n.owned)
+	n.mu.Unlock()
+	for pool, o := range owned {
+		o.SetRoster(list[pool])
+	}
+}
--- /dev/null
+++ b/cluster/peer.go
@@ -0,0 +1,117 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"samphirepoint/verdict"
+)
+
+// The messages between daemons are JSON over net/http: one call, one answer. The verdict of an error travels in a header.
+const (
+	peerPath      = "/v1/call"
+	verdictHeader = "Samphire-Verdict"
+	maxPeerBytes  = 8 << 20
+	// dialTime is how long a connection may take; a machine without power doesn't refuse.
+	dialTime = 400 * time.Millisecond
+	// peerTime bounds a call whose caller gave no time.
+	peerTime = 3 * time.Second
+)
+
+type peerClient struct {
+	http *http.Client
+}
+
+func newPeerClient() *peerClient {
+	d := &net.Dialer{Timeout: dialTime}
+	return &peerClient{http: &http.Client{Transport: &http.Transport{
+		DialContext: d.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+	}}}
+}
+
+// call sends a call to a daemon. An error of a connection that never stood has the verdict not-run.
+func (p *peerClient) call(ctx context.Context, address string, c Call) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTime)
+	defer cancel()
+	body, err := json.Marshal(c)
+	if err != nil {
+		return Result{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+peerPath, bytes.NewReader(body))
+	if err != nil {
+		return Result{}, err
+	}
+	resp, err := p.http.Do(req)
+	if err != nil {
+		return Result{}, classify(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerBytes))
+	if err != nil {
+		return Result{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return Result{}, remoteError(resp, string(data))
+	}
+	var r Result
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Result{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
+	}
+	return r, nil
+}
+
+// classify gives an error of the transport its verdict.
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable)
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, http.StatusGatewayTimeout)
+}
+
+func remoteError(resp *http.Response, text string) error {
+	v, err := verdict.Parse(resp.Header.Get(verdictHeader))
+	if err != nil {
+		v = verdict.MayHaveRun
+	}
+	e := verdict.New(v, resp.StatusCode, "%s", text)
+	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		e = verdict.WithRetryAfter(e, time.Duration(s)*time.Second)
+	}
+	return e
+}
+
+// PeerHandler answers the calls of other daemons.
+func (n *Node) PeerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+peerPath, func(w http.ResponseWriter, r *http.Request) {
+		var c Call
+		if err := json.NewDecoder(io.LimitReader(r.Body, maxPeerBytes)).Decode(&c); err != nil {
+			writeError(w, verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest))
+			return
+		}
+		res, err := n.Local(r.Context(), c)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(res)
+	})
+	return mux
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	w.Header().Set(verdictHeader, verdict.Of(err).String())
+	if d := verdict.RetryAfter(err); d > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int((d+time.Second-1)/time.Second)))
+	}
+	w.WriteHeader(verdict.Status(err))
+	_, _ = io.WriteString(w, err.Error())
+}
--- /dev/null
+++ b/cluster/requests.go
@@ -0,0 +1,235 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"syscall"
+	"time"
+
+	"samphirepoint/engine"
+	"samphirepoint/owner"
+	"samphirepoint/verdict"
+)
+
+const (
+	// findTime is how long a request waits for a pool to have an owner.
+	findTime = 700 * time.Millisecond
+	// findPause is the time between two looks.
+	findPause = 40 * time.Millisecond
+	// noOwnerRetryAfter is when callers are told to come back while a pool has no owner.
+	noOwnerRetryAfter = time.Second
+)
+
+// Call is a request about a pool, as daemons forward it to each other.
+type Call struct {
+	Op     string       `json:"op"`
+	Pool   string       `json:"pool"`
+	Spec   *engine.Spec `json:"spec,omitempty"`
+	ID     string       `json:"id,omitempty"`
+	Queue  string       `json:"queue,omitempty"`
+	Worker string       `json:"worker,omitempty"`
+	ForMS  int64        `json:"forMS,omitempty"`
+	Token  int64        `json:"token,omitempty"`
+	From   string       `json:"from,omitempty"`
+}
+
+// Result answers a Call that did not fail.
+type Result struct {
+	Known   bool         `json:"known,omitempty"`
+	State   engine.State `json:"state,omitempty"`
+	Waiting int          `json:"waiting,omitempty"`
+	Empty   bool         `json:"empty,omitempty"`
+}
+
+// The operations of a Call.
+const (
+	OpSubmit  = "submit"
+	OpState   = "state"
+	OpCancel  = "cancel"
+	OpWaiting = "waiting"
+	OpCordon  = "cordon"
+	OpTake    = "take"
+	OpOwner   = "owner"
+)
+
+// Do carries out a call at the pool's owner, wherever that is.
+func (n *Node) Do(ctx context.Context, call Call) (Result, error) {
+	limit := n.set.Now() + findTime
+	for {
+		res, err := n.try(ctx, call)
+		if !again(err) || ctx.Err() != nil || n.set.Now() > limit {
+			return res, err
+		}
+		t := time.NewTimer(findPause)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// again reports whether the call met no owner, so that nothing was done.
+func again(err error) bool {
+	return verdict.Is(err, verdict.NotRun) && verdict.Status(err) == http.StatusMisdirectedRequest
+}
+
+func (n *Node) try(ctx context.Context, call Call) (Result, error) {
+	n.mu.Lock()
+	local := n.owned[call.Pool]
+	alive := n.view.Alive(n.set.Now())
+	n.mu.Unlock()
+	if local != nil {
+		return n.local(ctx, local, call)
+	}
+	m, ok := Owner(alive, call.Pool)
+	if !ok || m.Node == n.set.Name {
+		return Result{}, noOwner(call.Pool)
+	}
+	res, err := n.peers.call(ctx, m.Address, call)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		n.mu.Lock()
+		n.view.Refused(m.Node)
+		n.mu.Unlock()
+		n.Kick()
+		return res, noOwner(call.Pool)
+	}
+	return res, err
+}
+
+func noOwner(pool string) error {
+	return verdict.WithRetryAfter(verdict.New(verdict.NotRun, http.StatusMisdirectedRequest, "pool %s has no owner at the moment", pool), noOwnerRetryAfter)
+}
+
+// Local carries out a call that another daemon forwarded.
+func (n *Node) Local(ctx context.Context, call Call) (Result, error) {
+	switch call.Op {
+	case OpTake:
+		if n.leaving.Load() {
+			return Result{}, verdict.Unavailable(time.Second, "leaving")
+		}
+		return Result{}, n.take(context.WithoutCancel(ctx), call.Pool)
+	case OpOwner:
+		n.learnOwner(call)
+		return Result{}, nil
+	}
+	n.mu.Lock()
+	o := n.owned[call.Pool]
+	n.mu.Unlock()
+	if o == nil {
+		return Result{}, noOwner(call.Pool)
+	}
+	return n.local(ctx, o, call)
+}
+
+func (n *Node) local(ctx context.Context, o *owner.Owner, call Call) (Result, error) {
+	var res Result
+	var err error
+	switch call.Op {
+	case OpSubmit:
+		if call.Spec == nil {
+			return res, verdict.New(verdict.NotRun, http.StatusBadRequest, "a submission without a job")
+		}
+		err = o.Submit(ctx, *call.Spec)
+	case OpState:
+		res.State, res.Known, err = o.State(ctx, call.ID)
+	case OpCancel:
+		res.Known, err = o.Cancel(ctx, call.ID)
+	case OpWaiting:
+		res.Waiting, err = o.Waiting(ctx, call.Queue)
+	case OpCordon:
+		res.Empty, res.Known, err = o.Cordon(ctx, call.Worker, time.Duration(call.ForMS)*time.Millisecond)
+	default:
+		err = verdict.New(verdict.NotRun, http.StatusBadRequest, "unknown operation %q", call.Op)
+	}
+	return res, err
+}
+
+// learnOwner takes in that a daemon has just taken a pool, before its next beat says so.
+func (n *Node) learnOwner(call Call) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	o := n.view.members[call.From]
+	if o == nil {
+		return
+	}
+	pools := map[string]int64{}
+	for p, t := range o.Pools {
+		pools[p] = t
+	}
+	pools[call.Pool] = call.Token
+	o.Pools = pools
+	if own := n.owned[call.Pool]; own != nil && own.Token() < call.Token {
+		own.Stop()
+	}
+}
+
+// announce tells the other daemons of a new ownership.
+func (n *Node) announce(ctx context.Context, pool string, token int64) {
+	for _, m := range n.Alive() {
+		if m.Node == n.set.Name {
+			continue
+		}
+		go func() {
+			c, cancel := context.WithTimeout(context.WithoutCancel(ctx), 300*time.Millisecond)
+			defer cancel()
+			_, _ = n.peers.call(c, m.Address, Call{Op: OpOwner, Pool: pool, Token: token, From: n.set.Name})
+		}()
+	}
+}
+
+// Leave hands all pools to other daemons. It returns once none is left or ctx ends.
+func (n *Node) Leave(ctx context.Context) {
+	n.leaving.Store(true)
+	n.Kick()
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		var pools []string
+		for p := range n.owned {
+			pools = append(pools, p)
+		}
+		n.mu.Unlock()
+		if len(pools) == 0 {
+			return
+		}
+		n.handOver(ctx, pools)
+		t := time.NewTimer(60 * time.Millisecond)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (n *Node) handOver(ctx context.Context, pools []string) {
+	alive := n.Alive()
+	for i := range alive {
+		if alive[i].Node == n.set.Name {
+			alive[i].Leaving = true
+		}
+	}
+	for pool, node := range Assign(alive, pools, true) {
+		for _, m := range alive {
+			if m.Node != node || node == n.set.Name {
+				continue
+			}
+			c, cancel := context.WithTimeout(ctx, time.Second)
+			if _, err := n.peers.call(c, m.Address, Call{Op: OpTake, Pool: pool, From: n.set.Name}); err == nil {
+				n.drop(pool)
+			}
+			cancel()
+		}
+	}
+}
+
+func (n *Node) drop(pool string) {
+	n.mu.Lock()
+	o := n.owned[pool]
+	delete(n.owned, pool)
+	n.mu.Unlock()
+	if o != nil {
+		o.Stop()
+	}
+}
--- a/command/all.go
+++ b/command/all.go
@@ -9,6 +9,7 @@
 		tokenCommand{},
 		&devCommand{},
 		&compareCommand{},
+		&daemonCommand{},
 		&entryCommand{},
 		versionCommand{},
 		standinCommand{},
--- /dev/null
+++ b/command/daemon.go
@@ -0,0 +1,39 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+
+	"samphirepoint/daemon"
+	"samphirepoint/platform"
+)
+
+// daemonCommand runs an entry on the users' platform.
+type daemonCommand struct{}
+
+func (*daemonCommand) Name() string     { return "daemon" }
+func (*daemonCommand) Synopsis() string { return "run an entry on the users' platform" }
+func (*daemonCommand) Usage() string {
+	return "daemon:\n  Runs until SIGTERM with the settings file that " + platform.SettingsVariable + " names.\n"
+}
+func (*daemonCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command. Bad settings give exit status 2.
+func (*daemonCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	set, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "samphirepoint:", err)
+		return subcommands.ExitUsageError
+	}
+	log := zerolog.New(os.Stdout).With().Timestamp().Logger()
+	if err := daemon.New(set, log).Run(ctx); err != nil {
+		log.Error().Err(err).Msg("stop")
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,164 @@
+// Package daemon runs one entry process on the users' platform: it follows the operators' configuration, takes its
+// part in the ownership of pools and answers callers.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"samphirepoint/cluster"
+	"samphirepoint/engine"
+	"samphirepoint/platform"
+)
+
+const (
+	// rosterInterval is the time between two looks at the list of workers.
+	rosterInterval = 500 * time.Millisecond
+	// goodbye is how long new connections are still served after an order to stop, until the balancer has noticed.
+	goodbye = 2500 * time.Millisecond
+	// graceReserve is kept from the grace for the end of the process itself.
+	graceReserve = 500 * time.Millisecond
+)
+
+// Daemon is one entry process.
+type Daemon struct {
+	set     *platform.Settings
+	log     zerolog.Logger
+	store   *platform.Store
+	node    *cluster.Node
+	leaving atomic.Bool
+}
+
+// New builds a daemon from its settings.
+func New(set *platform.Settings, log zerolog.Logger) *Daemon {
+	began := time.Now()
+	d := &Daemon{set: set, log: log, store: platform.NewStore(set.Store.Address)}
+	d.node = cluster.NewNode(cluster.Settings{
+		Name: set.Node, Incarnation: incarnation(), Address: set.PeerAddress(), Zone: set.Zone,
+		Store: d.store, Workers: platform.NewWorkers(), Adviser: platform.NewAdviser(set.Advice), Roster: d.store,
+		Options: options(set), Log: log, Now: func() time.Duration { return time.Since(began) },
+	})
+	return d
+}
+
+func incarnation() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // crypto/rand.Read doesn't fail.
+	return hex.EncodeToString(b[:])
+}
+
+// options derives the engine's lengths from the platform's bounds.
+func options(set *platform.Settings) engine.Options {
+	o := engine.DefaultOptions()
+	if ms := set.Bounds.HoldMaxMS; ms > 0 {
+		o.HoldMax = time.Duration(ms) * time.Millisecond
+		o.Lease = min(o.Lease, o.HoldMax)
+	}
+	if s := set.Bounds.StatusS; s > 0 {
+		o.Retain = time.Duration((s + 30) * float64(time.Second))
+	}
+	if x := set.Bounds.FarX; x > 0 {
+		o.FarFactor = x
+	}
+	return o
+}
+
+// Run serves until SIGTERM, then hands over and ends within the grace.
+func (d *Daemon) Run(ctx context.Context) error {
+	terms := make(chan os.Signal, 1)
+	signal.Notify(terms, syscall.SIGTERM, syscall.SIGINT)
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+
+	servers, err := d.listen(g)
+	if err != nil {
+		return err
+	}
+	d.log.Info().Str("node", d.set.Node).Str("zone", d.set.Zone).Msg("start")
+	g.Go(func() error {
+		return d.store.FollowOperator(ctx, d.node.SetCatalog, func(string, []byte) {})
+	})
+	g.Go(func() error { return d.node.Run(ctx) })
+	g.Go(func() error { return d.node.FollowRoster(ctx, rosterInterval) })
+	g.Go(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-hups:
+				d.log.Info().Msg("reload")
+			case <-terms:
+				d.leave(ctx, servers)
+				cancel()
+				return nil
+			}
+		}
+	})
+	return g.Wait()
+}
+
+// listen opens the daemon's addresses.
+func (d *Daemon) listen(g *errgroup.Group) ([]*http.Server, error) {
+	front := &platform.Front{Jobs: d.node, Log: d.log, Leaving: d.leaving.Load}
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET /api/ready", d.ready)
+	var out []*http.Server
+	for address, h := range map[string]http.Handler{d.set.Listen.Front: front, d.set.Listen.Ready: ready, d.set.PeerAddress(): d.node.PeerHandler()} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second}
+		out = append(out, s)
+		g.Go(func() error {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+	}
+	return out, nil
+}
+
+// ready says whether the balancer may send new connections.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.leaving.Load() || d.node.Catalog() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// leave hands the pools over, serves what still comes for a while, and closes.
+func (d *Daemon) leave(ctx context.Context, servers []*http.Server) {
+	d.log.Info().Msg("leaving")
+	d.leaving.Store(true)
+	until := time.Now().Add(d.set.Grace() - graceReserve)
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	began := time.Now()
+	d.node.Leave(ctx)
+	rest := time.NewTimer(time.Until(began.Add(goodbye)))
+	defer rest.Stop()
+	select {
+	case <-rest.C:
+	case <-ctx.Done():
+	}
+	for _, s := range servers {
+		_ = s.Shutdown(ctx)
+	}
+	d.log.Info().Msg("stop")
+}
--- /dev/null
+++ b/engine/advice.go
@@ -0,0 +1,92 @@
+package engine
+
+import "time"
+
+// ticket is the adviser's permission to run a step on one life of a worker.
+type ticket struct {
+	code   string
+	until  time.Duration
+	bornMS int64
+}
+
+// AdviceRequest asks which of the workers may run a step.
+type AdviceRequest struct {
+	Step    string
+	Workers []string
+
+	state *stepState
+	born  map[string]int64
+}
+
+// AdviceRow is one worker that may run the step.
+type AdviceRow struct {
+	Worker string
+	Ticket string
+}
+
+const (
+	// adviceBatch is how many workers one question names; each named worker makes the answer later.
+	adviceBatch = 30
+	// adviceRetry is the pause after a question without a usable answer.
+	adviceRetry = 300 * time.Millisecond
+	// ticketMargin is kept from the end of a ticket's validity for the way of the start.
+	ticketMargin = 300 * time.Millisecond
+)
+
+// ensureAdvice reports whether the step has a ticket that is valid, and asks for more if it lacks one.
+func (p *Pool) ensureAdvice(st *stepState, workers []*Worker, c Clock) bool {
+	valid := 0
+	for _, w := range workers {
+		if tk, ok := st.tickets[w.ID]; ok && tk.until > c.Now && tk.bornMS == w.bornMS {
+			valid++
+		}
+	}
+	room := valid > 0
+	if st.asked || c.Now < st.noGood || (room && !st.starved(p, workers, c)) {
+		return room
+	}
+	req := AdviceRequest{Step: st.occ.job.Spec.ID + "." + itoa(int64(st.occ.index)) + "." + itoa(int64(st.index)), state: st, born: map[string]int64{}}
+	for _, w := range workers {
+		if len(req.Workers) == adviceBatch {
+			break
+		}
+		if w.info.Room.Covers(st.spec.Occupies()) && (st.spec.RequiredLabel == "" || w.hasLabel(st.spec.RequiredLabel)) {
+			req.Workers = append(req.Workers, w.ID)
+			req.born[w.ID] = w.bornMS
+		}
+	}
+	if len(req.Workers) > 0 {
+		st.asked = true
+		st.askedAt = c.Now
+		p.advice = append(p.advice, req)
+	}
+	return room
+}
+
+// starved reports whether no ticketed worker has room.
+func (st *stepState) starved(p *Pool, workers []*Worker, c Clock) bool {
+	for _, w := range workers {
+		if p.fits(st.tasks[0], w, c) {
+			return false
+		}
+	}
+	return true
+}
+
+// Advised takes in the answer; ok is false if there was none.
+func (p *Pool) Advised(req AdviceRequest, good []AdviceRow, valid time.Duration, ok bool, c Clock) {
+	st := req.state
+	st.asked = false
+	if !ok || len(good) == 0 {
+		st.noGood = c.Now + adviceRetry
+		return
+	}
+	if st.tickets == nil {
+		st.tickets = map[string]ticket{}
+	}
+	for _, g := range good {
+		st.tickets[g.Worker] = ticket{code: g.Ticket, until: st.askedAt + valid - ticketMargin, bornMS: req.born[g.Worker]}
+	}
+	st.noGood = c.Now + adviceRetry
+	p.needPlace = true
+}
--- /dev/null
+++ b/engine/ends.go
@@ -0,0 +1,366 @@
+package engine
+
+import (
+	"strconv"
+	"time"
+)
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
+
+// fullPage is the number of ends in one answer; more may follow.
+const fullPage = 500
+
+// HoldAnswered takes in what a worker says of itself. The hold was sent at sentAt.
+func (p *Pool) HoldAnswered(id string, a HoldAnswer, sentAt time.Duration, c Clock) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	if w.bornMS != 0 && a.BornMS != 0 && w.bornMS != a.BornMS {
+		p.reborn(w, a, c)
+	}
+	if a.BornMS != 0 {
+		w.bornMS = a.BornMS
+	}
+	if !w.met || w.failing {
+		p.needPlace = true
+	}
+	w.met, w.failing, w.lastHeard = true, false, c.Now
+	if a.ClockMS > w.clockMS || w.clockAt == 0 {
+		w.clockMS, w.clockAt = a.ClockMS, c.Now
+	}
+	ended := p.takeEnds(w, a.Ended, c)
+	present := p.takeRunning(w, a.Running, c)
+	if len(a.Ended) >= fullPage {
+		return
+	}
+	for _, r := range w.list() {
+		if !present[r] && !ended[runKey(r.Task.id, r.Num)] && r.absentCounts(sentAt) {
+			p.lose(r, c)
+		}
+	}
+	p.steerFills(w, c)
+}
+
+// absentCounts reports whether the run is certainly not on its worker, as a list asked for at sentAt lacks it.
+func (r *Run) absentCounts(sentAt time.Duration) bool {
+	switch r.phase {
+	case phaseInherited:
+		return true
+	case phaseRunning:
+		return r.confirmedAt < sentAt
+	case phaseStopping:
+		return r.stopDone && r.stopDoneAt < sentAt
+	}
+	return false
+}
+
+// reborn ends all runs that the worker's former life had.
+func (p *Pool) reborn(w *Worker, a HoldAnswer, c Clock) {
+	p.note("worker-reborn", "", 0, w.ID, itoa(a.BornMS))
+	for _, r := range w.list() {
+		if r.phase == phaseRunning || r.phase == phaseStopping || r.phase == phaseInherited {
+			p.lose(r, c)
+		}
+	}
+	w.ends, w.seenUpto, w.pending = 0, 0, nil
+	w.clockMS, w.clockAt, w.deadlineMS = a.ClockMS, c.Now, 0
+}
+
+func (p *Pool) takeEnds(w *Worker, rows []EndedRow, c Clock) map[string]bool {
+	seen := map[string]bool{}
+	for _, e := range rows {
+		seen[e.Task+"#"+itoa(e.Run)] = true
+		if e.N <= w.ends {
+			continue
+		}
+		w.ends = e.N
+		j := p.takeEnd(w, e, c)
+		ack := pendingAck{n: e.N, job: j}
+		if j != nil {
+			ack.rev = j.rev
+		}
+		w.pending = append(w.pending, ack)
+	}
+	w.advanceAcks()
+	return seen
+}
+
+// takeEnd applies one listed end and returns the job that must be in the store before it is forgotten.
+func (p *Pool) takeEnd(w *Worker, e EndedRow, c Clock) *Job {
+	id, err := ParseTaskID(e.Task)
+	if err != nil {
+		return nil
+	}
+	j := p.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	t := j.task(id, false)
+	if t == nil {
+		return nil
+	}
+	r := w.runs[runKey(id, e.Run)]
+	if r == nil {
+		return p.takeForeignEnd(t, w, e, c)
+	}
+	p.note("end", e.Task, e.Run, w.ID, string(e.How))
+	p.dropRun(r)
+	p.touch(j)
+	if e.Saved != "" && !t.done {
+		t.saved = e.Saved
+	}
+	if j.state.Terminal() {
+		return j
+	}
+	p.applyEnd(t, r, e.How, c)
+	return j
+}
+
+// takeForeignEnd handles an end of a run that was taken for over before. Only its success still matters.
+func (p *Pool) takeForeignEnd(t *Task, w *Worker, e EndedRow, c Clock) *Job {
+	if e.How != EndDone || t.done || t.step.spec.Lasting || t.job().state.Terminal() || e.Run > t.lastRun {
+		return nil
+	}
+	p.note("late-end", e.Task, e.Run, w.ID, string(e.How))
+	p.taskDone(t, c)
+	p.touch(t.job())
+	return t.job()
+}
+
+// applyEnd decides what an end means for its task.
+func (p *Pool) applyEnd(t *Task, r *Run, how How, c Clock) {
+	st := t.step.spec
+	switch {
+	case how == EndDone && !st.Lasting:
+		p.learn(t, r, c)
+		p.taskDone(t, c)
+	case how == EndFailed:
+		p.taskFailed(t, r, c)
+	default:
+		p.gangBroken(t, c)
+	}
+}
+
+// taskDone ends a task, for a gang all of its step's tasks, and what follows from it.
+func (p *Pool) taskDone(t *Task, c Clock) {
+	members := []*Task{t}
+	if t.step.spec.Gang {
+		members = t.step.tasks
+	}
+	for _, m := range members {
+		m.setDone()
+		if !t.step.spec.Gang || m == t {
+			p.stopRuns(m, nil, c)
+		}
+	}
+	p.needPlace = true
+	p.checkEnd(t.step.occ, c)
+}
+
+const (
+	// failurePause keeps a task that has just failed from failing all its attempts within moments.
+	failurePause = 30 * time.Millisecond
+	// lastingPause and lastingPauseMax space the restarts of a task that keeps ending.
+	lastingPause    = 50 * time.Millisecond
+	lastingPauseMax = 1500 * time.Millisecond
+)
+
+func (p *Pool) taskFailed(t *Task, r *Run, c Clock) {
+	p.blame(r.Worker, t, c)
+	if t.failedOn == nil {
+		t.failedOn = map[string]int{}
+	}
+	t.failedOn[r.Worker.ID]++
+	if t.step.spec.Lasting {
+		t.restarts++
+		if c.Now-r.startedAt > 10*time.Second {
+			t.restarts = 0
+		}
+		t.notBefore = c.Now + min(lastingPause<<min(t.restarts, 6), lastingPauseMax)
+		return
+	}
+	if t.step.spec.Gang {
+		p.gangFailed(t.step, r.Num, c)
+		return
+	}
+	t.failures++
+	t.notBefore = c.Now + failurePause
+	p.checkAttempts(t, c)
+}
+
+// checkAttempts fails the job whose task has used up its attempts.
+func (p *Pool) checkAttempts(t *Task, c Clock) {
+	q := p.queues[t.job().Spec.Queue]
+	if q.Attempts > 0 && t.failures >= q.Attempts {
+		p.end(t.job(), Failed, c)
+	}
+}
+
+// gangFailed counts one failure of a whole gang and takes its other members off.
+func (p *Pool) gangFailed(st *stepState, run int64, c Clock) {
+	for _, m := range st.tasks {
+		m.failures++
+		m.notBefore = c.Now + failurePause
+		p.stopRuns(m, nil, c)
+	}
+	p.note("gang-failed", st.tasks[0].id.String(), run, "", "")
+	p.checkAttempts(st.tasks[0], c)
+}
+
+// gangBroken takes off the other members of a gang that has lost one.
+func (p *Pool) gangBroken(t *Task, c Clock) {
+	if !t.step.spec.Gang || t.done {
+		return
+	}
+	for _, m := range t.step.tasks {
+		p.stopRuns(m, nil, c)
+	}
+}
+
+func (p *Pool) takeRunning(w *Worker, rows []RunningRow, c Clock) map[*Run]bool {
+	present := map[*Run]bool{}
+	for _, row := range rows {
+		id, err := ParseTaskID(row.Task)
+		if err != nil {
+			continue
+		}
+		r := w.runs[runKey(id, row.Run)]
+		if r == nil || r.phase == phaseIntent {
+			p.stray(w, id, row, c)
+			continue
+		}
+		present[r] = true
+		p.seen(r, row, c)
+	}
+	return present
+}
+
+// stray stops a run that nobody ordered under this ownership.
+func (p *Pool) stray(w *Worker, id TaskID, row RunningRow, c Clock) {
+	p.note("stray-run", row.Task, row.Run, w.ID, "")
+	p.orders = append(p.orders, Order{Kind: OrderStop, Task: id, Run: row.Run, Worker: w.target()})
+}
+
+// seen takes in a listed run.
+func (p *Pool) seen(r *Run, row RunningRow, c Clock) {
+	t := r.Task
+	if row.Saved != "" && !t.done {
+		t.saved = row.Saved
+	}
+	r.percent, r.load = row.Percent, row.Load
+	if t.step.spec.Lasting && row.Percent >= 100 {
+		t.atWorkAt = c.Now
+	}
+	switch r.phase {
+	case phaseStarting, phaseInherited:
+		p.confirm(r, c)
+	case phaseRunning:
+		if t.job().state.Terminal() {
+			p.stop(r, c)
+		}
+	}
+}
+
+// confirm notes that the worker has the run.
+func (p *Pool) confirm(r *Run, c Clock) {
+	if r.phase == phaseInherited {
+		r.startedAt = c.Now
+	}
+	r.phase = phaseRunning
+	r.unknown = false
+	r.confirmedAt = c.Now
+	j := r.Task.job()
+	if !j.begun {
+		j.begun = true
+		p.touch(j)
+	}
+	if j.state.Terminal() || (r.Task.done && !r.Task.step.spec.Gang) {
+		p.stop(r, c)
+	}
+}
+
+// StartOutcome is what is known of a start order.
+type StartOutcome uint8
+
+// The outcomes of a start order.
+const (
+	StartAccepted StartOutcome = iota
+	// StartRejected: the worker did nothing for this order, for the reason given.
+	StartRejected
+	// StartNotSent: the order did not reach the worker, or it was too busy to do anything.
+	StartNotSent
+	// StartUnknown: the order may have been, or may yet be, carried out.
+	StartUnknown
+)
+
+// The reasons that matter to the engine.
+const (
+	ReasonOld    = "old"
+	ReasonLate   = "late"
+	ReasonRoom   = "room"
+	ReasonTicket = "ticket"
+)
+
+// rejectPause keeps a task away from placement after a rejection.
+const rejectPause = 60 * time.Millisecond
+
+// StartAnswered takes in the outcome of a start order.
+func (p *Pool) StartAnswered(o Order, out StartOutcome, reason string, c Clock) {
+	r := p.findRun(o)
+	if r == nil || r.phase != phaseStarting {
+		return
+	}
+	switch {
+	case out == StartAccepted:
+		p.confirm(r, c)
+	case out == StartUnknown, r.attempts > 1 && out == StartNotSent:
+		r.unknown = true
+		p.suspect(r.Worker, c)
+	case r.attempts > 1:
+		// An earlier order for this run may have been carried out: the worker's list decides.
+		p.confirm(r, c)
+	default:
+		p.rejected(r, out, reason, c)
+	}
+}
+
+func (p *Pool) rejected(r *Run, out StartOutcome, reason string, c Clock) {
+	p.note("start-rejected", r.Task.id.String(), r.Num, r.Worker.ID, reason)
+	w, t := r.Worker, r.Task
+	p.dropRun(r)
+	t.notBefore = c.Now + rejectPause
+	switch {
+	case reason == ReasonRoom || out == StartNotSent:
+		w.backoff = c.Now + 4*rejectPause
+	case reason == ReasonTicket:
+		delete(t.step.tickets, w.ID)
+	}
+	p.touch(t.job())
+	p.gangBroken(t, c)
+}
+
+// suspect keeps new starts off a worker that left an order unanswered, until it is heard again.
+func (p *Pool) suspect(w *Worker, c Clock) {
+	if !w.failing {
+		w.backoff = max(w.backoff, c.Now+4*rejectPause)
+	}
+}
+
+// StopAnswered takes in that a worker has carried out a stop.
+func (p *Pool) StopAnswered(o Order, done bool, c Clock) {
+	r := p.findRun(o)
+	if r == nil || r.phase != phaseStopping || !done {
+		return
+	}
+	r.stopDone = true
+	r.stopDoneAt = c.Now
+}
+
+func (p *Pool) findRun(o Order) *Run {
+	w := p.workers[o.Worker.ID]
+	if w == nil {
+		return nil
+	}
+	return w.runs[runKey(o.Task, o.Run)]
+}
--- /dev/null
+++ b/engine/evacuate.go
@@ -0,0 +1,66 @@
+package engine
+
+import "time"
+
+// evacuate takes tasks that last off workers that leave, within what their step may miss, and work with
+// checkpoints off workers that end too soon for it.
+func (p *Pool) evacuate(c Clock) {
+	for _, w := range p.workers {
+		leaving := w.info.Draining
+		if !leaving && w.cordon <= c.Now {
+			continue
+		}
+		for _, r := range w.list() {
+			if r.phase != phaseRunning || !p.mayTakeOff(r, leaving, c) {
+				continue
+			}
+			p.note("evacuate", r.Task.id.String(), r.Num, w.ID, "")
+			p.stop(r, c)
+		}
+	}
+}
+
+func (p *Pool) mayTakeOff(r *Run, leaving bool, c Clock) bool {
+	st := r.Task.step
+	if !st.spec.Lasting || st.spec.Gang {
+		return false
+	}
+	if st.spec.Fills || st.spec.TailTargetMS == 0 && st.spec.MayMiss == 0 && leaving {
+		return true
+	}
+	if leaving {
+		return true
+	}
+	return st.away(r.Task, c) < st.spec.MayMiss && p.spareFor(r.Task, c)
+}
+
+// away counts the other tasks of the step that aren't surely at work.
+func (st *stepState) away(but *Task, c Clock) int {
+	n := 0
+	for _, t := range st.tasks {
+		if t != but && !t.atWork(c) {
+			n++
+		}
+	}
+	return n
+}
+
+// atWorkFresh is the greatest age of the word that a task is at work.
+const atWorkFresh = 2 * time.Second
+
+func (t *Task) atWork(c Clock) bool {
+	if len(t.live) != 1 || t.live[0].phase != phaseRunning || t.atWorkAt == 0 {
+		return false
+	}
+	return t.live[0].percent >= 100 && c.Now-t.atWorkAt < atWorkFresh
+}
+
+// spareFor reports whether some other worker has room for the task now.
+func (p *Pool) spareFor(t *Task, c Clock) bool {
+	for _, w := range p.workers {
+		if p.takesWork(w, c) && p.fits(t, w, c) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/engine/record.go
@@ -0,0 +1,90 @@
+package engine
+
+import "encoding/json"
+
+// Record is the state of a job that outlives every process. The spec is a row of its own,
+// which is written once.
+type Record struct {
+	Queue       string       `json:"q"`
+	State       State        `json:"s"`
+	SubmittedMS int64        `json:"t"`
+	EndedMS     int64        `json:"e,omitempty"`
+	Begun       bool         `json:"b,omitempty"`
+	Finished    []int        `json:"f,omitempty"`
+	Tasks       []TaskRecord `json:"k,omitempty"`
+}
+
+// TaskRecord is the state of a task that has been started at least once. A run is recorded before
+// its start order is sent, so a successor knows each worker on which it may be.
+type TaskRecord struct {
+	Occ      int         `json:"o,omitempty"`
+	Step     int         `json:"s,omitempty"`
+	Index    int         `json:"i,omitempty"`
+	LastRun  int64       `json:"r"`
+	Failures int         `json:"f,omitempty"`
+	Done     bool        `json:"d,omitempty"`
+	Saved    string      `json:"c,omitempty"`
+	Live     []RunRecord `json:"l,omitempty"`
+}
+
+// RunRecord names a run that may be on a worker.
+type RunRecord struct {
+	Run    int64  `json:"n"`
+	Worker string `json:"w"`
+	BornMS int64  `json:"b,omitempty"`
+}
+
+func (j *Job) record() Record {
+	r := Record{Queue: j.Spec.Queue, State: j.state, SubmittedMS: j.submittedMS, EndedMS: j.endedMS, Begun: j.begun}
+	for k := range j.occs {
+		o := j.occs[k]
+		if o == nil {
+			continue
+		}
+		if o.finished {
+			r.Finished = append(r.Finished, k)
+		}
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				r.addTask(t, o.finished)
+			}
+		}
+	}
+	return r
+}
+
+// addTask leaves out tasks without state and, once the occurrence or the job ended, those without live runs.
+func (r *Record) addTask(t *Task, finished bool) {
+	if t.lastRun == 0 {
+		return
+	}
+	if len(t.live) == 0 && (finished || r.State.Terminal()) {
+		return
+	}
+	tr := TaskRecord{Occ: t.id.Occ, Step: t.id.Step, Index: t.id.IndexInStep, LastRun: t.lastRun, Failures: t.failures, Done: t.done, Saved: t.saved}
+	if t.done {
+		tr.Saved = ""
+	}
+	for _, run := range t.live {
+		tr.Live = append(tr.Live, RunRecord{Run: run.Num, Worker: run.Worker.ID, BornMS: run.bornMS})
+	}
+	r.Tasks = append(r.Tasks, tr)
+}
+
+// EncodeRecord gives the stored form.
+func (j *Job) EncodeRecord() []byte {
+	b, err := json.Marshal(j.record())
+	if err != nil {
+		panic(err) // A record holds plain values only.
+	}
+	return b
+}
+
+// EncodeSpec gives the stored form of the spec.
+func (j *Job) EncodeSpec() []byte {
+	b, err := json.Marshal(j.Spec)
+	if err != nil {
+		panic(err) // A spec holds plain values only.
+	}
+	return b
+}
--- /dev/null
+++ b/owner/commit.go
@@ -0,0 +1,143 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"samphirepoint/engine"
+	"samphirepoint/rows"
+	"samphirepoint/verdict"
+)
+
+const (
+	// commitTimeout is how long one try of a transaction may take.
+	commitTimeout = 900 * time.Millisecond
+	// commitRetry is the pause after a try that failed.
+	commitRetry = 60 * time.Millisecond
+)
+
+// commit writes the next batch if none is being written.
+func (o *Owner) commit(c engine.Clock) {
+	if o.inFlight || c.Now-o.lastWrite < commitInterval {
+		return
+	}
+	batch := o.pool.NextBatch(rows.MaxEntries-1, batchBytes)
+	if len(batch) == 0 {
+		return
+	}
+	o.inFlight = true
+	o.lastWrite = c.Now
+	go o.write(batch, o.transaction(batch))
+}
+
+func (o *Owner) claimCondition() rows.Condition {
+	return rows.Condition{Key: rows.Key{Table: TableOwners, Part: o.set.Pool, Name: OwnerKey}, Ver: o.set.ClaimVer}
+}
+
+func (o *Owner) jobKey(id string) rows.Key {
+	return rows.Key{Table: TableJobs, Part: o.set.Pool, Name: id}
+}
+
+func (o *Owner) transaction(batch []engine.Change) rows.Tx {
+	tx := rows.Tx{Expected: []rows.Condition{o.claimCondition()}}
+	for i := range batch {
+		ch := &batch[i]
+		id := ch.Job.Spec.ID
+		spec := rows.Key{Table: TableSpecs, Part: o.set.Pool, Name: id}
+		tx.Expected = append(tx.Expected, rows.Condition{Key: o.jobKey(id), Ver: ch.Job.Ver})
+		if ch.Record == nil {
+			tx.Remove = append(tx.Remove, o.jobKey(id))
+		} else {
+			tx.Writes = append(tx.Writes, rows.Write{Key: o.jobKey(id), Value: ch.Record})
+		}
+		if ch.Spec != nil {
+			tx.Writes = append(tx.Writes, rows.Write{Key: spec, Value: ch.Spec})
+		}
+		if ch.DropSpec && ch.Job.Stored {
+			tx.Remove = append(tx.Remove, spec)
+		}
+	}
+	return tx
+}
+
+// write tries one transaction until its outcome is certain. A try without an answer may be carried out later, so the very
+// same transaction is tried again: only one of the tries can meet the versions it names.
+func (o *Owner) write(batch []engine.Change, tx rows.Tx) {
+	unknown := false
+	for o.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
+		ver, err := o.set.Store.Transact(ctx, tx)
+		cancel()
+		var conflict *rows.Conflict
+		switch {
+		case err == nil:
+			o.post(func() { o.wrote(batch, ver) })
+			return
+		case errors.As(err, &conflict):
+			ver, err := o.settled(tx, conflict, unknown)
+			if err != nil {
+				o.post(func() { o.fail(err) })
+				return
+			}
+			o.post(func() { o.wrote(batch, ver) })
+			return
+		case !verdict.Is(err, verdict.NotRun):
+			unknown = true
+		}
+		o.post(o.noteStoreFault)
+		o.set.Log.Warn().Str("pool", o.set.Pool).Err(err).Bool("mayHaveRun", unknown).Msg("rows not written, trying again")
+		pause(o.ctx, commitRetry)
+	}
+}
+
+// settled decides what a conflict means: another owner, or an earlier try of the same transaction that was carried out.
+func (o *Owner) settled(tx rows.Tx, conflict *rows.Conflict, unknown bool) (int64, error) {
+	claim := tx.Expected[0]
+	if conflict.Find(claim.Key).Ver != claim.Ver {
+		return 0, ErrSucceeded
+	}
+	if !unknown {
+		return 0, errors.New("owner: rows changed under the claim")
+	}
+	ver := int64(0)
+	for _, w := range tx.Writes {
+		if w.Table != TableJobs {
+			continue
+		}
+		r := conflict.Find(w.Key)
+		if len(r.Value) > 0 && !bytes.Equal(r.Value, w.Value) {
+			return 0, errors.New("owner: rows changed under the claim")
+		}
+		ver = max(ver, r.Ver)
+	}
+	return ver, nil
+}
+
+func (o *Owner) wrote(batch []engine.Change, ver int64) {
+	o.inFlight = false
+	o.storeBad = 0
+	o.pool.Committed(batch, ver, o.clock())
+	for _, wake := range o.holds {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (o *Owner) noteStoreFault() {
+	if o.storeBad == 0 {
+		o.storeBad = o.set.Now()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
