--- a/cluster/node.go
+++ b/cluster/node.go
@@ -20,6 +20,9 @@
 // TableMembers holds one row a daemon.
 const TableMembers = "members"
 
+// FleetDuty is the name under which the upkeep and moves of instances are owned, as if they were a pool.
+const FleetDuty = "~fleet"
+
 const (
 	// beatInterval is the time between two writes of the daemon's row.
 	beatInterval = 400 * time.Millisecond
@@ -49,8 +52,17 @@
 	Adviser     owner.Adviser
 	Roster      Roster
 	Options     engine.Options
-	Log         zerolog.Logger
-	Now         func() time.Duration
+	// Fleet starts the duties of the fleet under a token and the version of its claim.
+	Fleet func(ctx context.Context, token, ver int64) Tenure
+	Log   zerolog.Logger
+	Now   func() time.Duration
+}
+
+// Tenure is one ownership, of a pool or of the fleet's duties.
+type Tenure interface {
+	Token() int64
+	Run() error
+	Stop()
 }
 
 // Node is one daemon's part in the cluster.
@@ -60,25 +72,24 @@
 	leaving atomic.Bool
 	peers   *peerClient
 
-	mu     sync.Mutex
-	view   *View
-	owned  map[string]*owner.Owner
+	mu   sync.Mutex
+	view *View
+	// owned are all ownerships of this daemon; pools are those of pools.
+	owned  map[string]Tenure
+	pools  map[string]*owner.Owner
 	tried  map[string]time.Duration
 	beat   int64
 	lastOK time.Duration
 	roster map[string][]engine.WorkerInfo
 	kick   chan struct{}
 	since  time.Duration
-	extra  []string
-	// onOwned starts what belongs to an ownership that is no pool, such as the fleet's.
-	claims map[string]int64
 }
 
 // NewNode returns a daemon that has not joined yet.
 func NewNode(s Settings) *Node {
 	return &Node{
-		set: s, view: NewView(s.Name, deadAfter), owned: map[string]*owner.Owner{}, tried: map[string]time.Duration{},
-		kick: make(chan struct{}, 1), peers: newPeerClient(), since: s.Now(), claims: map[string]int64{},
+		set: s, view: NewView(s.Name, deadAfter), owned: map[string]Tenure{}, pools: map[string]*owner.Owner{}, tried: map[string]time.Duration{},
+		kick: make(chan struct{}, 1), peers: newPeerClient(), since: s.Now(),
 	}
 }
 
@@ -91,9 +102,9 @@
 	n.catalog.Store(c)
 	n.set.Log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Msg("configuration in force")
 	n.mu.Lock()
-	owned := maps.Clone(n.owned)
+	pools := maps.Clone(n.pools)
 	n.mu.Unlock()
-	for pool, o := range owned {
+	for pool, o := range pools {
 		o.SetQueues(c.QueuesOf(pool))
 	}
 	n.Kick()
@@ -219,7 +230,7 @@
 		return
 	}
 	alive := n.Alive()
-	for pool, node := range Assign(alive, append(cat.Working(), n.extra...), false) {
+	for pool, node := range Assign(alive, append(cat.Working(), FleetDuty), false) {
 		if node == n.set.Name && n.mayTry(pool) {
 			n.take(ctx, pool)
 		}
@@ -253,34 +264,53 @@
 	return nil
 }
 
+// own serves a pool, or the fleet's duties, under a claim.
 func (n *Node) own(ctx context.Context, pool string, token, ver int64) {
+	if pool == FleetDuty {
+		if n.set.Fleet != nil {
+			n.serve(pool, n.set.Fleet(ctx, token, ver))
+		}
+		return
+	}
 	o := owner.New(ctx, owner.Settings{
 		Pool: pool, Token: token, ClaimVer: ver, Store: n.set.Store, Workers: n.set.Workers, Adviser: n.set.Adviser,
 		Options: n.set.Options, Log: n.set.Log, Now: n.set.Now,
 	})
 	n.mu.Lock()
-	n.owned[pool] = o
+	n.pools[pool] = o
 	list := n.roster[pool]
 	n.mu.Unlock()
-	go func() {
-		_ = o.Run()
-		n.mu.Lock()
-		if n.owned[pool] == o {
-			delete(n.owned, pool)
-		}
-		n.mu.Unlock()
-		n.Kick()
-	}()
+	n.serve(pool, o)
 	if cat := n.catalog.Load(); cat != nil {
 		o.SetQueues(cat.QueuesOf(pool))
 	}
 	if list != nil {
 		o.SetRoster(list)
 	}
-	n.Kick()
 	n.announce(ctx, pool, token)
 }
 
+// serve runs an ownership until it ends.
+func (n *Node) serve(pool string, t Tenure) {
+	n.mu.Lock()
+	if old := n.owned[pool]; old != nil {
+		old.Stop()
+	}
+	n.owned[pool] = t
+	n.mu.Unlock()
+	n.Kick()
+	go func() {
+		_ = t.Run()
+		n.mu.Lock()
+		if n.owned[pool] == t {
+			delete(n.owned, pool)
+			delete(n.pools, pool)
+		}
+		n.mu.Unlock()
+		n.Kick()
+	}()
+}
+
 // Claim raises a pool's token by one conditional write. A write without an answer is looked up, so
 // the outcome is known unless err says otherwise.
 func Claim(ctx context.Context, store rows.Store, pool string, c owner.Claim) (owner.Claim, int64, error) {
@@ -320,7 +350,7 @@
 func (n *Node) FollowRoster(ctx context.Context, every time.Duration) error {
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		busy := len(n.owned) > 0
+		busy := len(n.pools) > 0
 		n.mu.Unlock()
 		if busy {
 			n.readRoster(ctx)
@@ -345,9 +375,9 @@
 	}
 	n.mu.Lock()
 	n.roster = list
-	owned := maps.Clone(n.owned)
+	pools := maps.Clone(n.pools)
 	n.mu.Unlock()
-	for pool, o := range owned {
+	for pool, o := range pools {
 		o.SetRoster(list[pool])
 	}
 }
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -40,6 +40,8 @@
 	State   engine.State `json:"state,omitempty"`
 	Waiting int          `json:"waiting,omitempty"`
 	Empty   bool         `json:"empty,omitempty"`
+
+	Report *engine.PoolReport `json:"report,omitempty"`
 }
 
 // The operations of a Call.
@@ -51,6 +53,7 @@
 	OpCordon  = "cordon"
 	OpTake    = "take"
 	OpOwner   = "owner"
+	OpReport  = "report"
 )
 
 // Do carries out a call at the pool's owner, wherever that is.
@@ -77,7 +80,7 @@
 
 func (n *Node) try(ctx context.Context, call Call) (Result, error) {
 	n.mu.Lock()
-	local := n.owned[call.Pool]
+	local := n.pools[call.Pool]
 	alive := n.view.Alive(n.set.Now())
 	n.mu.Unlock()
 	if local != nil {
@@ -115,7 +118,7 @@
 		return Result{}, nil
 	}
 	n.mu.Lock()
-	o := n.owned[call.Pool]
+	o := n.pools[call.Pool]
 	n.mu.Unlock()
 	if o == nil {
 		return Result{}, noOwner(call.Pool)
@@ -140,6 +143,10 @@
 		res.Waiting, err = o.Waiting(ctx, call.Queue)
 	case OpCordon:
 		res.Empty, res.Known, err = o.Cordon(ctx, call.Worker, time.Duration(call.ForMS)*time.Millisecond)
+	case OpReport:
+		var r engine.PoolReport
+		r, err = o.Report(ctx)
+		res.Report = &r
 	default:
 		err = verdict.New(verdict.NotRun, http.StatusBadRequest, "unknown operation %q", call.Op)
 	}
@@ -228,6 +235,7 @@
 	n.mu.Lock()
 	o := n.owned[pool]
 	delete(n.owned, pool)
+	delete(n.pools, pool)
 	n.mu.Unlock()
 	if o != nil {
 		o.Stop()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"samphirepoint/cluster"
 	"samphirepoint/engine"
 	"samphirepoint/platform"
+	"samphirepoint/upkeep"
 )
 
 const (
@@ -38,17 +39,27 @@
 	log     zerolog.Logger
 	store   *platform.Store
 	node    *cluster.Node
+	waves   *platform.Waves
 	leaving atomic.Bool
 }
 
 // New builds a daemon from its settings.
 func New(set *platform.Settings, log zerolog.Logger) *Daemon {
 	began := time.Now()
+	now := func() time.Duration { return time.Since(began) }
 	d := &Daemon{set: set, log: log, store: platform.NewStore(set.Store.Address)}
+	d.waves = &platform.Waves{Store: d.store, Now: now}
+	instances := platform.NewInstances(set.Instances.Address)
 	d.node = cluster.NewNode(cluster.Settings{
 		Name: set.Node, Incarnation: incarnation(), Address: set.PeerAddress(), Zone: set.Zone,
 		Store: d.store, Workers: platform.NewWorkers(), Adviser: platform.NewAdviser(set.Advice), Roster: d.store,
-		Options: options(set), Log: log, Now: func() time.Duration { return time.Since(began) },
+		Options: options(set), Log: log, Now: now,
+		Fleet: func(ctx context.Context, token, ver int64) cluster.Tenure {
+			return upkeep.New(ctx, upkeep.Settings{
+				Duty: cluster.FleetDuty, Holder: set.Node, Token: token, ClaimVer: ver, Store: d.store, Instances: instances,
+				Pools: d.node, Waves: d.waves, HolderGap: time.Duration(set.Bounds.LeaseMS) * time.Millisecond, Log: log, Now: now,
+			})
+		},
 	})
 	return d
 }
@@ -91,7 +102,7 @@
 	}
 	d.log.Info().Str("node", d.set.Node).Str("zone", d.set.Zone).Msg("start")
 	g.Go(func() error {
-		return d.store.FollowOperator(ctx, d.node.SetCatalog, func(string, []byte) {})
+		return d.store.FollowOperator(ctx, d.node.SetCatalog, d.waves.Take)
 	})
 	g.Go(func() error { return d.node.Run(ctx) })
 	g.Go(func() error { return d.node.FollowRoster(ctx, rosterInterval) })
--- /dev/null
+++ b/engine/report.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+)
+
+// WorkerReport is the state of a worker for those who plan upkeep and moves.
+type WorkerReport struct {
+	ID       string `json:"i"`
+	Rack     string `json:"k,omitempty"`
+	RoomCPU  int64  `json:"c"`
+	UsedCPU  int64  `json:"u"`
+	Runs     int    `json:"r"`
+	Lasting  int    `json:"l,omitempty"`
+	Cordoned bool   `json:"o,omitempty"`
+	Usable   bool   `json:"a,omitempty"`
+}
+
+// PoolReport is the state of a pool: CPU in thousandths of a core.
+type PoolReport struct {
+	Workers []WorkerReport `json:"w"`
+	// RoomCPU and UsedCPU are of the workers that take work; PendingCPU is of tasks whose turn has come.
+	RoomCPU    int64 `json:"rc"`
+	UsedCPU    int64 `json:"uc"`
+	LastingCPU int64 `json:"lc"`
+	PendingCPU int64 `json:"pc"`
+	// ArrivedWork counts the accepted work of this ownership, in core-milliseconds as expected.
+	ArrivedWork int64 `json:"aw"`
+	// Missing is set while a task that lasts waits for room.
+	Missing bool `json:"m,omitempty"`
+}
+
+// Report describes the pool as it is.
+func (p *Pool) Report(c Clock) PoolReport {
+	r := PoolReport{ArrivedWork: p.arrivedWork}
+	for _, w := range p.workers {
+		wr := WorkerReport{
+			ID: w.ID, Rack: w.rack(), RoomCPU: w.info.Room.CPU, UsedCPU: w.used.CPU, Runs: len(w.runs),
+			Cordoned: w.cordon > c.Now, Usable: p.reachable(w, c) && w.listed && !w.info.Draining,
+		}
+		for _, x := range w.runs {
+			if x.Task.step.spec.Lasting {
+				wr.Lasting++
+				r.LastingCPU += x.Task.step.spec.Occupies().CPU
+			}
+		}
+		if p.takesWork(w, c) {
+			r.RoomCPU += wr.RoomCPU
+		}
+		r.UsedCPU += wr.UsedCPU
+		r.Workers = append(r.Workers, wr)
+	}
+	p.reportPending(&r, c)
+	slices.SortFunc(r.Workers, func(a, b WorkerReport) int { return cmp.Compare(a.ID, b.ID) })
+	return r
+}
+
+func (p *Pool) reportPending(r *PoolReport, c Clock) {
+	for _, cd := range p.candidates(c) {
+		for _, t := range cd.step.tasks {
+			if t.pending(c.Now) {
+				r.PendingCPU += cd.step.spec.Occupies().CPU
+				r.Missing = r.Missing || cd.step.spec.Lasting
+			}
+		}
+	}
+}
+
+// work is the job's expected work in core-milliseconds.
+func (p *Pool) work(j *Job) int64 {
+	total := 0.0
+	for i := range j.Spec.Steps {
+		st := &j.Spec.Steps[i]
+		if st.Lasting {
+			continue
+		}
+		ms := float64(st.EstimateMS)
+		if d := p.learned[j.Spec.Queue]; d != nil && d.count >= 5 {
+			ms = d.mean
+		}
+		total += ms * float64(st.Count) * float64(st.Need.CPU) / 1000
+	}
+	return int64(total)
+}
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -114,3 +114,10 @@
 	})
 	return empty, known, err
 }
+
+// Report describes the pool for those who plan upkeep and moves.
+func (o *Owner) Report(ctx context.Context) (engine.PoolReport, error) {
+	var r engine.PoolReport
+	err := o.Do(ctx, func(p *engine.Pool, c engine.Clock) { r = p.Report(c) })
+	return r, err
+}
--- /dev/null
+++ b/upkeep/plan.go
@@ -0,0 +1,193 @@
+// Package upkeep carries out the fleet's duties: waves of upkeep and moves of instances between pools. Decisions are pure
+// functions over a State; the Controller reads the lists, writes each order down before it is sent, and sends it.
+//
+// One daemon at a time has the duties. Every order for an instance is written to the instance's row first, under the claim,
+// so a successor knows what may still be carried out and keeps its distance from its predecessor's orders.
+package upkeep
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"samphirepoint/engine"
+)
+
+// The states of an instance in the platform's list.
+const (
+	StateUp     = "up"
+	StateMoving = "moving"
+	StateUpkeep = "upkeep"
+	StateDown   = "down"
+)
+
+// Instance is one row of the platform's list. Worker is the id of its present life, if it has one.
+type Instance struct {
+	ID, Pool, State, Worker, Rack string
+	RoomCPU                       int64
+}
+
+// Wave asks for the upkeep of instances, at most Cap at once, within Duration of SeenAt.
+type Wave struct {
+	ID        int64
+	Instances []string
+	Cap       int
+	Duration  time.Duration
+	SeenAt    time.Duration
+}
+
+// Duty is the last order for an instance as it is stored.
+type Duty struct {
+	Holder string `json:"h"`
+	AtMS   int64  `json:"t"`
+	// To is the pool of a move; Wave the number of an upkeep.
+	To   string `json:"p,omitempty"`
+	Wave int64  `json:"w,omitempty"`
+	// Open is set until the order is known to have been carried out or refused.
+	Open bool `json:"o,omitempty"`
+	// Worker is the life that the order ends.
+	Worker string `json:"i,omitempty"`
+	// Begun lists the waves whose upkeep of the instance has begun.
+	Begun []int64 `json:"b,omitempty"`
+}
+
+// State is what a decision rests on.
+type State struct {
+	Now       time.Duration
+	Instances map[string]Instance
+	Waves     []Wave
+	Duties    map[string]Duty
+	Reports   map[string]engine.PoolReport
+	Spare     map[string]bool
+}
+
+// begun reports whether the upkeep of an instance in a wave has begun.
+func (s *State) begun(id string, wave int64) bool {
+	return slices.Contains(s.Duties[id].Begun, wave)
+}
+
+// down reports whether the last order for the instance may keep it out: it is not known to be up in a new life.
+func (s *State) down(id string) bool {
+	d, ok := s.Duties[id]
+	if !ok || (d.Wave == 0 && d.To == "") {
+		return false
+	}
+	i := s.Instances[id]
+	return d.Open || i.State != StateUp || i.Worker == d.Worker
+}
+
+// Left lists the instances of a wave that are still to begin, without those that have left the fleet.
+func (s *State) Left(w Wave) []string {
+	var out []string
+	for _, id := range w.Instances {
+		if _, stays := s.Instances[id]; stays && !s.begun(id, w.ID) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+const (
+	// roundTime is about how long one instance takes: to be emptied, and to be down.
+	roundTime = 5 * time.Second
+	// keepShare is the share of a pool's instances that stays while time allows.
+	keepShare = 0.5
+	// demandMargin is how much more room than present use a pool keeps while time allows.
+	demandMargin = 1.25
+)
+
+// PlanWave returns the instances of a wave that are to be kept free of new work now, the best first: those that are empty,
+// then those whose pool needs them least. It returns no more than may be down at once beside those that are.
+func (s *State) PlanWave(w Wave, held map[string]bool) []string {
+	slots := w.Cap
+	for _, id := range w.Instances {
+		if s.begun(id, w.ID) || s.Duties[id].Open {
+			if s.down(id) {
+				slots--
+			}
+		}
+	}
+	left := s.Left(w)
+	urgent := s.urgent(w, len(left))
+	out := s.heldFirst(left, held)
+	released := map[string]int64{}
+	taken := map[string]int{}
+	for _, id := range out {
+		i := s.Instances[id]
+		released[i.Pool] += i.RoomCPU
+		taken[i.Pool]++
+	}
+	for _, id := range s.order(left) {
+		if len(out) >= slots {
+			break
+		}
+		i := s.Instances[id]
+		if i.State != StateUp || held[id] || s.down(id) {
+			continue
+		}
+		if !urgent && !s.mayRelease(i, released[i.Pool], taken[i.Pool]) {
+			continue
+		}
+		released[i.Pool] += i.RoomCPU
+		taken[i.Pool]++
+		out = append(out, id)
+	}
+	return out[:min(len(out), max(slots, 0))]
+}
+
+func (s *State) heldFirst(left []string, held map[string]bool) []string {
+	var out []string
+	for _, id := range left {
+		if held[id] && s.Instances[id].State == StateUp {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// urgent reports whether the rest of the wave takes the rest of its time.
+func (s *State) urgent(w Wave, left int) bool {
+	rounds := (left + max(w.Cap, 1) - 1) / max(w.Cap, 1)
+	return s.Now-w.SeenAt+time.Duration(rounds+1)*roundTime > w.Duration
+}
+
+// mayRelease reports whether a pool can do without one more instance.
+func (s *State) mayRelease(i Instance, released int64, taken int) bool {
+	r, ok := s.Reports[i.Pool]
+	if !ok {
+		return s.Spare[i.Pool]
+	}
+	usable := 0
+	for _, w := range r.Workers {
+		if w.Usable && !w.Cordoned {
+			usable++
+		}
+	}
+	if float64(usable-taken-1) < keepShare*float64(len(r.Workers)) {
+		return false
+	}
+	need := float64(r.UsedCPU+r.PendingCPU) * demandMargin
+	return float64(r.RoomCPU-released-i.RoomCPU) >= need
+}
+
+// order sorts instances by what taking them costs now.
+func (s *State) order(ids []string) []string {
+	out := slices.Clone(ids)
+	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(s.takingCost(a), s.takingCost(b)) })
+	return out
+}
+
+func (s *State) takingCost(id string) float64 {
+	i := s.Instances[id]
+	r, ok := s.Reports[i.Pool]
+	if !ok {
+		return 0
+	}
+	load := float64(r.UsedCPU+r.PendingCPU) / float64(max(r.RoomCPU, 1))
+	for _, w := range r.Workers {
+		if w.ID == i.Worker {
+			return load + float64(w.UsedCPU)/float64(max(w.RoomCPU, 1)) + 3*float64(w.Lasting)
+		}
+	}
+	return load
+}
