Move instances to the pools whose turn it is

Cause: each queue's demand exceeds its pool for some seconds while the other pools and the spare one stand idle; most late jobs and the worst windows lie there, and idle machines are the greatest price. The controller learns the turns from the work that arrives, moves idle instances to the pool in its turn and gives back what a pool no longer needs. Tests by load pattern in upkeep/upkeep_test.go.

--- a/engine/place.go
+++ b/engine/place.go
@@ -236,14 +236,31 @@
 	costFar         = 4.0
 	costOtherRack   = 4.0
 	costDisturb     = 2.0
+	// lastingShare is the share of its CPU that a worker keeps for other work before it gets more tasks that last.
+	lastingShare = 0.4
 )
 
+// lasting counts the tasks that last on the worker.
+func (w *Worker) lasting() int {
+	n := 0
+	for _, r := range w.runs {
+		if r.Task.step.spec.Lasting {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Pool) cost(t *Task, w *Worker, rack string, c Clock) float64 {
 	st := t.step.spec
 	free := float64(w.info.Room.CPU-w.used.CPU) / float64(max(w.info.Room.CPU, 1))
 	cost := free // the fullest worker first leaves whole workers idle
 	if st.Lasting {
-		cost = -free
+		// Beside others that last, so that the other workers can be emptied.
+		cost = free - float64(w.lasting())
+		if free < lastingShare {
+			cost = 1 - free
+		}
 	}
 	cost += costFailedThere * float64(t.failedOn[w.ID])
 	if w.badUntil > c.Now {
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -54,6 +54,9 @@
 // TableFleet holds one row an instance that was ever ordered anything.
 const TableFleet = "fleet"
 
+// keyBaseline is the row with the instances that each pool had at first.
+const keyBaseline = "~baseline"
+
 // Settings are what a Controller needs.
 type Settings struct {
 	Duty      string
@@ -71,9 +74,8 @@
 }
 
 const (
-	// busyRound and idleRound are the times between rounds with and without something to do.
-	busyRound = 250 * time.Millisecond
-	idleRound = time.Second
+	// roundPause is the time between two rounds.
+	roundPause = 250 * time.Millisecond
 	// cordonFor is how long a cordon lasts unless it is renewed; each round renews it.
 	cordonFor = 2500 * time.Millisecond
 	// callTime bounds one call.
@@ -94,12 +96,16 @@
 	reported map[int64]string
 	listed   map[string]Instance
 	fenced   bool
+
+	forecast *Forecast
+	baseline map[string]int
+	surplus  map[string]time.Duration
 }
 
 // New returns a controller under a claim.
 func New(ctx context.Context, s Settings) *Controller {
 	c, cancel := context.WithCancel(ctx)
-	return &Controller{set: s, ctx: c, cancel: cancel, duties: map[string]Duty{}, vers: map[string]int64{}, held: map[string]string{}, reported: map[int64]string{}}
+	return &Controller{set: s, ctx: c, cancel: cancel, duties: map[string]Duty{}, vers: map[string]int64{}, held: map[string]string{}, reported: map[int64]string{}, forecast: NewForecast(), surplus: map[string]time.Duration{}}
 }
 
 // Token is the fencing token of the orders.
@@ -118,12 +124,8 @@
 	}
 	c.set.Log.Info().Int64("token", c.set.Token).Int("duties", len(c.duties)).Msg("fleet duties taken")
 	for c.ctx.Err() == nil && !c.fenced {
-		busy := c.round()
-		length := idleRound
-		if busy {
-			length = busyRound
-		}
-		c.pause(length)
+		c.round()
+		c.pause(roundPause)
 	}
 	c.set.Log.Info().Int64("token", c.set.Token).Bool("fenced", c.fenced).Msg("fleet duties given up")
 	return nil
@@ -148,6 +150,10 @@
 		return err
 	}
 	for _, r := range list {
+		if r.Name == keyBaseline {
+			_ = json.Unmarshal(r.Value, &c.baseline)
+			continue
+		}
 		var d Duty
 		if json.Unmarshal(r.Value, &d) == nil {
 			c.duties[r.Name], c.vers[r.Name] = d, r.Ver
@@ -156,17 +162,13 @@
 	return nil
 }
 
-// round looks at everything once, and reports whether there is something to do.
-func (c *Controller) round() bool {
+// round looks at everything once and does what is due.
+func (c *Controller) round() {
 	waves := c.openWaves()
-	if len(waves) == 0 {
-		c.release(nil)
-		return false
-	}
 	s, err := c.look(waves)
 	if err != nil {
 		c.set.Log.Warn().Err(err).Msg("fleet not seen")
-		return true
+		return
 	}
 	want := c.plan(s)
 	c.release(want)
@@ -175,7 +177,6 @@
 	for _, w := range waves {
 		c.report(s, w)
 	}
-	return true
 }
 
 func (c *Controller) openWaves() []Wave {
@@ -200,6 +201,10 @@
 	for _, i := range list {
 		s.Instances[i.ID] = i
 	}
+	c.takeLives(s)
+	if err := c.learnBaseline(ctx, s); err != nil {
+		return nil, err
+	}
 	var mu sync.Mutex
 	var g errgroup.Group
 	for pool, spare := range c.set.Pools.Pools() {
@@ -220,6 +225,31 @@
 	return s, nil
 }
 
+// learnBaseline stores how the instances are divided before the first move.
+func (c *Controller) learnBaseline(ctx context.Context, s *State) error {
+	if c.baseline == nil && len(s.Instances) > 0 {
+		b := map[string]int{}
+		for _, i := range s.Instances {
+			b[i.Pool]++
+		}
+		value, err := json.Marshal(b)
+		if err != nil {
+			panic(err) // Counts by name are plain values.
+		}
+		key := rows.Key{Table: TableFleet, Part: c.set.Duty, Name: keyBaseline}
+		if _, err := c.set.Store.Transact(ctx, rows.Tx{Expected: []rows.Condition{c.claim(), {Key: key}}, Writes: []rows.Write{{Key: key, Value: value}}}); err != nil {
+			return err
+		}
+		c.baseline = b
+	}
+	s.Baseline = c.baseline
+	return nil
+}
+
+func (c *Controller) claim() rows.Condition {
+	return rows.Condition{Key: rows.Key{Table: owner.TableOwners, Part: c.set.Duty, Name: owner.OwnerKey}, Ver: c.set.ClaimVer}
+}
+
 // order is one order that is about to be given.
 type order struct {
 	instance Instance
@@ -229,6 +259,7 @@
 
 func (c *Controller) plan(s *State) map[string]order {
 	want := map[string]order{}
+	c.reopen(s, want)
 	for _, w := range s.Waves {
 		held := map[string]bool{}
 		for id := range c.held {
@@ -239,17 +270,43 @@
 				want[id] = order{instance: s.Instances[id], wave: w.ID}
 			}
 		}
-		c.reopen(s, w, want)
 	}
+	c.planMoves(s, want)
 	return want
 }
 
+// planMoves adds the moves that follow the pools' demand, of instances that no wave wants.
+func (c *Controller) planMoves(s *State, want map[string]order) {
+	s.inHand = map[string]bool{}
+	for id := range want {
+		s.inHand[id] = true
+	}
+	for pool, r := range s.Reports {
+		if turned, on := c.forecast.Observe(pool, r, s.roomOf(pool)*float64(s.Baseline[pool]), s.Now); turned {
+			c.set.Log.Info().Str("pool", pool).Bool("surging", on).Msg("demand turned")
+		}
+	}
+	for id, to := range s.PlanMoves(c.forecast, c.surplus) {
+		want[id] = order{instance: s.Instances[id], to: to}
+	}
+}
+
+// takeLives closes what the list shows to be over: an instance in a new life was carried off by its order.
+func (c *Controller) takeLives(s *State) {
+	for id, d := range c.duties {
+		i, ok := s.Instances[id]
+		if ok && d.Open && d.To != "" && i.Pool == d.To {
+			d.Open = false
+			c.duties[id] = d
+		}
+	}
+}
+
 // reopen adds the instances whose order has no known outcome: it is given again until it has.
-func (c *Controller) reopen(s *State, w Wave, want map[string]order) {
-	for _, id := range w.Instances {
-		d := c.duties[id]
-		if i, ok := s.Instances[id]; ok && d.Open && d.Wave == w.ID {
-			want[id] = order{instance: i, wave: w.ID}
+func (c *Controller) reopen(s *State, want map[string]order) {
+	for id, d := range c.duties {
+		if i, ok := s.Instances[id]; ok && d.Open {
+			want[id] = order{instance: i, wave: d.Wave, to: d.To}
 		}
 	}
 }
@@ -279,7 +336,7 @@
 		if !c.mayOrder(id) {
 			continue
 		}
-		if s.Spare[o.instance.Pool] || o.instance.Worker == "" || c.duties[id].Open {
+		if s.Spare[o.instance.Pool] || o.instance.Worker == "" || o.instance.State != StateUp {
 			out = append(out, o)
 			continue
 		}
@@ -374,7 +431,7 @@
 
 // write stores the duties of the orders' instances under the claim. Without success, nothing may be ordered.
 func (c *Controller) write(orders []order) bool {
-	claim := rows.Condition{Key: rows.Key{Table: owner.TableOwners, Part: c.set.Duty, Name: owner.OwnerKey}, Ver: c.set.ClaimVer}
+	claim := c.claim()
 	for len(orders) > 0 {
 		n := min(len(orders), rows.MaxEntries/2)
 		tx := rows.Tx{Expected: []rows.Condition{claim}}
--- /dev/null
+++ b/upkeep/forecast.go
@@ -0,0 +1,179 @@
+package upkeep
+
+import (
+	"math"
+	"time"
+
+	"samphirepoint/engine"
+)
+
+const (
+	// rateWindow is over how long the rate of arriving work is averaged; large jobs come seconds apart.
+	rateWindow = 900 * time.Millisecond
+	// surgeOfRoom and surgeOfMean are the shares of the room, and the multiples of the mean, from which a rate is a surge.
+	surgeOfRoom = 0.55
+	surgeOfMean = 2.2
+	surgeLeast  = 0.35
+	// surgeEnd is the share of the room below which a surge is over once the rate has stayed there for surgePause.
+	surgeEnd   = 0.3
+	surgePause = 1500 * time.Millisecond
+	// surgeShortest is the length from which a surge counts as the pool's turn.
+	surgeShortest = 3 * time.Second
+)
+
+// demand is what a pool's arriving work has looked like. Rates are in thousandths of a core: the work that arrives in a
+// second, divided by that second.
+type demand struct {
+	arrived int64
+	at      time.Duration
+	began   time.Duration
+	rate    float64
+	total   float64
+	surging bool
+	starts  []time.Duration
+	ends    []time.Duration
+	peak    float64
+	// lowSince is since when the rate has been low, 0 if it is not.
+	lowSince time.Duration
+}
+
+// Forecast learns when the pools' demand surges. Demand that moves from pool to pool by turns has one period for all pools.
+type Forecast struct {
+	pools map[string]*demand
+}
+
+// NewForecast returns a forecast that has seen nothing.
+func NewForecast() *Forecast { return &Forecast{pools: map[string]*demand{}} }
+
+// Observe takes in a pool's report, and the CPU that the pool has by its baseline. It reports whether a surge has begun or ended, and which.
+func (f *Forecast) Observe(pool string, r engine.PoolReport, room float64, now time.Duration) (turned, surging bool) {
+	d := f.pools[pool]
+	if d == nil {
+		f.pools[pool] = &demand{arrived: r.ArrivedWork, at: now, began: now}
+		return false, false
+	}
+	dt := now - d.at
+	if dt <= 0 {
+		return false, d.surging
+	}
+	delta := r.ArrivedWork - d.arrived
+	d.arrived, d.at = r.ArrivedWork, now
+	if delta < 0 {
+		return false, d.surging // Another owner counts anew.
+	}
+	was := d.surging
+	d.total += float64(delta) * 1000
+	inst := float64(delta) * 1000 / float64(dt.Milliseconds())
+	d.rate += (1 - math.Exp(-float64(dt)/float64(rateWindow))) * (inst - d.rate)
+	d.turn(max(room, 1), now)
+	return d.surging != was, d.surging
+}
+
+// turn notes the starts and ends of surges. The room is what the pool has by its baseline.
+func (d *demand) turn(room float64, now time.Duration) {
+	if !d.surging {
+		if d.rate > surgeOfRoom*room || (d.rate > surgeOfMean*d.mean(now) && d.rate > surgeLeast*room) {
+			d.surging, d.lowSince = true, 0
+			d.starts = append(d.starts, now)
+			d.peak = d.rate
+		}
+		return
+	}
+	d.peak = max(d.peak, d.rate)
+	switch {
+	case d.rate >= surgeEnd*room:
+		d.lowSince = 0
+	case d.lowSince == 0:
+		d.lowSince = now
+	case now-d.lowSince > surgePause:
+		d.endTurn()
+	}
+}
+
+// endTurn ends a surge; a short one was chance and doesn't count.
+func (d *demand) endTurn() {
+	d.surging = false
+	n := len(d.starts) - 1
+	if d.lowSince-d.starts[n] < surgeShortest {
+		d.starts = d.starts[:n]
+		return
+	}
+	d.ends = append(d.ends, d.lowSince)
+}
+
+func (d *demand) mean(now time.Duration) float64 {
+	return d.total / float64(max((now-d.began).Milliseconds(), 1))
+}
+
+// period is the time between two surges of the same pool, 0 if none has been seen twice.
+func (f *Forecast) period() time.Duration {
+	var best time.Duration
+	for _, d := range f.pools {
+		if n := len(d.starts); n >= 2 {
+			p := d.starts[n-1] - d.starts[n-2]
+			if best == 0 || p < best {
+				best = p
+			}
+		}
+	}
+	return best
+}
+
+// length is the mean length of the surges of a pool, or of any pool.
+func (f *Forecast) length(d *demand) time.Duration {
+	if n := min(len(d.ends), len(d.starts)); n > 0 {
+		return d.ends[n-1] - d.starts[n-1]
+	}
+	return 4 * time.Second
+}
+
+// Next is when a pool's next surge is expected, and false if nothing is known.
+func (f *Forecast) Next(pool string) (time.Duration, bool) {
+	d := f.pools[pool]
+	p := f.period()
+	if d == nil || p == 0 || len(d.starts) == 0 {
+		return 0, false
+	}
+	return d.starts[len(d.starts)-1] + p, true
+}
+
+// lead is the time that an instance needs to come from another pool: the move, and the lists that show it.
+const lead = 2600 * time.Millisecond
+
+// Expecting reports whether a surge of the pool is on, or so near that instances must come now.
+func (f *Forecast) Expecting(pool string, now time.Duration) bool {
+	d := f.pools[pool]
+	if d == nil {
+		return false
+	}
+	if d.surging {
+		return true
+	}
+	next, ok := f.Next(pool)
+	return ok && now > next-lead && now < next+f.length(d)/2
+}
+
+// Quiet reports whether the pool's turn is over and not near: it had a surge, and others have theirs.
+func (f *Forecast) Quiet(pool string, now time.Duration) bool {
+	d := f.pools[pool]
+	if d == nil || d.surging || len(d.ends) == 0 || f.Expecting(pool, now) {
+		return false
+	}
+	if next, ok := f.Next(pool); ok {
+		return next-now > lead && next > now
+	}
+	return !f.allOthersSince(pool, d.starts[len(d.starts)-1])
+}
+
+// allOthersSince reports whether all other pools have surged since a time, so that the pool's turn may come again.
+func (f *Forecast) allOthersSince(pool string, since time.Duration) bool {
+	for name, d := range f.pools {
+		if name == pool || len(d.starts) == 0 && d.total == 0 {
+			continue
+		}
+		if len(d.starts) == 0 || d.starts[len(d.starts)-1] < since {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/upkeep/moves.go
@@ -0,0 +1,229 @@
+package upkeep
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"samphirepoint/engine"
+)
+
+const (
+	// surgeMargin is how much more room than the arriving work a pool in its turn gets; the rate is known late.
+	surgeMargin = 1.35
+	// backlogMargin is the same for work that waits or runs already.
+	backlogMargin = 1.1
+	// risingTime is for how long after its start a surge is taken to last at its peak.
+	risingTime = 2 * time.Second
+	// quietMargin and quietExtra are what a pool keeps between its turns beside what it uses.
+	quietMargin = 1.5
+	quietExtra  = 1
+	// giveBackAfter is how long a pool must have had too many instances before it gives one back.
+	giveBackAfter = 1200 * time.Millisecond
+)
+
+// need is how many instances a pool should have.
+type need struct {
+	pool string
+	have int
+	want int
+	// empty are the instances of the pool that could go now.
+	empty []Instance
+}
+
+// PlanMoves returns the moves to be made now: instance to pool. Pools in their turn get instances from the spare pool, then
+// from pools that have too many; pools between their turns give back to the spare pool what they don't need.
+func (s *State) PlanMoves(f *Forecast, surplusSince map[string]time.Duration) map[string]string {
+	spare := s.sparePool()
+	if spare == "" {
+		return nil
+	}
+	needs := s.needs(f)
+	donors := s.inPool(spare)
+	moves := map[string]string{}
+	for _, n := range needs {
+		if n.want <= n.have {
+			continue
+		}
+		for missing := n.want - n.have; missing > 0; missing-- {
+			id := s.donor(&donors, needs, n.pool)
+			if id == "" {
+				return moves
+			}
+			moves[id] = n.pool
+		}
+	}
+	for i := range needs {
+		s.giveBack(&needs[i], spare, surplusSince, moves)
+	}
+	return moves
+}
+
+func (s *State) sparePool() string {
+	for p, spare := range s.Spare {
+		if spare {
+			return p
+		}
+	}
+	return ""
+}
+
+// inPool lists the instances of a pool that can be ordered now.
+func (s *State) inPool(pool string) []Instance {
+	var out []Instance
+	for _, i := range s.Instances {
+		if i.Pool == pool && i.State == StateUp && !s.Duties[i.ID].Open && !s.inHand[i.ID] {
+			out = append(out, i)
+		}
+	}
+	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// donor takes an instance from the spare pool, or an empty one from the pool with the most to give.
+func (s *State) donor(spares *[]Instance, needs []need, to string) string {
+	if n := len(*spares); n > 0 {
+		id := (*spares)[n-1].ID
+		*spares = (*spares)[:n-1]
+		return id
+	}
+	var best *need
+	for i := range needs {
+		n := &needs[i]
+		if n.pool != to && n.have > n.want && len(n.empty) > 0 && (best == nil || n.have-n.want > best.have-best.want) {
+			best = n
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	id := best.empty[0].ID
+	best.empty = best.empty[1:]
+	best.have--
+	return id
+}
+
+// giveBack sends what a pool has had too many of for a while to the spare pool.
+func (s *State) giveBack(n *need, spare string, since map[string]time.Duration, moves map[string]string) {
+	if n.have <= n.want || len(n.empty) == 0 {
+		delete(since, n.pool)
+		return
+	}
+	if _, ok := since[n.pool]; !ok {
+		since[n.pool] = s.Now
+	}
+	if s.Now-since[n.pool] < giveBackAfter {
+		return
+	}
+	for n.have > n.want && len(n.empty) > 0 {
+		moves[n.empty[0].ID] = spare
+		n.empty = n.empty[1:]
+		n.have--
+	}
+}
+
+// needs works out what each working pool should have, the greatest want first.
+func (s *State) needs(f *Forecast) []need {
+	var out []need
+	for pool, r := range s.Reports {
+		if s.Spare[pool] {
+			continue
+		}
+		n := need{pool: pool, have: s.have(pool)}
+		n.want = s.want(pool, r, f, n.have)
+		n.empty = s.emptyOf(pool, r)
+		out = append(out, n)
+	}
+	slices.SortFunc(out, func(a, b need) int {
+		return cmp.Or(cmp.Compare(b.want-b.have, a.want-a.have), cmp.Compare(a.pool, b.pool))
+	})
+	return out
+}
+
+// have counts a pool's instances that are there or on their way; those down for upkeep come back by themselves.
+func (s *State) have(pool string) int {
+	n := 0
+	for _, i := range s.Instances {
+		to := i.Pool
+		if d := s.Duties[i.ID]; d.To != "" && (d.Open || i.State == StateMoving) {
+			to = d.To
+		}
+		if to == pool && i.State != StateDown && i.State != StateUpkeep {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) want(pool string, r engine.PoolReport, f *Forecast, have int) int {
+	d := f.pools[pool]
+	if d == nil {
+		return have
+	}
+	room := s.roomOf(pool)
+	used := float64(r.UsedCPU - r.LastingCPU + r.PendingCPU)
+	switch {
+	case f.Expecting(pool, s.Now):
+		load := max(d.rate*surgeMargin, used*backlogMargin)
+		if !d.surging || s.Now-d.starts[len(d.starts)-1] < risingTime {
+			load = max(load, d.peak*surgeMargin)
+		}
+		return max(s.Baseline[pool], ceilDiv(load+float64(r.LastingCPU), room))
+	case f.Quiet(pool, s.Now):
+		return max(hosts(r), min(s.Baseline[pool], ceilDiv(max(d.rate, used)*quietMargin+float64(r.LastingCPU), room)+quietExtra))
+	case used > float64(r.RoomCPU):
+		return max(s.Baseline[pool], ceilDiv(used+float64(r.LastingCPU), room))
+	}
+	return max(s.Baseline[pool], 1)
+}
+
+func ceilDiv(load, room float64) int {
+	n := int(load / room)
+	if float64(n)*room < load {
+		n++
+	}
+	return n
+}
+
+// hosts counts the workers with tasks that last.
+func hosts(r engine.PoolReport) int {
+	n := 0
+	for _, w := range r.Workers {
+		if w.Lasting > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// roomOf is the CPU of one of the pool's instances.
+func (s *State) roomOf(pool string) float64 {
+	for _, i := range s.Instances {
+		if i.Pool == pool && i.RoomCPU > 0 {
+			return float64(i.RoomCPU)
+		}
+	}
+	for _, i := range s.Instances {
+		if i.RoomCPU > 0 {
+			return float64(i.RoomCPU)
+		}
+	}
+	return 1
+}
+
+// emptyOf lists the pool's instances on which nothing runs.
+func (s *State) emptyOf(pool string, r engine.PoolReport) []Instance {
+	idle := map[string]bool{}
+	for _, w := range r.Workers {
+		if w.Runs == 0 && w.Usable {
+			idle[w.ID] = true
+		}
+	}
+	var out []Instance
+	for _, i := range s.inPool(pool) {
+		if idle[i.Worker] {
+			out = append(out, i)
+		}
+	}
+	return out
+}
--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -59,6 +59,11 @@
 	Duties    map[string]Duty
 	Reports   map[string]engine.PoolReport
 	Spare     map[string]bool
+	// Baseline is how many instances each pool had before any was moved.
+	Baseline map[string]int
+
+	// inHand are instances that are being emptied for an order.
+	inHand map[string]bool
 }
 
 // begun reports whether the upkeep of an instance in a wave has begun.
--- /dev/null
+++ b/upkeep/upkeep_test.go
@@ -0,0 +1,162 @@
+package upkeep
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"samphirepoint/engine"
+)
+
+const testRoom = 64000
+
+// fleet builds a state with n instances in each pool, all up and idle, and a spare pool.
+func fleet(now time.Duration, sizes map[string]int) *State {
+	s := &State{Now: now, Instances: map[string]Instance{}, Duties: map[string]Duty{}, Reports: map[string]engine.PoolReport{}, Spare: map[string]bool{"common": true}, Baseline: map[string]int{}}
+	for pool, n := range sizes {
+		s.Baseline[pool] = n
+		r := engine.PoolReport{RoomCPU: int64(n) * testRoom}
+		for k := range n {
+			id := fmt.Sprintf("%s-%02d", pool, k)
+			s.Instances[id] = Instance{ID: id, Pool: pool, State: StateUp, Worker: "w-" + id, RoomCPU: testRoom}
+			r.Workers = append(r.Workers, engine.WorkerReport{ID: "w-" + id, RoomCPU: testRoom, Usable: true})
+		}
+		if pool != "common" {
+			s.Reports[pool] = r
+		}
+	}
+	return s
+}
+
+// feed observes a constant rate of arriving work, in cores, for a while.
+func feed(f *Forecast, pool string, arrived *int64, cores float64, from, length time.Duration, room float64) time.Duration {
+	const dt = 250 * time.Millisecond
+	for t := from; t < from+length; t += dt {
+		*arrived += int64(cores * float64(dt.Milliseconds()))
+		f.Observe(pool, engine.PoolReport{ArrivedWork: *arrived}, room, t)
+	}
+	return from + length
+}
+
+// Load pattern: demand by turns, a twentieth of the room and then more than it. Guards against noise being taken for a turn,
+// and against a turn that is seen too late to help.
+func TestForecastSeesTurns(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	room := 10.0 * testRoom
+	arrived := int64(0)
+	now := feed(f, "pumps", &arrived, 30, 0, 8*time.Second, room)
+	g.Expect(f.Expecting("pumps", now)).To(BeFalse())
+	now = feed(f, "pumps", &arrived, 760, now, 1500*time.Millisecond, room)
+	g.Expect(f.Expecting("pumps", now)).To(BeTrue(), "seen within 1.5 s")
+	now = feed(f, "pumps", &arrived, 760, now, 6*time.Second, room)
+	g.Expect(f.Quiet("pumps", now)).To(BeFalse())
+	now = feed(f, "pumps", &arrived, 30, now, 5*time.Second, room)
+	g.Expect(f.Expecting("pumps", now)).To(BeFalse())
+}
+
+// Load pattern: single large jobs seconds apart. Guards against giving instances away after a burst that was no turn.
+func TestForecastIgnoresSingleJobs(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	arrived := int64(0)
+	now := time.Duration(0)
+	for range 10 {
+		arrived += 500_000
+		now = feed(f, "routes", &arrived, 0, now, 2500*time.Millisecond, 12*testRoom)
+	}
+	g.Expect(f.Quiet("routes", now)).To(BeFalse())
+}
+
+// Load pattern: one pool in its turn, the others idle. Guards against a surge that is left to the pool's own instances.
+func TestMovesFollowTheTurn(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	s := fleet(0, map[string]int{"pumps": 9, "routes": 12, "common": 8})
+	arrived, other := int64(0), int64(0)
+	feed(f, "routes", &other, 30, 0, 4*time.Second, 12*testRoom)
+	s.Now = feed(f, "pumps", &arrived, 800, 0, 4*time.Second, 9*testRoom)
+	moves := s.PlanMoves(f, map[string]time.Duration{})
+	g.Expect(len(moves)).To(BeNumerically(">=", 6))
+	for id, to := range moves {
+		g.Expect(to).To(Equal("pumps"))
+		g.Expect(s.Instances[id].Pool).To(Equal("common"), "instances that nobody pays for come first")
+	}
+}
+
+// Load pattern: a turn that is over. Guards against paying for idle instances until the end of the day, and against taking
+// those on which something runs.
+func TestQuietPoolGivesBack(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	s := fleet(0, map[string]int{"pumps": 9, "routes": 12, "slips": 11, "common": 1})
+	arrived, other, idle := int64(0), int64(0), int64(0)
+	feed(f, "slips", &idle, 10, 0, 16*time.Second, 11*testRoom)
+	now := feed(f, "pumps", &arrived, 700, 0, 8*time.Second, 9*testRoom)
+	feed(f, "routes", &other, 700, now, 4*time.Second, 12*testRoom)
+	now = feed(f, "pumps", &arrived, 10, now, 4*time.Second, 9*testRoom)
+	s.Now = now
+	r := s.Reports["pumps"]
+	r.Workers[0].Runs, r.Workers[0].Lasting, r.Workers[0].UsedCPU = 1, 1, 5000
+	r.UsedCPU, r.LastingCPU = 5000, 5000
+	s.Reports["pumps"] = r
+	since := map[string]time.Duration{}
+	s.PlanMoves(f, since)
+	s.Now += 2 * time.Second
+	moves := s.PlanMoves(f, since)
+	back := 0
+	for id, to := range moves {
+		g.Expect(id).NotTo(Equal("pumps-00"), "a task that lasts is there")
+		if to == "common" || to == "routes" {
+			back++
+		}
+	}
+	g.Expect(back).To(BeNumerically(">=", 5))
+}
+
+// Guards against more instances down than the wave's cap, whatever is known of earlier orders.
+func TestWaveKeepsItsCap(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(0, map[string]int{"pumps": 9, "routes": 12, "common": 8})
+	w := Wave{ID: 1, Cap: 4, Duration: 25 * time.Second}
+	for id := range s.Instances {
+		w.Instances = append(w.Instances, id)
+	}
+	g.Expect(s.PlanWave(w, nil)).To(HaveLen(4))
+	s.Duties["common-00"] = Duty{Wave: 1, Open: true, Worker: "w-common-00"}
+	s.Duties["common-01"] = Duty{Wave: 1, Begun: []int64{1}, Worker: "w-common-01"}
+	g.Expect(s.PlanWave(w, nil)).To(HaveLen(2), "one order is open, one instance has not come back")
+	i := s.Instances["common-01"]
+	i.Worker = "w-new"
+	s.Instances["common-01"] = i
+	g.Expect(s.PlanWave(w, nil)).To(HaveLen(3))
+}
+
+// Load pattern: a wave at the peak of a pool. Guards against taking the instances of the pool that needs them most.
+func TestWaveSparesThePoolInItsTurn(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(0, map[string]int{"pumps": 8, "routes": 8})
+	r := s.Reports["pumps"]
+	r.UsedCPU = r.RoomCPU
+	s.Reports["pumps"] = r
+	w := Wave{ID: 1, Cap: 8, Duration: 60 * time.Second}
+	for id := range s.Instances {
+		w.Instances = append(w.Instances, id)
+	}
+	for _, id := range s.PlanWave(w, nil) {
+		g.Expect(s.Instances[id].Pool).To(Equal("routes"))
+	}
+	s.Now = 55 * time.Second
+	g.Expect(s.PlanWave(w, nil)).To(HaveLen(8), "time runs out")
+}
+
+// Guards against an instance of a wave being forgotten, and against waiting for one that has left the fleet.
+func TestWaveCompletesWithWhatStays(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(0, map[string]int{"pumps": 2})
+	w := Wave{ID: 3, Cap: 4, Instances: []string{"pumps-00", "pumps-01", "gone"}}
+	s.Duties["pumps-00"] = Duty{Begun: []int64{3}}
+	g.Expect(s.Left(w)).To(ConsistOf("pumps-01"))
+}
