End lives of workers by the instance list, measure demand at the pool's owner, repeat calls without an answer

Cause: tasks of a dark worker waited for its lease (5 s) though the instance list names the end of its life at once; a new holder of the fleet's duties had lost the measured demand; a submission that met a change of owner ended as 504, which callers can't repeat.

--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -54,15 +54,28 @@
 	OpTake    = "take"
 	OpOwner   = "owner"
 	OpReport  = "report"
+	OpGone    = "gone"
 )
 
-// Do carries out a call at the pool's owner, wherever that is.
+// attemptTime bounds one attempt at one daemon; the next one may find another owner.
+const attemptTime = 1300 * time.Millisecond
+
+// Do carries out a call at the pool's owner, wherever that is. Calls may be repeated without harm, so one without an
+// answer is made again until ctx ends. Once an attempt may have been carried out, an error says so to the end.
 func (n *Node) Do(ctx context.Context, call Call) (Result, error) {
 	limit := n.set.Now() + findTime
+	uncertain := false
 	for {
-		res, err := n.try(ctx, call)
-		if !again(err) || ctx.Err() != nil || n.set.Now() > limit {
-			return res, err
+		attempt, cancel := context.WithTimeout(ctx, attemptTime)
+		res, err := n.try(attempt, call)
+		cancel()
+		if err == nil {
+			return res, nil
+		}
+		unknown := verdict.Is(err, verdict.MayHaveRun)
+		uncertain = uncertain || unknown
+		if !unknown && (!again(err) || n.set.Now() > limit) || ctx.Err() != nil {
+			return res, certainty(err, uncertain)
 		}
 		t := time.NewTimer(findPause)
 		select {
@@ -73,6 +86,14 @@
 	}
 }
 
+// certainty keeps a refusal from being told to a caller whose call may have been carried out before.
+func certainty(err error, uncertain bool) error {
+	if uncertain && verdict.Is(err, verdict.NotRun) {
+		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusGatewayTimeout)
+	}
+	return err
+}
+
 // again reports whether the call met no owner, so that nothing was done.
 func again(err error) bool {
 	return verdict.Is(err, verdict.NotRun) && verdict.Status(err) == http.StatusMisdirectedRequest
@@ -143,6 +164,8 @@
 		res.Waiting, err = o.Waiting(ctx, call.Queue)
 	case OpCordon:
 		res.Empty, res.Known, err = o.Cordon(ctx, call.Worker, time.Duration(call.ForMS)*time.Millisecond)
+	case OpGone:
+		err = o.Gone(ctx, call.Worker)
 	case OpReport:
 		var r engine.PoolReport
 		r, err = o.Report(ctx)
--- a/engine/commit.go
+++ b/engine/commit.go
@@ -149,6 +149,20 @@
 	}
 }
 
+// Returned takes back a batch that was certainly not written.
+func (p *Pool) Returned(batch []Change) {
+	for i := range batch {
+		j := batch[i].Job
+		if j.committed == 0 {
+			j.batched = false
+		}
+		if !j.queued {
+			j.queued = true
+			p.dirty = append(p.dirty, j)
+		}
+	}
+}
+
 // Withdraw takes back a job that was never part of a batch, and reports whether it could.
 func (p *Pool) Withdraw(j *Job) bool {
 	if j.batched || j.committed > 0 {
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -47,9 +47,7 @@
 	advice  []AdviceRequest
 	learned map[string]*durations
 	takenAt time.Duration
-	// arrivedWork counts accepted work in core-milliseconds.
-	arrivedWork int64
-	notes       []Note
+	notes   []Note
 	// needPlace is set by each event that may allow a new start.
 	needPlace bool
 }
@@ -104,7 +102,6 @@
 	j := newJob(spec, c.Wall)
 	p.jobs[spec.ID] = j
 	p.open = append(p.open, j)
-	p.arrivedWork += p.work(j)
 	p.touch(j)
 	p.unfold(j, c)
 	p.needPlace = true
--- a/engine/report.go
+++ b/engine/report.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // WorkerReport is the state of a worker for those who plan upkeep and moves.
@@ -25,15 +26,15 @@
 	UsedCPU    int64 `json:"uc"`
 	LastingCPU int64 `json:"lc"`
 	PendingCPU int64 `json:"pc"`
-	// ArrivedWork counts the accepted work of this ownership, in core-milliseconds as expected.
-	ArrivedWork int64 `json:"aw"`
+	// RateCPU is the work that arrived lately, per time: the CPU that it would keep busy for good.
+	RateCPU int64 `json:"rt"`
 	// Missing is set while a task that lasts waits for room.
 	Missing bool `json:"m,omitempty"`
 }
 
 // Report describes the pool as it is.
 func (p *Pool) Report(c Clock) PoolReport {
-	r := PoolReport{ArrivedWork: p.arrivedWork}
+	r := PoolReport{RateCPU: p.rate(c)}
 	for _, w := range p.workers {
 		wr := WorkerReport{
 			ID: w.ID, Rack: w.rack(), RoomCPU: w.info.Room.CPU, UsedCPU: w.used.CPU, Runs: len(w.runs),
@@ -67,8 +68,22 @@
 	}
 }
 
-// work is the job's expected work in core-milliseconds.
-func (p *Pool) work(j *Job) int64 {
+// rateWindow is over how long arriving work is averaged; large jobs come seconds apart.
+const rateWindow = 1300 * time.Millisecond
+
+// rate is worked out from the times at which jobs were handed in, so that a successor in the ownership finds the same.
+func (p *Pool) rate(c Clock) int64 {
+	total := 0.0
+	for _, j := range p.jobs {
+		if age := c.Wall - j.submittedMS; age >= 0 && age < rateWindow.Milliseconds() {
+			total += p.work(j)
+		}
+	}
+	return int64(total / float64(rateWindow.Milliseconds()))
+}
+
+// work is the job's expected work in thousandths of a core times milliseconds.
+func (p *Pool) work(j *Job) float64 {
 	total := 0.0
 	for i := range j.Spec.Steps {
 		st := &j.Spec.Steps[i]
@@ -79,7 +94,7 @@
 		if d := p.learned[j.Spec.Queue]; d != nil && d.count >= 5 {
 			ms = d.mean
 		}
-		total += ms * float64(st.Count) * float64(st.Need.CPU) / 1000
+		total += ms * float64(st.Count) * float64(st.Need.CPU)
 	}
-	return int64(total)
+	return total
 }
--- a/owner/calls.go
+++ b/owner/calls.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// holdWait is how long a worker may wait for an end before it answers a hold.
-	holdWait = 1500 * time.Millisecond
+	// holdWait is how long a worker may wait for an end before it answers a hold; idleWait while nothing runs there.
+	holdWait = time.Second
+	idleWait = 1500 * time.Millisecond
 	// answerTime is how long a worker may take for an answer beside the waiting.
 	answerTime = 600 * time.Millisecond
 	// holdRetry is the pause after a hold without an answer.
@@ -49,6 +50,9 @@
 			}
 		}
 		wait := holdWait
+		if req.Idle {
+			wait = idleWait
+		}
 		if req.DeadlineMS == 0 || req.Unacknowledged {
 			wait = 0
 		}
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -89,6 +89,10 @@
 		o.post(o.noteStoreFault)
 		o.set.Log.Warn().Str("pool", o.set.Pool).Err(err).Bool("mayHaveRun", unknown).Msg("rows not written, trying again")
 		pause(o.ctx, commitRetry)
+		if !unknown {
+			o.post(func() { o.returned(batch) })
+			return
+		}
 	}
 }
 
@@ -127,6 +131,12 @@
 	}
 }
 
+// returned takes back a batch that was certainly not written: what waits in it can still be refused.
+func (o *Owner) returned(batch []engine.Change) {
+	o.inFlight = false
+	o.pool.Returned(batch)
+}
+
 func (o *Owner) noteStoreFault() {
 	if o.storeBad == 0 {
 		o.storeBad = o.set.Now()
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -15,7 +15,7 @@
 	// storeRetryAfter is when callers are told to come back while the store is away.
 	storeRetryAfter = time.Second
 	// acceptTime bounds how long a caller waits for the store.
-	acceptTime = 1500 * time.Millisecond
+	acceptTime = 1100 * time.Millisecond
 )
 
 // Submit accepts a job: nil means that it is stored. An error with verdict not-run means that it never runs.
@@ -121,3 +121,8 @@
 	err := o.Do(ctx, func(p *engine.Pool, c engine.Clock) { r = p.Report(c) })
 	return r, err
 }
+
+// Gone takes in that a worker's life is over.
+func (o *Owner) Gone(ctx context.Context, worker string) error {
+	return o.Do(ctx, func(p *engine.Pool, c engine.Clock) { p.WorkerGone(worker, c) })
+}
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -40,6 +40,8 @@
 	Report(ctx context.Context, pool string) (engine.PoolReport, error)
 	// Cordon keeps new work off a worker for a while; length 0 ends that.
 	Cordon(ctx context.Context, pool, worker string, length time.Duration) (empty, known bool, err error)
+	// Gone tells the owner that a worker's life is over.
+	Gone(ctx context.Context, pool, worker string) error
 	// Pools lists the pools by name, with spare ones true.
 	Pools() map[string]bool
 }
@@ -99,13 +101,16 @@
 
 	forecast *Forecast
 	baseline map[string]int
-	surplus  map[string]time.Duration
+	// lives are the workers that the instances were last known to run, ended those whose pool hasn't been told yet.
+	lives   map[string]Instance
+	ended   map[string]string
+	surplus map[string]time.Duration
 }
 
 // New returns a controller under a claim.
 func New(ctx context.Context, s Settings) *Controller {
 	c, cancel := context.WithCancel(ctx)
-	return &Controller{set: s, ctx: c, cancel: cancel, duties: map[string]Duty{}, vers: map[string]int64{}, held: map[string]string{}, reported: map[int64]string{}, forecast: NewForecast(), surplus: map[string]time.Duration{}}
+	return &Controller{set: s, ctx: c, cancel: cancel, duties: map[string]Duty{}, vers: map[string]int64{}, held: map[string]string{}, reported: map[int64]string{}, lives: map[string]Instance{}, ended: map[string]string{}, forecast: NewForecast(), surplus: map[string]time.Duration{}}
 }
 
 // Token is the fencing token of the orders.
@@ -202,6 +207,7 @@
 		s.Instances[i.ID] = i
 	}
 	c.takeLives(s)
+	c.tellEnded(ctx, s)
 	if err := c.learnBaseline(ctx, s); err != nil {
 		return nil, err
 	}
@@ -225,6 +231,21 @@
 	return s, nil
 }
 
+// tellEnded tells the pools' owners of workers whose instance has no longer that life. Their leases need not be waited for.
+func (c *Controller) tellEnded(ctx context.Context, s *State) {
+	for id, old := range c.lives {
+		if now, ok := s.Instances[id]; (!ok || now.Worker != old.Worker) && old.Worker != "" {
+			c.ended[old.Worker] = old.Pool
+		}
+	}
+	c.lives = s.Instances
+	for worker, pool := range c.ended {
+		if s.Spare[pool] || c.set.Pools.Gone(ctx, pool, worker) == nil {
+			delete(c.ended, worker)
+		}
+	}
+}
+
 // learnBaseline stores how the instances are divided before the first move.
 func (c *Controller) learnBaseline(ctx context.Context, s *State) error {
 	if c.baseline == nil && len(s.Instances) > 0 {
--- a/upkeep/forecast.go
+++ b/upkeep/forecast.go
@@ -1,15 +1,12 @@
 package upkeep
 
 import (
-	"math"
 	"time"
 
 	"samphirepoint/engine"
 )
 
 const (
-	// rateWindow is over how long the rate of arriving work is averaged; large jobs come seconds apart.
-	rateWindow = 900 * time.Millisecond
 	// surgeOfRoom and surgeOfMean are the shares of the room, and the multiples of the mean, from which a rate is a surge.
 	surgeOfRoom = 0.55
 	surgeOfMean = 2.2
@@ -24,7 +21,6 @@
 // demand is what a pool's arriving work has looked like. Rates are in thousandths of a core: the work that arrives in a
 // second, divided by that second.
 type demand struct {
-	arrived int64
 	at      time.Duration
 	began   time.Duration
 	rate    float64
@@ -45,26 +41,18 @@
 // NewForecast returns a forecast that has seen nothing.
 func NewForecast() *Forecast { return &Forecast{pools: map[string]*demand{}} }
 
-// Observe takes in a pool's report, and the CPU that the pool has by its baseline. It reports whether a surge has begun or ended, and which.
+// Observe takes in a pool's report, and the CPU that the pool has by its baseline. It reports whether a surge has begun or
+// ended, and which.
 func (f *Forecast) Observe(pool string, r engine.PoolReport, room float64, now time.Duration) (turned, surging bool) {
 	d := f.pools[pool]
 	if d == nil {
-		f.pools[pool] = &demand{arrived: r.ArrivedWork, at: now, began: now}
-		return false, false
-	}
-	dt := now - d.at
-	if dt <= 0 {
-		return false, d.surging
-	}
-	delta := r.ArrivedWork - d.arrived
-	d.arrived, d.at = r.ArrivedWork, now
-	if delta < 0 {
-		return false, d.surging // Another owner counts anew.
+		d = &demand{at: now, began: now}
+		f.pools[pool] = d
 	}
 	was := d.surging
-	d.total += float64(delta) * 1000
-	inst := float64(delta) * 1000 / float64(dt.Milliseconds())
-	d.rate += (1 - math.Exp(-float64(dt)/float64(rateWindow))) * (inst - d.rate)
+	d.rate = float64(r.RateCPU)
+	d.total += d.rate * float64((now - d.at).Milliseconds())
+	d.at = now
 	d.turn(max(room, 1), now)
 	return d.surging != was, d.surging
 }
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -15,6 +15,8 @@
 	backlogMargin = 1.1
 	// risingTime is for how long after its start a surge is taken to last at its peak.
 	risingTime = 2 * time.Second
+	// watchFirst is how long a pool is watched before its instances are moved.
+	watchFirst = time.Second
 	// quietMargin and quietExtra are what a pool keeps between its turns beside what it uses.
 	quietMargin = 1.5
 	quietExtra  = 1
@@ -148,7 +150,7 @@
 		if d := s.Duties[i.ID]; d.To != "" && (d.Open || i.State == StateMoving) {
 			to = d.To
 		}
-		if to == pool && i.State != StateDown && i.State != StateUpkeep {
+		if to == pool && i.State != StateDown {
 			n++
 		}
 	}
@@ -157,7 +159,7 @@
 
 func (s *State) want(pool string, r engine.PoolReport, f *Forecast, have int) int {
 	d := f.pools[pool]
-	if d == nil {
+	if d == nil || s.Now-d.began < watchFirst {
 		return have
 	}
 	room := s.roomOf(pool)
