--- a/engine/ends.go
+++ b/engine/ends.go
@@ -105,6 +105,7 @@
 		return p.takeForeignEnd(t, w, e, c)
 	}
 	p.note("end", e.Task, e.Run, w.ID, string(e.How))
+	t.atWorkSince = 0
 	p.dropRun(r)
 	p.touch(j)
 	if e.Saved != "" && !t.done {
@@ -249,9 +250,7 @@
 		t.saved = row.Saved
 	}
 	r.percent, r.load = row.Percent, row.Load
-	if t.step.spec.Lasting && row.Percent >= 100 {
-		t.atWorkAt = c.Now
-	}
+	t.seenAtWork(row.Percent >= 100, c)
 	switch r.phase {
 	case phaseStarting, phaseInherited:
 		p.confirm(r, c)
@@ -262,6 +261,18 @@
 	}
 }
 
+// seenAtWork takes in whether a task that lasts is at work.
+func (t *Task) seenAtWork(atWork bool, c Clock) {
+	if !atWork {
+		t.atWorkSince = 0
+		return
+	}
+	t.atWorkAt = c.Now
+	if t.atWorkSince == 0 {
+		t.atWorkSince = c.Now
+	}
+}
+
 // confirm notes that the worker has the run.
 func (p *Pool) confirm(r *Run, c Clock) {
 	if r.phase == phaseInherited {
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -234,3 +234,30 @@
 		g.Expect(atWork).To(BeNumerically(">=", 2))
 	}
 }
+
+// Guards against taking off the next task that lasts while the last one has only just been shown as at work again.
+func TestNextTaskIsTakenOffOnlyOnceTheLastHasSettled(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(6)
+	w.pool.Submit(lasting("00000000000000b8", 3), w.clock())
+	w.step(2 * time.Second)
+	var stops []time.Duration
+	for range 80 {
+		for id, f := range w.workers {
+			if len(f.running) > 0 || f.info.Labels[1] == "r-0" {
+				w.pool.Cordon(id, w.now+100*time.Millisecond, w.clock())
+			}
+		}
+		before := len(w.orders)
+		w.step(50 * time.Millisecond)
+		for _, o := range w.orders[before:] {
+			if o.Kind == OrderStop {
+				stops = append(stops, w.now)
+			}
+		}
+	}
+	g.Expect(len(stops)).To(BeNumerically(">", 1))
+	for i := 1; i < len(stops); i++ {
+		g.Expect(stops[i] - stops[i-1]).To(BeNumerically(">", atWorkSettled))
+	}
+}
--- a/engine/evacuate.go
+++ b/engine/evacuate.go
@@ -45,14 +45,19 @@
 	return n
 }
 
-// atWorkFresh is the greatest age of the word that a task is at work.
-const atWorkFresh = 2 * time.Second
+const (
+	// atWorkFresh is the greatest age of the word that a task is at work.
+	atWorkFresh = 2 * time.Second
+	// atWorkSettled is for how long a task must have been at work before another one may be taken off: a worker
+	// shows whole percents, which are full before the task is.
+	atWorkSettled = 600 * time.Millisecond
+)
 
 func (t *Task) atWork(c Clock) bool {
-	if len(t.live) != 1 || t.live[0].phase != phaseRunning || t.atWorkAt == 0 {
+	if len(t.live) != 1 || t.live[0].phase != phaseRunning || t.atWorkSince == 0 {
 		return false
 	}
-	return t.live[0].percent >= 100 && c.Now-t.atWorkAt < atWorkFresh
+	return c.Now-t.atWorkAt < atWorkFresh && c.Now-t.atWorkSince > atWorkSettled
 }
 
 // spareFor reports whether some other worker has room for the task now.
--- a/engine/job.go
+++ b/engine/job.go
@@ -64,8 +64,9 @@
 	// failedOn are workers on which a run failed.
 	failedOn map[string]int
 	restarts int
-	// atWorkAt is when a lasting task was last seen at work.
-	atWorkAt time.Duration
+	// atWorkAt is when a lasting task was last seen at work, atWorkSince since when without a break.
+	atWorkAt    time.Duration
+	atWorkSince time.Duration
 }
 
 func newJob(spec Spec, submittedMS int64) *Job {
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -302,6 +302,7 @@
 // lose ends a run that is over without a listed end.
 func (p *Pool) lose(r *Run, c Clock) {
 	p.note("run-lost", r.Task.id.String(), r.Num, r.Worker.ID, "")
+	r.Task.atWorkSince = 0
 	p.dropRun(r)
 	p.touch(r.Task.job())
 	p.gangBroken(r.Task, c)
