--- a/engine/evacuate.go
+++ b/engine/evacuate.go
@@ -31,7 +31,7 @@
 	if leaving {
 		return true
 	}
-	return st.away(r.Task, c) < st.spec.MayMiss && p.spareFor(r.Task, c)
+	return r.Task.atWork(c) && st.away(r.Task, c) < st.spec.MayMiss && p.spareFor(r.Task, c)
 }
 
 // away counts the other tasks of the step that aren't surely at work.
