--- /dev/null
+++ b/cluster/cluster_test.go
@@ -0,0 +1,68 @@
+package cluster
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func member(node string, beat int64, pools ...string) Member {
+	m := Member{Node: node, Incarnation: "x", Beat: beat, Pools: map[string]int64{}}
+	for _, p := range pools {
+		m.Pools[p] = 1
+	}
+	return m
+}
+
+// Guards against every daemon being taken for dead while the store is away: requests found no owner then.
+func TestNobodyDiesWhileTheRowsCantBeRead(t *testing.T) {
+	g := NewWithT(t)
+	v := NewView("a", deadAfter)
+	v.Observe([]Member{member("a", 1), member("b", 1, "pumps")}, time.Second)
+	g.Expect(v.Alive()).To(HaveLen(2))
+	// Nothing is read for 5 s; b could not beat either, and does so right after.
+	v.Postpone(5 * time.Second)
+	v.Observe([]Member{member("a", 1), member("b", 1, "pumps")}, 6*time.Second)
+	g.Expect(v.Alive()).To(HaveLen(2))
+	v.Observe([]Member{member("a", 2), member("b", 1, "pumps")}, 9*time.Second)
+	g.Expect(v.Alive()).To(HaveLen(1), "b has stood still while a could beat")
+}
+
+// Guards against waiting for beats of a process whose address refuses connections.
+func TestRefusedConnectionsMeanDeath(t *testing.T) {
+	g := NewWithT(t)
+	v := NewView("a", deadAfter)
+	v.Observe([]Member{member("a", 1), member("b", 1)}, time.Second)
+	v.Refused("b")
+	v.Refused("b")
+	g.Expect(v.Alive()).To(HaveLen(1))
+	v.Observe([]Member{member("a", 1), member("b", 2)}, 2*time.Second)
+	g.Expect(v.Alive()).To(HaveLen(2))
+}
+
+// Guards against two daemons that take the same pool, pools that nobody takes, and pools for daemons that leave.
+func TestAssignSpreadsFreePools(t *testing.T) {
+	g := NewWithT(t)
+	leaving := member("c", 1, "slips")
+	leaving.Leaving = true
+	alive := []Member{member("a", 1, "pumps"), member("b", 1), leaving, member("d", 1)}
+	pools := []string{"pumps", "slips", "routes", "deliveries"}
+	got := Assign(alive, pools, false)
+	g.Expect(got).To(HaveLen(2))
+	g.Expect(got["routes"]).NotTo(Equal(got["deliveries"]))
+	for _, node := range got {
+		g.Expect(node).To(BeElementOf("b", "d"))
+	}
+	g.Expect(Assign(alive, pools, true)).To(HaveKey("slips"))
+}
+
+// Guards against requests that go to a former owner whose row is older.
+func TestOwnerIsTheHighestToken(t *testing.T) {
+	g := NewWithT(t)
+	a, b := member("a", 1, "pumps"), member("b", 1, "pumps")
+	b.Pools["pumps"] = 2
+	o, ok := Owner([]Member{b, a}, "pumps")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(o.Node).To(Equal("b"))
+}
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -33,6 +33,8 @@
 	members map[string]*observed
 	// deadAfter is the time without a change after which a member counts as dead.
 	deadAfter time.Duration
+	// observedAt is when the rows were last read: a member can't be seen to beat after that.
+	observedAt time.Duration
 }
 
 // NewView returns an empty view of the daemon self.
@@ -43,6 +45,7 @@
 // Observe takes in all rows as read at now.
 func (v *View) Observe(list []Member, now time.Duration) {
 	seen := map[string]bool{}
+	v.observedAt = now
 	for _, m := range list {
 		seen[m.Node] = true
 		o := v.members[m.Node]
@@ -76,11 +79,12 @@
 // refusedLimit is how many refused connections in a row, without a beat between, mean death.
 const refusedLimit = 2
 
-// Alive returns the members that beat, in order of their names.
-func (v *View) Alive(now time.Duration) []Member {
+// Alive returns the members that beat when the rows were last read, in order of their names. While the rows can't be
+// read, nobody is taken for dead.
+func (v *View) Alive() []Member {
 	var out []Member
 	for _, o := range v.members {
-		if o.Node == v.self || (now-o.changedAt <= v.deadAfter && o.refused < refusedLimit) {
+		if o.Node == v.self || (v.observedAt-o.changedAt <= v.deadAfter && o.refused < refusedLimit) {
 			out = append(out, o.Member)
 		}
 	}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -221,7 +221,7 @@
 func (n *Node) Alive() []Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.view.Alive(n.set.Now())
+	return n.view.Alive()
 }
 
 func (n *Node) takePools(ctx context.Context) {
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -102,7 +102,7 @@
 func (n *Node) try(ctx context.Context, call Call) (Result, error) {
 	n.mu.Lock()
 	local := n.pools[call.Pool]
-	alive := n.view.Alive(n.set.Now())
+	alive := n.view.Alive()
 	n.mu.Unlock()
 	if local != nil {
 		return n.local(ctx, local, call)
--- a/command/daemon.go
+++ b/command/daemon.go
@@ -19,7 +19,10 @@
 func (*daemonCommand) Name() string     { return "daemon" }
 func (*daemonCommand) Synopsis() string { return "run an entry on the users' platform" }
 func (*daemonCommand) Usage() string {
-	return "daemon:\n  Runs until SIGTERM with the settings file that " + platform.SettingsVariable + " names.\n"
+	return "samphirepoint daemon\n" +
+		"  Serves callers and owns pools until SIGTERM, with the settings file that " + platform.SettingsVariable + " names.\n" +
+		"  Logs go to standard output as JSON lines. Settings that can't be used end it with status 2.\n" +
+		"  Example: " + platform.SettingsVariable + "=/etc/samphirepoint/node.yaml samphirepoint daemon\n"
 }
 func (*daemonCommand) SetFlags(*flag.FlagSet) {}
 
--- a/command/main.go
+++ b/command/main.go
@@ -85,7 +85,7 @@
 		title string
 		names []string
 	}{
-		{"Run", []string{"entry", "settings", "token", "version"}},
+		{"Run", []string{"daemon", "entry", "settings", "token", "version"}},
 		{"Operate, through the admin API of any entry", []string{"table", "pool", "maintenance"}},
 		{"Try and measure on loopback", []string{"dev", "load", "compare", "standin"}},
 	} {
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -83,7 +83,6 @@
 	load        int64
 	pace        int64
 	ticket      string
-	slots       bool
 }
 
 type phase uint8
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -12,7 +12,7 @@
 const (
 	// storeGrace is for how long the store may fail before new work is refused at once.
 	storeGrace = 250 * time.Millisecond
-	// storeRetryAfter is when callers are told to come back while the store is away.
+	// storeRetryAfter is when callers are told to come back while the store is away: soon, as they have little time.
 	storeRetryAfter = time.Second
 	// acceptTime bounds how long a caller waits for the store.
 	acceptTime = 1100 * time.Millisecond
@@ -22,7 +22,7 @@
 func (o *Owner) Submit(ctx context.Context, spec engine.Spec) error {
 	return o.commitOf(ctx, func(p *engine.Pool, c engine.Clock) (*engine.Job, error) {
 		if j := p.Job(spec.ID); j == nil && o.storeBad != 0 && c.Now-o.storeBad > storeGrace {
-			return nil, verdict.Unavailable(storeRetryAfter, "the store is away")
+			return nil, storeAway()
 		}
 		return p.Submit(spec, c), nil
 	})
@@ -58,6 +58,8 @@
 	return o.awaitCommit(ctx, job, stored)
 }
 
+func storeAway() error { return verdict.Unavailable(storeRetryAfter, "the store is away") }
+
 func (o *Owner) awaitCommit(ctx context.Context, job *engine.Job, stored chan struct{}) error {
 	t := time.NewTimer(acceptTime)
 	defer t.Stop()
@@ -68,10 +70,14 @@
 	case <-ctx.Done():
 	case <-o.ctx.Done():
 	}
-	withdrawn := false
-	_ = o.Do(context.Background(), func(p *engine.Pool, _ engine.Clock) { withdrawn = p.Withdraw(job) })
-	if withdrawn {
-		return verdict.Unavailable(storeRetryAfter, "the store is away")
+	var away error
+	_ = o.Do(context.Background(), func(p *engine.Pool, _ engine.Clock) {
+		if p.Withdraw(job) {
+			away = storeAway()
+		}
+	})
+	if away != nil {
+		return away
 	}
 	return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "job %s: the store did not answer in time", job.Spec.ID)
 }
