--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -19,13 +19,13 @@
 func TestNobodyDiesWhileTheRowsCantBeRead(t *testing.T) {
 	g := NewWithT(t)
 	v := NewView("a", deadAfter)
-	v.Observe([]Member{member("a", 1), member("b", 1, "pumps")}, time.Second)
+	v.Observe([]Member{member("a", 1), member("b", 1, "pumps")}, true, time.Second)
 	g.Expect(v.Alive()).To(HaveLen(2))
 	// Nothing is read for 5 s; b could not beat either, and does so right after.
 	v.Postpone(5 * time.Second)
-	v.Observe([]Member{member("a", 1), member("b", 1, "pumps")}, 6*time.Second)
+	v.Observe([]Member{member("a", 1), member("b", 1, "pumps")}, true, 6*time.Second)
 	g.Expect(v.Alive()).To(HaveLen(2))
-	v.Observe([]Member{member("a", 2), member("b", 1, "pumps")}, 9*time.Second)
+	v.Observe([]Member{member("a", 2), member("b", 1, "pumps")}, true, 9*time.Second)
 	g.Expect(v.Alive()).To(HaveLen(1), "b has stood still while a could beat")
 }
 
@@ -33,11 +33,11 @@
 func TestRefusedConnectionsMeanDeath(t *testing.T) {
 	g := NewWithT(t)
 	v := NewView("a", deadAfter)
-	v.Observe([]Member{member("a", 1), member("b", 1)}, time.Second)
+	v.Observe([]Member{member("a", 1), member("b", 1)}, true, time.Second)
 	v.Refused("b")
 	v.Refused("b")
 	g.Expect(v.Alive()).To(HaveLen(1))
-	v.Observe([]Member{member("a", 1), member("b", 2)}, 2*time.Second)
+	v.Observe([]Member{member("a", 1), member("b", 2)}, true, 2*time.Second)
 	g.Expect(v.Alive()).To(HaveLen(2))
 }
 
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -42,8 +42,8 @@
 	return &View{self: self, members: map[string]*observed{}, deadAfter: deadAfter}
 }
 
-// Observe takes in all rows as read at now.
-func (v *View) Observe(list []Member, now time.Duration) {
+// Observe takes in rows as read at now: all of them, or those that have changed.
+func (v *View) Observe(list []Member, all bool, now time.Duration) {
 	seen := map[string]bool{}
 	v.observedAt = now
 	for _, m := range list {
@@ -56,7 +56,7 @@
 		o.Member = m
 	}
 	for n := range v.members {
-		if !seen[n] {
+		if all && !seen[n] {
 			delete(v.members, n)
 		}
 	}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -17,9 +18,11 @@
 	"samphirepoint/verdict"
 )
 
-// TableMembers holds one row a daemon.
+// TableMembers holds one row a daemon, each in a part of its own: a slow store works through a part's writes one by one.
 const TableMembers = "members"
 
+const keyMember = "member"
+
 // FleetDuty is the name under which the upkeep and moves of instances are owned, as if they were a pool.
 const FleetDuty = "~fleet"
 
@@ -75,14 +78,16 @@
 	mu   sync.Mutex
 	view *View
 	// owned are all ownerships of this daemon; pools are those of pools.
-	owned  map[string]Tenure
-	pools  map[string]*owner.Owner
-	tried  map[string]time.Duration
-	beat   int64
-	lastOK time.Duration
-	roster map[string][]engine.WorkerInfo
-	kick   chan struct{}
-	since  time.Duration
+	owned map[string]Tenure
+	pools map[string]*owner.Owner
+	tried map[string]time.Duration
+	beat  int64
+	// seenVer is the version up to which the members were read; only the goroutine of Run uses it.
+	seenVer int64
+	lastOK  time.Duration
+	roster  map[string][]engine.WorkerInfo
+	kick    chan struct{}
+	since   time.Duration
 }
 
 // NewNode returns a daemon that has not joined yet.
@@ -177,17 +182,15 @@
 	}
 	c, cancel := context.WithTimeout(ctx, storeTime)
 	defer cancel()
-	key := rows.Key{Table: TableMembers, Name: n.set.Name}
+	key := rows.Key{Table: TableMembers, Part: n.set.Name, Name: keyMember}
 	if _, err := n.set.Store.Transact(c, rows.Tx{Writes: []rows.Write{{Key: key, Value: value}}}); err != nil {
 		n.set.Log.Warn().Err(err).Msg("beat not written")
 	}
 }
 
-// observe reads all members. While the store can't be read, nobody is taken for dead.
+// observe reads what has changed of the members. While the store can't be read, nobody is taken for dead.
 func (n *Node) observe(ctx context.Context) bool {
-	c, cancel := context.WithTimeout(ctx, storeTime)
-	defer cancel()
-	list, _, err := n.set.Store.Read(c, TableMembers, "")
+	list, all, err := n.readMembers(ctx)
 	now := n.set.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -202,14 +205,33 @@
 	var members []Member
 	for _, r := range list {
 		var m Member
-		if json.Unmarshal(r.Value, &m) == nil && m.Node != "" {
+		if !r.Removed && json.Unmarshal(r.Value, &m) == nil && m.Node != "" {
 			members = append(members, m)
 		}
 	}
-	n.view.Observe(members, now)
+	n.view.Observe(members, all, now)
 	return true
 }
 
+// readMembers returns the changed rows, or all of them at first and after a gap in the history.
+func (n *Node) readMembers(ctx context.Context) (list []rows.Row, all bool, err error) {
+	c, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	if n.seenVer > 0 {
+		list, ver, err := n.set.Store.Watch(c, TableMembers, n.seenVer, 0)
+		if err == nil {
+			n.seenVer = max(ver, n.seenVer)
+			return list, false, nil
+		}
+		if !errors.Is(err, rows.ErrHistoryGone) {
+			return nil, false, err
+		}
+	}
+	list, ver, err := n.set.Store.ReadAll(c, TableMembers)
+	n.seenVer = ver
+	return list, true, err
+}
+
 // StoreSeen is how long ago the store last answered.
 func (n *Node) StoreSeen() time.Duration {
 	n.mu.Lock()
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -13,6 +13,8 @@
 	surgeMargin = 1.35
 	// backlogMargin is the same for work that waits or runs already.
 	backlogMargin = 1.1
+	// idleShare is the share of its instances that a pool outside its turn keeps while another one lacks some.
+	idleShare = 0.75
 	// risingTime is for how long after its start a surge is taken to last at its peak.
 	risingTime = 2 * time.Second
 	// watchFirst is how long a pool is watched before its instances are moved.
@@ -29,8 +31,26 @@
 	pool string
 	have int
 	want int
-	// empty are the instances of the pool that could go now.
+	// least is how far another pool's need may bring it down.
+	least int
+	// empty are the instances of the pool that could go now; busy are others without work that lasts, the idlest first.
 	empty []Instance
+	busy  []Instance
+}
+
+// take removes the best instance to give, if there is one.
+func (n *need) take() (Instance, bool) {
+	list := &n.empty
+	if len(*list) == 0 {
+		list = &n.busy
+	}
+	if len(*list) == 0 {
+		return Instance{}, false
+	}
+	i := (*list)[0]
+	*list = (*list)[1:]
+	n.have--
+	return i, true
 }
 
 // PlanMoves returns the moves to be made now: instance to pool. Pools in their turn get instances from the spare pool, then
@@ -92,17 +112,33 @@
 	var best *need
 	for i := range needs {
 		n := &needs[i]
-		if n.pool != to && n.have > n.want && len(n.empty) > 0 && (best == nil || n.have-n.want > best.have-best.want) {
+		if n.pool == to || len(n.empty)+len(n.busy) == 0 {
+			continue
+		}
+		if n.have > n.want && (best == nil || n.have-n.want > best.have-best.want) {
 			best = n
 		}
 	}
+	if best == nil {
+		best = idlest(needs, to)
+	}
 	if best == nil {
 		return ""
 	}
-	id := best.empty[0].ID
-	best.empty = best.empty[1:]
-	best.have--
-	return id
+	i, _ := best.take()
+	return i.ID
+}
+
+// idlest is the pool outside its turn that can best spare an instance, though it has none too many.
+func idlest(needs []need, to string) *need {
+	var best *need
+	for i := range needs {
+		n := &needs[i]
+		if n.pool != to && n.have > n.least && len(n.empty) > 0 && (best == nil || n.have-n.least > best.have-best.least) {
+			best = n
+		}
+	}
+	return best
 }
 
 // giveBack sends what a pool has had too many of for a while to the spare pool.
@@ -133,7 +169,11 @@
 		}
 		n := need{pool: pool, have: s.have(pool)}
 		n.want = s.want(pool, r, f, n.have)
-		n.empty = s.emptyOf(pool, r)
+		n.least = n.want
+		if !f.Expecting(pool, s.Now) {
+			n.least = min(n.want, ceilDiv(idleShare*float64(n.want), 1))
+		}
+		n.empty, n.busy = s.givable(pool, r)
 		out = append(out, n)
 	}
 	slices.SortFunc(out, func(a, b need) int {
@@ -213,19 +253,34 @@
 	return 1
 }
 
-// emptyOf lists the pool's instances on which nothing runs.
-func (s *State) emptyOf(pool string, r engine.PoolReport) []Instance {
-	idle := map[string]bool{}
+// givable lists the pool's instances on which nothing runs, and those that will soon be empty.
+func (s *State) givable(pool string, r engine.PoolReport) (empty, busy []Instance) {
+	reports := map[string]engine.WorkerReport{}
 	for _, w := range r.Workers {
-		if w.Runs == 0 && w.Usable {
-			idle[w.ID] = true
+		if w.Usable && w.Lasting == 0 {
+			reports[w.ID] = w
 		}
 	}
-	var out []Instance
 	for _, i := range s.inPool(pool) {
-		if idle[i.Worker] {
-			out = append(out, i)
+		w, ok := reports[i.Worker]
+		switch {
+		case !ok:
+		case w.Runs == 0:
+			empty = append(empty, i)
+		default:
+			busy = append(busy, i)
 		}
 	}
-	return out
+	slices.SortStableFunc(busy, func(a, b Instance) int {
+		x, y := reports[a.Worker], reports[b.Worker]
+		return cmp.Or(cmp.Compare(boolRank(x.Cordoned), boolRank(y.Cordoned)), cmp.Compare(x.UsedCPU, y.UsedCPU))
+	})
+	return empty, busy
+}
+
+func boolRank(first bool) int {
+	if first {
+		return 0
+	}
+	return 1
 }
