Keep the seen turns for a successor, end them with the demand, and refuse at once what the store can't take

A new holder of the fleet's duties brought every pool back to its first size; a submission waited 1.1 s for a store that was known to be away.

--- a/engine/commit.go
+++ b/engine/commit.go
@@ -168,6 +168,9 @@
 	if j.batched || j.committed > 0 {
 		return false
 	}
+	if p.jobs[j.Spec.ID] != j {
+		return true // Another caller with the same job was quicker.
+	}
 	for _, o := range j.occs {
 		if o == nil {
 			continue
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -88,11 +88,11 @@
 		}
 		o.post(o.noteStoreFault)
 		o.set.Log.Warn().Str("pool", o.set.Pool).Err(err).Bool("mayHaveRun", unknown).Msg("rows not written, trying again")
-		pause(o.ctx, commitRetry)
 		if !unknown {
 			o.post(func() { o.returned(batch) })
 			return
 		}
+		pause(o.ctx, commitRetry)
 	}
 }
 
@@ -134,6 +134,7 @@
 // returned takes back a batch that was certainly not written: what waits in it can still be refused.
 func (o *Owner) returned(batch []engine.Change) {
 	o.inFlight = false
+	o.lastWrite = o.set.Now() + commitRetry
 	o.pool.Returned(batch)
 }
 
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -60,26 +60,40 @@
 
 func storeAway() error { return verdict.Unavailable(storeRetryAfter, "the store is away") }
 
+// awaitCommit waits for the store. While the store refuses, what was never handed to it is refused as well.
 func (o *Owner) awaitCommit(ctx context.Context, job *engine.Job, stored chan struct{}) error {
-	t := time.NewTimer(acceptTime)
-	defer t.Stop()
-	select {
-	case <-stored:
-		return nil
-	case <-t.C:
-	case <-ctx.Done():
-	case <-o.ctx.Done():
-	}
-	var away error
-	_ = o.Do(context.Background(), func(p *engine.Pool, _ engine.Clock) {
-		if p.Withdraw(job) {
-			away = storeAway()
+	ctx, cancel := context.WithTimeout(ctx, acceptTime)
+	defer cancel()
+	look := time.NewTicker(storeGrace / 2)
+	defer look.Stop()
+	for {
+		last := false
+		select {
+		case <-stored:
+			return nil
+		case <-look.C:
+		case <-ctx.Done():
+			last = true
+		case <-o.ctx.Done():
+			last = true
+		}
+		if o.withdraw(job, last) {
+			return storeAway()
+		}
+		if last {
+			return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "job %s: the store did not answer in time", job.Spec.ID)
 		}
-	})
-	if away != nil {
-		return away
 	}
-	return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "job %s: the store did not answer in time", job.Spec.ID)
+}
+
+// withdraw takes a job back that can't be in the store, if the store is away or the caller's time is over.
+func (o *Owner) withdraw(job *engine.Job, last bool) bool {
+	out := false
+	_ = o.Do(context.Background(), func(p *engine.Pool, c engine.Clock) {
+		away := o.storeBad != 0 && c.Now-o.storeBad > storeGrace
+		out = (away || last) && p.Withdraw(job)
+	})
+	return out
 }
 
 // State returns a job's state, and false if no such job is known.
--- /dev/null
+++ b/rows/memrows/memrows.go
@@ -0,0 +1,203 @@
+// Package memrows is a rows.Store in memory, for tests and for the stand-in of the platform.
+//
+//	s := memrows.New()
+//	s.Fault = func(call string) memrows.Fault { return memrows.Fault{} } // provoke faults
+package memrows
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"samphirepoint/rows"
+	"samphirepoint/verdict"
+)
+
+// Fault says how a call goes wrong. The zero value is a call that goes well.
+type Fault struct {
+	// Refuse does nothing and says so.
+	Refuse bool
+	// LoseAnswer carries the call out and gives an error of unknown outcome.
+	LoseAnswer bool
+	// Vanish does nothing and gives an error of unknown outcome.
+	Vanish bool
+}
+
+// Store keeps the rows and the history of their changes. All methods are safe for concurrent use.
+type Store struct {
+	// Fault is asked before each call, by the names "transact", "read" and "watch", if it is set.
+	Fault func(call string) Fault
+
+	mu      sync.Mutex
+	ver     int64
+	rows    map[rows.Key]rows.Row
+	history []rows.Row
+	from    int64 // versions up to this one have no history
+	changed chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{rows: map[rows.Key]rows.Row{}, changed: make(chan struct{})}
+}
+
+func (s *Store) fault(call string) Fault {
+	if s.Fault == nil {
+		return Fault{}
+	}
+	return s.Fault(call)
+}
+
+func refused() error {
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "memrows: refused")
+}
+func unknown() error {
+	return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "memrows: no answer")
+}
+
+// Transact implements rows.Store.
+func (s *Store) Transact(_ context.Context, tx rows.Tx) (int64, error) {
+	f := s.fault("transact")
+	if f.Refuse {
+		return 0, refused()
+	}
+	if f.Vanish {
+		return 0, unknown()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if conflict := s.check(tx); conflict != nil {
+		if f.LoseAnswer {
+			return 0, unknown()
+		}
+		return 0, conflict
+	}
+	s.ver++
+	for _, w := range tx.Writes {
+		s.set(rows.Row{Key: w.Key, Value: slices.Clone(w.Value), Ver: s.ver})
+	}
+	for _, k := range tx.Remove {
+		s.set(rows.Row{Key: k, Ver: s.ver, Removed: true})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if f.LoseAnswer {
+		return 0, unknown()
+	}
+	return s.ver, nil
+}
+
+func (s *Store) check(tx rows.Tx) error {
+	failed := false
+	conflict := &rows.Conflict{}
+	for _, e := range tx.Expected {
+		r, ok := s.rows[e.Key]
+		if !ok {
+			r = rows.Row{Key: e.Key}
+		}
+		failed = failed || r.Ver != e.Ver
+		conflict.Rows = append(conflict.Rows, r)
+	}
+	if failed {
+		return conflict
+	}
+	return nil
+}
+
+func (s *Store) set(r rows.Row) {
+	if r.Removed {
+		delete(s.rows, r.Key)
+	} else {
+		s.rows[r.Key] = r
+	}
+	s.history = append(s.history, r)
+}
+
+// Read implements rows.Store.
+func (s *Store) Read(_ context.Context, table, part string) ([]rows.Row, int64, error) {
+	return s.read(func(k rows.Key) bool { return k.Table == table && k.Part == part })
+}
+
+// ReadAll implements rows.Store.
+func (s *Store) ReadAll(_ context.Context, table string) ([]rows.Row, int64, error) {
+	return s.read(func(k rows.Key) bool { return k.Table == table })
+}
+
+func (s *Store) read(want func(rows.Key) bool) ([]rows.Row, int64, error) {
+	if f := s.fault("read"); f != (Fault{}) {
+		return nil, 0, refused()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []rows.Row
+	for k, r := range s.rows {
+		if want(k) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b rows.Row) int {
+		return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(a.Name, b.Name))
+	})
+	return out, s.ver, nil
+}
+
+// Watch implements rows.Store.
+func (s *Store) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]rows.Row, int64, error) {
+	if f := s.fault("watch"); f != (Fault{}) {
+		return nil, 0, refused()
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		list, ver, changed, gone := s.since(table, after), s.ver, s.changed, after < s.from
+		s.mu.Unlock()
+		if gone {
+			return nil, 0, rows.ErrHistoryGone
+		}
+		if len(list) > 0 {
+			return list, ver, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, ver, nil
+		case <-ctx.Done():
+			return nil, 0, refused()
+		}
+	}
+}
+
+func (s *Store) since(table string, after int64) []rows.Row {
+	var out []rows.Row
+	for _, r := range s.history {
+		if r.Table == table && r.Ver > after {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.from = nil, s.ver
+}
+
+// Parts lists the parts of a table.
+func (s *Store) Parts(table string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for k := range s.rows {
+		if k.Table == table && !slices.Contains(out, k.Part) {
+			out = append(out, k.Part)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -56,8 +56,11 @@
 // TableFleet holds one row an instance that was ever ordered anything.
 const TableFleet = "fleet"
 
-// keyBaseline is the row with the instances that each pool had at first.
-const keyBaseline = "~baseline"
+// keyBaseline is the row with the instances that each pool had at first, keyTurns the one with each pool's last surge.
+const (
+	keyBaseline = "~baseline"
+	keyTurns    = "~turns"
+)
 
 // Settings are what a Controller needs.
 type Settings struct {
@@ -159,6 +162,12 @@
 			_ = json.Unmarshal(r.Value, &c.baseline)
 			continue
 		}
+		if r.Name == keyTurns {
+			var turns map[string]Turn
+			_ = json.Unmarshal(r.Value, &turns)
+			c.forecast.Recall(turns, c.set.Now(), time.Now().UnixMilli())
+			continue
+		}
 		var d Duty
 		if json.Unmarshal(r.Value, &d) == nil {
 			c.duties[r.Name], c.vers[r.Name] = d, r.Ver
@@ -302,16 +311,35 @@
 	for id := range want {
 		s.inHand[id] = true
 	}
+	changed := false
 	for pool, r := range s.Reports {
 		if turned, on := c.forecast.Observe(pool, r, s.roomOf(pool)*float64(s.Baseline[pool]), s.Now); turned {
 			c.set.Log.Info().Str("pool", pool).Bool("surging", on).Msg("demand turned")
+			changed = true
 		}
 	}
+	if changed {
+		c.storeTurns()
+	}
 	for id, to := range s.PlanMoves(c.forecast, c.surplus) {
 		want[id] = order{instance: s.Instances[id], to: to}
 	}
 }
 
+// storeTurns leaves the seen surges to a successor. A failure costs the successor some foresight only.
+func (c *Controller) storeTurns() {
+	value, err := json.Marshal(c.forecast.Turns(c.set.Now(), time.Now().UnixMilli()))
+	if err != nil {
+		panic(err) // Times by name are plain values.
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, callTime)
+	defer cancel()
+	key := rows.Key{Table: TableFleet, Part: c.set.Duty, Name: keyTurns}
+	if _, err := c.set.Store.Transact(ctx, rows.Tx{Expected: []rows.Condition{c.claim()}, Writes: []rows.Write{{Key: key, Value: value}}}); err != nil {
+		c.set.Log.Warn().Err(err).Msg("turns not written")
+	}
+}
+
 // takeLives closes what the list shows to be over: an instance in a new life was carried off by its order.
 func (c *Controller) takeLives(s *State) {
 	for id, d := range c.duties {
--- a/upkeep/forecast.go
+++ b/upkeep/forecast.go
@@ -150,7 +150,55 @@
 	if next, ok := f.Next(pool); ok {
 		return next-now > lead && next > now
 	}
-	return !f.allOthersSince(pool, d.starts[len(d.starts)-1])
+	return !f.allOthersSince(pool, d.starts[len(d.starts)-1]) || f.calm(now)
+}
+
+// calmAfter is the time without any surge after which the turns are taken to be over.
+const calmAfter = 2500 * time.Millisecond
+
+// calm reports whether no pool has had a surge for a while.
+func (f *Forecast) calm(now time.Duration) bool {
+	for _, d := range f.pools {
+		if n := len(d.ends); d.surging || (n > 0 && now-d.ends[n-1] < calmAfter) {
+			return false
+		}
+	}
+	return true
+}
+
+// Turn is a pool's last surge as it is stored, in Unix milliseconds; EndMS is 0 while it lasts.
+type Turn struct {
+	StartMS int64 `json:"s"`
+	EndMS   int64 `json:"e,omitempty"`
+}
+
+// Turns returns the last surge of each pool, for a successor. The wall time goes with now.
+func (f *Forecast) Turns(now time.Duration, wallMS int64) map[string]Turn {
+	out := map[string]Turn{}
+	for pool, d := range f.pools {
+		if len(d.starts) == 0 {
+			continue
+		}
+		t := Turn{StartMS: wallMS - (now - d.starts[len(d.starts)-1]).Milliseconds()}
+		if n := len(d.ends); n > 0 && !d.surging {
+			t.EndMS = wallMS - (now - d.ends[n-1]).Milliseconds()
+		}
+		out[pool] = t
+	}
+	return out
+}
+
+// Recall takes over what a predecessor has seen.
+func (f *Forecast) Recall(turns map[string]Turn, now time.Duration, wallMS int64) {
+	for pool, t := range turns {
+		d := &demand{at: now, began: now, starts: []time.Duration{now - time.Duration(wallMS-t.StartMS)*time.Millisecond}}
+		if t.EndMS != 0 {
+			d.ends = append(d.ends, now-time.Duration(wallMS-t.EndMS)*time.Millisecond)
+		} else {
+			d.surging = true
+		}
+		f.pools[pool] = d
+	}
 }
 
 // allOthersSince reports whether all other pools have surged since a time, so that the pool's turn may come again.
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -155,3 +155,32 @@
 	s.Duties["pumps-00"] = Duty{Begun: []int64{3}}
 	g.Expect(s.Left(w)).To(ConsistOf("pumps-01"))
 }
+
+// Guards against a successor that forgets whose turn is over and brings every pool back to its first size.
+func TestTurnsOutliveTheirHolder(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	feed(f, "slips", 10, 0, 16*time.Second, 11*testRoom)
+	now := feed(f, "pumps", 700, 0, 8*time.Second, 9*testRoom)
+	now = feed(f, "pumps", 10, now, 5*time.Second, 9*testRoom)
+	feed(f, "routes", 700, now, 1250*time.Millisecond, 12*testRoom)
+	g.Expect(f.Quiet("pumps", now)).To(BeTrue())
+	next := NewForecast()
+	next.Recall(f.Turns(now, 1_800_000_000_000), time.Second, 1_800_000_000_300)
+	feed(next, "slips", 10, time.Second, time.Second/2, 11*testRoom)
+	g.Expect(next.Quiet("pumps", 1300*time.Millisecond)).To(BeTrue())
+	g.Expect(next.Expecting("routes", 1300*time.Millisecond)).To(BeTrue())
+}
+
+// Load pattern: the end of the demand. Guards against full pools that nobody uses any more.
+func TestPoolsAreQuietOnceNoneSurges(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	now := feed(f, "pumps", 700, 0, 8*time.Second, 9*testRoom)
+	feed(f, "pumps", 10, now, 20*time.Second, 9*testRoom)
+	now = feed(f, "routes", 700, now, 8*time.Second, 12*testRoom)
+	g.Expect(f.Quiet("pumps", now)).To(BeFalse(), "its turn may come next")
+	now = feed(f, "routes", 5, now, 6*time.Second, 12*testRoom)
+	g.Expect(f.Quiet("pumps", now)).To(BeTrue())
+	g.Expect(f.Quiet("routes", now)).To(BeTrue())
+}
