--- a/owner/commit.go
+++ b/owner/commit.go
@@ -138,6 +138,29 @@
 	o.pool.Returned(batch)
 }
 
+// probeInterval is the time between two looks at a store that was away.
+const probeInterval = 150 * time.Millisecond
+
+// probe looks whether the store is back, as new work is refused until then and nothing else may be left to write.
+func (o *Owner) probe() {
+	now := o.set.Now()
+	if o.storeBad == 0 || o.inFlight || o.probing || now-o.probedAt < probeInterval {
+		return
+	}
+	o.probing, o.probedAt = true, now
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
+		defer cancel()
+		_, _, err := o.set.Store.Read(ctx, TableOwners, o.set.Pool)
+		o.post(func() {
+			o.probing = false
+			if err == nil {
+				o.storeBad = 0
+			}
+		})
+	}()
+}
+
 func (o *Owner) noteStoreFault() {
 	if o.storeBad == 0 {
 		o.storeBad = o.set.Now()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -96,6 +96,8 @@
 	inFlight  bool
 	lastWrite time.Duration
 	storeBad  time.Duration // since when the store has refused or not answered; 0 while it serves
+	probing   bool
+	probedAt  time.Duration
 	loaded    chan struct{}
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -216,6 +218,7 @@
 		case <-tick.C:
 			o.pool.Poke()
 			o.pool.Tick(o.clock())
+			o.probe()
 		}
 		c := o.clock()
 		if c.Now-lastPlace >= placeInterval {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -177,6 +177,8 @@
 	mu.Unlock()
 	list, _, _ := s.Read(context.Background(), TableJobs, "pumps")
 	g.Expect(list).To(HaveLen(1))
+	// Guards against refusals that go on although the store is back, when no work was left to write.
+	g.Eventually(func() error { return o.Submit(context.Background(), job(3)) }, time.Minute, 50*time.Millisecond).Should(Succeed())
 	_, known, _ := o.State(context.Background(), job(2).ID)
 	g.Expect(known).To(BeFalse())
 }
