Count the runs of ended occurrences that are still being stopped

Such tasks are loaded now, and a worker with runs that nobody ordered gets no new work. Both tests fail without the change.

--- a/engine/ends.go
+++ b/engine/ends.go
@@ -221,6 +221,7 @@
 
 func (p *Pool) takeRunning(w *Worker, rows []RunningRow, c Clock) map[*Run]bool {
 	present := map[*Run]bool{}
+	w.strays = 0
 	for _, row := range rows {
 		id, err := ParseTaskID(row.Task)
 		if err != nil {
@@ -240,6 +241,7 @@
 // stray stops a run that nobody ordered under this ownership.
 func (p *Pool) stray(w *Worker, id TaskID, row RunningRow, c Clock) {
 	p.note("stray-run", row.Task, row.Run, w.ID, "")
+	w.strays++
 	p.orders = append(p.orders, Order{Kind: OrderStop, Task: id, Run: row.Run, Worker: w.target()})
 }
 
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -261,3 +261,37 @@
 		g.Expect(stops[i] - stops[i-1]).To(BeNumerically(">", atWorkSettled))
 	}
 }
+
+// Guards against a successor that doesn't know the runs of ended tasks that are still being stopped, and fills their room.
+func TestSuccessorCountsWhatIsBeingStopped(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1)
+	f := w.workers["i-00"]
+	w.pool.Submit(oneStep("00000000000000b9", Step{Count: 1, Need: Resources{CPU: 40000}, Speculative: true, EstimateMS: 100}), w.clock())
+	w.step(100 * time.Millisecond)
+	j := w.pool.Job("00000000000000b9")
+	// The task ends elsewhere; the run here is ordered to stop, and the order is not carried out yet.
+	f.silent = true
+	w.pool.taskDone(j.occs[0].steps[0].tasks[0], w.clock())
+	w.flush()
+	f.silent = false
+	w.successor()
+	w.hold()
+	w.pool.Submit(oneStep("00000000000000ba", Step{Count: 1, Need: Resources{CPU: 40000}}), w.clock())
+	w.pool.Place(w.clock())
+	w.write()
+	g.Expect(w.pool.TakeOrders()).To(HaveEach(HaveField("Kind", OrderStop)), "no start before the room is free")
+}
+
+// Guards against filling the room of runs that nobody knows.
+func TestStrayRunsKeepNewWorkAway(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1)
+	f := w.workers["i-00"]
+	f.running["x"] = &fakeRun{order: Order{Task: TaskID{Job: "00000000000000ff"}, Run: 1}}
+	w.hold()
+	w.pool.Submit(oneStep("00000000000000bb", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	w.pool.Place(w.clock())
+	w.write()
+	g.Expect(w.pool.TakeOrders()).To(HaveEach(HaveField("Kind", OrderStop)))
+}
--- a/engine/job.go
+++ b/engine/job.go
@@ -119,11 +119,15 @@
 	return o
 }
 
-// finish marks an occurrence as ended without building its tasks.
+// finish marks an occurrence as ended. Its tasks are there only if some run of them may still be on a worker.
 func (j *Job) finish(k int) {
 	if k < 0 || k >= len(j.occs) {
 		return
 	}
+	if j.occs[k] != nil {
+		j.occs[k].finished = true
+		return
+	}
 	j.occs[k] = &occurrence{job: j, index: k, finished: true}
 }
 
--- a/engine/place.go
+++ b/engine/place.go
@@ -9,7 +9,7 @@
 
 // takesWork reports whether a worker may get new starts.
 func (p *Pool) takesWork(w *Worker, c Clock) bool {
-	return w.listed && !w.info.Draining && w.cordon <= c.Now && p.reachable(w, c)
+	return w.listed && !w.info.Draining && w.cordon <= c.Now && w.strays == 0 && p.reachable(w, c)
 }
 
 // candidate is a step whose tasks may start now.
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -118,12 +118,12 @@
 	j.Ver, j.Stored, j.committed, j.rev = ver, true, 1, 1
 	p.jobs[id] = j
 	if len(spec.Steps) > 0 {
-		for _, k := range rec.Finished {
-			j.finish(k)
-		}
 		for _, tr := range rec.Tasks {
 			p.loadTask(j, tr)
 		}
+		for _, k := range rec.Finished {
+			j.finish(k)
+		}
 	}
 	if !j.state.Terminal() {
 		p.open = append(p.open, j)
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -36,7 +36,9 @@
 	failing   bool
 	failSince time.Duration
 
-	used     Resources
+	used Resources
+	// strays is how many runs the worker listed last that nobody ordered; they take room of unknown size.
+	strays   int
 	runs     map[string]*Run
 	ends     int64
 	pending  []pendingAck
@@ -284,6 +286,7 @@
 		p.lose(r, c)
 	}
 	w.met = false
+	w.strays = 0
 	w.pending = nil
 	if !w.listed {
 		delete(p.workers, id)
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -163,6 +163,11 @@
 	s, l := memrows.New(), newLabour(t)
 	o := serve(t, s, l, 1)
 	g.Expect(o.Submit(context.Background(), job(1))).To(Succeed())
+	g.Eventually(func() engine.State {
+		l.finish()
+		st, _, _ := o.State(context.Background(), job(1).ID)
+		return st
+	}, time.Minute, 5*time.Millisecond).Should(Equal(engine.Completed))
 	away := true
 	var mu sync.Mutex
 	s.Fault = func(call string) memrows.Fault {
