--- a/cluster/node.go
+++ b/cluster/node.go
@@ -54,7 +54,9 @@
 	Workers     owner.Workers
 	Adviser     owner.Adviser
 	Roster      Roster
-	Options     engine.Options
+	// Ordered lists the workers whose instance has an open order.
+	Ordered func(ctx context.Context) ([]string, error)
+	Options engine.Options
 	// Fleet starts the duties of the fleet under a token and the version of its claim.
 	Fleet func(ctx context.Context, token, ver int64) Tenure
 	Log   zerolog.Logger
@@ -296,7 +298,7 @@
 	}
 	o := owner.New(ctx, owner.Settings{
 		Pool: pool, Token: token, ClaimVer: ver, Store: n.set.Store, Workers: n.set.Workers, Adviser: n.set.Adviser,
-		Options: n.set.Options, Log: n.set.Log, Now: n.set.Now,
+		Ordered: n.set.Ordered, Options: n.set.Options, Log: n.set.Log, Now: n.set.Now,
 	})
 	n.mu.Lock()
 	n.pools[pool] = o
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,6 +54,7 @@
 		Name: set.Node, Incarnation: incarnation(), Address: set.PeerAddress(), Zone: set.Zone,
 		Store: d.store, Workers: platform.NewWorkers(), Adviser: platform.NewAdviser(set.Advice), Roster: d.store,
 		Options: options(set), Log: log, Now: now,
+		Ordered: func(ctx context.Context) ([]string, error) { return upkeep.Ordered(ctx, d.store, cluster.FleetDuty) },
 		Fleet: func(ctx context.Context, token, ver int64) cluster.Tenure {
 			return upkeep.New(ctx, upkeep.Settings{
 				Duty: cluster.FleetDuty, Holder: set.Node, Token: token, ClaimVer: ver, Store: d.store, Instances: instances,
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -351,6 +351,12 @@
 	return len(w.runs) == 0, true
 }
 
+// KeepOff keeps new work off a worker that may not be known yet.
+func (p *Pool) KeepOff(id string, until time.Duration) {
+	w := p.worker(id)
+	w.cordon = max(w.cordon, until)
+}
+
 // Uncordon gives a worker back to placement.
 func (p *Pool) Uncordon(id string) {
 	if w := p.workers[id]; w != nil {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -78,8 +78,10 @@
 	Store    rows.Store
 	Workers  Workers
 	Adviser  Adviser
-	Options  engine.Options
-	Log      zerolog.Logger
+	// Ordered lists the workers whose instance has an order that may be carried out at any moment. It may be nil.
+	Ordered func(ctx context.Context) ([]string, error)
+	Options engine.Options
+	Log     zerolog.Logger
 	// Now is the steady clock.
 	Now func() time.Duration
 }
@@ -200,7 +202,21 @@
 		}
 		o.pool.Load(byID[r.Name], r.Name, rec, r.Ver, o.clock())
 	}
-	return nil
+	return o.keepOffOrdered(ctx)
+}
+
+// orderedFor is how long a new owner keeps work off instances with open orders by itself; their holder renews it.
+const orderedFor = 3 * time.Second
+
+func (o *Owner) keepOffOrdered(ctx context.Context) error {
+	if o.set.Ordered == nil {
+		return nil
+	}
+	workers, err := o.set.Ordered(ctx)
+	for _, id := range workers {
+		o.pool.KeepOff(id, o.set.Now()+orderedFor)
+	}
+	return err
 }
 
 // serve is the loop that has the state.
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -176,6 +176,22 @@
 	return nil
 }
 
+// Ordered lists the workers whose instance has an order that may be carried out at any moment.
+func Ordered(ctx context.Context, store rows.Store, duty string) ([]string, error) {
+	list, _, err := store.Read(ctx, TableFleet, duty)
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for _, r := range list {
+		var d Duty
+		if json.Unmarshal(r.Value, &d) == nil && d.Open && d.Worker != "" {
+			out = append(out, d.Worker)
+		}
+	}
+	return out, nil
+}
+
 // round looks at everything once and does what is due.
 func (c *Controller) round() {
 	waves := c.openWaves()
