Keep kinds of worker that tasks ask for, and end cordons that are in vain

Moves keep and bring such workers, other tasks avoid them, a task that can't fit reserves nothing, and an instance that can't be emptied within 6 s works again for 4 s.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -295,3 +295,33 @@
 	w.write()
 	g.Expect(w.pool.TakeOrders()).To(HaveEach(HaveField("Kind", OrderStop)))
 }
+
+// Guards against a task that lasts and can never fit keeping a worker from all other work.
+func TestHopelessTaskThatLastsReservesNothing(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1)
+	big := oneStep("00000000000000bc", Step{Count: 2, Need: Resources{CPU: 40000, Mem: 9000}, Lasting: true})
+	w.pool.Submit(big, w.clock())
+	w.step(500 * time.Millisecond)
+	w.pool.Submit(oneStep("00000000000000bd", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	w.step(500 * time.Millisecond)
+	g.Expect(w.runs("00000000000000bd.0.0.0")).To(Equal(1))
+}
+
+// Load pattern: a few tasks that only one of many workers may run. Guards against filling that worker with other work.
+func TestScarceWorkersAreKeptForTheirTasks(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(4)
+	w.workers["i-02"].info.Labels = []string{"b", "r-0"}
+	w.roster()
+	need := Step{Count: 1, Need: Resources{CPU: 60000}, RequiredLabel: "b"}
+	w.pool.Submit(oneStep("00000000000000be", need), w.clock())
+	w.step(200 * time.Millisecond)
+	w.endAll(EndDone)
+	w.step(200 * time.Millisecond)
+	w.pool.Submit(oneStep("00000000000000bf", Step{Count: 9, Need: Resources{CPU: 20000}}), w.clock())
+	w.step(200 * time.Millisecond)
+	w.pool.Submit(oneStep("00000000000000c0", need), w.clock())
+	w.step(200 * time.Millisecond)
+	g.Expect(w.runs("00000000000000c0.0.0.0")).To(Equal(1))
+}
--- a/engine/place.go
+++ b/engine/place.go
@@ -236,10 +236,37 @@
 	costFar         = 4.0
 	costOtherRack   = 4.0
 	costDisturb     = 2.0
+	costScarce      = 1.5
 	// lastingShare is the share of its CPU that a worker keeps for other work before it gets more tasks that last.
 	lastingShare = 0.4
 )
 
+// scarcity is how rare the worker's kind is, if tasks ask for that kind and this one doesn't: 0 to 1.
+func (p *Pool) scarcity(st *Step, w *Worker) float64 {
+	worst := 0.0
+	for k := range p.kinds {
+		if !w.isKind(k) || slices.Contains(st.Kinds(), k) {
+			continue
+		}
+		with := 0
+		for _, o := range p.workers {
+			if o.isKind(k) {
+				with++
+			}
+		}
+		worst = max(worst, 1-float64(with)/float64(len(p.workers)))
+	}
+	return worst
+}
+
+// isKind reports whether the worker is of a kind as Step.Kinds names it.
+func (w *Worker) isKind(k string) bool {
+	if k == KindGPU {
+		return w.info.Room.GPU > 0
+	}
+	return w.hasLabel(k)
+}
+
 // lasting counts the tasks that last on the worker.
 func (w *Worker) lasting() int {
 	n := 0
@@ -269,6 +296,7 @@
 	if st.AffinityRack != "" && w.rack() != st.AffinityRack {
 		cost += costFar
 	}
+	cost += costScarce * p.scarcity(st, w)
 	if rack != "" && w.rack() != rack {
 		cost += costOtherRack
 	}
@@ -298,7 +326,7 @@
 		if (st.RequiredLabel != "" && !w.hasLabel(st.RequiredLabel)) || (st.AntiAffinity > 0 && w.ofStep(t.step) >= st.AntiAffinity) {
 			continue
 		}
-		if !w.info.Room.Covers(st.Occupies()) || w.reservedAt == c.Now {
+		if !w.info.Room.Sub(w.lastingUse()).Covers(st.Occupies()) || w.reservedAt == c.Now {
 			continue
 		}
 		if best == nil || w.info.Room.CPU-w.used.CPU > best.info.Room.CPU-best.used.CPU {
@@ -312,6 +340,17 @@
 	p.preempt(t, best, c)
 }
 
+// lastingUse is the room that tasks that last hold on the worker: it does not come free by waiting.
+func (w *Worker) lastingUse() Resources {
+	var u Resources
+	for _, r := range w.runs {
+		if r.Task.step.spec.Lasting {
+			u = u.Add(r.Task.step.spec.Occupies())
+		}
+	}
+	return u
+}
+
 // preempt stops runs of queues with lower priority until the task fits.
 func (p *Pool) preempt(t *Task, w *Worker, c Clock) {
 	mine := p.queues[t.job().Spec.Queue].Priority
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -47,6 +47,7 @@
 	advice  []AdviceRequest
 	learned map[string]*durations
 	takenAt time.Duration
+	kinds   map[string]bool
 	notes   []Note
 	// needPlace is set by each event that may allow a new start.
 	needPlace bool
@@ -65,7 +66,7 @@
 func NewPool(name string, token int64, opt Options, now time.Duration) *Pool {
 	return &Pool{
 		Name: name, Token: token, opt: opt, takenAt: now,
-		queues: map[string]Queue{}, jobs: map[string]*Job{}, workers: map[string]*Worker{}, learned: map[string]*durations{},
+		queues: map[string]Queue{}, jobs: map[string]*Job{}, workers: map[string]*Worker{}, learned: map[string]*durations{}, kinds: map[string]bool{},
 	}
 }
 
@@ -102,6 +103,7 @@
 	j := newJob(spec, c.Wall)
 	p.jobs[spec.ID] = j
 	p.open = append(p.open, j)
+	p.noteKinds(j)
 	p.touch(j)
 	p.unfold(j, c)
 	p.needPlace = true
@@ -127,6 +129,7 @@
 	}
 	if !j.state.Terminal() {
 		p.open = append(p.open, j)
+		p.noteKinds(j)
 		p.unfold(j, c)
 	}
 	p.needPlace = true
--- a/engine/report.go
+++ b/engine/report.go
@@ -28,19 +28,29 @@
 	PendingCPU int64 `json:"pc"`
 	// RateCPU is the work that arrived lately, per time: the CPU that it would keep busy for good.
 	RateCPU int64 `json:"rt"`
+	// Kinds are the kinds of worker that tasks of the pool have asked for, with the CPU of those that wait or run, and
+	// KindsLack the CPU of those that wait and fit on no worker of the kind.
+	Kinds     map[string]int64 `json:"ki,omitempty"`
+	KindsLack map[string]int64 `json:"kl,omitempty"`
 	// Missing is set while a task that lasts waits for room.
 	Missing bool `json:"m,omitempty"`
 }
 
 // Report describes the pool as it is.
 func (p *Pool) Report(c Clock) PoolReport {
-	r := PoolReport{RateCPU: p.rate(c)}
+	r := PoolReport{RateCPU: p.rate(c), Kinds: map[string]int64{}, KindsLack: map[string]int64{}}
+	for k := range p.kinds {
+		r.Kinds[k] = 0
+	}
 	for _, w := range p.workers {
 		wr := WorkerReport{
 			ID: w.ID, Rack: w.rack(), RoomCPU: w.info.Room.CPU, UsedCPU: w.used.CPU, Runs: len(w.runs),
 			Cordoned: w.cordon > c.Now, Usable: p.reachable(w, c) && w.listed && !w.info.Draining,
 		}
 		for _, x := range w.runs {
+			for _, k := range x.Task.step.spec.Kinds() {
+				r.Kinds[k] += x.Task.step.spec.Need.CPU
+			}
 			if x.Task.step.spec.Lasting {
 				wr.Lasting++
 				r.LastingCPU += x.Task.step.spec.Occupies().CPU
@@ -58,16 +68,50 @@
 }
 
 func (p *Pool) reportPending(r *PoolReport, c Clock) {
+	workers := p.usable(c)
 	for _, cd := range p.candidates(c) {
+		st := cd.step.spec
+		cpu := int64(0)
 		for _, t := range cd.step.tasks {
 			if t.pending(c.Now) {
-				r.PendingCPU += cd.step.spec.Occupies().CPU
-				r.Missing = r.Missing || cd.step.spec.Lasting
+				cpu += st.Occupies().CPU
+			}
+		}
+		r.PendingCPU += cpu
+		r.Missing = r.Missing || st.Lasting
+		for _, k := range st.Kinds() {
+			r.Kinds[k] += cpu
+			if cd.step.starved(p, workers, c) {
+				r.KindsLack[k] += cpu
 			}
 		}
 	}
 }
 
+// KindGPU stands for workers with GPUs beside the labels.
+const KindGPU = "gpu:"
+
+// Kinds lists what a worker must be to run the step's tasks: its label, and KindGPU.
+func (s *Step) Kinds() []string {
+	var out []string
+	if s.RequiredLabel != "" {
+		out = append(out, s.RequiredLabel)
+	}
+	if s.Need.GPU > 0 {
+		out = append(out, KindGPU)
+	}
+	return out
+}
+
+// noteKinds remembers the kinds of worker that a job asks for.
+func (p *Pool) noteKinds(j *Job) {
+	for i := range j.Spec.Steps {
+		for _, k := range j.Spec.Steps[i].Kinds() {
+			p.kinds[k] = true
+		}
+	}
+}
+
 // rateWindow is over how long arriving work is averaged; large jobs come seconds apart.
 const rateWindow = 1300 * time.Millisecond
 
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // WorkerInfo is what the platform's list says of a worker.
 type WorkerInfo struct {
@@ -176,7 +179,7 @@
 		named[info.ID] = true
 		w := p.worker(info.ID)
 		if !w.listed {
-			p.note("worker-listed", "", 0, w.ID, info.Address)
+			p.note("worker-listed", "", 0, w.ID, info.Address+" "+strings.Join(info.Labels, ","))
 			p.needPlace = true
 		}
 		if info.Draining && !w.info.Draining {
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -95,12 +95,15 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	duties   map[string]Duty
-	vers     map[string]int64
-	held     map[string]string // instance -> worker under cordon
-	reported map[int64]string
-	listed   map[string]Instance
-	fenced   bool
+	duties map[string]Duty
+	vers   map[string]int64
+	held   map[string]string // instance -> worker under cordon
+	// heldSince is since when each is held, restUntil until when one is left alone after that was in vain.
+	heldSince map[string]time.Duration
+	restUntil map[string]time.Duration
+	reported  map[int64]string
+	listed    map[string]Instance
+	fenced    bool
 
 	forecast *Forecast
 	baseline map[string]int
@@ -113,7 +116,7 @@
 // New returns a controller under a claim.
 func New(ctx context.Context, s Settings) *Controller {
 	c, cancel := context.WithCancel(ctx)
-	return &Controller{set: s, ctx: c, cancel: cancel, duties: map[string]Duty{}, vers: map[string]int64{}, held: map[string]string{}, reported: map[int64]string{}, lives: map[string]Instance{}, ended: map[string]string{}, forecast: NewForecast(), surplus: map[string]time.Duration{}}
+	return &Controller{set: s, ctx: c, cancel: cancel, duties: map[string]Duty{}, vers: map[string]int64{}, held: map[string]string{}, heldSince: map[string]time.Duration{}, restUntil: map[string]time.Duration{}, reported: map[int64]string{}, lives: map[string]Instance{}, ended: map[string]string{}, forecast: NewForecast(), surplus: map[string]time.Duration{}}
 }
 
 // Token is the fencing token of the orders.
@@ -305,6 +308,7 @@
 
 func (c *Controller) plan(s *State) map[string]order {
 	want := map[string]order{}
+	s.resting = c.rest(s.Now)
 	c.reopen(s, want)
 	for _, w := range s.Waves {
 		held := map[string]bool{}
@@ -321,6 +325,39 @@
 	return want
 }
 
+const (
+	// holdLongest is how long an instance is kept free of new work before it is given up on for restLength: what lasts
+	// there may have no other place.
+	holdLongest = 6 * time.Second
+	restLength  = 4 * time.Second
+)
+
+// rest gives up on instances that have been held in vain, and returns those that are left alone now.
+func (c *Controller) rest(now time.Duration) map[string]bool {
+	for id := range c.held {
+		since, ok := c.heldSince[id]
+		switch {
+		case !ok:
+			c.heldSince[id] = now
+		case now-since > holdLongest:
+			c.restUntil[id] = now + restLength
+			delete(c.heldSince, id)
+		}
+	}
+	for id := range c.heldSince {
+		if _, ok := c.held[id]; !ok {
+			delete(c.heldSince, id)
+		}
+	}
+	out := map[string]bool{}
+	for id, until := range c.restUntil {
+		if now < until {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // planMoves adds the moves that follow the pools' demand, of instances that no wave wants.
 func (c *Controller) planMoves(s *State, want map[string]order) {
 	s.inHand = map[string]bool{}
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -63,6 +63,8 @@
 	needs := s.needs(f)
 	donors := s.inPool(spare)
 	moves := map[string]string{}
+	s.moveKinds(spare, moves)
+	donors = slices.DeleteFunc(donors, func(i Instance) bool { return moves[i.ID] != "" })
 	for _, n := range needs {
 		if n.want <= n.have {
 			continue
@@ -94,7 +96,7 @@
 func (s *State) inPool(pool string) []Instance {
 	var out []Instance
 	for _, i := range s.Instances {
-		if i.Pool == pool && i.State == StateUp && !s.Duties[i.ID].Open && !s.inHand[i.ID] {
+		if i.Pool == pool && i.State == StateUp && !s.Duties[i.ID].Open && !s.inHand[i.ID] && !s.resting[i.ID] {
 			out = append(out, i)
 		}
 	}
@@ -264,7 +266,7 @@
 	for _, i := range s.inPool(pool) {
 		w, ok := reports[i.Worker]
 		switch {
-		case !ok:
+		case !ok, s.lastOfKind(i, r):
 		case w.Runs == 0:
 			empty = append(empty, i)
 		default:
@@ -284,3 +286,72 @@
 	}
 	return 1
 }
+
+// leastOfKind is how many instances of a kind a pool keeps once its tasks have asked for that kind.
+const leastOfKind = 1
+
+// lastOfKind reports whether the pool needs the instance for tasks that only its kind may run.
+func (s *State) lastOfKind(i Instance, r engine.PoolReport) bool {
+	for kind, cpu := range r.Kinds {
+		if !i.is(kind) {
+			continue
+		}
+		count, room := 0, int64(0)
+		for _, other := range s.Instances {
+			if other.Pool == i.Pool && other.ID != i.ID && other.State == StateUp && other.is(kind) {
+				count++
+				room += other.RoomCPU
+			}
+		}
+		if count < leastOfKind || float64(room) < float64(cpu)*quietMargin {
+			return true
+		}
+	}
+	return false
+}
+
+// moveKinds brings one instance at a time of a kind that a pool's tasks wait for.
+func (s *State) moveKinds(spare string, moves map[string]string) {
+	for pool, r := range s.Reports {
+		for kind, cpu := range r.KindsLack {
+			if cpu == 0 || s.comingOfKind(pool, kind) {
+				continue
+			}
+			if id := s.findKind(pool, kind, spare, moves); id != "" {
+				moves[id] = pool
+			}
+		}
+	}
+}
+
+// comingOfKind reports whether an instance of a kind is on its way to a pool.
+func (s *State) comingOfKind(pool, kind string) bool {
+	for id, d := range s.Duties {
+		i := s.Instances[id]
+		if d.To == pool && i.is(kind) && (d.Open || i.State == StateMoving) {
+			return true
+		}
+	}
+	return false
+}
+
+// findKind returns an instance of a kind from the spare pool, or an idle one of another pool that can do without it.
+func (s *State) findKind(pool, kind, spare string, moves map[string]string) string {
+	for _, i := range s.inPool(spare) {
+		if i.is(kind) && moves[i.ID] == "" {
+			return i.ID
+		}
+	}
+	for other, r := range s.Reports {
+		if other == pool {
+			continue
+		}
+		empty, _ := s.givable(other, r)
+		for _, i := range empty {
+			if i.is(kind) && moves[i.ID] == "" {
+				return i.ID
+			}
+		}
+	}
+	return ""
+}
--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -24,7 +24,16 @@
 // Instance is one row of the platform's list. Worker is the id of its present life, if it has one.
 type Instance struct {
 	ID, Pool, State, Worker, Rack string
-	RoomCPU                       int64
+	RoomCPU, RoomGPU              int64
+	Labels                        []string
+}
+
+// is reports whether the instance is of a kind as engine.Step.Kinds names it.
+func (i *Instance) is(kind string) bool {
+	if kind == engine.KindGPU {
+		return i.RoomGPU > 0
+	}
+	return slices.Contains(i.Labels, kind)
 }
 
 // Wave asks for the upkeep of instances, at most Cap at once, within Duration of SeenAt.
@@ -62,6 +71,8 @@
 	// Baseline is how many instances each pool had before any was moved.
 	Baseline map[string]int
 
+	// resting are instances that could not be emptied and take work again for a while.
+	resting map[string]bool
 	// inHand are instances that are being emptied for an order.
 	inHand map[string]bool
 }
@@ -127,7 +138,7 @@
 			break
 		}
 		i := s.Instances[id]
-		if i.State != StateUp || held[id] || s.down(id) {
+		if i.State != StateUp || held[id] || s.down(id) || s.resting[id] {
 			continue
 		}
 		if !urgent && !s.mayRelease(i, released[i.Pool], taken[i.Pool]) {
@@ -143,7 +154,7 @@
 func (s *State) heldFirst(left []string, held map[string]bool) []string {
 	var out []string
 	for _, id := range left {
-		if held[id] && s.Instances[id].State == StateUp {
+		if held[id] && s.Instances[id].State == StateUp && !s.resting[id] {
 			out = append(out, id)
 		}
 	}
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -184,3 +184,42 @@
 	g.Expect(f.Quiet("pumps", now)).To(BeTrue())
 	g.Expect(f.Quiet("routes", now)).To(BeTrue())
 }
+
+// Load pattern: tasks that only workers of one kind may run. Guards against giving the last of them away, and against tasks
+// that wait for a kind which stands idle elsewhere.
+func TestKindsThatTasksAskForStay(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(0, map[string]int{"pumps": 6, "routes": 6, "common": 2})
+	for id, i := range s.Instances {
+		i.Labels = []string{"a", "r-1"}
+		if id == "pumps-00" || id == "pumps-01" || id == "common-00" {
+			i.Labels[0] = "b"
+		}
+		s.Instances[id] = i
+	}
+	r := s.Reports["pumps"]
+	r.Kinds = map[string]int64{"b": 80000}
+	s.Reports["pumps"] = r
+	empty, _ := s.givable("pumps", r)
+	g.Expect(empty).To(HaveLen(4), "neither of the two of kind b: both are needed")
+	r.KindsLack = map[string]int64{"b": 50000}
+	s.Reports["pumps"] = r
+	moves := map[string]string{}
+	s.moveKinds("common", moves)
+	g.Expect(moves).To(Equal(map[string]string{"common-00": "pumps"}))
+}
+
+// Guards against an instance that is kept free of work for ever, because what lasts on it has no other place.
+func TestInstanceThatCantBeEmptiedWorksAgain(t *testing.T) {
+	g := NewWithT(t)
+	c := New(t.Context(), Settings{})
+	c.held["pumps-00"] = "w"
+	g.Expect(c.rest(0)).To(BeEmpty())
+	g.Expect(c.rest(holdLongest + time.Second)).To(HaveKey("pumps-00"))
+	s := fleet(0, map[string]int{"pumps": 4})
+	s.resting = map[string]bool{"pumps-00": true}
+	w := Wave{ID: 1, Cap: 4, Duration: time.Second, Instances: []string{"pumps-00", "pumps-01"}}
+	g.Expect(s.PlanWave(w, map[string]bool{"pumps-00": true})).To(ConsistOf("pumps-01"))
+	delete(c.held, "pumps-00")
+	g.Expect(c.rest(holdLongest + restLength + 2*time.Second)).To(BeEmpty())
+}
