--- /dev/null
+++ b/engine/cost.go
@@ -0,0 +1,91 @@
+package engine
+
+import "slices"
+
+// The costs of a placement, in the unit of a whole worker's idle room.
+const (
+	costFailedThere = 8.0
+	costBadWorker   = 20.0
+	costFar         = 4.0
+	costOtherRack   = 4.0
+	costDisturb     = 2.0
+	costScarce      = 1.5
+	// lastingShare is the share of its CPU that a worker keeps for other work before it gets more tasks that last.
+	lastingShare = 0.4
+)
+
+// scarcity is how rare the worker's kind is, if tasks ask for that kind and this one doesn't: 0 to 1.
+func (p *Pool) scarcity(st *Step, w *Worker) float64 {
+	worst := 0.0
+	for k := range p.kinds {
+		if !w.isKind(k) || slices.Contains(st.Kinds(), k) {
+			continue
+		}
+		with := 0
+		for _, o := range p.workers {
+			if o.isKind(k) {
+				with++
+			}
+		}
+		worst = max(worst, 1-float64(with)/float64(len(p.workers)))
+	}
+	return worst
+}
+
+// isKind reports whether the worker is of a kind as Step.Kinds names it.
+func (w *Worker) isKind(k string) bool {
+	if k == KindGPU {
+		return w.info.Room.GPU > 0
+	}
+	return w.hasLabel(k)
+}
+
+// lasting counts the tasks that last on the worker.
+func (w *Worker) lasting() int {
+	n := 0
+	for _, r := range w.runs {
+		if r.Task.step.spec.Lasting {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Pool) cost(t *Task, w *Worker, rack string, c Clock) float64 {
+	st := t.step.spec
+	free := float64(w.info.Room.CPU-w.used.CPU) / float64(max(w.info.Room.CPU, 1))
+	cost := free // the fullest worker first leaves whole workers idle
+	if st.Lasting {
+		// Beside others that last, so that the other workers can be emptied.
+		cost = free - float64(w.lasting())
+		if free < lastingShare {
+			cost = 1 - free
+		}
+	}
+	cost += costFailedThere * float64(t.failedOn[w.ID])
+	if w.badUntil > c.Now {
+		cost += costBadWorker
+	}
+	if st.AffinityRack != "" && w.rack() != st.AffinityRack {
+		cost += costFar
+	}
+	cost += costScarce * p.scarcity(st, w)
+	if rack != "" && w.rack() != rack {
+		cost += costOtherRack
+	}
+	if st.Fills {
+		cost += costDisturb * float64(w.serving()) / 4
+	}
+	return cost
+}
+
+// serving counts the tasks with a tail target on the worker.
+func (w *Worker) serving() int {
+	n := 0
+	for _, r := range w.runs {
+		if r.Task.step.spec.TailTargetMS > 0 {
+			n++
+		}
+	}
+	return n
+}
