Log without blocking, and serve metrics as text

Lines that the output does not take are dropped and counted; at most 4,096 wait. Counters and histograms are served at /metrics on the last port of the range.

--- a/command/daemon.go
+++ b/command/daemon.go
@@ -7,9 +7,9 @@
 	"os"
 
 	"github.com/google/subcommands"
-	"github.com/rs/zerolog"
 
 	"samphirepoint/daemon"
+	"samphirepoint/observe"
 	"samphirepoint/platform"
 )
 
@@ -33,7 +33,8 @@
 		fmt.Fprintln(os.Stderr, "samphirepoint:", err)
 		return subcommands.ExitUsageError
 	}
-	log := zerolog.New(os.Stdout).With().Timestamp().Logger()
+	log, closeLog := observe.Log(os.Stdout, set.Node)
+	defer closeLog()
 	if err := daemon.New(set, log).Run(ctx); err != nil {
 		log.Error().Err(err).Msg("stop")
 		return subcommands.ExitFailure
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 
 	"samphirepoint/cluster"
 	"samphirepoint/engine"
+	"samphirepoint/observe"
 	"samphirepoint/platform"
 	"samphirepoint/upkeep"
 )
@@ -130,7 +131,7 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /api/ready", d.ready)
 	var out []*http.Server
-	for address, h := range map[string]http.Handler{d.set.Listen.Front: front, d.set.Listen.Ready: ready, d.set.PeerAddress(): d.node.PeerHandler()} {
+	for address, h := range map[string]http.Handler{d.set.Listen.Front: front, d.set.Listen.Ready: ready, d.set.PeerAddress(): d.node.PeerHandler(), d.set.MetricsAddress(): observe.Handler()} {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, err
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"samphirepoint/engine"
+	"samphirepoint/observe"
 	"samphirepoint/rows"
 	"samphirepoint/verdict"
 )
@@ -66,6 +67,7 @@
 // same transaction is tried again: only one of the tries can meet the versions it names.
 func (o *Owner) write(batch []engine.Change, tx rows.Tx) {
 	unknown := false
+	began := o.set.Now()
 	for o.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
 		ver, err := o.set.Store.Transact(ctx, tx)
@@ -73,6 +75,7 @@
 		var conflict *rows.Conflict
 		switch {
 		case err == nil:
+			observe.Time("store.commit", o.set.Now()-began)
 			o.post(func() { o.wrote(batch, ver) })
 			return
 		case errors.As(err, &conflict):
@@ -86,6 +89,7 @@
 		case !verdict.Is(err, verdict.NotRun):
 			unknown = true
 		}
+		observe.Count("store.faults")
 		o.post(o.noteStoreFault)
 		o.set.Log.Warn().Str("pool", o.set.Pool).Err(err).Bool("mayHaveRun", unknown).Msg("rows not written, trying again")
 		if !unknown {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"samphirepoint/engine"
+	"samphirepoint/observe"
 	"samphirepoint/rows"
 	"samphirepoint/verdict"
 )
@@ -149,6 +150,7 @@
 		return err
 	}
 	o.set.Log.Info().Str("pool", o.set.Pool).Int64("token", o.set.Token).Int("open", o.pool.Open()).Msg("pool owned")
+	observe.Count("pools.owned")
 	close(o.loaded)
 	o.serve()
 	o.set.Log.Info().Str("pool", o.set.Pool).Int64("token", o.set.Token).AnErr("cause", o.err).Msg("pool given up")
@@ -268,6 +270,7 @@
 		go o.advise(a)
 	}
 	for _, n := range o.pool.TakeNotes() {
+		observe.Count("engine." + n.Event)
 		o.set.Log.Info().Str("pool", o.set.Pool).Str("task", n.Task).Int64("run", n.Run).Str("worker", n.Worker).Str("why", n.Detail).Msg(n.Event)
 	}
 }
