--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -42,13 +42,14 @@
 	node    *cluster.Node
 	waves   *platform.Waves
 	leaving atomic.Bool
+	asked   chan struct{}
 }
 
 // New builds a daemon from its settings.
 func New(set *platform.Settings, log zerolog.Logger) *Daemon {
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
-	d := &Daemon{set: set, log: log, store: platform.NewStore(set.Store.Address)}
+	d := &Daemon{set: set, log: log, store: platform.NewStore(set.Store.Address), asked: make(chan struct{})}
 	d.waves = &platform.Waves{Store: d.store, Now: now}
 	instances := platform.NewInstances(set.Instances.Address)
 	d.node = cluster.NewNode(cluster.Settings{
@@ -88,12 +89,14 @@
 	return o
 }
 
-// Run serves until SIGTERM, then hands over and ends within the grace.
+// Run serves until SIGTERM or Leave, then hands over and ends within the grace. It ends at once with ctx.
 func (d *Daemon) Run(ctx context.Context) error {
 	terms := make(chan os.Signal, 1)
 	signal.Notify(terms, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(terms)
 	hups := make(chan os.Signal, 1)
 	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
@@ -102,22 +105,24 @@
 	if err != nil {
 		return err
 	}
-	d.log.Info().Str("node", d.set.Node).Str("zone", d.set.Zone).Msg("start")
-	g.Go(func() error {
-		return d.store.FollowOperator(ctx, d.node.SetCatalog, d.waves.Take)
-	})
+	d.log.Info().Str("zone", d.set.Zone).Msg("start")
+	g.Go(func() error { return d.store.FollowOperator(ctx, d.node.SetCatalog, d.waves.Take) })
 	g.Go(func() error { return d.node.Run(ctx) })
 	g.Go(func() error { return d.node.FollowRoster(ctx, rosterInterval) })
 	g.Go(func() error {
+		defer cancel()
+		defer closeAll(servers)
 		for {
 			select {
 			case <-ctx.Done():
 				return nil
 			case <-hups:
-				d.log.Info().Msg("reload")
+				d.reload()
 			case <-terms:
 				d.leave(ctx, servers)
-				cancel()
+				return nil
+			case <-d.asked:
+				d.leave(ctx, servers)
 				return nil
 			}
 		}
@@ -125,6 +130,29 @@
 	return g.Wait()
 }
 
+// Leave makes Run end as SIGTERM does.
+func (d *Daemon) Leave() { close(d.asked) }
+
+func closeAll(servers []*http.Server) {
+	for _, s := range servers {
+		_ = s.Close()
+	}
+}
+
+// reload reads the settings file again. Nothing that it says of addresses and bounds changes while a process runs, so a file
+// that can't be used, or says something else, is reported only.
+func (d *Daemon) reload() {
+	set, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	switch {
+	case err != nil:
+		d.log.Warn().Err(err).Msg("settings not read again, the former ones stay in force")
+	case set.Node != d.set.Node || set.Store.Address != d.set.Store.Address:
+		d.log.Warn().Str("node", set.Node).Str("store", set.Store.Address).Msg("settings name another node or store; in force after a restart")
+	default:
+		d.log.Info().Msg("settings read again")
+	}
+}
+
 // listen opens the daemon's addresses.
 func (d *Daemon) listen(g *errgroup.Group) ([]*http.Server, error) {
 	front := &platform.Front{Jobs: d.node, Log: d.log, Leaving: d.leaving.Load}
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"samphirepoint/platform"
+	"samphirepoint/standin/jobfleet"
+)
+
+// deployment is a stand-in fleet with some daemons in front of it.
+type deployment struct {
+	fleet   *jobfleet.Fleet
+	daemons []*running
+}
+
+type running struct {
+	*Daemon
+	kill context.CancelFunc
+	done chan struct{}
+}
+
+const testConfig = `{"version":1,"routes":[
+ {"name":"q1","host":"jobs.example","path_prefix":"/pumps/","timeout_ms":3000,"target_latency_ms":600,"service":"pumps","attempts":3,"stretch":1.6},
+ {"name":"q2","host":"jobs.example","path_prefix":"/routes/","timeout_ms":3000,"target_latency_ms":600,"service":"routes","attempts":3,"stretch":1.6}],
+ "services":[{"name":"pumps"},{"name":"routes"},{"name":"common","spare":true}],"limits":{"max_body_bytes":262144}}`
+
+func deploy(t *testing.T, daemons int) *deployment {
+	fleet, err := jobfleet.New(map[string]int{"pumps": 4, "routes": 4, jobfleet.SparePool: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	if err := fleet.Configure(json.RawMessage(testConfig)); err != nil {
+		t.Fatal(err)
+	}
+	d := &deployment{fleet: fleet}
+	for n := range daemons {
+		d.daemons = append(d.daemons, d.start(t, fmt.Sprintf("edge-%d", n)))
+	}
+	return d
+}
+
+// freePorts returns n ports in a row that are free at the moment.
+func freePorts(t *testing.T, n int) int {
+	for port := 20000 + int(time.Now().UnixNano()%20000); port < 60000; port += n {
+		free := true
+		for k := range n {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+k))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = l.Close()
+		}
+		if free {
+			return port
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+func (d *deployment) start(t *testing.T, name string) *running {
+	port := freePorts(t, 4)
+	set, err := platform.ParseSettings([]byte(fmt.Sprintf(`
+node: %s
+zone: z
+ip: 127.0.0.1
+listen: {front: "127.0.0.1:%d", ready: "127.0.0.1:%d"}
+port_range: [%d, %d]
+platform: {address: "%s"}
+cloud: {address: "%s"}
+bounds: {grace_s: 6, hold_max_ms: 10000, status_s: 120, lease_ms: 300}
+`, name, port, port+1, port+2, port+3, d.fleet.StoreAddress(), d.fleet.CloudAddress())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Daemon: New(set, zerolog.Nop()), kill: cancel, done: make(chan struct{})}
+	go func() {
+		_ = r.Run(ctx)
+		close(r.done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-r.done
+	})
+	return r
+}
+
+// ask sends one request and returns the status, 0 if there was no answer, and the body.
+func (r *running) ask(method, path, body string) (int, string) {
+	req, _ := http.NewRequest(method, "http://"+r.set.Listen.Front+path, strings.NewReader(body))
+	req.Host = "jobs.example"
+	req.Header.Set("Deadline-Ms", "3000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	var out strings.Builder
+	buf := make([]byte, 512)
+	for {
+		n, err := resp.Body.Read(buf)
+		out.Write(buf[:n])
+		if err != nil {
+			return resp.StatusCode, out.String()
+		}
+	}
+}
+
+// submit hands a job in at one daemon after the other until it is accepted.
+func (d *deployment) submit(g *WithT, path string) {
+	n := 0
+	g.Eventually(func() int {
+		n++
+		status, _ := d.daemons[n%len(d.daemons)].ask("POST", path, `{"task_spec":"x","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":60},{"count":2,"cpu":1000,"mem_mb":100,"estimate_ms":60,"after":[0]}]}`)
+		return status
+	}, time.Minute, 20*time.Millisecond).Should(Equal(200))
+}
+
+func (d *deployment) completed(g *WithT, path string) {
+	n := 0
+	g.Eventually(func() string {
+		n++
+		_, body := d.daemons[n%len(d.daemons)].ask("GET", path, "")
+		return body
+	}, time.Minute, 20*time.Millisecond).Should(ContainSubstring("completed"), path)
+}
+
+// Guards against work that is lost, run twice or shown falsely as daemons die, leave and come during a wave of upkeep.
+func TestWorkSurvivesDaemonsAndWaves(t *testing.T) {
+	g := NewWithT(t)
+	d := deploy(t, 3)
+	var paths []string
+	add := func(n int) {
+		for range n {
+			queue := []string{"/pumps/", "/routes/"}[len(paths)%2]
+			path := fmt.Sprintf("%s%016x", queue, len(paths)+1)
+			d.submit(g, path)
+			paths = append(paths, path)
+		}
+	}
+	add(8)
+	g.Expect(d.fleet.Wave(1, append(d.fleet.Machines("pumps"), d.fleet.Machines("routes")...), 2)).To(Succeed())
+	dead := d.daemons[0]
+	dead.kill()
+	<-dead.done
+	d.daemons = append(d.daemons[1:], d.start(t, "edge-3"))
+	add(8)
+	leaver := d.daemons[0]
+	leaver.Leave()
+	d.daemons = d.daemons[1:]
+	add(8)
+	for _, p := range paths {
+		d.completed(g, p)
+	}
+	g.Eventually(d.fleet.Begun, time.Minute, 50*time.Millisecond).Should(Equal(8))
+	<-leaver.done
+	broken, done := d.fleet.Judge()
+	g.Expect(broken).To(BeEmpty())
+	g.Expect(done).To(Equal(24 * 5))
+}
+
+// Guards against answers that the configuration doesn't allow, and against a regress.
+func TestConfigurationInForce(t *testing.T) {
+	g := NewWithT(t)
+	d := deploy(t, 2)
+	d.submit(g, "/pumps/00000000000000aa")
+	status, _ := d.daemons[0].ask("GET", "/nowhere/00000000000000aa", "")
+	g.Expect(status).To(Equal(404))
+	status, _ = d.daemons[0].ask("GET", "/pumps/00000000000000ff", "")
+	g.Expect(status).To(Equal(410))
+	g.Expect(d.fleet.Configure(json.RawMessage(strings.Replace(strings.Replace(testConfig, `"version":1`, `"version":9`, 1), "/routes/", "/roads/", 1)))).To(Succeed())
+	for _, r := range d.daemons {
+		g.Eventually(func() int {
+			s, _ := r.ask("GET", "/roads/", "")
+			return s
+		}, time.Minute, 20*time.Millisecond).Should(Equal(200))
+		s, _ := r.ask("GET", "/routes/", "")
+		g.Expect(s).To(Equal(404))
+	}
+	g.Expect(d.fleet.Configure(json.RawMessage(testConfig))).To(Succeed())
+	d.submit(g, "/roads/00000000000000ab")
+}
+
+// Guards against entries of the worker list that can't be read stopping a daemon, and a bad body being taken for a job.
+func TestBadInputIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	d := deploy(t, 1)
+	d.submit(g, "/pumps/00000000000000ba")
+	for _, body := range []string{"", "{", `{"steps":[]}`, `{"steps":[{"count":0}]}`, `{"steps":[{"count":1,"after":[0]}]}`, `{"steps":[{"count":-3}]}`} {
+		status, _ := d.daemons[0].ask("POST", "/pumps/00000000000000bb", body)
+		g.Expect(status).To(Equal(400), body)
+	}
+	status, _ := d.daemons[0].ask("POST", "/pumps/short", `{"steps":[{"count":1}]}`)
+	g.Expect(status).To(Equal(404))
+	status, _ = d.daemons[0].ask("GET", "/pumps/00000000000000bb", "")
+	g.Expect(status).To(Equal(410))
+}
