--- a/cluster/members.go
+++ b/cluster/members.go
@@ -18,6 +18,8 @@
 	Leaving     bool             `json:"l,omitempty"`
 	Pools       map[string]int64 `json:"p,omitempty"`
 	Version     int64            `json:"v,omitempty"`
+	// Unreachable are the daemons that this one could not reach lately.
+	Unreachable []string `json:"u,omitempty"`
 }
 
 // observed is a member as this daemon has seen it change.
@@ -92,6 +94,35 @@
 	return out
 }
 
+// Stale returns the members that have not been seen to change for longer than age, without this daemon itself.
+func (v *View) Stale(age time.Duration) []string {
+	var out []string
+	for _, o := range v.members {
+		if o.Node != v.self && v.observedAt-o.changedAt > age && v.observedAt-o.changedAt < 10*age {
+			out = append(out, o.Node)
+		}
+	}
+	return out
+}
+
+// WithoutIsolated marks the members that more than half of the others can't reach as leaving and without pools: callers
+// reach their pools through few daemons only, so others are to take them.
+func WithoutIsolated(members []Member) []Member {
+	reports := map[string]int{}
+	for _, m := range members {
+		for _, u := range m.Unreachable {
+			reports[u]++
+		}
+	}
+	out := slices.Clone(members)
+	for i := range out {
+		if n := len(members) - 1; n > 1 && 2*reports[out[i].Node] > n {
+			out[i].Leaving, out[i].Pools = true, nil
+		}
+	}
+	return out
+}
+
 // Owner returns the member that claims a pool with the highest token.
 func Owner(members []Member, pool string) (Member, bool) {
 	var best Member
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -35,6 +35,12 @@
 	settleTime = 500 * time.Millisecond
 	// storeTime bounds one call to the store.
 	storeTime = 800 * time.Millisecond
+	// unreachedFor is how long a daemon that could not be reached counts as unreachable, unless it is reached.
+	unreachedFor = 2 * time.Second
+	// unreachedPause is the time between two tries to reach such a daemon; calls in between fail at once.
+	unreachedPause = 500 * time.Millisecond
+	// staleAge is the age of a beat from which the member's row is read by itself: news of changes may be held up.
+	staleAge = 1000 * time.Millisecond
 	// claimPause is the least time between two tries to take the same pool.
 	claimPause = 300 * time.Millisecond
 )
@@ -90,13 +96,15 @@
 	roster  map[string][]engine.WorkerInfo
 	kick    chan struct{}
 	since   time.Duration
+	// unreached are the daemons that could not be reached, and when.
+	unreached map[string]time.Duration
 }
 
 // NewNode returns a daemon that has not joined yet.
 func NewNode(s Settings) *Node {
 	return &Node{
 		set: s, view: NewView(s.Name, deadAfter), owned: map[string]Tenure{}, pools: map[string]*owner.Owner{}, tried: map[string]time.Duration{},
-		kick: make(chan struct{}, 1), peers: newPeerClient(), since: s.Now(),
+		kick: make(chan struct{}, 1), peers: newPeerClient(), since: s.Now(), unreached: map[string]time.Duration{},
 	}
 }
 
@@ -155,6 +163,7 @@
 	if !n.observe(ctx) {
 		return
 	}
+	n.confirm(ctx)
 	n.takePools(ctx)
 }
 
@@ -170,6 +179,11 @@
 	for p, o := range n.owned {
 		m.Pools[p] = o.Token()
 	}
+	for node, at := range n.unreached {
+		if n.set.Now()-at < unreachedFor {
+			m.Unreachable = append(m.Unreachable, node)
+		}
+	}
 	if c := n.catalog.Load(); c != nil {
 		m.Version = c.Version
 	}
@@ -215,6 +229,25 @@
 	return true
 }
 
+// confirm reads the rows of members that seem to stand still, before they are taken for dead.
+func (n *Node) confirm(ctx context.Context) {
+	n.mu.Lock()
+	stale := n.view.Stale(staleAge)
+	n.mu.Unlock()
+	for _, node := range stale {
+		c, cancel := context.WithTimeout(ctx, storeTime)
+		list, _, err := n.set.Store.Read(c, TableMembers, node)
+		cancel()
+		var m Member
+		if err != nil || len(list) == 0 || json.Unmarshal(list[0].Value, &m) != nil {
+			continue
+		}
+		n.mu.Lock()
+		n.view.Observe([]Member{m}, false, n.set.Now())
+		n.mu.Unlock()
+	}
+}
+
 // readMembers returns the changed rows, or all of them at first and after a gap in the history.
 func (n *Node) readMembers(ctx context.Context) (list []rows.Row, all bool, err error) {
 	c, cancel := context.WithTimeout(ctx, storeTime)
@@ -253,7 +286,7 @@
 	if cat == nil || n.leaving.Load() || n.set.Now()-n.since < settleTime {
 		return
 	}
-	alive := n.Alive()
+	alive := WithoutIsolated(n.Alive())
 	for pool, node := range Assign(alive, append(cat.Working(), FleetDuty), false) {
 		if node == n.set.Name && n.mayTry(pool) {
 			n.take(ctx, pool)
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -111,17 +112,45 @@
 	if !ok || m.Node == n.set.Name {
 		return Result{}, noOwner(call.Pool)
 	}
+	if n.heldOff(m.Node) {
+		return Result{}, verdict.Unavailable(noOwnerRetryAfter, "the owner of pool %s can't be reached", call.Pool)
+	}
+	began := n.set.Now()
 	res, err := n.peers.call(ctx, m.Address, call)
+	n.noteReach(m.Node, n.set.Now()-began, err)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		n.mu.Lock()
-		n.view.Refused(m.Node)
-		n.mu.Unlock()
 		n.Kick()
 		return res, noOwner(call.Pool)
 	}
 	return res, err
 }
 
+// heldOff reports whether a daemon was found to be unreachable a moment ago.
+func (n *Node) heldOff(node string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	at, ok := n.unreached[node]
+	return ok && n.set.Now()-at < unreachedPause
+}
+
+// silence is how long a daemon that is reached never leaves a call unanswered, whatever the store does.
+const silence = attemptTime - 50*time.Millisecond
+
+// noteReach takes in whether a call that took so long reached its daemon.
+func (n *Node) noteReach(node string, took time.Duration, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var dial *net.OpError
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		n.view.Refused(node)
+	case errors.As(err, &dial) && dial.Op == "dial", errors.Is(err, context.DeadlineExceeded) && took >= silence:
+		n.unreached[node] = n.set.Now()
+	case err == nil:
+		delete(n.unreached, node)
+	}
+}
+
 func noOwner(pool string) error {
 	return verdict.WithRetryAfter(verdict.New(verdict.NotRun, http.StatusMisdirectedRequest, "pool %s has no owner at the moment", pool), noOwnerRetryAfter)
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -199,7 +199,7 @@
 	g := NewWithT(t)
 	d := deploy(t, 1)
 	d.submit(g, "/pumps/00000000000000ba")
-	for _, body := range []string{"", "{", `{"steps":[]}`, `{"steps":[{"count":0}]}`, `{"steps":[{"count":1,"after":[0]}]}`, `{"steps":[{"count":-3}]}`} {
+	for _, body := range []string{"", "{", `{"steps":[]}`, `{"steps":[{"count":0}]}`, `{"steps":[{"count":1,"after":[0]}]}`, `{"steps":[{"count":-3}]}`, `{"steps":[{"count":999999999}]}`, `{"repeat_count":999999999,"steps":[{"count":1}]}`} {
 		status, _ := d.daemons[0].ask("POST", "/pumps/00000000000000bb", body)
 		g.Expect(status).To(Equal(400), body)
 	}
--- a/engine/model.go
+++ b/engine/model.go
@@ -74,16 +74,29 @@
 // Occurrences is how often the steps run.
 func (s *Spec) Occurrences() int { return max(s.Times, 1) }
 
+// MaxTasks and MaxOccurrences bound a job, so that one job can't take a daemon's memory.
+const (
+	MaxTasks       = 20_000
+	MaxOccurrences = 100_000
+)
+
 // Check returns an error that names the first fault of the spec.
 func (s *Spec) Check() error {
 	if len(s.Steps) == 0 {
 		return fmt.Errorf("a job needs at least one step")
 	}
+	if s.Times < 0 || s.Times > MaxOccurrences {
+		return fmt.Errorf("a job may have up to %d occurrences, found %d", MaxOccurrences, s.Times)
+	}
+	total := 0
 	for i := range s.Steps {
 		st := &s.Steps[i]
 		if st.Count < 1 {
 			return fmt.Errorf("step %d: count must be at least 1", i)
 		}
+		if total += min(st.Count, MaxTasks+1); total > MaxTasks {
+			return fmt.Errorf("a job may have up to %d tasks", MaxTasks)
+		}
 		for _, a := range st.After {
 			if a < 0 || a >= i {
 				return fmt.Errorf("step %d: after names step %d, which is not an earlier one", i, a)
