Slow the beats down with the size of the cluster and the store, and spread pools again

Members share 16 parts, beats of all daemons together stay below about 125 a second, and a daemon with two pools more than another hands one over.

--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -66,3 +67,26 @@
 	g.Expect(ok).To(BeTrue())
 	g.Expect(o.Node).To(Equal("b"))
 }
+
+// Guards against all pools staying with one daemon after the others had left, and against pools that wander for nothing.
+func TestExcessPoolsGoToTheIdlest(t *testing.T) {
+	g := NewWithT(t)
+	_, _, ok := Excess([]Member{member("a", 1, "x", "y"), member("b", 1, "z")}, "a")
+	g.Expect(ok).To(BeFalse())
+	pool, to, ok := Excess([]Member{member("a", 1, "x", "y", "w"), member("b", 1, "z"), member("c", 1)}, "a")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(pool).To(Equal("w"))
+	g.Expect(to).To(Equal("c"))
+}
+
+// Guards against beats of a large cluster that fill the store, and against deaths that are seen too early then.
+func TestBeatsSlowDownWithTheCluster(t *testing.T) {
+	g := NewWithT(t)
+	n := NewNode(Settings{Name: "a", Now: func() time.Duration { return 0 }})
+	g.Expect(n.interval()).To(Equal(beatInterval))
+	for k := range 300 {
+		n.view.Observe([]Member{member(fmt.Sprint(k), 1)}, false, 0)
+	}
+	g.Expect(float64(300) / n.interval().Seconds()).To(BeNumerically("<=", 130))
+	g.Expect(n.view.deadAfter).To(BeNumerically(">", 3*n.interval()))
+}
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -94,11 +95,11 @@
 	return out
 }
 
-// Stale returns the members that have not been seen to change for longer than age, without this daemon itself.
+// Stale returns the owners of pools that have not been seen to change for longer than age: news of changes may be held up.
 func (v *View) Stale(age time.Duration) []string {
 	var out []string
 	for _, o := range v.members {
-		if o.Node != v.self && v.observedAt-o.changedAt > age && v.observedAt-o.changedAt < 10*age {
+		if o.Node != v.self && len(o.Pools) > 0 && v.observedAt-o.changedAt > age && v.observedAt-o.changedAt < 10*age {
 			out = append(out, o.Node)
 		}
 	}
@@ -169,4 +170,26 @@
 	return out
 }
 
+// Excess returns the pool that a daemon is to hand to which other one, if it has at least two more than that one.
+func Excess(members []Member, self string) (pool, to string, ok bool) {
+	var mine, least Member
+	for _, m := range members {
+		switch {
+		case m.Node == self:
+			mine = m
+		case !m.Leaving && (least.Node == "" || len(m.Pools) < len(least.Pools)):
+			least = m
+		}
+	}
+	if least.Node == "" || len(mine.Pools) < len(least.Pools)+2 {
+		return "", "", false
+	}
+	for _, name := range slices.Sorted(maps.Keys(mine.Pools)) {
+		if name != FleetDuty {
+			return name, least.Node, true
+		}
+	}
+	return "", "", false
+}
+
 func rank(node, pool string) uint64 { return xxhash.Sum64String(node + "\x00" + pool) }
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"samphirepoint/catalog"
@@ -18,29 +20,39 @@
 	"samphirepoint/verdict"
 )
 
-// TableMembers holds one row a daemon, each in a part of its own: a slow store works through a part's writes one by one.
-const TableMembers = "members"
+// TableMembers holds one row a daemon, spread over memberParts parts: a slow store works through a part's writes one by
+// one, and a daemon that starts reads all parts.
+const (
+	TableMembers = "members"
+	memberParts  = 16
+)
 
-const keyMember = "member"
+// memberPart is the part with a daemon's row.
+func memberPart(node string) string {
+	return strconv.FormatUint(xxhash.Sum64String(node)%memberParts, 16)
+}
 
 // FleetDuty is the name under which the upkeep and moves of instances are owned, as if they were a pool.
 const FleetDuty = "~fleet"
 
 const (
-	// beatInterval is the time between two writes of the daemon's row.
-	beatInterval = 400 * time.Millisecond
-	// deadAfter is how long a row may stand still.
+	// beatInterval is the least time between two writes of the daemon's row, beatPerMember what each member adds, so that
+	// all beats together stay far below what the store takes.
+	beatInterval  = 400 * time.Millisecond
+	beatPerMember = 8 * time.Millisecond
+	// beatPerLatency times the store's time for a beat is the least interval, for a store that is slow.
+	beatPerLatency = 4
+	// deadAfter is how long a row may stand still, or deadBeats intervals if that is longer.
 	deadAfter = 1700 * time.Millisecond
+	deadBeats = 3.5
 	// settleTime is how long a starting daemon looks before it takes pools that others may be about to take.
-	settleTime = 500 * time.Millisecond
+	settleTime = 350 * time.Millisecond
 	// storeTime bounds one call to the store.
 	storeTime = 800 * time.Millisecond
 	// unreachedFor is how long a daemon that could not be reached counts as unreachable, unless it is reached.
 	unreachedFor = 2 * time.Second
 	// unreachedPause is the time between two tries to reach such a daemon; calls in between fail at once.
 	unreachedPause = 500 * time.Millisecond
-	// staleAge is the age of a beat from which the member's row is read by itself: news of changes may be held up.
-	staleAge = 1000 * time.Millisecond
 	// claimPause is the least time between two tries to take the same pool.
 	claimPause = 300 * time.Millisecond
 )
@@ -92,10 +104,14 @@
 	beat  int64
 	// seenVer is the version up to which the members were read; only the goroutine of Run uses it.
 	seenVer int64
-	lastOK  time.Duration
-	roster  map[string][]engine.WorkerInfo
-	kick    chan struct{}
-	since   time.Duration
+	// beatTook is how long the store took for the last beat; only the goroutine of Run uses it.
+	beatTook time.Duration
+	// excessSince is since when this daemon has had too many pools; only the goroutine of Run uses it.
+	excessSince time.Duration
+	lastOK      time.Duration
+	roster      map[string][]engine.WorkerInfo
+	kick        chan struct{}
+	since       time.Duration
 	// unreached are the daemons that could not be reached, and when.
 	unreached map[string]time.Duration
 }
@@ -141,7 +157,7 @@
 	for ctx.Err() == nil {
 		began := n.set.Now()
 		n.round(ctx)
-		wait := beatInterval - (n.set.Now() - began)
+		wait := n.interval() - (n.set.Now() - began)
 		t := time.NewTimer(max(wait, 20*time.Millisecond))
 		select {
 		case <-ctx.Done():
@@ -158,6 +174,15 @@
 	return nil
 }
 
+// interval is the time between two beats, by the number of members and the speed of the store.
+func (n *Node) interval() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	d := max(beatInterval, time.Duration(len(n.view.members))*beatPerMember, beatPerLatency*n.beatTook)
+	n.view.deadAfter = max(deadAfter, time.Duration(deadBeats*float64(d)))
+	return d
+}
+
 func (n *Node) round(ctx context.Context) {
 	n.writeBeat(ctx)
 	if !n.observe(ctx) {
@@ -165,6 +190,7 @@
 	}
 	n.confirm(ctx)
 	n.takePools(ctx)
+	n.rebalance(ctx)
 }
 
 // self is the daemon's row as it is now.
@@ -198,10 +224,12 @@
 	}
 	c, cancel := context.WithTimeout(ctx, storeTime)
 	defer cancel()
-	key := rows.Key{Table: TableMembers, Part: n.set.Name, Name: keyMember}
+	key := rows.Key{Table: TableMembers, Part: memberPart(n.set.Name), Name: n.set.Name}
+	began := n.set.Now()
 	if _, err := n.set.Store.Transact(c, rows.Tx{Writes: []rows.Write{{Key: key, Value: value}}}); err != nil {
 		n.set.Log.Warn().Err(err).Msg("beat not written")
 	}
+	n.beatTook = n.set.Now() - began
 }
 
 // observe reads what has changed of the members. While the store can't be read, nobody is taken for dead.
@@ -218,6 +246,11 @@
 		n.view.Postpone(gap)
 	}
 	n.lastOK = now
+	n.view.Observe(parseMembers(list), all, now)
+	return true
+}
+
+func parseMembers(list []rows.Row) []Member {
 	var members []Member
 	for _, r := range list {
 		var m Member
@@ -225,25 +258,27 @@
 			members = append(members, m)
 		}
 	}
-	n.view.Observe(members, all, now)
-	return true
+	return members
 }
 
-// confirm reads the rows of members that seem to stand still, before they are taken for dead.
+// confirm reads the rows of owners that seem to stand still, before they are taken for dead.
 func (n *Node) confirm(ctx context.Context) {
 	n.mu.Lock()
-	stale := n.view.Stale(staleAge)
+	stale := n.view.Stale(n.view.deadAfter * 6 / 10)
 	n.mu.Unlock()
+	parts := map[string]bool{}
 	for _, node := range stale {
+		parts[memberPart(node)] = true
+	}
+	for part := range parts {
 		c, cancel := context.WithTimeout(ctx, storeTime)
-		list, _, err := n.set.Store.Read(c, TableMembers, node)
+		list, _, err := n.set.Store.Read(c, TableMembers, part)
 		cancel()
-		var m Member
-		if err != nil || len(list) == 0 || json.Unmarshal(list[0].Value, &m) != nil {
+		if err != nil {
 			continue
 		}
 		n.mu.Lock()
-		n.view.Observe([]Member{m}, false, n.set.Now())
+		n.view.Observe(parseMembers(list), false, n.set.Now())
 		n.mu.Unlock()
 	}
 }
@@ -262,11 +297,30 @@
 			return nil, false, err
 		}
 	}
-	list, ver, err := n.set.Store.ReadAll(c, TableMembers)
-	n.seenVer = ver
+	list, ver, err := n.readAllMembers(ctx)
+	if err == nil {
+		n.seenVer = ver
+	}
 	return list, true, err
 }
 
+// readAllMembers reads every part and returns the version as of which the first one was read.
+func (n *Node) readAllMembers(ctx context.Context) (list []rows.Row, first int64, err error) {
+	for k := range uint64(memberParts) {
+		c, cancel := context.WithTimeout(ctx, storeTime)
+		of, ver, err := n.set.Store.Read(c, TableMembers, strconv.FormatUint(k, 16))
+		cancel()
+		if err != nil {
+			return nil, 0, err
+		}
+		if k == 0 {
+			first = ver
+		}
+		list = append(list, of...)
+	}
+	return list, first, nil
+}
+
 // StoreSeen is how long ago the store last answered.
 func (n *Node) StoreSeen() time.Duration {
 	n.mu.Lock()
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -274,15 +274,46 @@
 			if m.Node != node || node == n.set.Name {
 				continue
 			}
-			c, cancel := context.WithTimeout(ctx, time.Second)
-			if _, err := n.peers.call(c, m.Address, Call{Op: OpTake, Pool: pool, From: n.set.Name}); err == nil {
-				n.drop(pool)
-			}
-			cancel()
+			n.hand(ctx, pool, m)
+		}
+	}
+}
+
+// balanceAfter is how long a daemon must have had too many pools before it hands one over.
+const balanceAfter = 3 * time.Second
+
+// rebalance hands a pool to the daemon with the fewest, once this one has had two more for a while.
+func (n *Node) rebalance(ctx context.Context) {
+	members := WithoutIsolated(n.Alive())
+	pool, to, ok := Excess(members, n.set.Name)
+	now := n.set.Now()
+	if !ok || n.leaving.Load() {
+		n.excessSince = 0
+		return
+	}
+	if n.excessSince == 0 {
+		n.excessSince = now
+	}
+	if now-n.excessSince < balanceAfter {
+		return
+	}
+	n.excessSince = 0
+	for _, m := range members {
+		if m.Node == to {
+			n.hand(ctx, pool, m)
 		}
 	}
 }
 
+// hand gives one pool to another daemon.
+func (n *Node) hand(ctx context.Context, pool string, to Member) {
+	c, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if _, err := n.peers.call(c, to.Address, Call{Op: OpTake, Pool: pool, From: n.set.Name}); err == nil {
+		n.drop(pool)
+	}
+}
+
 func (n *Node) drop(pool string) {
 	n.mu.Lock()
 	o := n.owned[pool]
--- a/rows/memrows/memrows.go
+++ b/rows/memrows/memrows.go
@@ -121,11 +121,6 @@
 	return s.read(func(k rows.Key) bool { return k.Table == table && k.Part == part })
 }
 
-// ReadAll implements rows.Store.
-func (s *Store) ReadAll(_ context.Context, table string) ([]rows.Row, int64, error) {
-	return s.read(func(k rows.Key) bool { return k.Table == table })
-}
-
 func (s *Store) read(want func(rows.Key) bool) ([]rows.Row, int64, error) {
 	if f := s.fault("read"); f != (Fault{}) {
 		return nil, 0, refused()
@@ -187,17 +182,3 @@
 	defer s.mu.Unlock()
 	s.history, s.from = nil, s.ver
 }
-
-// Parts lists the parts of a table.
-func (s *Store) Parts(table string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []string
-	for k := range s.rows {
-		if k.Table == table && !slices.Contains(out, k.Part) {
-			out = append(out, k.Part)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
--- a/rows/rows.go
+++ b/rows/rows.go
@@ -78,8 +78,6 @@
 	Transact(ctx context.Context, tx Tx) (int64, error)
 	// Read returns all rows of a table's part in key order, and the version as of which they were read.
 	Read(ctx context.Context, table, part string) ([]Row, int64, error)
-	// ReadAll returns all rows of all parts of a table, and the version as of which the first of them were read.
-	ReadAll(ctx context.Context, table string) ([]Row, int64, error)
 	// Watch returns the rows of a table that changed after a version, in order, waiting up to wait for the
 	// first one, and the version to continue from. It fails with ErrHistoryGone.
 	Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error)
--- a/standin/jobfleet/jobfleet.go
+++ b/standin/jobfleet/jobfleet.go
@@ -260,9 +260,6 @@
 		list, ver, err := f.Store.Read(r.Context(), q.Get("table"), q.Get("part"))
 		f.page(w, q, list, ver, err)
 	})
-	mux.HandleFunc("GET /api/rows-parts", func(w http.ResponseWriter, r *http.Request) {
-		answer(w, 200, map[string]any{"parts": f.Store.Parts(r.URL.Query().Get("table"))})
-	})
 	mux.HandleFunc("GET /api/rows-feed", func(w http.ResponseWriter, r *http.Request) {
 		q := r.URL.Query()
 		after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
