--- a/cluster/node.go
+++ b/cluster/node.go
@@ -40,6 +40,10 @@
 	// all beats together stay far below what the store takes.
 	beatInterval  = 400 * time.Millisecond
 	beatPerMember = 8 * time.Millisecond
+	// lookInterval is the least time between two looks at the members; there are lookPerBeat looks to a beat in a large
+	// cluster, as a store takes more readings than writes.
+	lookInterval = 400 * time.Millisecond
+	lookPerBeat  = 4
 	// beatPerLatency times the store's time for a beat is the least interval, for a store that is slow.
 	beatPerLatency = 4
 	// deadAfter is how long a row may stand still, or deadBeats intervals if that is longer.
@@ -154,14 +158,20 @@
 
 // Run beats, observes and takes pools until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
+	var nextBeat time.Duration
 	for ctx.Err() == nil {
 		began := n.set.Now()
-		n.round(ctx)
-		wait := n.interval() - (n.set.Now() - began)
+		if began >= nextBeat {
+			n.writeBeat(ctx)
+			nextBeat = began + n.interval()
+		}
+		n.look(ctx)
+		wait := min(max(lookInterval, n.interval()/lookPerBeat), n.interval()) - (n.set.Now() - began)
 		t := time.NewTimer(max(wait, 20*time.Millisecond))
 		select {
 		case <-ctx.Done():
 		case <-n.kick:
+			nextBeat = 0
 		case <-t.C:
 		}
 		t.Stop()
@@ -183,8 +193,8 @@
 	return d
 }
 
-func (n *Node) round(ctx context.Context) {
-	n.writeBeat(ctx)
+// look reads the members and takes what is free.
+func (n *Node) look(ctx context.Context) {
 	if !n.observe(ctx) {
 		return
 	}
