--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,7 +27,7 @@
 
 const (
 	// rosterInterval is the time between two looks at the list of workers.
-	rosterInterval = 500 * time.Millisecond
+	rosterInterval = 250 * time.Millisecond
 	// goodbye is how long new connections are still served after an order to stop, until the balancer has noticed.
 	goodbye = 2500 * time.Millisecond
 	// graceReserve is kept from the grace for the end of the process itself.
