--- a/engine/job.go
+++ b/engine/job.go
@@ -64,6 +64,8 @@
 	// failedOn are workers on which a run failed.
 	failedOn map[string]int
 	restarts int
+	// waitsSince is since when the task has had no run: its start in the pool, or the end of its last run.
+	waitsSince time.Duration
 	// atWorkAt is when a lasting task was last seen at work, atWorkSince since when without a break.
 	atWorkAt    time.Duration
 	atWorkSince time.Duration
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -47,8 +47,10 @@
 	advice  []AdviceRequest
 	learned map[string]*durations
 	takenAt time.Duration
-	kinds   map[string]bool
-	notes   []Note
+	// now is the time of the last event.
+	now   time.Duration
+	kinds map[string]bool
+	notes []Note
 	// needPlace is set by each event that may allow a new start.
 	needPlace bool
 }
@@ -210,6 +212,7 @@
 
 // dropRun forgets a run that is certainly not on its worker.
 func (p *Pool) dropRun(r *Run) {
+	r.Task.waitsSince = p.now
 	r.Worker.remove(r)
 	r.Task.removeRun(r)
 	p.needPlace = true
@@ -252,6 +255,7 @@
 
 // Tick does what time alone brings: due occurrences, lapsed leases, repeated orders, ends of retention.
 func (p *Pool) Tick(c Clock) {
+	p.now = c.Now
 	for _, j := range p.open {
 		p.unfold(j, c)
 	}
--- a/engine/report.go
+++ b/engine/report.go
@@ -32,7 +32,7 @@
 	// KindsLack the CPU of those that wait and fit on no worker of the kind.
 	Kinds     map[string]int64 `json:"ki,omitempty"`
 	KindsLack map[string]int64 `json:"kl,omitempty"`
-	// Missing is set while a task that lasts waits for room.
+	// Missing is set while a task that lasts has waited for room for a while.
 	Missing bool `json:"m,omitempty"`
 }
 
@@ -78,7 +78,7 @@
 			}
 		}
 		r.PendingCPU += cpu
-		r.Missing = r.Missing || st.Lasting
+		r.Missing = r.Missing || (st.Lasting && cd.step.waitsLong(c))
 		for _, k := range st.Kinds() {
 			r.Kinds[k] += cpu
 			if cd.step.starved(p, workers, c) {
@@ -88,6 +88,19 @@
 	}
 }
 
+// missingAfter is how long a task that lasts may wait before its pool counts as lacking room for it.
+const missingAfter = 1200 * time.Millisecond
+
+// waitsLong reports whether a task of the step has waited for a while.
+func (st *stepState) waitsLong(c Clock) bool {
+	for _, t := range st.tasks {
+		if t.pending(c.Now) && c.Now-t.waitsSince > missingAfter && c.Wall-st.occ.job.submittedMS > missingAfter.Milliseconds() {
+			return true
+		}
+	}
+	return false
+}
+
 // KindGPU stands for workers with GPUs beside the labels.
 const KindGPU = "gpu:"
 
--- a/upkeep/choose.go
+++ b/upkeep/choose.go
@@ -24,8 +24,8 @@
 const (
 	// holdLongest is how long an instance is kept free of new work before it is given up on for restLength: what lasts
 	// there may have no other place.
-	holdLongest = 6 * time.Second
-	restLength  = 4 * time.Second
+	holdLongest = 10 * time.Second
+	restLength  = 3 * time.Second
 )
 
 // rest gives up on instances that have been held in vain, and returns those that are left alone now.
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -206,6 +206,9 @@
 	}
 	room := s.roomOf(pool)
 	used := float64(r.UsedCPU - r.LastingCPU + r.PendingCPU)
+	if r.Missing {
+		return have + 1
+	}
 	switch {
 	case f.Expecting(pool, s.Now):
 		load := max(d.rate*surgeMargin, used*backlogMargin)
--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -133,17 +133,22 @@
 		released[i.Pool] += i.RoomCPU
 		taken[i.Pool]++
 	}
+	slow := s.countLasting(out)
 	for _, id := range s.order(left) {
 		if len(out) >= slots {
 			break
 		}
 		i := s.Instances[id]
-		if i.State != StateUp || held[id] || s.down(id) || s.resting[id] {
-			continue
+		if i.State != StateUp || held[id] || s.down(id) || s.resting[id] || s.Reports[i.Pool].Missing {
+			continue // A task that lasts waits for room there.
 		}
-		if !urgent && !s.mayRelease(i, released[i.Pool], taken[i.Pool]) {
+		early := s.lastingOn(id) > 0 && slow < lastingAtOnce && len(s.Reports[i.Pool].Workers) > 2
+		if !urgent && !early && !s.mayRelease(i, released[i.Pool], taken[i.Pool]) {
 			continue
 		}
+		if s.lastingOn(id) > 0 {
+			slow++
+		}
 		released[i.Pool] += i.RoomCPU
 		taken[i.Pool]++
 		out = append(out, id)
@@ -154,7 +159,7 @@
 func (s *State) heldFirst(left []string, held map[string]bool) []string {
 	var out []string
 	for _, id := range left {
-		if held[id] && s.Instances[id].State == StateUp && !s.resting[id] {
+		if i := s.Instances[id]; held[id] && i.State == StateUp && !s.resting[id] && !s.Reports[i.Pool].Missing {
 			out = append(out, id)
 		}
 	}
@@ -186,11 +191,44 @@
 	return float64(r.RoomCPU-released-i.RoomCPU) >= need
 }
 
-// order sorts instances by what taking them costs now.
+// lastingAtOnce is how many instances with tasks that last are emptied at any time from a wave's start, whatever the demand:
+// their tasks leave one after the other, each once the one before is at work again.
+const lastingAtOnce = 2
+
+// lastingOn counts the tasks that last on an instance.
+func (s *State) lastingOn(id string) int {
+	i := s.Instances[id]
+	for _, w := range s.Reports[i.Pool].Workers {
+		if w.ID == i.Worker {
+			return w.Lasting
+		}
+	}
+	return 0
+}
+
+func (s *State) countLasting(ids []string) int {
+	n := 0
+	for _, id := range ids {
+		if s.lastingOn(id) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// order sorts instances by what taking them costs now, a few of those with tasks that last first.
 func (s *State) order(ids []string) []string {
 	out := slices.Clone(ids)
 	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(s.takingCost(a), s.takingCost(b)) })
-	return out
+	var first, rest []string
+	for _, id := range out {
+		if s.lastingOn(id) > 0 && len(first) < lastingAtOnce {
+			first = append(first, id)
+			continue
+		}
+		rest = append(rest, id)
+	}
+	return append(first, rest...)
 }
 
 func (s *State) takingCost(id string) float64 {
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -223,3 +223,41 @@
 	delete(c.held, "pumps-00")
 	g.Expect(c.rest(holdLongest + restLength + 2*time.Second)).To(BeEmpty())
 }
+
+// Load pattern: a wave with tasks that last on some of its instances, during a turn. Guards against leaving those to the end,
+// when there is no time left to move their tasks one after the other.
+func TestInstancesWithTasksThatLastAreEmptiedEarly(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(0, map[string]int{"pumps": 8})
+	r := s.Reports["pumps"]
+	r.UsedCPU = r.RoomCPU
+	for k := range 3 {
+		r.Workers[k].Lasting = 2
+	}
+	s.Reports["pumps"] = r
+	w := Wave{ID: 1, Cap: 6, Duration: 60 * time.Second}
+	for id := range s.Instances {
+		w.Instances = append(w.Instances, id)
+	}
+	got := s.PlanWave(w, nil)
+	g.Expect(got).To(HaveLen(lastingAtOnce))
+	g.Expect(s.countLasting(got)).To(Equal(lastingAtOnce))
+	held := map[string]bool{got[0]: true, got[1]: true}
+	g.Expect(s.PlanWave(w, held)).To(ConsistOf(got), "no third one beside them")
+}
+
+// Load pattern: the last seconds of a wave in a small pool from which a worker leaves. Guards against keeping all workers free
+// of new work while a task that lasts has no place.
+func TestMissingTaskThatLastsGoesBeforeTheWave(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	s := fleet(24*time.Second, map[string]int{"pumps": 4, "common": 2})
+	w := Wave{ID: 1, Cap: 4, Duration: 25 * time.Second, Instances: []string{"pumps-00", "pumps-01", "pumps-02"}}
+	g.Expect(s.PlanWave(w, nil)).To(HaveLen(3))
+	r := s.Reports["pumps"]
+	r.Missing = true
+	s.Reports["pumps"] = r
+	g.Expect(s.PlanWave(w, map[string]bool{"pumps-00": true})).To(BeEmpty())
+	feed(f, "pumps", 10, 20*time.Second, 4*time.Second, 4*testRoom)
+	g.Expect(s.PlanMoves(f, map[string]time.Duration{})).To(HaveLen(1), "one more instance comes")
+}
