--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -83,9 +83,6 @@
 	if s := set.Bounds.StatusS; s > 0 {
 		o.Retain = time.Duration((s + 30) * float64(time.Second))
 	}
-	if x := set.Bounds.FarX; x > 0 {
-		o.FarFactor = x
-	}
 	return o
 }
 
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -325,3 +325,24 @@
 	w.step(200 * time.Millisecond)
 	g.Expect(w.runs("00000000000000c0.0.0.0")).To(Equal(1))
 }
+
+// Guards against taking tasks that fill off a worker that is to be emptied, beyond what their step may miss.
+func TestFillingTasksKeepMayMiss(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(6)
+	spec := lasting("00000000000000c1", 3)
+	spec.Steps[0].Fills = true
+	w.pool.Submit(spec, w.clock())
+	w.step(time.Second)
+	for id := range w.workers {
+		if id < "i-04" {
+			w.pool.Cordon(id, w.now+time.Second, w.clock())
+		}
+	}
+	w.step(50 * time.Millisecond)
+	running := 0
+	for _, f := range w.workers {
+		running += len(f.running)
+	}
+	g.Expect(running).To(BeNumerically(">=", 2))
+}
--- a/engine/evacuate.go
+++ b/engine/evacuate.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// evacuate takes tasks that last off workers that leave, within what their step may miss, and work with
-// checkpoints off workers that end too soon for it.
+// evacuate takes tasks that last off workers that leave, and off workers that are to be emptied within what the tasks' step
+// may miss.
 func (p *Pool) evacuate(c Clock) {
 	for _, w := range p.workers {
 		leaving := w.info.Draining
@@ -25,10 +25,7 @@
 	if !st.spec.Lasting || st.spec.Gang {
 		return false
 	}
-	if st.spec.Fills || st.spec.TailTargetMS == 0 && st.spec.MayMiss == 0 && leaving {
-		return true
-	}
-	if leaving {
+	if leaving || (st.spec.Fills && st.spec.MayMiss == 0) {
 		return true
 	}
 	return r.Task.atWork(c) && st.away(r.Task, c) < st.spec.MayMiss && p.spareFor(r.Task, c)
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -12,8 +12,6 @@
 	HoldMax time.Duration
 	// Retain is for how long an ended job is known.
 	Retain time.Duration
-	// FarFactor is how much longer work takes away from its data.
-	FarFactor float64
 	// RetryOrder is the pause before an unanswered order is sent again.
 	RetryOrder time.Duration
 	// SuspectAfter is the silence after which a worker gets no new starts.
@@ -26,7 +24,6 @@
 		Lease:        5 * time.Second,
 		HoldMax:      10 * time.Second,
 		Retain:       150 * time.Second,
-		FarFactor:    1.5,
 		RetryOrder:   250 * time.Millisecond,
 		SuspectAfter: 2200 * time.Millisecond,
 	}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -12,7 +12,6 @@
 	RemainingMS       int64
 	Room              Resources
 	Labels            []string
-	Guarded           bool
 	BornMS            int64
 }
 
--- a/standin/jobfleet/jobfleet.go
+++ b/standin/jobfleet/jobfleet.go
@@ -38,9 +38,8 @@
 	broken []string
 	begun  map[string]bool
 
-	storeServer, cloudServer *http.Server
-	storeAddr, cloudAddr     string
-	listeners                []net.Listener
+	storeAddr, cloudAddr string
+	listeners            []net.Listener
 }
 
 type machine struct {
