--- /dev/null
+++ b/cluster/leave.go
@@ -0,0 +1,93 @@
+package cluster
+
+import (
+	"context"
+	"time"
+)
+
+// Leave hands all pools to other daemons. It returns once none is left or ctx ends.
+func (n *Node) Leave(ctx context.Context) {
+	n.leaving.Store(true)
+	n.Kick()
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		var pools []string
+		for p := range n.owned {
+			pools = append(pools, p)
+		}
+		n.mu.Unlock()
+		if len(pools) == 0 {
+			return
+		}
+		n.handOver(ctx, pools)
+		t := time.NewTimer(60 * time.Millisecond)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (n *Node) handOver(ctx context.Context, pools []string) {
+	alive := n.Alive()
+	for i := range alive {
+		if alive[i].Node == n.set.Name {
+			alive[i].Leaving = true
+		}
+	}
+	for pool, node := range Assign(alive, pools, true) {
+		for _, m := range alive {
+			if m.Node != node || node == n.set.Name {
+				continue
+			}
+			n.hand(ctx, pool, m)
+		}
+	}
+}
+
+// balanceAfter is how long a daemon must have had too many pools before it hands one over.
+const balanceAfter = 3 * time.Second
+
+// rebalance hands a pool to the daemon with the fewest, once this one has had two more for a while.
+func (n *Node) rebalance(ctx context.Context) {
+	members := WithoutIsolated(n.Alive())
+	pool, to, ok := Excess(members, n.set.Name)
+	now := n.set.Now()
+	if !ok || n.leaving.Load() {
+		n.excessSince = 0
+		return
+	}
+	if n.excessSince == 0 {
+		n.excessSince = now
+	}
+	if now-n.excessSince < balanceAfter {
+		return
+	}
+	n.excessSince = 0
+	for _, m := range members {
+		if m.Node == to {
+			n.hand(ctx, pool, m)
+		}
+	}
+}
+
+// hand gives one pool to another daemon.
+func (n *Node) hand(ctx context.Context, pool string, to Member) {
+	c, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if _, err := n.peers.call(c, to.Address, Call{Op: OpTake, Pool: pool, From: n.set.Name}); err == nil {
+		n.drop(pool)
+	}
+}
+
+func (n *Node) drop(pool string) {
+	n.mu.Lock()
+	o := n.owned[pool]
+	delete(n.owned, pool)
+	delete(n.pools, pool)
+	n.mu.Unlock()
+	if o != nil {
+		o.Stop()
+	}
+}
--- /dev/null
+++ b/cluster/roster.go
@@ -0,0 +1,43 @@
+package cluster
+
+import (
+	"context"
+	"maps"
+	"time"
+)
+
+// FollowRoster reads the list of workers while this daemon owns pools.
+func (n *Node) FollowRoster(ctx context.Context, every time.Duration) error {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		busy := len(n.pools) > 0
+		n.mu.Unlock()
+		if busy {
+			n.readRoster(ctx)
+		}
+		t := time.NewTimer(every)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+func (n *Node) readRoster(ctx context.Context) {
+	c, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	list, err := n.set.Roster.Workers(c)
+	if err != nil {
+		n.set.Log.Warn().Err(err).Msg("workers not read")
+		return
+	}
+	n.mu.Lock()
+	n.roster = list
+	pools := maps.Clone(n.pools)
+	n.mu.Unlock()
+	for pool, o := range pools {
+		o.SetRoster(list[pool])
+	}
+}
--- a/upkeep/orders.go
+++ b/upkeep/orders.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
-	"samphirepoint/verdict"
 	"slices"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"samphirepoint/verdict"
 )
 
 // order is one order that is about to be given.
--- a/upkeep/stored.go
+++ b/upkeep/stored.go
@@ -4,9 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
+
 	"samphirepoint/owner"
 	"samphirepoint/rows"
-	"time"
 )
 
 // storeTurns leaves the seen surges to a successor. A failure costs the successor some foresight only.
