Wait for a time or the end of a context in one place

Behaviour is unchanged, but that a wait of no length under an ended context always returns its error where it did so by chance.

--- a/admin/table_client.go
+++ b/admin/table_client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"samphirepoint/request"
+	"samphirepoint/sleep"
 	"samphirepoint/table"
 	"samphirepoint/verdict"
 )
@@ -181,7 +182,7 @@
 	var failures []error
 	mayHaveRun := false
 	for round := range clientRounds {
-		if round > 0 && !sleepContext(ctx, c.pause<<(round-1)) {
+		if round > 0 && sleep.Context(ctx, c.pause<<(round-1)) != nil {
 			break
 		}
 		failures = failures[:0]
@@ -246,15 +247,3 @@
 	v, _ := verdict.Parse(resp.Header.Get(request.HeaderVerdict))
 	return nil, verdict.Wrap(refusal, v, resp.StatusCode)
 }
-
-// sleepContext reports whether the context still stands after the pause.
-func sleepContext(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/claim/store.go
+++ b/claim/store.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"samphirepoint/services"
+	"samphirepoint/sleep"
 	"samphirepoint/verdict"
 )
 
@@ -128,7 +129,7 @@
 		}
 		if row.Version == ifVersion {
 			// The write may still be on its way.
-			if sleep(ctx, takeAgainAfter) != nil {
+			if sleep.Context(ctx, takeAgainAfter) != nil {
 				return nil, s.giveUp(ctx, c, uncertain)
 			}
 			continue
@@ -151,7 +152,7 @@
 func (s *Store) read(ctx context.Context, key string) (services.Row, error) {
 	for {
 		row, err := s.table.Get(ctx, key)
-		if err == nil || sleep(ctx, takeAgainAfter) != nil {
+		if err == nil || sleep.Context(ctx, takeAgainAfter) != nil {
 			return row, err
 		}
 	}
@@ -220,7 +221,7 @@
 
 // Flush waits until no record or release is in progress, or ctx ends.
 func (s *Store) Flush(ctx context.Context) {
-	for len(s.background) > 0 && sleep(ctx, flushPoll) == nil {
+	for len(s.background) > 0 && sleep.Context(ctx, flushPoll) == nil {
 	}
 }
 
@@ -272,7 +273,7 @@
 		if settled {
 			return true
 		}
-		if err != nil && sleep(ctx, jitter(delay)) != nil {
+		if err != nil && sleep.Context(ctx, jitter(delay)) != nil {
 			return false
 		}
 	}
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirepoint/services"
+	"samphirepoint/sleep"
 )
 
 // sweepPage is the number of rows read and deleted at a time.
@@ -33,23 +34,11 @@
 				deleted++
 			}
 		}
-		if sleep(ctx, sweepPause) != nil {
+		if sleep.Context(ctx, sweepPause) != nil {
 			return deleted, ctx.Err()
 		}
 	}
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // jitter spreads retries of many processes over [d/2, d).
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
--- a/cluster/leave.go
+++ b/cluster/leave.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"time"
+
+	"samphirepoint/sleep"
 )
 
+// handPause is the time between two tries to hand over what is left.
+const handPause = 60 * time.Millisecond
+
 // Leave hands all pools to other daemons. It returns once none is left or ctx ends.
 func (n *Node) Leave(ctx context.Context) {
 	n.leaving.Store(true)
@@ -20,12 +25,7 @@
 			return
 		}
 		n.handOver(ctx, pools)
-		t := time.NewTimer(60 * time.Millisecond)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		_ = sleep.Context(ctx, handPause)
 	}
 }
 
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -10,6 +10,7 @@
 
 	"samphirepoint/engine"
 	"samphirepoint/owner"
+	"samphirepoint/sleep"
 	"samphirepoint/verdict"
 )
 
@@ -78,12 +79,7 @@
 		if !unknown && (!again(err) || n.set.Now() > limit) || ctx.Err() != nil {
 			return res, certainty(err, uncertain)
 		}
-		t := time.NewTimer(findPause)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		_ = sleep.Context(ctx, findPause)
 	}
 }
 
--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -4,6 +4,8 @@
 	"context"
 	"maps"
 	"time"
+
+	"samphirepoint/sleep"
 )
 
 // FollowRoster reads the list of workers while this daemon owns pools.
@@ -15,12 +17,7 @@
 		if busy {
 			n.readRoster(ctx)
 		}
-		t := time.NewTimer(every)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		_ = sleep.Context(ctx, every)
 	}
 	return nil
 }
--- a/configsync/push.go
+++ b/configsync/push.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"samphirepoint/membership"
+	"samphirepoint/sleep"
 	"samphirepoint/table"
 )
 
@@ -89,7 +90,7 @@
 			group.Go(func() { p.send(ctx, m.ID) })
 		}
 		group.Wait()
-		if len(p.missing()) == 0 || sleep(ctx, pushRetry) != nil {
+		if len(p.missing()) == 0 || sleep.Context(ctx, pushRetry) != nil {
 			return
 		}
 	}
--- a/configsync/syncer.go
+++ b/configsync/syncer.go
@@ -22,6 +22,7 @@
 
 	"samphirepoint/membership"
 	"samphirepoint/services"
+	"samphirepoint/sleep"
 	"samphirepoint/table"
 )
 
@@ -186,7 +187,7 @@
 				s.config.Log.Warn().Err(err).Int("failures", failures).Msg("configuration poll failed")
 			}
 		}
-		if err := sleep(ctx, wait); err != nil {
+		if err := sleep.Context(ctx, wait); err != nil {
 			return err
 		}
 	}
@@ -201,23 +202,12 @@
 func (s *Syncer) watchLoop(ctx context.Context) error {
 	for {
 		s.CatchUp(ctx)
-		if err := sleep(ctx, watchInterval); err != nil {
+		if err := sleep.Context(ctx, watchInterval); err != nil {
 			return err
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // Poll reads the version from the table once and the document if it is newer. The start of a successful poll counts
 // for freshness.
 func (s *Syncer) Poll(ctx context.Context) error {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"samphirepoint/engine"
 	"samphirepoint/observe"
 	"samphirepoint/platform"
+	"samphirepoint/sleep"
 	"samphirepoint/upkeep"
 )
 
@@ -189,12 +190,7 @@
 	defer cancel()
 	began := time.Now()
 	d.node.Leave(ctx)
-	rest := time.NewTimer(time.Until(began.Add(goodbye)))
-	defer rest.Stop()
-	select {
-	case <-rest.C:
-	case <-ctx.Done():
-	}
+	_ = sleep.Context(ctx, time.Until(began.Add(goodbye)))
 	for _, s := range servers {
 		_ = s.Shutdown(ctx)
 	}
--- a/filter/dispatch.go
+++ b/filter/dispatch.go
@@ -13,6 +13,7 @@
 	"samphirepoint/dispatch"
 	"samphirepoint/request"
 	"samphirepoint/retry"
+	"samphirepoint/sleep"
 	"samphirepoint/verdict"
 	"samphirepoint/worker"
 )
@@ -314,18 +315,9 @@
 	return d.Retry && pause(c.Ctx, d.After)
 }
 
+// pause waits and reports whether the context still stands; without a length it does not look.
 func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return d <= 0 || sleep.Context(ctx, d) == nil
 }
 
 // conclude gives the final result after the last attempt.
--- a/owner/calls.go
+++ b/owner/calls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirepoint/engine"
+	"samphirepoint/sleep"
 )
 
 const (
@@ -57,7 +58,7 @@
 			wait = 0
 		}
 		if !o.holdOnce(to, Hold{Token: o.set.Token, DeadlineMS: req.DeadlineMS, SeenUpto: req.SeenUpto, Wait: wait}) {
-			pause(o.ctx, holdRetry)
+			_ = sleep.Context(o.ctx, holdRetry)
 		}
 	}
 }
@@ -104,7 +105,7 @@
 	case err == nil:
 		o.post(func() { o.pool.HoldAnswered(to.ID, a, sent, o.clock()) })
 		if len(a.Ended) > 0 {
-			pause(o.ctx, gather)
+			_ = sleep.Context(o.ctx, gather)
 		}
 		return true
 	case errors.Is(err, ErrFenced):
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -9,6 +9,7 @@
 	"samphirepoint/engine"
 	"samphirepoint/observe"
 	"samphirepoint/rows"
+	"samphirepoint/sleep"
 	"samphirepoint/verdict"
 )
 
@@ -96,7 +97,7 @@
 			o.post(func() { o.returned(batch) })
 			return
 		}
-		pause(o.ctx, commitRetry)
+		_ = sleep.Context(o.ctx, commitRetry)
 	}
 }
 
@@ -170,12 +171,3 @@
 		o.storeBad = o.set.Now()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -18,6 +18,7 @@
 	"samphirepoint/engine"
 	"samphirepoint/observe"
 	"samphirepoint/rows"
+	"samphirepoint/sleep"
 	"samphirepoint/verdict"
 )
 
@@ -157,6 +158,9 @@
 	return o.err
 }
 
+// loadRetry is the pause after a reading that failed.
+const loadRetry = 100 * time.Millisecond
+
 // load reads the pool's rows, again and again until it succeeds.
 func (o *Owner) load() error {
 	for {
@@ -165,10 +169,8 @@
 			return err
 		}
 		o.set.Log.Warn().Str("pool", o.set.Pool).Err(err).Msg("rows not read, trying again")
-		select {
-		case <-o.ctx.Done():
-			return o.ctx.Err()
-		case <-time.After(100 * time.Millisecond):
+		if err := sleep.Context(o.ctx, loadRetry); err != nil {
+			return err
 		}
 	}
 }
--- a/services/memtable/memtable.go
+++ b/services/memtable/memtable.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"samphirepoint/services"
+	"samphirepoint/sleep"
 	"samphirepoint/verdict"
 )
 
@@ -157,7 +158,7 @@
 	if hook != nil {
 		f = hook(c)
 	}
-	if err := sleep(ctx, f.Delay); err != nil {
+	if err := sleep.Context(ctx, f.Delay); err != nil {
 		return err
 	}
 	if f.Before != nil {
@@ -167,7 +168,7 @@
 	if f.Applied != nil {
 		f.Applied()
 	}
-	if lost := sleep(ctx, f.DelayReply); lost != nil {
+	if lost := sleep.Context(ctx, f.DelayReply); lost != nil {
 		return lost
 	}
 	if f.LoseReply {
@@ -176,20 +177,6 @@
 	return err
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (t *Table) get(key string) services.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- /dev/null
+++ b/sleep/sleep.go
@@ -0,0 +1,24 @@
+// Package sleep waits without outliving its caller.
+//
+//	for sleep.Context(ctx, time.Second) == nil { poll() }
+package sleep
+
+import (
+	"context"
+	"time"
+)
+
+// Context waits for d or until ctx ends; it returns the error of ctx in the latter case.
+func Context(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/table/store.go
+++ b/table/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"samphirepoint/services"
+	"samphirepoint/sleep"
 	"samphirepoint/verdict"
 )
 
@@ -198,12 +199,5 @@
 
 // pause waits before an attempt and reports whether the context still stands.
 func (s *Store) pause(ctx context.Context, attempt int) bool {
-	timer := time.NewTimer(min(s.opt.MinBackoff<<(attempt-1), maxBackoff))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleep.Context(ctx, min(s.opt.MinBackoff<<(attempt-1), maxBackoff)) == nil
 }
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -11,6 +11,7 @@
 
 	"samphirepoint/engine"
 	"samphirepoint/rows"
+	"samphirepoint/sleep"
 )
 
 // Errors of orders for instances.
@@ -77,6 +78,8 @@
 const (
 	// roundPause is the time between two rounds.
 	roundPause = 250 * time.Millisecond
+	// loadRetry is the pause after a reading of the duties that failed.
+	loadRetry = 200 * time.Millisecond
 	// cordonFor is how long a cordon lasts unless it is renewed; each round renews it.
 	cordonFor = 2500 * time.Millisecond
 	// callTime bounds one call.
@@ -125,30 +128,19 @@
 func (c *Controller) Run() error {
 	defer c.cancel()
 	for c.load() != nil {
-		if !c.pause(200 * time.Millisecond) {
+		if sleep.Context(c.ctx, loadRetry) != nil {
 			return nil
 		}
 	}
 	c.set.Log.Info().Int64("token", c.set.Token).Int("duties", len(c.duties)).Msg("fleet duties taken")
 	for c.ctx.Err() == nil && !c.fenced {
 		c.round()
-		c.pause(roundPause)
+		_ = sleep.Context(c.ctx, roundPause)
 	}
 	c.set.Log.Info().Int64("token", c.set.Token).Bool("fenced", c.fenced).Msg("fleet duties given up")
 	return nil
 }
 
-func (c *Controller) pause(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-c.ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // round looks at everything once and does what is due.
 func (c *Controller) round() {
 	waves := c.openWaves()
