--- a/admin/table_client.go
+++ b/admin/table_client.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -230,8 +229,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
+		if verdict.NeverSent(err) {
 			return nil, verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable)
 		}
 		return nil, err
--- a/cluster/peer.go
+++ b/cluster/peer.go
@@ -4,11 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"samphirepoint/verdict"
@@ -50,7 +48,7 @@
 	}
 	resp, err := p.http.Do(req)
 	if err != nil {
-		return Result{}, classify(err)
+		return Result{}, verdict.FromTransport(err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerBytes))
@@ -67,25 +65,13 @@
 	return r, nil
 }
 
-// classify gives an error of the transport its verdict.
-func classify(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable)
-	}
-	return verdict.Wrap(err, verdict.MayHaveRun, http.StatusGatewayTimeout)
-}
-
 func remoteError(resp *http.Response, text string) error {
 	v, err := verdict.Parse(resp.Header.Get(verdictHeader))
 	if err != nil {
 		v = verdict.MayHaveRun
 	}
 	e := verdict.New(v, resp.StatusCode, "%s", text)
-	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
-		e = verdict.WithRetryAfter(e, time.Duration(s)*time.Second)
-	}
-	return e
+	return verdict.WithRetryAfterOf(e, resp.Header)
 }
 
 // PeerHandler answers the calls of other daemons.
@@ -109,9 +95,7 @@
 
 func writeError(w http.ResponseWriter, err error) {
 	w.Header().Set(verdictHeader, verdict.Of(err).String())
-	if d := verdict.RetryAfter(err); d > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int((d+time.Second-1)/time.Second)))
-	}
+	verdict.SetRetryAfter(w.Header(), verdict.RetryAfter(err))
 	w.WriteHeader(verdict.Status(err))
 	_, _ = io.WriteString(w, err.Error())
 }
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -136,11 +135,10 @@
 func (n *Node) noteReach(node string, took time.Duration, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var dial *net.OpError
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		n.view.Refused(node)
-	case errors.As(err, &dial) && dial.Op == "dial", errors.Is(err, context.DeadlineExceeded) && took >= silence:
+	case verdict.NeverSent(err), errors.Is(err, context.DeadlineExceeded) && took >= silence:
 		n.unreached[node] = n.set.Now()
 	case err == nil:
 		delete(n.unreached, node)
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"math"
 	"net/http"
 	"strconv"
 
@@ -40,9 +39,7 @@
 	v := verdict.Of(err)
 	w.Header().Set(request.HeaderVerdict, v.String())
 	w.Header().Set(forward.HeaderRefusal, "true")
-	if d := verdict.RetryAfter(err); d > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(d.Seconds()))))
-	}
+	verdict.SetRetryAfter(w.Header(), verdict.RetryAfter(err))
 	writeJSON(w, verdict.Status(err), refusalBody{Error: err.Error(), Verdict: v.String()})
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -221,8 +220,7 @@
 		}
 		return verdict.Wrap(cause, verdict.NotRun, http.StatusGatewayTimeout)
 	}
-	var op *net.OpError
-	if !wrote || (errors.As(err, &op) && op.Op == "dial") {
+	if !wrote || verdict.NeverSent(err) {
 		return unreachable(err, verdict.NotRun)
 	}
 	return unreachable(err, verdict.MayHaveRun)
@@ -274,10 +272,7 @@
 		refused = fmt.Errorf("%w: %s", dispatch.ErrNotOwner, e.Error)
 	}
 	result := verdict.Wrap(refused, v, resp.StatusCode)
-	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
-		result = verdict.WithRetryAfter(result, time.Duration(s)*time.Second)
-	}
-	return result
+	return verdict.WithRetryAfterOf(result, resp.Header)
 }
 
 // Cancel asks an entry to cancel a request; it reports whether the entry knew it.
--- a/load/record.go
+++ b/load/record.go
@@ -12,6 +12,7 @@
 
 	"samphirepoint/request"
 	"samphirepoint/standin/workerd"
+	"samphirepoint/verdict"
 )
 
 // ErrKind classifies submissions that got no complete answer.
@@ -122,9 +123,8 @@
 func (r *Record) Fail(err error) {
 	r.Err = err.Error()
 	var netErr net.Error
-	var op *net.OpError
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED) || (errors.As(err, &op) && op.Op == "dial"):
+	case errors.Is(err, syscall.ECONNREFUSED) || verdict.NeverSent(err):
 		r.ErrKind = ErrRefused
 	case errors.As(err, &netErr) && netErr.Timeout():
 		r.ErrKind = ErrTimeout
--- a/services/client.go
+++ b/services/client.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -154,8 +153,7 @@
 
 // classifyDial marks errors of connection setup as not run: no byte of the request was sent.
 func classifyDial(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if verdict.NeverSent(err) {
 		return verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable)
 	}
 	return err
--- /dev/null
+++ b/verdict/http_test.go
@@ -0,0 +1,34 @@
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a request being taken for not run although a connection stood.
+func TestFromTransport(t *testing.T) {
+	g := NewWithT(t)
+	dial := fmt.Errorf("post: %w", &net.OpError{Op: "dial", Err: errors.New("refused")})
+	read := fmt.Errorf("post: %w", &net.OpError{Op: "read", Err: errors.New("reset")})
+	g.Expect(Of(FromTransport(dial))).To(Equal(NotRun))
+	g.Expect(Of(FromTransport(read))).To(Equal(MayHaveRun))
+	g.Expect(NeverSent(nil)).To(BeFalse())
+}
+
+// Guards against callers that are told to come back too early, or at once without a word.
+func TestRetryAfterHeader(t *testing.T) {
+	g := NewWithT(t)
+	h := http.Header{}
+	SetRetryAfter(h, 0)
+	g.Expect(h).To(BeEmpty())
+	SetRetryAfter(h, 1200*time.Millisecond)
+	g.Expect(h.Get("Retry-After")).To(Equal("2"))
+	g.Expect(RetryAfter(WithRetryAfterOf(errors.New("x"), h))).To(Equal(2 * time.Second))
+	g.Expect(RetryAfter(WithRetryAfterOf(errors.New("x"), http.Header{}))).To(BeZero())
+}
--- a/worker/task.go
+++ b/worker/task.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 
@@ -128,8 +127,7 @@
 	}
 	resp, err := c.fresh.RoundTrip(req)
 	if err != nil {
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
+		if verdict.NeverSent(err) {
 			return Task{}, verdict.Wrap(err, verdict.NotRun, http.StatusBadGateway)
 		}
 		return Task{}, err
