Walk a job's tasks and a worker's runs in one place each

Five nested loops over occurrences, steps and tasks become one iterator, five counts over runs two functions; the check of label and anti-affinity, of a ticket and of a worker's kind stood two or three times. Fields and functions that nothing reads are gone. Behaviour is unchanged.

--- a/engine/advice.go
+++ b/engine/advice.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // ticket is the adviser's permission to run a step on one life of a worker.
 type ticket struct {
@@ -35,13 +38,7 @@
 
 // ensureAdvice reports whether the step has a ticket that is valid, and asks for more if it lacks one.
 func (p *Pool) ensureAdvice(st *stepState, workers []*Worker, c Clock) bool {
-	valid := 0
-	for _, w := range workers {
-		if tk, ok := st.tickets[w.ID]; ok && tk.until > c.Now && tk.bornMS == w.bornMS {
-			valid++
-		}
-	}
-	room := valid > 0
+	room := slices.ContainsFunc(workers, func(w *Worker) bool { return st.ticketed(w, c.Now) })
 	if st.asked || c.Now < st.noGood || (room && !st.starved(p, workers, c)) {
 		return room
 	}
@@ -50,7 +47,7 @@
 		if len(req.Workers) == adviceBatch {
 			break
 		}
-		if w.info.Room.Covers(st.spec.Occupies()) && (st.spec.RequiredLabel == "" || w.hasLabel(st.spec.RequiredLabel)) {
+		if w.info.Room.Covers(st.spec.Occupies()) && w.hasLabel(st.spec.RequiredLabel) {
 			req.Workers = append(req.Workers, w.ID)
 			req.born[w.ID] = w.bornMS
 		}
@@ -63,14 +60,15 @@
 	return room
 }
 
-// starved reports whether no ticketed worker has room.
+// ticketed reports whether the step has a valid ticket for this life of the worker.
+func (st *stepState) ticketed(w *Worker, now time.Duration) bool {
+	tk, ok := st.tickets[w.ID]
+	return ok && tk.until > now && tk.bornMS == w.bornMS
+}
+
+// starved reports whether no worker that may run the step has room.
 func (st *stepState) starved(p *Pool, workers []*Worker, c Clock) bool {
-	for _, w := range workers {
-		if p.fits(st.tasks[0], w, c) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(workers, func(w *Worker) bool { return p.fits(st.tasks[0], w, c) })
 }
 
 // Advised takes in the answer; ok is false if there was none.
--- a/engine/commit.go
+++ b/engine/commit.go
@@ -1,5 +1,7 @@
 package engine
 
+import "slices"
+
 // Change is the state of a job that is to be written to the store.
 type Change struct {
 	Job *Job
@@ -11,7 +13,6 @@
 
 	rev   int64
 	state State
-	begun bool
 }
 
 // Entries is how many entries of a transaction the change takes: a condition, a write, and one for the spec.
@@ -42,7 +43,7 @@
 }
 
 func (p *Pool) change(j *Job) Change {
-	ch := Change{Job: j, rev: j.rev, state: j.state, begun: j.begun}
+	ch := Change{Job: j, rev: j.rev, state: j.state}
 	if j.remove {
 		ch.DropSpec = true
 		return ch
@@ -96,17 +97,10 @@
 
 // sendRecorded sends the start orders of the runs that are in the store now.
 func (p *Pool) sendRecorded(j *Job, rev int64, c Clock) {
-	for _, o := range j.occs {
-		if o == nil {
-			continue
-		}
-		for _, st := range o.steps {
-			for _, t := range st.tasks {
-				for _, r := range append([]*Run(nil), t.live...) {
-					if r.phase == phaseIntent && r.rev <= rev {
-						p.release(r, c)
-					}
-				}
+	for t := range j.tasks() {
+		for _, r := range slices.Clone(t.live) {
+			if r.phase == phaseIntent && r.rev <= rev {
+				p.release(r, c)
 			}
 		}
 	}
@@ -114,7 +108,6 @@
 
 // release sends a recorded start, or drops it if its worker may take no new work any more.
 func (p *Pool) release(r *Run, c Clock) {
-	r.recorded = true
 	if !p.takesWork(r.Worker, c) {
 		p.note("start-withdrawn", r.Task.id.String(), r.Num, r.Worker.ID, "worker takes no work")
 		p.dropRun(r)
@@ -171,15 +164,8 @@
 	if p.jobs[j.Spec.ID] != j {
 		return true // Another caller with the same job was quicker.
 	}
-	for _, o := range j.occs {
-		if o == nil {
-			continue
-		}
-		for _, st := range o.steps {
-			for _, t := range st.tasks {
-				p.stopRuns(t, nil, Clock{})
-			}
-		}
+	for t := range j.tasks() {
+		p.stopRuns(t, Clock{})
 	}
 	delete(p.jobs, j.Spec.ID)
 	p.open = without(p.open, j)
@@ -188,11 +174,5 @@
 }
 
 func without(list []*Job, j *Job) []*Job {
-	out := list[:0]
-	for _, x := range list {
-		if x != j {
-			out = append(out, x)
-		}
-	}
-	return out
+	return slices.DeleteFunc(list, func(x *Job) bool { return x == j })
 }
--- a/engine/cost.go
+++ b/engine/cost.go
@@ -33,23 +33,7 @@
 }
 
 // isKind reports whether the worker is of a kind as Step.Kinds names it.
-func (w *Worker) isKind(k string) bool {
-	if k == KindGPU {
-		return w.info.Room.GPU > 0
-	}
-	return w.hasLabel(k)
-}
-
-// lasting counts the tasks that last on the worker.
-func (w *Worker) lasting() int {
-	n := 0
-	for _, r := range w.runs {
-		if r.Task.step.spec.Lasting {
-			n++
-		}
-	}
-	return n
-}
+func (w *Worker) isKind(k string) bool { return IsKind(k, w.info.Labels, w.info.Room.GPU) }
 
 func (p *Pool) cost(t *Task, w *Worker, rack string, c Clock) float64 {
 	st := t.step.spec
@@ -57,7 +41,7 @@
 	cost := free // the fullest worker first leaves whole workers idle
 	if st.Lasting {
 		// Beside others that last, so that the other workers can be emptied.
-		cost = free - float64(w.lasting())
+		cost = free - float64(w.count(isLasting))
 		if free < lastingShare {
 			cost = 1 - free
 		}
@@ -74,18 +58,7 @@
 		cost += costOtherRack
 	}
 	if st.Fills {
-		cost += costDisturb * float64(w.serving()) / 4
+		cost += costDisturb * float64(w.count(isServing)) / 4
 	}
 	return cost
 }
-
-// serving counts the tasks with a tail target on the worker.
-func (w *Worker) serving() int {
-	n := 0
-	for _, r := range w.runs {
-		if r.Task.step.spec.TailTargetMS > 0 {
-			n++
-		}
-	}
-	return n
-}
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -152,7 +152,7 @@
 	for _, m := range members {
 		m.setDone()
 		if !t.step.spec.Gang || m == t {
-			p.stopRuns(m, nil, c)
+			p.stopRuns(m, c)
 		}
 	}
 	p.needPlace = true
@@ -203,7 +203,7 @@
 	for _, m := range st.tasks {
 		m.failures++
 		m.notBefore = c.Now + failurePause
-		p.stopRuns(m, nil, c)
+		p.stopRuns(m, c)
 	}
 	p.note("gang-failed", st.tasks[0].id.String(), run, "", "")
 	p.checkAttempts(st.tasks[0], c)
@@ -215,7 +215,7 @@
 		return
 	}
 	for _, m := range t.step.tasks {
-		p.stopRuns(m, nil, c)
+		p.stopRuns(m, c)
 	}
 }
 
--- a/engine/job.go
+++ b/engine/job.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"iter"
+	"slices"
+	"time"
+)
 
 // Job is a job with the state of its tasks. Its exported fields belong to the caller that writes it to the store.
 type Job struct {
@@ -83,9 +87,6 @@
 	return j.shown
 }
 
-// Committed reports whether the job as it is now is in the store.
-func (j *Job) Committed() bool { return j.committed >= j.rev }
-
 // Known reports whether the job's acceptance is in the store.
 func (j *Job) Known() bool { return j.committed > 0 }
 
@@ -98,9 +99,6 @@
 	j.waiters = append(j.waiters, waiter{rev: j.rev, fn: fn})
 }
 
-// Removed reports whether the job's rows are to be removed.
-func (j *Job) Removed() bool { return j.remove }
-
 // unfoldOccurrence builds the tasks of occurrence k.
 func (j *Job) unfoldOccurrence(k int) *occurrence {
 	if j.occs[k] != nil {
@@ -148,18 +146,40 @@
 	return o.steps[id.Step].tasks[id.IndexInStep]
 }
 
-func (j *Job) liveRuns() int {
-	n := 0
-	for _, o := range j.occs {
-		if o == nil {
-			continue
+// tasks yields the tasks of all occurrences that are built.
+func (j *Job) tasks() iter.Seq[*Task] {
+	return func(yield func(*Task) bool) {
+		for _, o := range j.occs {
+			if o == nil {
+				continue
+			}
+			for _, st := range o.steps {
+				for _, t := range st.tasks {
+					if !yield(t) {
+						return
+					}
+				}
+			}
 		}
-		for _, st := range o.steps {
-			for _, t := range st.tasks {
-				n += len(t.live)
+	}
+}
+
+// openOccurrences yields the occurrences that are built and have not ended.
+func (j *Job) openOccurrences() iter.Seq[*occurrence] {
+	return func(yield func(*occurrence) bool) {
+		for _, o := range j.occs {
+			if o != nil && !o.finished && !yield(o) {
+				return
 			}
 		}
 	}
+}
+
+func (j *Job) liveRuns() int {
+	n := 0
+	for t := range j.tasks() {
+		n += len(t.live)
+	}
 	return n
 }
 
@@ -198,12 +218,7 @@
 }
 
 func (t *Task) removeRun(r *Run) {
-	for i, x := range t.live {
-		if x == r {
-			t.live = append(t.live[:i], t.live[i+1:]...)
-			return
-		}
-	}
+	t.live = slices.DeleteFunc(t.live, func(x *Run) bool { return x == r })
 }
 
 func (t *Task) job() *Job { return t.step.occ.job }
--- a/engine/learn.go
+++ b/engine/learn.go
@@ -13,7 +13,7 @@
 const (
 	// learnWeight is the weight of the newest run.
 	learnWeight = 0.1
-	// slowRatio and slowCount tell a worker that takes far longer than its peers.
+	// slowRatio tells a worker that takes far longer than its peers.
 	slowRatio = 2.5
 	// badPause is for how long a worker that fails or lags is avoided before it is tried again.
 	badPause = 4 * time.Second
@@ -21,8 +21,6 @@
 	failLimit = 2.0
 )
 
-func (p *Pool) key(t *Task) string { return t.job().Spec.Queue }
-
 // learn takes in how long a run took.
 func (p *Pool) learn(t *Task, r *Run, c Clock) {
 	took := float64((c.Now - r.startedAt).Milliseconds())
@@ -31,10 +29,10 @@
 	if t.saved != "" || took <= 0 {
 		return
 	}
-	d := p.learned[p.key(t)]
+	d := p.learned[t.job().Spec.Queue]
 	if d == nil {
 		d = &durations{mean: took}
-		p.learned[p.key(t)] = d
+		p.learned[t.job().Spec.Queue] = d
 	}
 	expected := p.expected(t.step)
 	d.count++
--- a/engine/place.go
+++ b/engine/place.go
@@ -55,10 +55,7 @@
 func (p *Pool) candidates(c Clock) []candidate {
 	var out []candidate
 	for _, j := range p.open {
-		for _, o := range j.occs {
-			if o == nil || o.finished {
-				continue
-			}
+		for o := range j.openOccurrences() {
 			out = p.addCandidates(out, o, c)
 		}
 	}
@@ -67,23 +64,12 @@
 }
 
 func compareCandidates(a, b candidate) int {
-	if a.lasting != b.lasting {
-		return boolOrder(a.lasting)
-	}
-	if a.late != b.late {
-		return boolOrder(b.late)
-	}
-	if a.priority != b.priority {
-		return cmp.Compare(a.priority, b.priority)
-	}
-	return cmp.Compare(a.deadline, b.deadline)
-}
-
-func boolOrder(first bool) int {
-	if first {
-		return -1
-	}
-	return 1
+	return cmp.Or(
+		cmp.Compare(boolRank(a.lasting), boolRank(b.lasting)),
+		cmp.Compare(boolRank(!a.late), boolRank(!b.late)),
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.deadline, b.deadline),
+	)
 }
 
 func (p *Pool) addCandidates(out []candidate, o *occurrence, c Clock) []candidate {
@@ -119,12 +105,7 @@
 }
 
 func (st *stepState) hasPending(now time.Duration) bool {
-	for _, t := range st.tasks {
-		if t.pending(now) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(st.tasks, func(t *Task) bool { return t.pending(now) })
 }
 
 func (p *Pool) placeStep(cd candidate, workers []*Worker, c Clock) {
@@ -189,28 +170,18 @@
 	if !w.info.Room.Sub(w.used).Covers(st.Occupies()) {
 		return false
 	}
-	if st.RequiredLabel != "" && !w.hasLabel(st.RequiredLabel) {
-		return false
-	}
-	if st.AntiAffinity > 0 && w.ofStep(t.step) >= st.AntiAffinity {
+	if !t.step.allows(w) {
 		return false
 	}
-	if p.queues[t.job().Spec.Queue].Advised {
-		tk, ok := t.step.tickets[w.ID]
-		return ok && tk.until > c.Now && tk.bornMS == w.bornMS
-	}
-	return true
+	return !p.queues[t.job().Spec.Queue].Advised || t.step.ticketed(w, c.Now)
 }
 
-// ofStep counts the runs of a step that are on the worker.
-func (w *Worker) ofStep(st *stepState) int {
-	n := 0
-	for _, r := range w.runs {
-		if r.Task.step == st {
-			n++
-		}
+// allows reports whether the worker has the step's label and may have one more of its tasks.
+func (st *stepState) allows(w *Worker) bool {
+	if !w.hasLabel(st.spec.RequiredLabel) {
+		return false
 	}
-	return n
+	return st.spec.AntiAffinity == 0 || w.ofStep(st) < st.spec.AntiAffinity
 }
 
 // choose returns the worker for a task, or nil.
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 )
 
@@ -145,7 +146,7 @@
 	}
 	for _, rr := range tr.Live {
 		w := p.worker(rr.Worker)
-		r := &Run{Task: t, Num: rr.Run, Worker: w, bornMS: rr.BornMS, phase: phaseInherited, recorded: true}
+		r := &Run{Task: t, Num: rr.Run, Worker: w, bornMS: rr.BornMS, phase: phaseInherited}
 		t.live = append(t.live, r)
 		w.add(r)
 	}
@@ -168,26 +169,17 @@
 	j.state = s
 	j.endedMS = c.Wall
 	p.open = without(p.open, j)
-	for _, o := range j.occs {
-		if o == nil {
-			continue
-		}
-		for _, st := range o.steps {
-			for _, t := range st.tasks {
-				p.stopRuns(t, nil, c)
-			}
-		}
+	for t := range j.tasks() {
+		p.stopRuns(t, c)
 	}
 	p.note("job-ended", j.Spec.ID, 0, "", string(s))
 	p.touch(j)
 }
 
-// stopRuns stops all live runs of t but keep.
-func (p *Pool) stopRuns(t *Task, keep *Run, c Clock) {
-	for _, r := range append([]*Run(nil), t.live...) {
-		if r != keep {
-			p.stop(r, c)
-		}
+// stopRuns stops all live runs of t.
+func (p *Pool) stopRuns(t *Task, c Clock) {
+	for _, r := range slices.Clone(t.live) {
+		p.stop(r, c)
 	}
 }
 
@@ -196,7 +188,7 @@
 	switch r.phase {
 	case phaseIntent:
 		p.dropRun(r)
-		p.touch(r.Task.step.occ.job)
+		p.touch(r.Task.job())
 	case phaseStopping:
 	default:
 		r.phase = phaseStopping
--- a/engine/record.go
+++ b/engine/record.go
@@ -36,29 +36,23 @@
 
 func (j *Job) record() Record {
 	r := Record{Queue: j.Spec.Queue, State: j.state, SubmittedMS: j.submittedMS, EndedMS: j.endedMS, Begun: j.begun}
-	for k := range j.occs {
-		o := j.occs[k]
-		if o == nil {
-			continue
-		}
-		if o.finished {
+	for k, o := range j.occs {
+		if o != nil && o.finished {
 			r.Finished = append(r.Finished, k)
 		}
-		for _, st := range o.steps {
-			for _, t := range st.tasks {
-				r.addTask(t, o.finished)
-			}
-		}
+	}
+	for t := range j.tasks() {
+		r.addTask(t)
 	}
 	return r
 }
 
 // addTask leaves out tasks without state and, once the occurrence or the job ended, those without live runs.
-func (r *Record) addTask(t *Task, finished bool) {
+func (r *Record) addTask(t *Task) {
 	if t.lastRun == 0 {
 		return
 	}
-	if len(t.live) == 0 && (finished || r.State.Terminal()) {
+	if len(t.live) == 0 && (t.step.occ.finished || r.State.Terminal()) {
 		return
 	}
 	tr := TaskRecord{Occ: t.id.Occ, Step: t.id.Step, Index: t.id.IndexInStep, LastRun: t.lastRun, Failures: t.failures, Done: t.done, Saved: t.saved}
--- a/engine/report.go
+++ b/engine/report.go
@@ -45,21 +45,18 @@
 	for _, w := range p.workers {
 		wr := WorkerReport{
 			ID: w.ID, Rack: w.rack(), RoomCPU: w.info.Room.CPU, UsedCPU: w.used.CPU, Runs: len(w.runs),
-			Cordoned: w.cordon > c.Now, Usable: p.reachable(w, c) && w.listed && !w.info.Draining,
+			Lasting: w.count(isLasting), Cordoned: w.cordon > c.Now, Usable: p.reachable(w, c) && w.listed && !w.info.Draining,
 		}
 		for _, x := range w.runs {
 			for _, k := range x.Task.step.spec.Kinds() {
 				r.Kinds[k] += x.Task.step.spec.Need.CPU
 			}
-			if x.Task.step.spec.Lasting {
-				wr.Lasting++
-				r.LastingCPU += x.Task.step.spec.Occupies().CPU
-			}
 		}
 		if p.takesWork(w, c) {
 			r.RoomCPU += wr.RoomCPU
 		}
 		r.UsedCPU += wr.UsedCPU
+		r.LastingCPU += w.use(isLasting).CPU
 		r.Workers = append(r.Workers, wr)
 	}
 	p.reportPending(&r, c)
@@ -93,17 +90,23 @@
 
 // waitsLong reports whether a task of the step has waited for a while.
 func (st *stepState) waitsLong(c Clock) bool {
-	for _, t := range st.tasks {
-		if t.pending(c.Now) && c.Now-t.waitsSince > missingAfter && c.Wall-st.occ.job.submittedMS > missingAfter.Milliseconds() {
-			return true
-		}
+	if c.Wall-st.occ.job.submittedMS <= missingAfter.Milliseconds() {
+		return false
 	}
-	return false
+	return slices.ContainsFunc(st.tasks, func(t *Task) bool { return t.pending(c.Now) && c.Now-t.waitsSince > missingAfter })
 }
 
 // KindGPU stands for workers with GPUs beside the labels.
 const KindGPU = "gpu:"
 
+// IsKind reports whether a worker with these labels and GPUs is of a kind as Step.Kinds names it.
+func IsKind(kind string, labels []string, gpus int64) bool {
+	if kind == KindGPU {
+		return gpus > 0
+	}
+	return slices.Contains(labels, kind)
+}
+
 // Kinds lists what a worker must be to run the step's tasks: its label, and KindGPU.
 func (s *Step) Kinds() []string {
 	var out []string
--- a/engine/speculate.go
+++ b/engine/speculate.go
@@ -12,10 +12,7 @@
 // speculate starts second copies of speculative tasks that take far longer than expected, where room is idle.
 func (p *Pool) speculate(workers []*Worker, c Clock) {
 	for _, j := range p.open {
-		for _, o := range j.occs {
-			if o == nil || o.finished {
-				continue
-			}
+		for o := range j.openOccurrences() {
 			for _, st := range o.steps {
 				if st.spec.Speculative && !st.spec.Gang && !st.spec.Lasting && !st.complete() {
 					p.speculateStep(st, workers, c)
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -36,7 +38,6 @@
 	met       bool
 	lastHeard time.Duration
 	failing   bool
-	failSince time.Duration
 
 	used Resources
 	// strays is how many runs the worker listed last that nobody ordered; they take room of unknown size.
@@ -72,7 +73,6 @@
 
 	bornMS    int64
 	phase     phase
-	recorded  bool
 	rev       int64
 	orderedAt time.Duration
 	// confirmedAt is when the worker was first known to have the run.
@@ -162,15 +162,41 @@
 	return w.info.Labels[len(w.info.Labels)-1]
 }
 
-func (w *Worker) hasLabel(l string) bool {
-	for _, x := range w.info.Labels {
-		if x == l {
-			return true
+// hasLabel reports whether the worker has a label; no label is asked for by "".
+func (w *Worker) hasLabel(l string) bool { return l == "" || slices.Contains(w.info.Labels, l) }
+
+// count counts the worker's runs for which is holds.
+func (w *Worker) count(is func(*Run) bool) int {
+	n := 0
+	for _, r := range w.runs {
+		if is(r) {
+			n++
+		}
+	}
+	return n
+}
+
+// use is what the worker's runs for which is holds take of its room.
+func (w *Worker) use(is func(*Run) bool) Resources {
+	var u Resources
+	for _, r := range w.runs {
+		if is(r) {
+			u = u.Add(r.Task.step.spec.Occupies())
 		}
 	}
-	return false
+	return u
+}
+
+// ofStep counts the runs of a step that are on the worker.
+func (w *Worker) ofStep(st *stepState) int {
+	return w.count(func(r *Run) bool { return r.Task.step == st })
 }
 
+func isLasting(r *Run) bool { return r.Task.step.spec.Lasting }
+
+// isServing reports whether the run has a tail target.
+func isServing(r *Run) bool { return r.Task.step.spec.TailTargetMS > 0 }
+
 // SetRoster takes in the platform's list of the pool's workers.
 func (p *Pool) SetRoster(list []WorkerInfo, c Clock) {
 	named := map[string]bool{}
@@ -273,7 +299,6 @@
 		return
 	}
 	w.failing = true
-	w.failSince = c.Now
 	p.note("worker-silent", "", 0, id, "")
 }
 
@@ -296,11 +321,7 @@
 }
 
 func (w *Worker) list() []*Run {
-	out := make([]*Run, 0, len(w.runs))
-	for _, r := range w.runs {
-		out = append(out, r)
-	}
-	return out
+	return slices.Collect(maps.Values(w.runs))
 }
 
 // lose ends a run that is over without a listed end.
@@ -347,9 +368,7 @@
 	if w == nil || !w.met {
 		return false, false
 	}
-	if until > w.cordon {
-		w.cordon = until
-	}
+	w.cordon = max(w.cordon, until)
 	return len(w.runs) == 0, true
 }
 
--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -30,10 +30,7 @@
 
 // is reports whether the instance is of a kind as engine.Step.Kinds names it.
 func (i *Instance) is(kind string) bool {
-	if kind == engine.KindGPU {
-		return i.RoomGPU > 0
-	}
-	return slices.Contains(i.Labels, kind)
+	return engine.IsKind(kind, i.Labels, i.RoomGPU)
 }
 
 // Wave asks for the upkeep of instances, at most Cap at once, within Duration of SeenAt.
