Name the owner's claim, a worker's report and a member once; weigh kinds once a placement

The row and condition of a claim were built in three packages, rows of the fleet's duties three times, and workers and members were looked up by loops of the same form. How rare a kind of worker is was worked out anew for each task and worker; it is now once a placement. Parameters and fields that nothing reads are gone.

--- a/cluster/leave.go
+++ b/cluster/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"samphirepoint/sleep"
@@ -37,10 +38,7 @@
 		}
 	}
 	for pool, node := range Assign(alive, pools, true) {
-		for _, m := range alive {
-			if m.Node != node || node == n.set.Name {
-				continue
-			}
+		if m, ok := named(alive, node); ok && node != n.set.Name {
 			n.hand(ctx, pool, m)
 		}
 	}
@@ -65,11 +63,17 @@
 		return
 	}
 	n.excessSince = 0
-	for _, m := range members {
-		if m.Node == to {
-			n.hand(ctx, pool, m)
-		}
+	if m, ok := named(members, to); ok {
+		n.hand(ctx, pool, m)
+	}
+}
+
+// named returns the member of that name.
+func named(members []Member, node string) (Member, bool) {
+	if k := slices.IndexFunc(members, func(m Member) bool { return m.Node == node }); k >= 0 {
+		return members[k], true
 	}
+	return Member{}, false
 }
 
 // hand gives one pool to another daemon.
--- a/cluster/take.go
+++ b/cluster/take.go
@@ -99,7 +99,7 @@
 // Claim raises a pool's token by one conditional write. A write without an answer is looked up, so
 // the outcome is known unless err says otherwise.
 func Claim(ctx context.Context, store rows.Store, pool string, c owner.Claim) (owner.Claim, int64, error) {
-	key := rows.Key{Table: owner.TableOwners, Part: pool, Name: owner.OwnerKey}
+	key := owner.ClaimKey(pool)
 	for {
 		list, _, err := store.Read(ctx, owner.TableOwners, pool)
 		if err != nil {
@@ -108,7 +108,7 @@
 		var old owner.Claim
 		ver := int64(0)
 		for _, r := range list {
-			if r.Name == owner.OwnerKey {
+			if r.Key == key {
 				ver = r.Ver
 				_ = json.Unmarshal(r.Value, &old)
 			}
@@ -121,7 +121,7 @@
 		if err != nil {
 			return c, 0, err
 		}
-		v, err := store.Transact(ctx, rows.Tx{Expected: []rows.Condition{{Key: key, Ver: ver}}, Writes: []rows.Write{{Key: key, Value: value}}})
+		v, err := store.Transact(ctx, rows.Tx{Expected: []rows.Condition{owner.Claimed(pool, ver)}, Writes: []rows.Write{{Key: key, Value: value}}})
 		if err == nil {
 			return c, v, nil
 		}
--- a/engine/cost.go
+++ b/engine/cost.go
@@ -17,19 +17,25 @@
 // scarcity is how rare the worker's kind is, if tasks ask for that kind and this one doesn't: 0 to 1.
 func (p *Pool) scarcity(st *Step, w *Worker) float64 {
 	worst := 0.0
-	for k := range p.kinds {
-		if !w.isKind(k) || slices.Contains(st.Kinds(), k) {
-			continue
+	for k, rare := range p.kinds {
+		if w.isKind(k) && !slices.Contains(st.Kinds(), k) {
+			worst = max(worst, rare)
 		}
+	}
+	return worst
+}
+
+// weighKinds works out how rare each kind is among the workers, once for all tasks of a placement.
+func (p *Pool) weighKinds() {
+	for k := range p.kinds {
 		with := 0
-		for _, o := range p.workers {
-			if o.isKind(k) {
+		for _, w := range p.workers {
+			if w.isKind(k) {
 				with++
 			}
 		}
-		worst = max(worst, 1-float64(with)/float64(len(p.workers)))
+		p.kinds[k] = 1 - float64(with)/float64(max(len(p.workers), 1))
 	}
-	return worst
 }
 
 // isKind reports whether the worker is of a kind as Step.Kinds names it.
--- a/engine/place.go
+++ b/engine/place.go
@@ -28,9 +28,9 @@
 	}
 	p.needPlace = false
 	workers := p.usable(c)
+	p.weighKinds()
 	p.evacuate(c)
-	list := p.candidates(c)
-	for _, cd := range list {
+	for _, cd := range p.candidates(c) {
 		p.placeStep(cd, workers, c)
 	}
 	p.speculate(workers, c)
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -46,8 +46,9 @@
 	learned map[string]*durations
 	takenAt time.Duration
 	// now is the time of the last event.
-	now   time.Duration
-	kinds map[string]bool
+	now time.Duration
+	// kinds are the kinds of worker that tasks have asked for, with how rare each was at the last placement.
+	kinds map[string]float64
 	notes []Note
 	// needPlace is set by each event that may allow a new start.
 	needPlace bool
@@ -66,7 +67,7 @@
 func NewPool(name string, token int64, opt Options, now time.Duration) *Pool {
 	return &Pool{
 		Name: name, Token: token, opt: opt, takenAt: now,
-		queues: map[string]Queue{}, jobs: map[string]*Job{}, workers: map[string]*Worker{}, learned: map[string]*durations{}, kinds: map[string]bool{},
+		queues: map[string]Queue{}, jobs: map[string]*Job{}, workers: map[string]*Worker{}, learned: map[string]*durations{}, kinds: map[string]float64{},
 	}
 }
 
--- a/engine/report.go
+++ b/engine/report.go
@@ -123,7 +123,9 @@
 func (p *Pool) noteKinds(j *Job) {
 	for i := range j.Spec.Steps {
 		for _, k := range j.Spec.Steps[i].Kinds() {
-			p.kinds[k] = true
+			if _, known := p.kinds[k]; !known {
+				p.kinds[k] = 0
+			}
 		}
 	}
 }
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -34,16 +34,12 @@
 	go o.write(batch, o.transaction(batch))
 }
 
-func (o *Owner) claimCondition() rows.Condition {
-	return rows.Condition{Key: rows.Key{Table: TableOwners, Part: o.set.Pool, Name: OwnerKey}, Ver: o.set.ClaimVer}
-}
-
 func (o *Owner) jobKey(id string) rows.Key {
 	return rows.Key{Table: TableJobs, Part: o.set.Pool, Name: id}
 }
 
 func (o *Owner) transaction(batch []engine.Change) rows.Tx {
-	tx := rows.Tx{Expected: []rows.Condition{o.claimCondition()}}
+	tx := rows.Tx{Expected: []rows.Condition{Claimed(o.set.Pool, o.set.ClaimVer)}}
 	for i := range batch {
 		ch := &batch[i]
 		id := ch.Job.Spec.ID
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -72,6 +72,16 @@
 	Token       int64  `json:"t"`
 }
 
+// ClaimKey is the row that names the owner of a part.
+func ClaimKey(part string) rows.Key {
+	return rows.Key{Table: TableOwners, Part: part, Name: OwnerKey}
+}
+
+// Claimed is the condition that a claim with the given version still stands.
+func Claimed(part string, ver int64) rows.Condition {
+	return rows.Condition{Key: ClaimKey(part), Ver: ver}
+}
+
 // Settings are what an Owner needs.
 type Settings struct {
 	Pool     string
--- a/upkeep/choose.go
+++ b/upkeep/choose.go
@@ -6,11 +6,11 @@
 	want := map[string]order{}
 	s.resting = c.rest(s.Now)
 	c.reopen(s, want)
+	held := map[string]bool{}
+	for id := range c.held {
+		held[id] = true
+	}
 	for _, w := range s.Waves {
-		held := map[string]bool{}
-		for id := range c.held {
-			held[id] = true
-		}
 		for _, id := range s.PlanWave(w, held) {
 			if _, taken := want[id]; !taken {
 				want[id] = order{instance: s.Instances[id], wave: w.ID}
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -95,7 +95,6 @@
 	cancel context.CancelFunc
 
 	duties map[string]Duty
-	vers   map[string]int64
 	held   map[string]string // instance -> worker under cordon
 	// heldSince is since when each is held, restUntil until when one is left alone after that was in vain.
 	heldSince map[string]time.Duration
@@ -115,7 +114,12 @@
 // New returns a controller under a claim.
 func New(ctx context.Context, s Settings) *Controller {
 	c, cancel := context.WithCancel(ctx)
-	return &Controller{set: s, ctx: c, cancel: cancel, duties: map[string]Duty{}, vers: map[string]int64{}, held: map[string]string{}, heldSince: map[string]time.Duration{}, restUntil: map[string]time.Duration{}, reported: map[int64]string{}, lives: map[string]Instance{}, ended: map[string]string{}, forecast: NewForecast(), surplus: map[string]time.Duration{}}
+	return &Controller{
+		set: s, ctx: c, cancel: cancel,
+		duties: map[string]Duty{}, held: map[string]string{}, heldSince: map[string]time.Duration{}, restUntil: map[string]time.Duration{},
+		reported: map[int64]string{}, lives: map[string]Instance{}, ended: map[string]string{},
+		forecast: NewForecast(), surplus: map[string]time.Duration{},
+	}
 }
 
 // Token is the fencing token of the orders.
@@ -152,7 +156,7 @@
 	want := c.plan(s)
 	c.release(want)
 	orders := c.cordon(s, want)
-	c.carryOut(s, orders)
+	c.carryOut(orders)
 	for _, w := range waves {
 		c.report(s, w)
 	}
--- a/upkeep/orders.go
+++ b/upkeep/orders.go
@@ -66,17 +66,14 @@
 // mayOrder keeps the distance from another holder's last order for the instance.
 func (c *Controller) mayOrder(id string) bool {
 	d, ok := c.duties[id]
-	if !ok || d.Holder == c.holder() {
+	if !ok || d.Holder == c.set.Holder {
 		return true
 	}
 	return time.Now().UnixMilli()-d.AtMS > (c.set.HolderGap + gapSlack).Milliseconds()
 }
 
-// holder names this tenure: a daemon that takes the duties again is another holder.
-func (c *Controller) holder() string { return c.set.Holder }
-
 // carryOut writes the orders down, gives them, and writes what is known then.
-func (c *Controller) carryOut(s *State, orders []order) {
+func (c *Controller) carryOut(orders []order) {
 	if len(orders) == 0 {
 		return
 	}
@@ -85,7 +82,7 @@
 		if !d.Open {
 			d.Worker = o.instance.Worker
 		}
-		d.Holder, d.AtMS, d.Wave, d.To, d.Open = c.holder(), time.Now().UnixMilli(), o.wave, o.to, true
+		d.Holder, d.AtMS, d.Wave, d.To, d.Open = c.set.Holder, time.Now().UnixMilli(), o.wave, o.to, true
 		d.Begun = slices.Clone(d.Begun)
 		c.duties[o.instance.ID] = d
 	}
--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -114,10 +114,8 @@
 func (s *State) PlanWave(w Wave, held map[string]bool) []string {
 	slots := w.Cap
 	for _, id := range w.Instances {
-		if s.begun(id, w.ID) || s.Duties[id].Open {
-			if s.down(id) {
-				slots--
-			}
+		if (s.begun(id, w.ID) || s.Duties[id].Open) && s.down(id) {
+			slots--
 		}
 	}
 	left := s.Left(w)
@@ -194,13 +192,17 @@
 
 // lastingOn counts the tasks that last on an instance.
 func (s *State) lastingOn(id string) int {
-	i := s.Instances[id]
-	for _, w := range s.Reports[i.Pool].Workers {
-		if w.ID == i.Worker {
-			return w.Lasting
-		}
+	w, _ := s.workerOf(s.Instances[id])
+	return w.Lasting
+}
+
+// workerOf is what the pool's owner reports of an instance's worker, and false if it doesn't know the worker.
+func (s *State) workerOf(i Instance) (engine.WorkerReport, bool) {
+	list := s.Reports[i.Pool].Workers
+	if k := slices.IndexFunc(list, func(w engine.WorkerReport) bool { return w.ID == i.Worker }); k >= 0 {
+		return list[k], true
 	}
-	return 0
+	return engine.WorkerReport{}, false
 }
 
 func (s *State) countLasting(ids []string) int {
@@ -235,10 +237,9 @@
 		return 0
 	}
 	load := float64(r.UsedCPU+r.PendingCPU) / float64(max(r.RoomCPU, 1))
-	for _, w := range r.Workers {
-		if w.ID == i.Worker {
-			return load + float64(w.UsedCPU)/float64(max(w.RoomCPU, 1)) + 3*float64(w.Lasting)
-		}
+	w, ok := s.workerOf(i)
+	if !ok {
+		return load
 	}
-	return load
+	return load + float64(w.UsedCPU)/float64(max(w.RoomCPU, 1)) + 3*float64(w.Lasting)
 }
--- a/upkeep/stored.go
+++ b/upkeep/stored.go
@@ -18,7 +18,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, callTime)
 	defer cancel()
-	key := rows.Key{Table: TableFleet, Part: c.set.Duty, Name: keyTurns}
+	key := c.key(keyTurns)
 	if _, err := c.set.Store.Transact(ctx, rows.Tx{Expected: []rows.Condition{c.claim()}, Writes: []rows.Write{{Key: key, Value: value}}}); err != nil {
 		c.set.Log.Warn().Err(err).Msg("turns not written")
 	}
@@ -35,7 +35,7 @@
 		if err != nil {
 			panic(err) // Counts by name are plain values.
 		}
-		key := rows.Key{Table: TableFleet, Part: c.set.Duty, Name: keyBaseline}
+		key := c.key(keyBaseline)
 		if _, err := c.set.Store.Transact(ctx, rows.Tx{Expected: []rows.Condition{c.claim(), {Key: key}}, Writes: []rows.Write{{Key: key, Value: value}}}); err != nil {
 			return err
 		}
@@ -46,7 +46,12 @@
 }
 
 func (c *Controller) claim() rows.Condition {
-	return rows.Condition{Key: rows.Key{Table: owner.TableOwners, Part: c.set.Duty, Name: owner.OwnerKey}, Ver: c.set.ClaimVer}
+	return owner.Claimed(c.set.Duty, c.set.ClaimVer)
+}
+
+// key is a row of the fleet's duties.
+func (c *Controller) key(name string) rows.Key {
+	return rows.Key{Table: TableFleet, Part: c.set.Duty, Name: name}
 }
 
 func (c *Controller) load() error {
@@ -69,7 +74,7 @@
 		}
 		var d Duty
 		if json.Unmarshal(r.Value, &d) == nil {
-			c.duties[r.Name], c.vers[r.Name] = d, r.Ver
+			c.duties[r.Name] = d
 		}
 	}
 	return nil
@@ -102,7 +107,7 @@
 			if err != nil {
 				panic(err) // A duty holds plain values only.
 			}
-			tx.Writes = append(tx.Writes, rows.Write{Key: rows.Key{Table: TableFleet, Part: c.set.Duty, Name: o.instance.ID}, Value: value})
+			tx.Writes = append(tx.Writes, rows.Write{Key: c.key(o.instance.ID), Value: value})
 		}
 		ctx, cancel := context.WithTimeout(c.ctx, callTime)
 		_, err := c.set.Store.Transact(ctx, tx)
