--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -157,17 +157,22 @@
 	}, time.Minute, 5*time.Millisecond).Should(Equal(want))
 }
 
+// completes ends what runs until a job is completed.
+func completes(g *WithT, l *labour, o *Owner, id string) {
+	g.Eventually(func() engine.State {
+		l.finish()
+		st, _, _ := o.State(context.Background(), id)
+		return st
+	}, time.Minute, 5*time.Millisecond).Should(Equal(engine.Completed))
+}
+
 // Guards against a job that is accepted but not stored, and against one that runs although it was refused.
 func TestRefusedJobsAreNotStored(t *testing.T) {
 	g := NewWithT(t)
 	s, l := memrows.New(), newLabour(t)
 	o := serve(t, s, l, 1)
 	g.Expect(o.Submit(context.Background(), job(1))).To(Succeed())
-	g.Eventually(func() engine.State {
-		l.finish()
-		st, _, _ := o.State(context.Background(), job(1).ID)
-		return st
-	}, time.Minute, 5*time.Millisecond).Should(Equal(engine.Completed))
+	completes(g, l, o, job(1).ID)
 	away := true
 	var mu sync.Mutex
 	s.Fault = func(call string) memrows.Fault {
@@ -224,11 +229,7 @@
 				}
 			}
 			for id := range accepted {
-				g.Eventually(func() engine.State {
-					l.finish()
-					st, _, _ := o.State(context.Background(), id)
-					return st
-				}, time.Minute, 5*time.Millisecond).Should(Equal(engine.Completed))
+				completes(g, l, o, id)
 			}
 		})
 	}
@@ -244,11 +245,7 @@
 	g.Eventually(first.Done(), time.Minute).Should(BeClosed())
 	l.finish()
 	g.Expect(second.Submit(context.Background(), job(2))).To(Succeed())
-	g.Eventually(func() engine.State {
-		l.finish()
-		st, _, _ := second.State(context.Background(), job(1).ID)
-		return st
-	}, time.Minute, 5*time.Millisecond).Should(Equal(engine.Completed))
+	completes(g, l, second, job(1).ID)
 }
 
 // Guards against a cancel that is answered before it is stored.
