Play whole-fleet tests in simulated time on a network in memory

Cause: the live tests of package dev decided by real seconds, so that they failed while other work ran on the machine (TestLiveHolderLost, TestLiveMovesByCommand and TestLiveLearnedMoves in a fresh clone). Change: package network is the seam through which processes open listeners and connections; standin/memnet is a network in memory whose connections block on channels only, checked by nettest; runLive plays a test inside testing/synctest. fleet.View waits for its turn to read on a channel, which a context can end, and no longer on a mutex that was held over calls.

--- a/dev/dev.go
+++ b/dev/dev.go
@@ -26,6 +26,7 @@
 	"samphirepoint/fleet"
 	"samphirepoint/load"
 	"samphirepoint/mover"
+	"samphirepoint/network"
 	"samphirepoint/report"
 	"samphirepoint/services"
 	"samphirepoint/settings"
@@ -75,6 +76,8 @@
 	Workers map[string]int
 	// PlatformOf returns the base URL by which an entry reaches the platform at base, such as that of a proxy; nil uses base.
 	PlatformOf func(entry, base string) (string, error)
+	// Network carries all connections; nil is that of the machine.
+	Network network.Network
 	// MovePolicy makes the policy of moves of an entry; nil uses that of Moves.
 	MovePolicy func() mover.Policy
 }
@@ -102,6 +105,8 @@
 	Tokens        map[string]string
 	OperatorToken string
 
+	// client carries the calls of operators and of the deployment itself.
+	client      *http.Client
 	viewerToken string
 	base        string
 	// dir holds the token files; it is deleted at the end if removeDir.
@@ -129,7 +134,7 @@
 			return nil, err
 		}
 	}
-	c := &Cluster{Options: o, Document: doc, Tokens: map[string]string{}, group: &errgroup.Group{}}
+	c := &Cluster{Options: o, Document: doc, Tokens: map[string]string{}, client: network.Client(o.Network), group: &errgroup.Group{}}
 	if err := c.start(ctx); err != nil {
 		c.Close()
 		return nil, err
@@ -167,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	c.Platform = platformd.New(platformd.Options{Seed: c.Options.Seed, OnChange: c.keepChange})
+	c.Platform = platformd.New(platformd.Options{Seed: c.Options.Seed, OnChange: c.keepChange, Network: c.Options.Network})
 	if c.listener, err = c.Platform.Start(c.platformAddress()); err != nil {
 		return err
 	}
@@ -220,7 +225,7 @@
 			rack := i / workersPerRack
 			w := workerd.New(workerd.Options{
 				ID: fmt.Sprintf("%s-%02d", pool.Name, i+1), Zone: names[rack%len(names)], Rack: fmt.Sprintf("%s-r%d", pool.Name, rack+1),
-				Platform: c.base, Seed: c.Options.Seed,
+				Platform: c.base, Seed: c.Options.Seed, Network: c.Options.Network,
 			})
 			if err := w.Start("127.0.0.1:0"); err != nil {
 				return err
@@ -234,7 +239,7 @@
 
 // bootstrap writes the instance rows and the first version of the table.
 func (c *Cluster) bootstrap(ctx context.Context) error {
-	client := services.NewClient(c.base, nil)
+	client := services.NewClient(c.base, c.client)
 	rows := fleet.NewStore(client, nil, time.Now)
 	byPool := map[string][]services.Instance{}
 	for i, w := range c.Workers {
@@ -287,7 +292,7 @@
 	if len(c.Entries) > 0 {
 		cfg.Peers = []string{c.Entries[0].PeerAddress()}
 	}
-	options := entry.Options{Log: c.Options.Log}
+	options := entry.Options{Log: c.Options.Log, Network: c.Options.Network}
 	if c.Options.MovePolicy != nil {
 		options.MovePolicy = c.Options.MovePolicy()
 	}
@@ -353,7 +358,7 @@
 
 // Admin returns a client of the administration interface.
 func (c *Cluster) Admin() *admin.Client {
-	return admin.NewClient(c.Targets(), c.OperatorToken, http.DefaultClient)
+	return admin.NewClient(c.Targets(), c.OperatorToken, c.client)
 }
 
 // Close stops entries, workers and platform.
@@ -368,6 +373,7 @@
 	if c.listener != nil {
 		c.listener.Close()
 	}
+	c.client.CloseIdleConnections()
 	if c.removeDir {
 		_ = os.RemoveAll(c.dir)
 	}
--- a/dev/live_test.go
+++ b/dev/live_test.go
@@ -4,16 +4,17 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"net/url"
 	"os"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"samphirepoint/admin"
@@ -26,6 +27,7 @@
 	"samphirepoint/load"
 	"samphirepoint/settings"
 	"samphirepoint/standin/faultproxy"
+	"samphirepoint/standin/memnet"
 	"samphirepoint/standin/platformd"
 	"samphirepoint/standin/workerd"
 	"samphirepoint/table"
@@ -47,14 +49,15 @@
 type live struct {
 	*Cluster
 	gomega.Gomega
-	t   *testing.T
-	ctx context.Context
-
-	proxies   map[string]*faultproxy.Proxy
-	stopLoad  context.CancelFunc
-	loads     sync.WaitGroup
-	records   []load.Record
-	shutdowns []checker.Shutdown
+	t       *testing.T
+	ctx     context.Context
+	network *memnet.Network
+
+	proxies          map[string]*faultproxy.Proxy
+	cancel, stopLoad context.CancelFunc
+	loads            sync.WaitGroup
+	records          []load.Record
+	shutdowns        []checker.Shutdown
 	// retired are workers that were closed or replaced; their journals count.
 	retired []*workerd.Server
 }
@@ -91,17 +94,28 @@
 	return map[string]int{"pumps": each, "deliveries": each, "slips": each, "routes": each, "ledger-common": each}
 }
 
+// runLive plays a test of a whole deployment in simulated time, so that its verdict does not hang on the load of the
+// machine.
+func runLive(t *testing.T, o Options, play func(l *live)) {
+	t.Parallel()
+	running <- struct{}{}
+	defer func() { <-running }()
+	metrics.NewMeter().Stop() // starts the library's own goroutine, which never ends, outside the simulated time
+	synctest.Test(t, func(t *testing.T) {
+		l := startLive(t, o)
+		defer l.close()
+		play(l)
+	})
+}
+
 // startLive starts a deployment whose entries reach the platform through a proxy each, and a steady load.
 func startLive(t *testing.T, o Options) *live {
 	t.Helper()
-	t.Parallel()
-	running <- struct{}{}
-	t.Cleanup(func() { <-running })
-	l := &live{Gomega: gomega.NewWithT(t), t: t, proxies: map[string]*faultproxy.Proxy{}}
+	l := &live{Gomega: gomega.NewWithT(t), t: t, network: memnet.New(), proxies: map[string]*faultproxy.Proxy{}}
 	l.Gomega = gomega.NewWithT(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	l.ctx = ctx
+	l.ctx, l.cancel = ctx, cancel
+	o.Network = l.network
 	o.Deployment = "inzira"
 	if o.Entries == 0 {
 		o.Entries = 3
@@ -126,7 +140,6 @@
 	c, err := Start(ctx, o)
 	l.Expect(err).NotTo(gomega.HaveOccurred())
 	l.Cluster = c
-	t.Cleanup(l.close)
 	go c.sampleVersions(ctx)
 	if o.Rate > 0 {
 		loadCtx, stop := context.WithCancel(ctx)
@@ -142,7 +155,7 @@
 	if err != nil {
 		return "", err
 	}
-	p, err := faultproxy.New("127.0.0.1:0", u.Host)
+	p, err := faultproxy.NewOn(l.network, "127.0.0.1:0", u.Host)
 	if err != nil {
 		return "", err
 	}
@@ -159,6 +172,7 @@
 		l.stopLoad()
 	}
 	l.loads.Wait()
+	l.cancel()
 	l.Close()
 	for _, p := range l.proxies {
 		p.Close()
@@ -174,7 +188,7 @@
 		l.loads.Add(1)
 		go func() {
 			defer l.loads.Done()
-			r, err := load.Run(l.ctx, load.Options{Targets: l.targets(), Deployment: shortWork(), Rate: rate, For: segment, Seed: seed, Tokens: l.Tokens})
+			r, err := load.Run(l.ctx, load.Options{Targets: l.targets(), Deployment: shortWork(), Rate: rate, For: segment, Seed: seed, Tokens: l.Tokens, Network: l.network})
 			if err != nil {
 				l.t.Error(err)
 				return
@@ -205,7 +219,7 @@
 }
 
 func (l *live) admin() *admin.Client {
-	return admin.NewClient(l.targets(), l.OperatorToken, http.DefaultClient)
+	return admin.NewClient(l.targets(), l.OperatorToken, l.client)
 }
 
 func (l *live) fleetAdmin() admin.FleetClient { return admin.FleetClient{Caller: l.admin()} }
@@ -330,7 +344,7 @@
 
 // addWorker starts a worker that registers with the platform.
 func (l *live) addWorker(id, zone, rack string) *workerd.Server {
-	w := workerd.New(workerd.Options{ID: id, Zone: zone, Rack: rack, Platform: l.base})
+	w := workerd.New(workerd.Options{ID: id, Zone: zone, Rack: rack, Platform: l.base, Network: l.network})
 	l.Expect(w.Start("127.0.0.1:0")).To(gomega.Succeed())
 	l.Workers = append(l.Workers, w)
 	return w
--- a/dev/run.go
+++ b/dev/run.go
@@ -58,7 +58,7 @@
 		defer cancel()
 	}
 	return load.Run(ctx, load.Options{
-		Targets: c.Targets(), Deployment: d, Rate: c.Options.Rate, For: c.Options.For, Seed: c.Options.Seed, Tokens: c.Tokens,
+		Targets: c.Targets(), Deployment: d, Rate: c.Options.Rate, For: c.Options.For, Seed: c.Options.Seed, Tokens: c.Tokens, Network: c.Options.Network,
 	})
 }
 
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -51,6 +51,7 @@
 // pool is the state of one pool that this entry serves.
 type pool struct {
 	name      string
+	newClient func(address string) *worker.Client
 	owned     bool
 	queue     fairqueue.Policy
 	placement placement.Policy
@@ -72,11 +73,12 @@
 	slots, reserved int
 }
 
-func newPool(name string, policies Policies) *pool {
+func newPool(name string, cfg Config) *pool {
 	return &pool{
 		name:      name,
-		queue:     policies.Queue(),
-		placement: policies.Placement(),
+		newClient: func(address string) *worker.Client { return worker.NewClientOn(cfg.Network, address) },
+		queue:     cfg.Policies.Queue(),
+		placement: cfg.Policies.Placement(),
 		outliers:  outlier.New(),
 		members:   map[string]*member{},
 		waiting:   map[string]*ticket{},
@@ -111,7 +113,7 @@
 func (p *pool) setMember(row instance.Instance, leaving bool) {
 	m, ok := p.members[row.ID]
 	if !ok || m.address != row.Address {
-		m = &member{client: worker.NewClient(row.Address), address: row.Address}
+		m = &member{client: p.newClient(row.Address), address: row.Address}
 		p.members[row.ID] = m
 	}
 	m.gone = false
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -17,6 +17,7 @@
 
 	"samphirepoint/fairqueue"
 	"samphirepoint/instance"
+	"samphirepoint/network"
 	"samphirepoint/placement"
 	"samphirepoint/request"
 	"samphirepoint/retry"
@@ -57,7 +58,9 @@
 type Config struct {
 	Zone     string
 	Policies Policies
-	Log      zerolog.Logger
+	// Network carries the connections to workers; nil is that of the machine.
+	Network network.Network
+	Log     zerolog.Logger
 	// Now is the clock; tests replace it.
 	Now func() time.Time
 }
@@ -243,7 +246,7 @@
 func (s *Scheduler) poolByName(name string) *pool {
 	p, ok := s.pools[name]
 	if !ok {
-		p = newPool(name, s.cfg.Policies)
+		p = newPool(name, s.cfg)
 		p.owned = s.fleet.Owned[name]
 		p.queue.SetShares(s.fleet.Shares[name])
 		p.setMembers(s.fleet.Pools[name], s.fleet.Leaving, s.cfg.Now())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,7 @@
 	"samphirepoint/lease"
 	"samphirepoint/membership"
 	"samphirepoint/mover"
+	"samphirepoint/network"
 	"samphirepoint/peer"
 	"samphirepoint/placement"
 	"samphirepoint/services"
@@ -89,6 +90,7 @@
 	// list is the last instance list of the platform.
 	list atomic.Pointer[[]services.Instance]
 
+	network                      network.Network
 	callerListener, peerListener net.Listener
 	callerTLS, peerTLS           *tls.Config
 	// leaving is set when readiness goes off, draining when new work is refused.
@@ -102,6 +104,8 @@
 	Platform *http.Client
 	// MovePolicy decides on moves of instances; nil uses that of the settings.
 	MovePolicy mover.Policy
+	// Network carries all connections; nil is that of the machine.
+	Network network.Network
 }
 
 // New binds the listeners and builds the parts; Run starts them.
@@ -113,6 +117,7 @@
 		metrics: metrics.NewRegistry(),
 		tracker: newTracker(),
 		retries: newRetries(),
+		network: o.Network,
 	}
 	e.stats = newStats(e.metrics)
 	e.traffic = peer.NewTraffic(e.metrics)
@@ -157,10 +162,10 @@
 
 func (e *Entry) listen() error {
 	var err error
-	if e.callerListener, err = net.Listen("tcp", e.cfg.Listen.Callers); err != nil {
+	if e.callerListener, err = network.Or(e.network).Listen(e.cfg.Listen.Callers); err != nil {
 		return fmt.Errorf("listen.callers: %w", err)
 	}
-	if e.peerListener, err = net.Listen("tcp", e.cfg.Listen.Peers); err != nil {
+	if e.peerListener, err = network.Or(e.network).Listen(e.cfg.Listen.Peers); err != nil {
 		e.callerListener.Close()
 		return fmt.Errorf("listen.peers: %w", err)
 	}
@@ -172,11 +177,10 @@
 	if given != nil {
 		return given
 	}
-	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
 	return &http.Client{
 		Timeout: platformTimeout,
 		Transport: &http.Transport{
-			DialContext:         e.traffic.Dial(dialer.DialContext),
+			DialContext:         e.traffic.Dial(network.Dialer(e.network, time.Second, 15*time.Second)),
 			MaxIdleConnsPerHost: 8,
 			IdleConnTimeout:     30 * time.Second,
 		},
@@ -213,6 +217,7 @@
 		Token:       e.tokens.PeerToken,
 		Verifier:    e.verifier,
 		TLS:         e.peerClientTLS(),
+		Network:     e.network,
 		Traffic:     e.traffic,
 		Log:         e.log,
 	})
@@ -254,17 +259,17 @@
 // buildTraffic creates scheduler, claims, jobs and the filter chains.
 func (e *Entry) buildTraffic() {
 	owner := e.processName()
-	e.scheduler = dispatch.New(dispatch.Config{Zone: e.cfg.Zone, Policies: e.policies(), Log: e.log})
+	e.scheduler = dispatch.New(dispatch.Config{Zone: e.cfg.Zone, Policies: e.policies(), Network: e.network, Log: e.log})
 	e.claims = claim.NewStore(e.platform, e.platform.Objects(), owner)
 	e.jobStore = &job.Store{Table: e.platform, Objects: e.platform.Objects(), Now: time.Now}
 	e.forwarder = forward.NewClient(peers{e}, &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 400 * time.Millisecond, KeepAlive: 15 * time.Second}).DialContext,
+		DialContext:         network.Dialer(e.network, 400*time.Millisecond, 15*time.Second),
 		TLSClientConfig:     e.peerClientTLS(),
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
 	})
-	e.jobs = job.NewManager(job.Config{Store: e.jobStore, Slots: e.scheduler, Cluster: cluster{e}, Owner: owner, Log: e.log})
+	e.jobs = job.NewManager(job.Config{Store: e.jobStore, Slots: e.scheduler, Cluster: cluster{e}, Owner: owner, Network: e.network, Log: e.log})
 	e.control = newControl(e)
 	e.pings = newPings(e.gossip.Probe)
 	router := router{e}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -35,7 +35,7 @@
 		Instances: e.platform.Instances(),
 		Lease:     e.lease,
 		View:      e.fleetView,
-		Workers:   fleet.NewHTTPWorkers(),
+		Workers:   fleet.NewHTTPWorkers(e.network),
 		Members:   e.fleetMembers,
 		Document:  e.config.Snapshot,
 		Demand:    e.demands.byPool,
--- a/entry/returning.go
+++ b/entry/returning.go
@@ -59,7 +59,7 @@
 }
 
 func (e *Entry) askReturn(ctx context.Context, in instance.Instance) {
-	client := worker.NewClient(in.Address)
+	client := worker.NewClientOn(e.network, in.Address)
 	defer client.Close()
 	asked := time.Now()
 	st, err := client.Status(ctx)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -7,7 +7,6 @@
 	"maps"
 	"math/rand/v2"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,7 +34,8 @@
 	table    services.Table
 	fallback Fallback
 	current  atomic.Pointer[snapshot]
-	refresh  sync.Mutex
+	// refreshing holds one element while a refresh reads the table.
+	refreshing chan struct{}
 }
 
 // snapshot is a fleet and its source. Rows from a peer carry no row versions, so the next read of the
@@ -47,7 +47,7 @@
 
 // NewView returns an empty view. fallback may be nil.
 func NewView(t services.Table, fallback Fallback) *View {
-	return &View{table: t, fallback: fallback}
+	return &View{table: t, fallback: fallback, refreshing: make(chan struct{}, 1)}
 }
 
 // Snapshot returns the latest fleet, or nil before the first one. It must not be changed.
@@ -123,8 +123,12 @@
 
 // Refresh reads the version and, if it grew, the changed rows.
 func (v *View) Refresh(ctx context.Context) error {
-	v.refresh.Lock()
-	defer v.refresh.Unlock()
+	select {
+	case v.refreshing <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-v.refreshing }()
 	ctx, cancel := context.WithTimeout(ctx, 2*commitTimeout)
 	defer cancel()
 	row, err := v.table.Get(ctx, instance.KeyFleetVersion)
--- a/fleet/workers.go
+++ b/fleet/workers.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 
 	"samphirepoint/drainer"
 	"samphirepoint/instance"
+	"samphirepoint/network"
 )
 
 // maxStatusBytes bounds a worker's status; one of 8 slots takes about 2 KB.
@@ -22,12 +22,11 @@
 	client *http.Client
 }
 
-// NewHTTPWorkers returns a client of all workers.
-func NewHTTPWorkers() *HTTPWorkers {
-	dialer := &net.Dialer{Timeout: probeTimeout}
+// NewHTTPWorkers returns a client of all workers over a network; nil is that of the machine.
+func NewHTTPWorkers(n network.Network) *HTTPWorkers {
 	return &HTTPWorkers{client: &http.Client{
 		Timeout:   probeTimeout,
-		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		Transport: &http.Transport{DialContext: network.Dialer(n, probeTimeout, 0), DisableKeepAlives: true, DisableCompression: true},
 	}}
 }
 
--- a/fleet/workers_test.go
+++ b/fleet/workers_test.go
@@ -23,7 +23,7 @@
 			{"requestId":"r1","backer":"x","idempotent":true},{"requestId":"r2","task":"t2","backer":"y"}]}`))
 	}))
 	defer server.Close()
-	ctx, h := context.Background(), NewHTTPWorkers()
+	ctx, h := context.Background(), NewHTTPWorkers(nil)
 	in := instance.Instance{ID: "w1", Address: strings.TrimPrefix(server.URL, "http://")}
 	s, err := h.Status(ctx, in)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/job/manager.go
+++ b/job/manager.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"samphirepoint/dispatch"
+	"samphirepoint/network"
 	"samphirepoint/request"
 	"samphirepoint/services"
 	"samphirepoint/worker"
@@ -56,8 +57,10 @@
 
 // Config sets up a Manager.
 type Config struct {
-	Store   *Store
-	Slots   Slots
+	Store *Store
+	Slots Slots
+	// Network carries the connections to workers; nil is that of the machine.
+	Network network.Network
 	Cluster Cluster
 	// Owner is the name of this process in rows.
 	Owner string
@@ -269,4 +272,6 @@
 }
 
 // clientFor returns a client of the worker that a row names.
-func clientFor(rec *Record) *worker.Client { return worker.NewClient(rec.Address) }
+func (m *Manager) clientFor(rec *Record) *worker.Client {
+	return worker.NewClientOn(m.cfg.Network, rec.Address)
+}
--- a/job/runner.go
+++ b/job/runner.go
@@ -197,7 +197,7 @@
 
 // follow renews and watches the task until it ends.
 func (r *runner) follow() step {
-	client := clientFor(r.rec)
+	client := r.m.clientFor(r.rec)
 	defer client.Close()
 	renewed, checkpointed, interval := time.Now(), time.Now(), checkpointFirst
 	for {
--- a/load/load.go
+++ b/load/load.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"samphirepoint/network"
 	"samphirepoint/request"
 	"samphirepoint/standin/workerd"
 )
@@ -54,6 +55,8 @@
 	CancelShare float64
 	// CancelWaveAt is the time after the start at which all work in flight is cancelled at once; 0 means never.
 	CancelWaveAt time.Duration
+	// Network carries the connections; nil is that of the machine.
+	Network network.Network
 }
 
 // Result of a run.
@@ -104,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
+	transport := &http.Transport{DialContext: network.Or(o.Network).DialContext, MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	g := &generator{options: o, client: &http.Client{Transport: transport}, started: time.Now(),
 		slots: make(chan struct{}, o.MaxInFlight), flights: map[string]*flight{}}
--- a/peer/client.go
+++ b/peer/client.go
@@ -1,11 +1,11 @@
 package peer
 
 import (
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"samphirepoint/network"
 	"samphirepoint/peer/peerpb"
 )
 
@@ -36,10 +36,7 @@
 
 // NewClients returns clients over HTTP, or HTTPS if the configuration has TLS.
 func NewClients(c Config) Clients {
-	dial := c.Dial
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}).DialContext
-	}
+	dial := network.Dialer(c.Network, dialTimeout, 15*time.Second)
 	if c.Traffic != nil {
 		dial = c.Traffic.Dial(dial)
 	}
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -18,6 +18,7 @@
 	"samphirepoint/instance"
 	"samphirepoint/limit"
 	"samphirepoint/membership"
+	"samphirepoint/network"
 	"samphirepoint/peer/peerpb"
 	"samphirepoint/services"
 	"samphirepoint/table"
@@ -55,8 +56,8 @@
 	// Traffic, if set, counts control traffic.
 	Traffic *Traffic
 	Log     zerolog.Logger
-	// Dial, Clients, Now and Rand replace the network, the clock and the source of chance in tests.
-	Dial    DialFunc
+	// Network, Clients, Now and Rand replace the network, the clock and the source of chance in tests.
+	Network network.Network
 	Clients Clients
 	Now     func() time.Time
 	Rand    *rand.Rand
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 
+	"samphirepoint/network"
+
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -31,11 +33,8 @@
 // Bytes returns the bytes received and sent so far.
 func (t *Traffic) Bytes() (in, out int64) { return t.in.Count(), t.out.Count() }
 
-// DialFunc opens a connection.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Dial returns a dialer whose connections count. Clients of the platform may use it too.
-func (t *Traffic) Dial(dial DialFunc) DialFunc {
+func (t *Traffic) Dial(dial network.DialFunc) network.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
--- a/standin/faultproxy/link.go
+++ b/standin/faultproxy/link.go
@@ -3,10 +3,11 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"samphirepoint/network"
 )
 
 const (
@@ -19,7 +20,7 @@
 // link is a client's connection with its counterpart at the target.
 type link struct {
 	proxy          *Proxy
-	client, server *net.TCPConn
+	client, server network.Conn
 	silent         atomic.Bool
 	once           sync.Once
 	done           chan struct{}
@@ -29,8 +30,8 @@
 func (l *link) reset() {
 	l.once.Do(func() {
 		close(l.done)
-		abandon(l.client)
-		abandon(l.server)
+		network.Reset(l.client)
+		network.Reset(l.server)
 	})
 }
 
@@ -44,7 +45,7 @@
 // pump copies one direction of a link.
 type pump struct {
 	l        *link
-	from, to *net.TCPConn
+	from, to network.Conn
 	bytes    *atomic.Int64
 	faults   func(Faults) Direction
 }
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -6,6 +6,7 @@
 package faultproxy
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"samphirepoint/network"
 	"samphirepoint/standin"
 )
 
@@ -48,6 +50,7 @@
 
 // Proxy forwards connections to one target. It is safe for concurrent use.
 type Proxy struct {
+	dial     network.DialFunc
 	target   string
 	listener net.Listener
 	wait     sync.WaitGroup
@@ -63,11 +66,16 @@
 
 // New starts a proxy on addr (IP:port, port 0 picks one) for target.
 func New(addr, target string) (*Proxy, error) {
-	ln, err := net.Listen("tcp", addr)
+	return NewOn(network.TCP{}, addr, target)
+}
+
+// NewOn is New on a network, whose connections must implement network.Conn.
+func NewOn(n network.Network, addr, target string) (*Proxy, error) {
+	ln, err := n.Listen(addr)
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: ln, changed: make(chan struct{}), links: map[*link]bool{}}
+	p := &Proxy{dial: network.Dialer(n, dialTimeout, 0), target: target, listener: ln, changed: make(chan struct{}), links: map[*link]bool{}}
 	p.wait.Add(1)
 	go p.accept()
 	return p, nil
@@ -146,9 +154,9 @@
 			return // Close ended the listener
 		}
 		p.accepted.Add(1)
-		client, ok := c.(*net.TCPConn)
+		client, ok := c.(network.Conn)
 		if !ok || p.Faults().Refuse {
-			abandon(c)
+			network.Reset(c)
 			continue
 		}
 		p.wait.Add(1)
@@ -159,13 +167,13 @@
 	}
 }
 
-func (p *Proxy) serve(client *net.TCPConn) {
-	c, err := net.DialTimeout("tcp", p.target, dialTimeout)
+func (p *Proxy) serve(client network.Conn) {
+	c, err := p.dial(context.Background(), "tcp", p.target)
 	if err != nil {
-		abandon(client)
+		network.Reset(client)
 		return
 	}
-	l := &link{proxy: p, client: client, server: c.(*net.TCPConn), done: make(chan struct{})}
+	l := &link{proxy: p, client: client, server: c.(network.Conn), done: make(chan struct{})}
 	if !p.add(l) {
 		l.reset()
 		return
@@ -211,13 +219,6 @@
 	return p.faults, p.changed
 }
 
-func abandon(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // close with a reset
-	}
-	_ = c.Close()
-}
-
 // Handler serves the HTTP control interface.
 func (p *Proxy) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/standin/http.go
+++ b/standin/http.go
@@ -11,6 +11,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"samphirepoint/network"
 )
 
 // maxBodyBytes bounds a control message; a document of 210 backers takes about 60 KB.
@@ -46,8 +48,11 @@
 }
 
 // Listen starts to serve h on addr (IP:port; port 0 picks a free one).
-func Listen(addr string, h http.Handler) (*Listener, error) {
-	ln, err := net.Listen("tcp", addr)
+func Listen(addr string, h http.Handler) (*Listener, error) { return ListenOn(network.TCP{}, addr, h) }
+
+// ListenOn is Listen on a network.
+func ListenOn(n network.Network, addr string, h http.Handler) (*Listener, error) {
+	ln, err := n.Listen(addr)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/platformd/server.go
+++ b/standin/platformd/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"samphirepoint/network"
 	"samphirepoint/services"
 	"samphirepoint/standin"
 )
@@ -70,12 +71,15 @@
 	Seed uint64
 	// OnChange, if set, is called for each committed row, in order and under the table's lock.
 	OnChange func(Change)
+	// Network is where Start listens; nil is that of the machine.
+	Network network.Network
 }
 
 // Server is the platform. It is safe for concurrent use.
 type Server struct {
 	mux      *http.ServeMux
 	onChange func(Change)
+	network  network.Network
 
 	mu        sync.Mutex
 	table     store
@@ -93,6 +97,7 @@
 	s := &Server{
 		mux:       http.NewServeMux(),
 		onChange:  o.OnChange,
+		network:   o.Network,
 		table:     store{cells: map[string]cell{}},
 		objects:   map[string][]byte{},
 		instances: instanceList{registrations: map[string]*registration{}},
@@ -106,7 +111,9 @@
 }
 
 // Start serves the platform on addr.
-func (s *Server) Start(addr string) (*standin.Listener, error) { return standin.Listen(addr, s) }
+func (s *Server) Start(addr string) (*standin.Listener, error) {
+	return standin.ListenOn(network.Or(s.network), addr, s)
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
--- a/standin/workerd/listener.go
+++ b/standin/workerd/listener.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
+
+	"samphirepoint/network"
 )
 
 // limitedListener resets connections beyond a limit.
@@ -24,10 +26,7 @@
 			return &countedConn{Conn: c, active: &l.active}, nil
 		}
 		l.active.Add(-1)
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // close with a reset
-		}
-		_ = c.Close()
+		network.Reset(c)
 	}
 }
 
--- a/standin/workerd/register.go
+++ b/standin/workerd/register.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"samphirepoint/network"
 	"samphirepoint/services"
 )
 
@@ -40,7 +41,8 @@
 
 // register renews the registration until ctx ends. A failed renewal is repeated at the next turn.
 func (s *Server) register(ctx context.Context) {
-	client := &http.Client{Timeout: renewInterval}
+	client := network.Client(s.options.Network)
+	client.Timeout = renewInterval
 	defer client.CloseIdleConnections()
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
--- a/standin/workerd/server.go
+++ b/standin/workerd/server.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"samphirepoint/network"
 	"samphirepoint/request"
 	"samphirepoint/services"
 	"samphirepoint/standin"
@@ -40,6 +41,8 @@
 	Advertise string
 	// Seed makes the choice of affected requests repeatable.
 	Seed uint64
+	// Network carries all connections; nil is that of the machine.
+	Network network.Network
 }
 
 // Server is a worker. It is safe for concurrent use.
@@ -129,9 +132,11 @@
 	return s
 }
 
+func (s *Server) network() network.Network { return network.Or(s.options.Network) }
+
 // Start listens on addr (IP:port, port 0 picks one) and registers with the platform.
 func (s *Server) Start(addr string) error {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := s.network().Listen(addr)
 	if err != nil {
 		return err
 	}
@@ -226,7 +231,7 @@
 	if s.isClosed() {
 		return true
 	}
-	ln, err := net.Listen("tcp", s.address)
+	ln, err := s.network().Listen(s.address)
 	if err != nil {
 		return false
 	}
--- a/worker/client.go
+++ b/worker/client.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -17,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"samphirepoint/network"
 	"samphirepoint/request"
 	"samphirepoint/verdict"
 )
@@ -75,19 +75,22 @@
 }
 
 // NewClient returns a client of the worker at address (IP:port).
-func NewClient(address string) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+func NewClient(address string) *Client { return NewClientOn(nil, address) }
+
+// NewClientOn is NewClient on a network; nil is that of the machine.
+func NewClientOn(n network.Network, address string) *Client {
+	dial := network.Dialer(n, dialTimeout, 15*time.Second)
 	return &Client{
 		address: address,
 		pool: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			MaxConnsPerHost:     0,
 			MaxIdleConnsPerHost: connectionsPerWorker,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
 		},
 		fresh: &http.Transport{
-			DialContext:        dialer.DialContext,
+			DialContext:        dial,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 		},
