Close a worker that can't be reached for a while

Cause: a dead worker in a pool too small for an ejection looked idle, so that placement chose it for each request of the neediest backer once the others were full; the refused connection sent the request back, and meanwhile others took the slots that became free. Change: an attempt that could not connect ends as Unreachable; the worker then gets no work for 250 ms, twice as long each time, up to 2 s. TestUnreachableWorkerPauses fails without the change.

--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -27,10 +27,12 @@
 	Leaving
 	// Stopped means the worker confirmed a stop that the caller asked for.
 	Stopped
+	// Unreachable means that no connection to the worker came about: nothing was sent.
+	Unreachable
 )
 
 // ran reports whether the worker worked on the request.
-func (o Outcome) ran() bool { return o != NotSent && o != Refused && o != Leaving }
+func (o Outcome) ran() bool { return o != NotSent && o != Refused && o != Leaving && o != Unreachable }
 
 // Result ends the use of a slot.
 type Result struct {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -19,6 +19,8 @@
 	client *worker.Client
 	// address detects a worker that was replaced under the same id.
 	address string
+	// unreachablePause is how long the worker got no work after the last attempt to reach it failed, 0 once one has not.
+	unreachablePause time.Duration
 	// gone workers are not in the pool any more but still run requests of this entry.
 	gone bool
 }
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -114,6 +114,12 @@
 	case Leaving:
 		m.state.Leaving = true
 		p.refresh(now)
+	case Unreachable:
+		report(outlier.Failed)
+		m.unreachable(now)
+	}
+	if r.Outcome != Unreachable && r.Outcome != NotSent {
+		m.unreachablePause = 0
 	}
 	for _, c := range changes {
 		s.cfg.Log.Warn().Str("pool", p.name).Str("worker", c.Worker).Bool("ejected", c.State.Ejected).Bool("suspect", c.State.Suspect).Str("reason", c.Reason).Msg("worker changed state")
@@ -123,6 +129,16 @@
 	}
 }
 
+// unreachable closes the worker for a while, longer each time. A worker that can't be reached looks idle: without a pause the
+// requests of the neediest backer go there again and again, while others get the slots that become free.
+func (m *member) unreachable(now time.Time) {
+	if now.Before(m.state.ForeignUntil) && m.unreachablePause > 0 {
+		return // another attempt of the same moment
+	}
+	m.unreachablePause = min(max(2*m.unreachablePause, unreachablePauseMin), unreachablePauseMax)
+	m.state.Foreign, m.state.ForeignUntil = m.state.Slots, now.Add(m.unreachablePause)
+}
+
 func (m *member) observe(ratio float64) {
 	if m.state.Latency == 0 {
 		m.state.Latency = ratio
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -30,6 +30,9 @@
 	tickInterval = 50 * time.Millisecond
 	// foreignPeriod is the time for which a worker's refusal counts as a slot used by another owner.
 	foreignPeriod = 500 * time.Millisecond
+	// unreachablePauseMin and unreachablePauseMax bound the time for which a worker that can't be reached gets no work.
+	unreachablePauseMin = 250 * time.Millisecond
+	unreachablePauseMax = 2 * time.Second
 	// overflowAfter is the wait after which a request may try another pool of its queue.
 	overflowAfter = 100 * time.Millisecond
 	// latencyDecay is the weight of a new run time in a worker's relative latency.
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -269,6 +269,44 @@
 	g.Expect(due()).To(BeTrue())
 }
 
+// Guards against a dead worker that can't be ejected, as the pool is too small, and takes the requests of the neediest backer
+// again and again: a backer with half of the weights held 1.1 of 6.4 busy slots for 5 s.
+func TestUnreachableWorkerPauses(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench()
+	b.setFleet(fleetOf(true, 2, 1))
+	taken := map[string]*Grant{}
+	for range 2 {
+		r, ok := answer(b.acquire(b.wish()))
+		g.Expect(ok).To(BeTrue())
+		taken[r.grant.Worker] = r.grant
+	}
+	taken["p0"].Release(Result{Outcome: Unreachable})
+	b.drain()
+	waits := b.acquire(b.wish())
+	_, ok := answer(waits)
+	g.Expect(ok).To(BeFalse(), "the dead worker is not asked again at once")
+	taken["p1"].Release(Result{Outcome: Succeeded})
+	b.drain()
+	r, ok := answer(waits)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(r.grant.Worker).To(Equal("p1"))
+
+	attempts := 0
+	for waits = b.acquire(b.wish()); b.now.Before(time.Unix(1e9+10, 0)); b.now = b.now.Add(tickInterval) {
+		b.tick()
+		if r, ok := answer(waits); ok {
+			g.Expect(r.grant.Worker).To(Equal("p0"))
+			attempts++
+			r.grant.Release(Result{Outcome: Unreachable})
+			b.drain()
+			waits = b.acquire(b.wish())
+		}
+	}
+	g.Expect(attempts).To(BeNumerically(">=", 4), "it is tried again")
+	g.Expect(attempts).To(BeNumerically("<=", 10))
+}
+
 // Guards against a pool that loses slots when a worker is replaced under its id while it runs requests.
 func TestReplacedWorkerFreesItsSlots(t *testing.T) {
 	g := NewWithT(t)
--- a/filter/dispatch.go
+++ b/filter/dispatch.go
@@ -243,10 +243,10 @@
 		go stopAndRelease(grant, c.Request.ID, id, ended)
 		return
 	}
-	grant.Release(dispatch.Result{Outcome: outcome(answer, err), Took: took})
+	grant.Release(dispatch.Result{Outcome: outcome(ctx, answer, err), Took: took})
 }
 
-func outcome(answer worker.Answer, err error) dispatch.Outcome {
+func outcome(ctx context.Context, answer worker.Answer, err error) dispatch.Outcome {
 	switch {
 	case err == nil && answer.Status < http.StatusInternalServerError:
 		return dispatch.Succeeded
@@ -258,6 +258,8 @@
 		return dispatch.Refused
 	case errors.Is(err, worker.ErrSilent):
 		return dispatch.TimedOut
+	case verdict.Is(err, verdict.NotRun) && ctx.Err() == nil:
+		return dispatch.Unreachable
 	default:
 		return dispatch.Broken
 	}
--- a/standin/memnet/stream.go
+++ b/standin/memnet/stream.go
@@ -52,7 +52,7 @@
 
 func (s *stream) read(b []byte) (int, error) {
 	for {
-		n, err, changed, deadline := s.tryRead(b)
+		n, changed, deadline, err := s.tryRead(b)
 		if n > 0 || err != nil || len(b) == 0 {
 			return n, err
 		}
@@ -61,7 +61,7 @@
 }
 
 // tryRead returns what can be read now, or what to wait for.
-func (s *stream) tryRead(b []byte) (n int, err error, changed <-chan struct{}, deadline time.Time) {
+func (s *stream) tryRead(b []byte) (n int, changed <-chan struct{}, deadline time.Time, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -77,13 +77,13 @@
 	default:
 		err = s.readErr
 	}
-	return n, err, s.changed, s.readDeadline
+	return n, s.changed, s.readDeadline, err
 }
 
 func (s *stream) write(b []byte) (int, error) {
 	written := 0
 	for {
-		n, err, changed, deadline := s.tryWrite(b[written:])
+		n, changed, deadline, err := s.tryWrite(b[written:])
 		written += n
 		if err != nil || written == len(b) {
 			return written, err
@@ -93,7 +93,7 @@
 }
 
 // tryWrite takes what fits into the window, or returns what to wait for.
-func (s *stream) tryWrite(b []byte) (n int, err error, changed <-chan struct{}, deadline time.Time) {
+func (s *stream) tryWrite(b []byte) (n int, changed <-chan struct{}, deadline time.Time, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -109,7 +109,7 @@
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
-	return n, err, s.changed, s.writeDeadline
+	return n, s.changed, s.writeDeadline, err
 }
 
 func (s *stream) setReadDeadline(t time.Time) { s.change(func() { s.readDeadline = t }) }
