Keep runs of workers that start anew, and stop runs whose repeated start was rejected

Cause: an explorer over random histories of one pool (takeovers, lost and late answers, cut and restarted workers, store outages, all kinds of step) found four orders of faults in which a task ran twice. A repeated start that was rejected was taken for over while the first try was still on its way. A new life of a worker under the same id lost the runs that it listed itself. A start that was repeated to a silent worker reached a new life behind the cut with a deadline of the former clock, so under the longest lease. A successor did not count with such a lease. Change: a rejected repetition is followed by a stop; a new life keeps what it lists; starts are repeated once the worker is heard; workers younger than 24 s are taken to hold the longest lease.

--- a/engine/ends.go
+++ b/engine/ends.go
@@ -17,7 +17,7 @@
 		return
 	}
 	if w.bornMS != 0 && a.BornMS != 0 && w.bornMS != a.BornMS {
-		p.reborn(w, a, c)
+		p.reborn(w, a, sentAt, c)
 	}
 	if a.BornMS != 0 {
 		w.bornMS = a.BornMS
@@ -25,6 +25,9 @@
 	if !w.met || w.failing {
 		p.needPlace = true
 	}
+	if !w.met {
+		w.othersMS = a.ClockMS + p.grantedByOthers(a.ClockMS).Milliseconds()
+	}
 	w.met, w.failing, w.lastHeard = true, false, c.Now
 	if a.ClockMS > w.clockMS || w.clockAt == 0 {
 		w.clockMS, w.clockAt = a.ClockMS, c.Now
@@ -55,16 +58,48 @@
 	return false
 }
 
-// reborn ends all runs that the worker's former life had.
-func (p *Pool) reborn(w *Worker, a HoldAnswer, c Clock) {
+// reborn ends all runs that the worker's former life had. Orders that were meant for that life may have reached the new one:
+// what the new life lists, or was confirmed after the hold was sent, is there, under the longest lease that a worker grants.
+func (p *Pool) reborn(w *Worker, a HoldAnswer, sentAt time.Duration, c Clock) {
 	p.note("worker-reborn", "", 0, w.ID, itoa(a.BornMS))
+	listed := a.keys()
 	for _, r := range w.list() {
-		if r.phase == phaseRunning || r.phase == phaseStopping || r.phase == phaseInherited {
+		former := r.phase == phaseInherited || (r.phase != phaseStarting && r.phase != phaseIntent && r.confirmedAt < sentAt)
+		switch {
+		case former && !listed[runKey(r.Task.id, r.Num)]:
 			p.lose(r, c)
+		case r.phase == phaseStarting:
+			p.stop(r, c) // its deadline is on the former life's clock
 		}
 	}
 	w.ends, w.seenUpto, w.pending = 0, 0, nil
 	w.clockMS, w.clockAt, w.deadlineMS = a.ClockMS, c.Now, 0
+	w.othersMS = a.ClockMS + p.grantedByOthers(a.ClockMS).Milliseconds()
+}
+
+// youngLife is the age up to which a worker may hold a lease by an order that was sent to its former life: its deadline is far
+// away on the new life's clock, so that it is cut to the longest lease. It counts the time until the owner learns of
+// the new life, the longest delay of an order, and that lease.
+const youngLife = 24 * time.Second
+
+// grantedByOthers bounds the lease that others can have granted to a worker of an age.
+func (p *Pool) grantedByOthers(ageMS int64) time.Duration {
+	if ageMS < youngLife.Milliseconds() {
+		return p.opt.HoldMax
+	}
+	return p.opt.Lease
+}
+
+// keys are the runs that the answer lists as running or ended.
+func (a *HoldAnswer) keys() map[string]bool {
+	keys := map[string]bool{}
+	for _, row := range a.Running {
+		keys[row.Task+"#"+itoa(row.Run)] = true
+	}
+	for _, row := range a.Ended {
+		keys[row.Task+"#"+itoa(row.Run)] = true
+	}
+	return keys
 }
 
 func (p *Pool) takeEnds(w *Worker, rows []EndedRow, c Clock) map[string]bool {
@@ -331,8 +366,8 @@
 		r.unknown = true
 		p.suspect(r.Worker, c)
 	case r.attempts > 1:
-		// An earlier order for this run may have been carried out: the worker's list decides.
-		p.confirm(r, c)
+		// An earlier order for this run may have been carried out, or may yet be: a stop keeps it from that.
+		p.stop(r, c)
 	default:
 		p.rejected(r, out, reason, c)
 	}
--- /dev/null
+++ b/engine/explore_test.go
@@ -0,0 +1,461 @@
+package engine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	exploreStep  = 50 * time.Millisecond
+	exploreTurns = 300  // with faults and new jobs
+	exploreCalm  = 1200 // without
+	exploreSeeds = 250
+)
+
+// breach makes the explorer break an assumption that the engine rests on, to show that the judge notices.
+type breach int
+
+const (
+	soundWorld breach = iota
+	// lostRecords lets the store forget transactions that it has acknowledged.
+	lostRecords
+	// falseDeaths reports workers as gone that live on.
+	falseDeaths
+	// unfencedOrders lets workers obey a former owner.
+	unfencedOrders
+	// forgottenFailures lets the store forget failed attempts.
+	forgottenFailures
+)
+
+// explorer drives owners of one pool through random faults: lost and late answers, cut and restarted workers, outages of the
+// store, takeovers at any moment.
+type explorer struct {
+	rnd     *rand.Rand
+	breach  breach
+	now     time.Duration
+	pool    *Pool
+	judge   *judge
+	jobs    []*simJob
+	queues  []Queue
+	records map[string]stored
+	ver     int64
+	// storeUntil is until when the store is away.
+	storeUntil time.Duration
+	calm       bool
+	late       []lateCall
+	life       int64
+}
+
+// lateCall is a call without an answer that is carried out later.
+type lateCall struct {
+	at time.Duration
+	do func()
+}
+
+func newExplorer(seed uint64, b breach) *explorer {
+	x := &explorer{
+		rnd: rand.New(rand.NewPCG(seed, 5)), breach: b, now: testStart, records: map[string]stored{}, life: 1000,
+		judge:  &judge{tasks: map[string]*simTask{}, byEnd: map[string]func(){}, workers: map[string]*simWorker{}},
+		queues: []Queue{{Name: "q", Attempts: 3, Stretch: 1.6, TargetMS: 600}, {Name: "low", Attempts: 4, Priority: 1, Stretch: 2, TargetMS: 900}, {Name: "advised", Attempts: 3, Stretch: 2, TargetMS: 900, Advised: true}},
+	}
+	for i := range 8 {
+		x.addWorker(i)
+	}
+	x.takeOver(1)
+	return x
+}
+
+func (x *explorer) addWorker(i int) {
+	x.life += 10
+	info := WorkerInfo{
+		ID: fmt.Sprintf("i-%02d-%d", i, x.life), Room: Resources{CPU: 16000, Mem: 32000, GPU: int64(4 * (i % 2))},
+		Labels: []string{string(rune('a' + i%2)), fmt.Sprintf("r-%d", i/4)},
+	}
+	info.Address = info.ID
+	x.judge.workers[info.ID] = &simWorker{
+		info: info, guards: i%4 == 3, born: x.life, bornAt: x.now - time.Second, rate: 0.98 + 0.02*x.rnd.Float64(),
+		runs: map[string]*simRun{}, highest: map[string]int64{}, judge: x.judge,
+	}
+}
+
+func (x *explorer) clock() Clock {
+	return Clock{Now: x.now, Wall: 1_800_000_000_000 + x.now.Milliseconds()}
+}
+
+// takeOver lets a successor load what the store has.
+func (x *explorer) takeOver(token int64) {
+	p := NewPool("pumps", token, DefaultOptions(), x.now)
+	p.SetQueues(x.queues)
+	for id, s := range x.records {
+		spec := s.spec
+		p.Load(&spec, id, s.record, s.ver, x.clock())
+	}
+	x.pool = p
+	x.roster()
+}
+
+func (x *explorer) roster() {
+	var list []WorkerInfo
+	for _, w := range x.judge.workers {
+		list = append(list, w.info)
+	}
+	x.pool.SetRoster(list, x.clock())
+}
+
+func (x *explorer) chance(p float64) bool { return !x.calm && x.rnd.Float64() < p }
+
+func (x *explorer) pick() *simWorker {
+	ids := make([]string, 0, len(x.judge.workers))
+	for id := range x.judge.workers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return x.judge.workers[ids[x.rnd.IntN(len(ids))]]
+}
+
+// randomStep draws a step of any kind that the platform knows.
+func (x *explorer) randomStep(i int) Step {
+	s := Step{Count: 1 + x.rnd.IntN(4), Need: Resources{CPU: int64(300 + x.rnd.IntN(3000)), Mem: 500}, EstimateMS: int64(100 + x.rnd.IntN(900))}
+	if i > 0 {
+		s.After = []int{i - 1}
+	}
+	switch x.rnd.IntN(8) {
+	case 0:
+		s.Gang, s.SameRack = true, x.rnd.IntN(2) == 0
+	case 1:
+		s.RequiredLabel = "b"
+	case 2:
+		s.Need.GPU = 1
+	case 3:
+		s.AntiAffinity = 1 + x.rnd.IntN(2)
+	case 4:
+		s.Speculative = true
+	case 5:
+		s.AffinityRack = "r-1"
+	}
+	s.Checkpointed = x.rnd.IntN(3) == 0
+	return s
+}
+
+func (x *explorer) submit(n int) {
+	j := &simJob{queue: x.queues[x.rnd.IntN(len(x.queues))], tasks: map[string]*simTask{}, tickets: map[string]time.Duration{}}
+	j.advised = j.queue.Advised
+	j.spec = Spec{ID: fmt.Sprintf("%016x", n), Queue: j.queue.Name}
+	if x.rnd.IntN(5) == 0 {
+		j.failing = 0.3
+	}
+	switch x.rnd.IntN(8) {
+	case 0:
+		lasting := Step{Count: 3, Need: Resources{CPU: 1500, Mem: 500}, Lasting: true, AntiAffinity: 1, MayMiss: 1, TailTargetMS: 100}
+		fills := Step{Count: 2, Need: Resources{CPU: 4000, Mem: 500}, Lasting: true, Fills: true}
+		j.spec.Steps, j.failing = []Step{lasting, fills}, 0
+	default:
+		for i := range 1 + x.rnd.IntN(3) {
+			j.spec.Steps = append(j.spec.Steps, x.randomStep(i))
+		}
+		if x.rnd.IntN(6) == 0 {
+			j.spec.Times, j.spec.FirstDueMS, j.spec.IntervalMS = 3, x.clock().Wall+500, 700
+		}
+	}
+	x.know(j)
+	x.pool.Submit(j.spec, x.clock())
+}
+
+// know makes the job's tasks known to the judge.
+func (x *explorer) know(j *simJob) {
+	for occ := range j.spec.Occurrences() {
+		for i := range j.spec.Steps {
+			for k := range j.spec.Steps[i].Count {
+				id := TaskID{Job: j.spec.ID, Occ: occ, Step: i, IndexInStep: k}
+				t := &simTask{name: id.String(), job: j, spec: &j.spec.Steps[i], step: i, occ: occ, saved: map[string]bool{}}
+				j.tasks[t.name], x.judge.tasks[t.name] = t, t
+			}
+		}
+	}
+	x.jobs = append(x.jobs, j)
+}
+
+// trouble draws what goes wrong in this step.
+func (x *explorer) trouble() {
+	if x.chance(0.03) {
+		x.pick().cutUntil = x.now + time.Duration(x.rnd.IntN(9000))*time.Millisecond
+	}
+	if x.chance(0.01) {
+		x.pick().restart(x.now)
+	}
+	if x.chance(0.01) {
+		x.replace()
+	}
+	if x.chance(0.01) {
+		x.storeUntil = x.now + time.Duration(x.rnd.IntN(3000))*time.Millisecond
+	}
+	if x.chance(0.02) {
+		x.takeOver(x.pool.Token + 1)
+	}
+	if x.chance(0.02) {
+		x.pool.Cordon(x.pick().info.ID, x.now+2*time.Second, x.clock())
+	}
+	if x.breach == falseDeaths && x.chance(0.05) {
+		x.pool.WorkerGone(x.pick().info.ID, x.clock())
+	}
+	if len(x.jobs) > 0 && x.chance(0.02) {
+		x.cancel(x.jobs[x.rnd.IntN(len(x.jobs))])
+	}
+}
+
+func (x *explorer) replace() {
+	w := x.pick()
+	x.judge.lifeEnded(w)
+	delete(x.judge.workers, w.info.ID)
+	x.pool.WorkerGone(w.info.ID, x.clock())
+	x.addWorker(int(w.info.ID[3] - '0'))
+	x.roster()
+}
+
+func (x *explorer) cancel(j *simJob) {
+	job, known := x.pool.Cancel(j.spec.ID, x.clock())
+	if !known {
+		return
+	}
+	j.cancelled = true
+	job.WhenCommitted(func() {
+		if job.state == Cancelled {
+			j.cancelledAt = x.now
+		}
+	})
+}
+
+func (x *explorer) step() {
+	x.now += exploreStep
+	for _, w := range x.judge.workers {
+		w.age(x.now, exploreStep)
+	}
+	x.trouble()
+	x.late = slices.DeleteFunc(x.late, func(c lateCall) bool {
+		if c.at > x.now {
+			return false
+		}
+		c.do()
+		return true
+	})
+	x.holds()
+	x.pool.Tick(x.clock())
+	x.pool.Poke()
+	x.pool.Place(x.clock())
+	x.flush()
+	x.advise()
+	x.judge.judgeStates(x.pool, x.jobs)
+}
+
+func (x *explorer) holds() {
+	for _, to := range x.pool.Targets() {
+		req, ok := x.pool.Hold(to.ID, x.clock())
+		w := x.judge.workers[to.ID]
+		switch {
+		case !ok:
+		case w == nil || w.cut(x.now):
+			x.pool.HoldFailed(to.ID, x.clock())
+		default:
+			a, obeyed := w.answer(req, x.pool.Token, x.now)
+			if !obeyed || x.chance(0.02) {
+				x.pool.HoldFailed(to.ID, x.clock())
+				continue
+			}
+			x.pool.HoldAnswered(to.ID, a, x.now, x.clock())
+		}
+	}
+}
+
+func (x *explorer) flush() {
+	for {
+		if x.now >= x.storeUntil {
+			x.write()
+		}
+		orders := x.pool.TakeOrders()
+		if len(orders) == 0 {
+			return
+		}
+		for _, o := range orders {
+			x.send(o)
+		}
+	}
+}
+
+func (x *explorer) write() {
+	for batch := x.pool.NextBatch(99, 1<<20); len(batch) > 0; batch = x.pool.NextBatch(99, 1<<20) {
+		x.ver++
+		for _, ch := range batch {
+			x.store(ch)
+		}
+		x.pool.Committed(batch, x.ver, x.clock())
+	}
+}
+
+func (x *explorer) store(ch Change) {
+	id := ch.Job.Spec.ID
+	if ch.Record == nil {
+		delete(x.records, id)
+		return
+	}
+	if _, known := x.records[id]; known && x.breach == lostRecords && x.chance(0.5) {
+		return
+	}
+	rec := ch.Job.record()
+	if x.breach == forgottenFailures {
+		for i := range rec.Tasks {
+			rec.Tasks[i].Failures = 0
+		}
+	}
+	x.records[id] = stored{spec: ch.Job.Spec, record: rec, ver: x.ver}
+}
+
+// send carries an order out, now or late, with or without an answer.
+func (x *explorer) send(o Order) {
+	w, pool, token := x.judge.workers[o.Worker.ID], x.pool, x.pool.Token
+	if x.breach == unfencedOrders {
+		token += 1000
+	}
+	life := int64(0)
+	if w != nil {
+		life = w.born
+	}
+	if t := x.judge.tasks[o.Task.String()]; t != nil {
+		t.note(x.now, "order %d for run %d to %s, token %d", o.Kind, o.Run, w, token)
+	}
+	carryOut := func() (string, bool) {
+		if w == nil || x.judge.workers[o.Worker.ID] != w || w.born != life {
+			return "", false
+		}
+		switch o.Kind {
+		case OrderStart:
+			return w.start(o, x.judge.tasks[o.Task.String()], token, x.now, x.rnd), true
+		case OrderPace:
+			if r := w.runs[runKey(o.Task, o.Run)]; r != nil {
+				r.pace = o.Percent
+			}
+			return "", true
+		}
+		return "", w.stop(o, token, x.now)
+	}
+	answered := w != nil && !w.cut(x.now)
+	switch {
+	case !answered || x.chance(0.04):
+		if x.chance(0.5) {
+			x.late = append(x.late, lateCall{at: x.now + time.Duration(x.rnd.IntN(6000))*time.Millisecond, do: func() { carryOut() }})
+		}
+		x.answer(pool, o, StartUnknown, "", false)
+	case x.chance(0.04):
+		carryOut()
+		x.answer(pool, o, StartUnknown, "", false)
+	default:
+		reason, done := carryOut()
+		out := StartAccepted
+		if reason != "" || !done {
+			out = StartRejected
+		}
+		x.answer(pool, o, out, reason, done)
+	}
+}
+
+func (x *explorer) answer(p *Pool, o Order, out StartOutcome, reason string, done bool) {
+	switch {
+	case p != x.pool || reason == "fence":
+	case o.Kind == OrderStart:
+		p.StartAnswered(o, out, reason, x.clock())
+	case o.Kind == OrderStop:
+		p.StopAnswered(o, done, x.clock())
+	}
+}
+
+// advise gives tickets for half of the workers of each kind.
+func (x *explorer) advise() {
+	const valid = 3 * time.Second
+	for _, req := range x.pool.TakeAdviceRequests() {
+		job := x.judge.tasks[req.Step+".0"].job
+		var good []AdviceRow
+		for _, id := range req.Workers {
+			if w := x.judge.workers[id]; w != nil && int(w.info.ID[3]-'0')/2%2 == 0 {
+				good = append(good, AdviceRow{Worker: id, Ticket: w.String()})
+				job.tickets[w.String()] = x.now + valid
+			}
+		}
+		x.pool.Advised(req, good, valid, !x.chance(0.2), x.clock())
+	}
+}
+
+// play runs a whole history and returns the breaches of rules.
+func (x *explorer) play() []string {
+	for n := range exploreTurns {
+		if n%8 == 0 {
+			x.submit(n)
+		}
+		x.step()
+	}
+	x.calm, x.storeUntil = true, 0
+	for _, w := range x.judge.workers {
+		w.cutUntil = 0
+	}
+	for range exploreCalm {
+		x.step()
+		if len(x.judge.faults) > 0 {
+			return x.judge.faults
+		}
+	}
+	x.judgeLost()
+	return x.judge.faults
+}
+
+// judgeLost checks that after a long calm everything accepted has ended or, if it lasts, is at work.
+func (x *explorer) judgeLost() {
+	for _, j := range x.jobs {
+		if _, stored := x.records[j.spec.ID]; !stored {
+			continue // never accepted: its owner was succeeded before it was in the store
+		}
+		job := x.pool.Job(j.spec.ID)
+		if job == nil {
+			x.judge.fail("LOST", "%s isn't known", j.spec.ID)
+			continue
+		}
+		for _, t := range j.tasks {
+			switch {
+			case job.State().Terminal() && len(t.running) > 0:
+				x.judge.fail("UNASKED", "%s runs on, its job is %s", t.name, job.State())
+			case !job.State().Terminal() && t.spec.Lasting && len(t.running) == 0:
+				x.judge.fail("LOST", "%s lasts and doesn't run", t.name)
+			case !job.State().Terminal() && !t.spec.Lasting && !t.done:
+				x.judge.fail("LOST", "%s is not done, its job is %s", t.name, job.State())
+			}
+		}
+	}
+}
+
+// Guards against a rule of the platform that breaks in some order of faults that nobody thought of.
+func TestRulesUnderRandomFaults(t *testing.T) {
+	for seed := range uint64(exploreSeeds) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			if faults := newExplorer(seed, soundWorld).play(); len(faults) > 0 {
+				t.Errorf("%d breaches, the first: %s", len(faults), faults[0])
+			}
+		})
+	}
+}
+
+// Guards against a judge that sees nothing: where the store, the list of workers or the fence does not keep what the platform
+// promises, some history must break a rule.
+func TestJudgeSeesBreaches(t *testing.T) {
+	for name, b := range map[string]breach{"lost records": lostRecords, "false deaths": falseDeaths, "no fence": unfencedOrders, "forgotten failures": forgottenFailures} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(exploreSeeds) {
+				if len(newExplorer(seed, b).play()) > 0 {
+					return
+				}
+			}
+			t.Errorf("no breach in %d histories", exploreSeeds)
+		})
+	}
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -34,6 +34,8 @@
 	clockAt time.Duration
 	// deadlineMS is the highest lease end that was sent, on the worker's clock.
 	deadlineMS int64
+	// othersMS bounds the leases that others may have granted: former owners, and orders that were meant for a former life.
+	othersMS int64
 	// met is set by the first hold that was answered under this ownership.
 	met       bool
 	lastHeard time.Duration
@@ -283,7 +285,7 @@
 	if !w.met {
 		return c.Now-p.takenAt > time.Duration(float64(p.opt.HoldMax)*clockSkew)+time.Second
 	}
-	left := time.Duration(float64(w.deadlineMS-w.clockMS)*clockSkew) * time.Millisecond
+	left := time.Duration(float64(max(w.deadlineMS, w.othersMS)-w.clockMS)*clockSkew) * time.Millisecond
 	return c.Now > w.clockAt+left+lapseMargin
 }
 
@@ -351,10 +353,11 @@
 	}
 }
 
-// tickRun sends unanswered orders again.
+// tickRun sends unanswered orders again. A start waits until its worker is heard again: a worker that has started anew behind a
+// cut would take the deadline for one on its own clock.
 func (p *Pool) tickRun(r *Run, c Clock) {
 	switch {
-	case r.phase == phaseStarting && r.unknown && c.Now-r.orderedAt > p.opt.RetryOrder:
+	case r.phase == phaseStarting && r.unknown && p.reachable(r.Worker, c) && c.Now-r.orderedAt > p.opt.RetryOrder:
 		p.sendStart(r, c)
 	case r.phase == phaseStopping && !r.stopDone && c.Now-r.stopSentAt > p.opt.RetryOrder:
 		r.stopSentAt = c.Now
--- a/engine/world_test.go
+++ b/engine/world_test.go
@@ -57,7 +57,7 @@
 		id := fmt.Sprintf("i-%02d", i)
 		w.workers[id] = &fakeWorker{
 			info: WorkerInfo{ID: id, Address: id, Room: Resources{CPU: 64000, Mem: 128000}, Labels: []string{"a", fmt.Sprintf("r-%d", i/4)}},
-			born: 1000 + int64(i), running: map[string]*fakeRun{}, carriesOut: true,
+			born: 1000 + int64(i), bornAt: -time.Minute, running: map[string]*fakeRun{}, carriesOut: true,
 		}
 	}
 	w.roster()
