Show operators owners, pools, queues, waves and what a job waits for

Cause: on the users' platform an operator had only logs; no command told where a job's runs are or why the rest waits. Change: package status serves the state as any daemon sees it, as JSON and as a page, on the metrics address; samphirepoint status reads it; engine.Explain names what a step's waiting tasks wait for. A settings file that changes without a signal is read again.

--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -43,6 +43,7 @@
 	Empty   bool         `json:"empty,omitempty"`
 
 	Report *engine.PoolReport `json:"report,omitempty"`
+	Job    *engine.JobReport  `json:"job,omitempty"`
 }
 
 // The operations of a Call.
@@ -56,6 +57,7 @@
 	OpOwner   = "owner"
 	OpReport  = "report"
 	OpGone    = "gone"
+	OpExplain = "explain"
 )
 
 // attemptTime bounds one attempt at one daemon; the next one may find another owner.
@@ -193,6 +195,10 @@
 		var r engine.PoolReport
 		r, err = o.Report(ctx)
 		res.Report = &r
+	case OpExplain:
+		var j engine.JobReport
+		j, res.Known, err = o.Explain(ctx, call.ID)
+		res.Job = &j
 	default:
 		err = verdict.New(verdict.NotRun, http.StatusBadRequest, "unknown operation %q", call.Op)
 	}
--- /dev/null
+++ b/cluster/status.go
@@ -0,0 +1,62 @@
+package cluster
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"samphirepoint/engine"
+)
+
+// Ownership is a pool, or the fleet's duties, with the daemon that owns it.
+type Ownership struct {
+	Pool  string `json:"pool"`
+	Node  string `json:"node,omitempty"`
+	Token int64  `json:"token,omitempty"`
+}
+
+// Owners lists the pools of the configuration and the fleet's duties with their owners as this daemon sees them.
+func (n *Node) Owners() []Ownership {
+	alive := n.Alive()
+	names := []string{FleetDuty}
+	if c := n.catalog.Load(); c != nil {
+		names = append(names, c.Working()...)
+	}
+	slices.Sort(names)
+	var out []Ownership
+	for _, pool := range names {
+		o := Ownership{Pool: pool}
+		if m, ok := Owner(alive, pool); ok {
+			o.Node, o.Token = m.Node, m.Pools[pool]
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// Explain asks the owners of all pools for a job, as its ID doesn't name its pool. It returns the pool that knows the job.
+func (n *Node) Explain(ctx context.Context, id string) (pool string, job engine.JobReport, known bool, err error) {
+	c := n.catalog.Load()
+	if c == nil {
+		return "", job, false, noOwner("")
+	}
+	var mu sync.Mutex
+	var g errgroup.Group
+	for _, name := range c.Working() {
+		g.Go(func() error {
+			res, err := n.try(ctx, Call{Op: OpExplain, Pool: name, ID: id})
+			if err == nil && res.Known && res.Job != nil {
+				mu.Lock()
+				pool, job, known = name, *res.Job, true
+				mu.Unlock()
+			}
+			return err
+		})
+	}
+	if err = g.Wait(); known {
+		err = nil
+	}
+	return pool, job, known, err
+}
--- a/command/all.go
+++ b/command/all.go
@@ -10,6 +10,7 @@
 		&devCommand{},
 		&compareCommand{},
 		&daemonCommand{},
+		&statusCommand{},
 		&entryCommand{},
 		versionCommand{},
 		standinCommand{},
--- a/command/main.go
+++ b/command/main.go
@@ -86,6 +86,7 @@
 		names []string
 	}{
 		{"Run", []string{"daemon", "entry", "settings", "token", "version"}},
+		{"Look, through any daemon on the users' platform", []string{"status"}},
 		{"Operate, through the admin API of any entry", []string{"table", "pool", "maintenance"}},
 		{"Try and measure on loopback", []string{"dev", "load", "compare", "standin"}},
 	} {
--- a/command/main_test.go
+++ b/command/main_test.go
@@ -56,6 +56,9 @@
 	}{
 		{"frobnicate", `unknown command "frobnicate"`},
 		{"help frobnicate", "frobnicate"},
+		{"status -at 127.0.0.1:1 poools", "expected jobs ID, queues, pools, waves or owners"},
+		{"status -at 127.0.0.1:1 jobs", "expected jobs ID, queues, pools, waves or owners"},
+		{"status queues", "expected -at IP:PORT"},
 		{"dev -deployment mars", "expected inzira or hraunvik"},
 		{"dev -policies lifo,random,owner", `"lifo", expected weighted or fifo`},
 		{"dev -policies weighted", "expected three names"},
--- /dev/null
+++ b/command/status.go
@@ -0,0 +1,189 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"samphirepoint/platform"
+	"samphirepoint/status"
+)
+
+// statusTimeout bounds one look at a daemon.
+const statusTimeout = 3 * time.Second
+
+// statusCommand shows what a daemon on the users' platform says of the fleet.
+type statusCommand struct {
+	at   string
+	json bool
+}
+
+func (*statusCommand) Name() string { return "status" }
+func (*statusCommand) Synopsis() string {
+	return "show jobs, queues, pools, waves and owners on the users' platform"
+}
+func (*statusCommand) Usage() string {
+	return `samphirepoint status [-at IP:PORT] [-json] jobs ID | queues | pools | waves | owners
+  jobs ID   what each step of a job does, where its runs are, and why the rest waits
+  queues    jobs of which nothing has started, by queue
+  pools     workers, cores in use and pending, by pool
+  waves     waves of upkeep that operators have asked for
+  owners    which daemon owns each pool, and the fencing token
+  Any daemon answers, at the last port of its port_range. Without -at, the settings file that ` + platform.SettingsVariable + `
+  names tells the daemon of this machine. A page for a browser is at http://IP:PORT/status/.
+  Exit status: 0 on success, 1 if the daemon doesn't answer or the job isn't known, 2 for bad arguments or settings.
+  Example: samphirepoint status -at 10.1.0.9:7075 jobs 5c0e7a21d94b36f8
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *statusCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.at, "at", "", "`ADDRESS` of a daemon's status interface")
+	f.BoolVar(&c.json, "json", false, "print JSON")
+}
+
+// Execute implements subcommands.Command.
+func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	err := c.run(ctx, f.Args(), os.Stdout)
+	var usage usageError
+	switch {
+	case err == nil:
+		return subcommands.ExitSuccess
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, "samphirepoint:", err)
+		return subcommands.ExitUsageError
+	}
+	fmt.Fprintln(os.Stderr, "samphirepoint:", err)
+	return subcommands.ExitFailure
+}
+
+func (c *statusCommand) run(ctx context.Context, args []string, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	address, err := c.address()
+	if err != nil {
+		return err
+	}
+	client := status.NewClient(address, http.DefaultClient)
+	switch {
+	case len(args) == 2 && args[0] == "jobs":
+		job, err := client.Job(ctx, args[1])
+		if err != nil {
+			return err
+		}
+		return c.print(out, job, func() { printJob(out, &job) })
+	case len(args) != 1 || statusViews[args[0]] == nil:
+		return usagef("expected jobs ID, queues, pools, waves or owners, found %q", args)
+	}
+	o, err := client.Overview(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(out, statusViews[args[0]].value(&o), func() { printTable(out, statusViews[args[0]].rows(&o)) })
+}
+
+// address is that of -at, or of the daemon that the settings file describes.
+func (c *statusCommand) address() (string, error) {
+	if c.at != "" {
+		return c.at, nil
+	}
+	file := os.Getenv(platform.SettingsVariable)
+	if file == "" {
+		return "", usagef("expected -at IP:PORT, or a settings file named by %s", platform.SettingsVariable)
+	}
+	set, err := platform.LoadSettings(file)
+	if err != nil {
+		return "", usagef("%v", err)
+	}
+	return set.MetricsAddress(), nil
+}
+
+func (c *statusCommand) print(out io.Writer, value any, asText func()) error {
+	if !c.json {
+		asText()
+		return nil
+	}
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(value)
+}
+
+// statusView is one part of the overview.
+type statusView struct {
+	value func(*status.Overview) any
+	rows  func(*status.Overview) [][]string
+}
+
+var statusViews = map[string]*statusView{
+	"queues": {func(o *status.Overview) any { return o.Queues }, queueRows},
+	"pools":  {func(o *status.Overview) any { return o.Pools }, poolRows},
+	"waves":  {func(o *status.Overview) any { return o.Waves }, waveRows},
+	"owners": {func(o *status.Overview) any { return o.Pools }, ownerRows},
+}
+
+func queueRows(o *status.Overview) [][]string {
+	rows := [][]string{{"QUEUE", "pool", "priority", "waiting"}}
+	for _, q := range o.Queues {
+		waiting := fmt.Sprint(q.Waiting)
+		if q.Waiting < 0 {
+			waiting = "unknown"
+		}
+		rows = append(rows, text(q.Name, q.Pool, q.Priority, waiting))
+	}
+	return rows
+}
+
+func poolRows(o *status.Overview) [][]string {
+	rows := [][]string{{"POOL", "workers", "usable", "cordoned", "cores", "used", "pending", "jobs waiting", "error"}}
+	for _, p := range o.Pools {
+		rows = append(rows, text(p.Pool, p.Workers, p.Usable, p.Cordoned, cores(p.RoomCPU), cores(p.UsedCPU), cores(p.PendingCPU), o.Waiting(p.Pool), p.Error))
+	}
+	return rows
+}
+
+// cores prints thousandths of a core as cores.
+func cores(milli int64) string { return fmt.Sprintf("%.1f", float64(milli)/1000) }
+
+func waveRows(o *status.Overview) [][]string {
+	rows := [][]string{{"WAVE", "instances", "at once", "duration"}}
+	for _, w := range o.Waves {
+		rows = append(rows, text(w.ID, len(w.Instances), w.Cap, w.Duration))
+	}
+	return rows
+}
+
+func ownerRows(o *status.Overview) [][]string {
+	rows := [][]string{{"POOL", "owner", "token"}, text("(fleet duties)", o.FleetDuties, "")}
+	for _, p := range o.Pools {
+		rows = append(rows, text(p.Pool, p.Node, p.Token))
+	}
+	return rows
+}
+
+func printJob(w io.Writer, j *status.Job) {
+	age := time.Duration(j.AgeMS) * time.Millisecond
+	fmt.Fprintf(w, "job %s of queue %s in pool %s: %s, handed in %s ago\n", j.ID, j.Queue, j.Pool, j.State, age)
+	rows := [][]string{{"OCCURRENCE.STEP", "tasks", "done", "waiting", "failures", "why"}}
+	for _, s := range j.Steps {
+		rows = append(rows, text(fmt.Sprintf("%d.%d", s.Occurrence, s.Step), s.Tasks, s.Done, s.Waiting, s.Failures, s.Why))
+	}
+	printTable(w, rows)
+	runs := [][]string{{"TASK", "run", "worker", "phase", "percent"}}
+	for _, s := range j.Steps {
+		for _, r := range s.Runs {
+			runs = append(runs, text(r.Task, r.Run, r.Worker, r.Phase, r.Percent))
+		}
+	}
+	if len(runs) > 1 {
+		fmt.Fprintln(w)
+		printTable(w, runs)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,12 +23,15 @@
 	"samphirepoint/observe"
 	"samphirepoint/platform"
 	"samphirepoint/sleep"
+	"samphirepoint/status"
 	"samphirepoint/upkeep"
 )
 
 const (
 	// rosterInterval is the time between two looks at the list of workers.
 	rosterInterval = 250 * time.Millisecond
+	// settingsInterval is the time between two looks whether the settings file has changed without a signal.
+	settingsInterval = 2 * time.Second
 	// goodbye is how long new connections are still served after an order to stop, until the balancer has noticed.
 	goodbye = 2500 * time.Millisecond
 	// graceReserve is kept from the grace for the end of the process itself.
@@ -107,6 +110,8 @@
 	g.Go(func() error { return d.store.FollowOperator(ctx, d.node.SetCatalog, d.waves.Take) })
 	g.Go(func() error { return d.node.Run(ctx) })
 	g.Go(func() error { return d.node.FollowRoster(ctx, rosterInterval) })
+	changed := make(chan struct{}, 1)
+	g.Go(func() error { return watchFile(ctx, os.Getenv(platform.SettingsVariable), settingsInterval, changed) })
 	g.Go(func() error {
 		defer cancel()
 		defer closeAll(servers)
@@ -116,6 +121,8 @@
 				return nil
 			case <-hups:
 				d.reload()
+			case <-changed:
+				d.reload()
 			case <-terms:
 				d.leave(ctx, servers)
 				return nil
@@ -157,7 +164,7 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /api/ready", d.ready)
 	var out []*http.Server
-	for address, h := range map[string]http.Handler{d.set.Listen.Front: front, d.set.Listen.Ready: ready, d.set.PeerAddress(): d.node.PeerHandler(), d.set.MetricsAddress(): observe.Handler()} {
+	for address, h := range map[string]http.Handler{d.set.Listen.Front: front, d.set.Listen.Ready: ready, d.set.PeerAddress(): d.node.PeerHandler(), d.set.MetricsAddress(): d.insight()} {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, err
@@ -174,6 +181,14 @@
 	return out, nil
 }
 
+// insight serves metrics as text, and the state of the fleet below /status/.
+func (d *Daemon) insight() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", observe.Handler())
+	mux.Handle("/status/", status.Handler(d.node, d.waves))
+	return mux
+}
+
 // ready says whether the balancer may send new connections.
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
 	if d.leaving.Load() || d.node.Catalog() == nil {
--- /dev/null
+++ b/daemon/status_test.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"samphirepoint/engine"
+	"samphirepoint/status"
+)
+
+// Guards against an operator who asks any daemon and is not told who owns a pool, what a queue has waiting, or where a job of another
+// daemon's pool runs.
+func TestAnyDaemonShowsTheFleet(t *testing.T) {
+	g := NewWithT(t)
+	d := deploy(t, 2)
+	const id = "00000000000000d1"
+	g.Eventually(func() int {
+		code, _ := d.daemons[0].ask(http.MethodPost, "/pumps/"+id, `{"task_spec":"x","steps":[{"count":2,"cpu":500,"mem_mb":10,"estimate_ms":60000},{"count":1,"cpu":500,"after":[0]}]}`)
+		return code
+	}, 20*time.Second, 50*time.Millisecond).Should(Equal(http.StatusOK))
+	for _, r := range d.daemons {
+		client := status.NewClient(r.set.MetricsAddress(), http.DefaultClient)
+		g.Eventually(func(g Gomega) {
+			o, err := client.Overview(context.Background())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(o.Version).To(Equal(int64(1)))
+			g.Expect(o.FleetDuties).NotTo(BeEmpty())
+			g.Expect(o.Pools).To(HaveLen(2))
+			for _, p := range o.Pools {
+				g.Expect(p.Node).NotTo(BeEmpty())
+				g.Expect(p.Error).To(BeEmpty())
+				g.Expect(p.Usable).To(BeNumerically(">", 0))
+			}
+			j, err := client.Job(context.Background(), id)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(j.Pool).To(Equal("pumps"))
+			g.Expect(j.State).To(BeElementOf(engine.Running, engine.Completed))
+			g.Expect(j.Steps).To(HaveLen(2))
+		}, 20*time.Second, 50*time.Millisecond).Should(Succeed())
+		_, err := client.Job(context.Background(), "ffffffffffffffff")
+		g.Expect(err).To(MatchError(ContainSubstring("no job ffffffffffffffff is known")))
+
+		resp, err := http.Get("http://" + r.set.MetricsAddress() + "/status/")
+		g.Expect(err).NotTo(HaveOccurred())
+		page, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(strings.Contains(string(page), "<td>pumps")).To(BeTrue(), string(page))
+	}
+}
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -142,6 +142,14 @@
 	return r, err
 }
 
+// Explain says what a job does and waits for, and false if no such job is known.
+func (o *Owner) Explain(ctx context.Context, id string) (engine.JobReport, bool, error) {
+	var r engine.JobReport
+	known := false
+	err := o.Do(ctx, func(p *engine.Pool, c engine.Clock) { r, known = p.Explain(id, c) })
+	return r, known, err
+}
+
 // Gone takes in that a worker's life is over.
 func (o *Owner) Gone(ctx context.Context, worker string) error {
 	return o.Do(ctx, func(p *engine.Pool, c engine.Clock) { p.WorkerGone(worker, c) })
--- /dev/null
+++ b/status/status.go
@@ -0,0 +1,193 @@
+// Package status shows operators the state of the fleet as one daemon sees it: owners, pools, queues, waves and what a job waits
+// for, as JSON and as a page for a browser. It only reads.
+//
+//	mux.Handle("/status/", status.Handler(fleet))
+//	overview, err := status.NewClient("10.1.0.9:7075", http.DefaultClient).Overview(ctx)
+package status
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"samphirepoint/catalog"
+	"samphirepoint/cluster"
+	"samphirepoint/engine"
+	"samphirepoint/upkeep"
+	"samphirepoint/verdict"
+)
+
+// Fleet is what a daemon knows and can ask.
+type Fleet interface {
+	Catalog() *catalog.Catalog
+	Owners() []cluster.Ownership
+	Alive() []cluster.Member
+	// StoreSeen is how long ago the store last answered.
+	StoreSeen() time.Duration
+	Report(ctx context.Context, pool string) (engine.PoolReport, error)
+	Do(ctx context.Context, call cluster.Call) (cluster.Result, error)
+	Explain(ctx context.Context, id string) (pool string, job engine.JobReport, known bool, err error)
+}
+
+// Waves lists the waves that operators have asked for.
+type Waves interface {
+	Waves() []upkeep.Wave
+}
+
+// Pool is the state of a pool. CPU is in thousandths of a core. Error says why its owner did not answer.
+type Pool struct {
+	cluster.Ownership
+	Workers    int    `json:"workers"`
+	Usable     int    `json:"usable"`
+	Cordoned   int    `json:"cordoned"`
+	RoomCPU    int64  `json:"roomCPU"`
+	UsedCPU    int64  `json:"usedCPU"`
+	PendingCPU int64  `json:"pendingCPU"`
+	Error      string `json:"error,omitempty"`
+}
+
+// Queue is a stream of jobs. Waiting is -1 if the owner of its pool did not answer.
+type Queue struct {
+	Name     string `json:"name"`
+	Pool     string `json:"pool"`
+	Priority int    `json:"priority"`
+	Waiting  int    `json:"waiting"`
+}
+
+// Wave is a wave of upkeep as operators asked for it.
+type Wave struct {
+	ID        int64    `json:"id"`
+	Instances []string `json:"instances"`
+	Cap       int      `json:"cap"`
+	Duration  string   `json:"duration"`
+}
+
+// Overview is the state of the fleet.
+type Overview struct {
+	Version     int64  `json:"version"`
+	StoreSeenMS int64  `json:"storeSeenMS"`
+	Daemons     int    `json:"daemons"`
+	FleetDuties string `json:"fleetDuties"`
+
+	Pools  []Pool  `json:"pools"`
+	Queues []Queue `json:"queues"`
+	Waves  []Wave  `json:"waves"`
+}
+
+// Job is a job with the pool that has it.
+type Job struct {
+	Pool string `json:"pool"`
+	engine.JobReport
+}
+
+// answerTime bounds how long the other daemons are waited for.
+const answerTime = 900 * time.Millisecond
+
+// Look reads the state of the fleet. Owners that don't answer in time are named as such.
+func Look(ctx context.Context, f Fleet, w Waves) Overview {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	out := Overview{StoreSeenMS: f.StoreSeen().Milliseconds(), Daemons: len(f.Alive())}
+	for _, o := range f.Owners() {
+		if o.Pool == cluster.FleetDuty {
+			out.FleetDuties = o.Node
+			continue
+		}
+		out.Pools = append(out.Pools, Pool{Ownership: o})
+	}
+	if c := f.Catalog(); c != nil {
+		out.Version = c.Version
+		for _, q := range c.Queues {
+			out.Queues = append(out.Queues, Queue{Name: q.Name, Pool: q.Pool, Priority: q.Priority, Waiting: -1})
+		}
+	}
+	var g errgroup.Group
+	for i := range out.Pools {
+		g.Go(func() error { return out.Pools[i].fill(ctx, f) })
+	}
+	for i := range out.Queues {
+		g.Go(func() error { return out.Queues[i].fill(ctx, f) })
+	}
+	_ = g.Wait() // each row says by itself what is missing
+	for _, wave := range w.Waves() {
+		out.Waves = append(out.Waves, Wave{ID: wave.ID, Instances: wave.Instances, Cap: wave.Cap, Duration: wave.Duration.String()})
+	}
+	slices.SortFunc(out.Waves, func(a, b Wave) int { return int(a.ID - b.ID) })
+	return out
+}
+
+func (p *Pool) fill(ctx context.Context, f Fleet) error {
+	r, err := f.Report(ctx, p.Pool)
+	if err != nil {
+		p.Error = err.Error()
+		return nil
+	}
+	p.Workers, p.RoomCPU, p.UsedCPU, p.PendingCPU = len(r.Workers), r.RoomCPU, r.UsedCPU, r.PendingCPU
+	for _, w := range r.Workers {
+		if w.Usable {
+			p.Usable++
+		}
+		if w.Cordoned {
+			p.Cordoned++
+		}
+	}
+	return nil
+}
+
+func (q *Queue) fill(ctx context.Context, f Fleet) error {
+	res, err := f.Do(ctx, cluster.Call{Op: cluster.OpWaiting, Pool: q.Pool, Queue: q.Name})
+	if err == nil {
+		q.Waiting = res.Waiting
+	}
+	return nil
+}
+
+// The paths of the interface.
+const (
+	pathOverview = "/status/overview"
+	pathJobs     = "/status/jobs/"
+)
+
+// Handler serves the state as JSON, and as a page under /status/.
+func Handler(f Fleet, w Waves) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathOverview, func(rw http.ResponseWriter, r *http.Request) { reply(rw, Look(r.Context(), f, w)) })
+	mux.HandleFunc("GET "+pathJobs+"{id}", func(rw http.ResponseWriter, r *http.Request) { serveJob(rw, r, f) })
+	mux.HandleFunc("GET /status/{$}", func(rw http.ResponseWriter, r *http.Request) { servePage(rw, r, f, w) })
+	return mux
+}
+
+func serveJob(w http.ResponseWriter, r *http.Request, f Fleet) {
+	ctx, cancel := context.WithTimeout(r.Context(), answerTime)
+	defer cancel()
+	id := strings.ToLower(r.PathValue("id"))
+	pool, job, known, err := f.Explain(ctx, id)
+	switch {
+	case known:
+		reply(w, Job{Pool: pool, JobReport: job})
+	case err != nil:
+		http.Error(w, "not every pool's owner answered: "+err.Error(), verdict.Status(err))
+	default:
+		http.Error(w, "no job "+id+" is known; ended jobs are known for a few minutes", http.StatusNotFound)
+	}
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Waiting sums what a pool's queues have waiting.
+func (o *Overview) Waiting(pool string) (waiting int) {
+	for _, q := range o.Queues {
+		if q.Pool == pool && q.Waiting > 0 {
+			waiting += q.Waiting
+		}
+	}
+	return waiting
+}
