Order a pace again until the worker has confirmed it

Cause: the explorer, with a judge for HARM, found filling tasks that went on disturbing a serving one for over 4 s in 6 of 2,000 histories. An order on pace was sent once, so a lost one never came; a successor took the pace of inherited runs for 0, so that it saw nothing to slow down; a late order could undo a newer one. Change: a pace counts as known once the worker has answered; inherited runs have an unknown one; over the target it is ordered each time.

--- a/engine/explore_test.go
+++ b/engine/explore_test.go
@@ -367,6 +367,8 @@
 		p.StartAnswered(o, out, reason, x.clock())
 	case o.Kind == OrderStop:
 		p.StopAnswered(o, done, x.clock())
+	case o.Kind == OrderPace:
+		p.PaceAnswered(o, done, x.clock())
 	}
 }
 
--- a/engine/fills.go
+++ b/engine/fills.go
@@ -13,6 +13,8 @@
 	paceDown = 0.5
 	paceUp   = 10
 	paceMin  = 5
+	// inheritedPace is where a new owner begins with runs whose pace it doesn't know.
+	inheritedPace = 50
 )
 
 // steerFills paces the tasks that fill a worker by the tails that its serving tasks report: fast down, slowly up.
@@ -29,7 +31,7 @@
 	}
 	for _, r := range w.runs {
 		if r.Task.step.spec.Fills && r.phase == phaseRunning {
-			p.setPace(r, nextPace(r.pace, worst))
+			p.setPace(r, nextPace(r.pace, worst), worst > 1)
 			w.pacedAt = c.Now
 		}
 	}
@@ -48,10 +50,19 @@
 	return pace
 }
 
-func (p *Pool) setPace(r *Run, percent int64) {
-	if percent == r.pace {
+// setPace orders a pace that differs from the last one, or that the worker has not confirmed. With again it is ordered in any
+// case: an earlier order may have been carried out after the last one.
+func (p *Pool) setPace(r *Run, percent int64, again bool) {
+	if percent == r.pace && r.paceKnown && !again {
 		return
 	}
-	r.pace = percent
+	r.pace, r.paceKnown = percent, false
 	p.orders = append(p.orders, Order{Kind: OrderPace, Task: r.Task.id, Run: r.Num, Worker: r.Worker.target(), Percent: percent})
 }
+
+// PaceAnswered takes in whether a worker has answered an order on pace.
+func (p *Pool) PaceAnswered(o Order, done bool, _ Clock) {
+	if r := p.findRun(o); r != nil && r.pace == o.Percent {
+		r.paceKnown = done
+	}
+}
--- a/engine/place.go
+++ b/engine/place.go
@@ -153,7 +153,7 @@
 // start decides a run; its order is sent once the job is in the store.
 func (p *Pool) start(t *Task, w *Worker, run int64, c Clock) {
 	t.lastRun = run
-	r := &Run{Task: t, Num: run, Worker: w, bornMS: w.bornMS, phase: phaseIntent, pace: 100, startedAt: c.Now}
+	r := &Run{Task: t, Num: run, Worker: w, bornMS: w.bornMS, phase: phaseIntent, pace: 100, paceKnown: true, startedAt: c.Now}
 	if tk, ok := t.step.tickets[w.ID]; ok {
 		r.ticket = tk.code
 	}
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -147,7 +147,7 @@
 	}
 	for _, rr := range tr.Live {
 		w := p.worker(rr.Worker)
-		r := &Run{Task: t, Num: rr.Run, Worker: w, bornMS: rr.BornMS, phase: phaseInherited}
+		r := &Run{Task: t, Num: rr.Run, Worker: w, bornMS: rr.BornMS, phase: phaseInherited, pace: inheritedPace}
 		t.live = append(t.live, r)
 		w.add(r)
 	}
--- a/engine/simworker_test.go
+++ b/engine/simworker_test.go
@@ -10,6 +10,7 @@
 	simStop     = 200 * time.Millisecond
 	simGangWait = 3 * time.Second
 	simHoldMax  = 10 * time.Second
+	simHarm     = 4 * time.Second
 )
 
 // simRun is a run on a simulated worker.
@@ -23,6 +24,8 @@
 	saved   string
 	pace    int64
 	stopped time.Duration // when the stop takes effect, 0 if none was ordered
+	// harmedSince is since when a serving task has been over its target through tasks that fill, 0 if it is not.
+	harmedSince time.Duration
 }
 
 func (r *simRun) spec() *Step { return r.task.spec }
@@ -171,6 +174,7 @@
 			}
 			continue
 		}
+		w.judgeHarm(r, now)
 		before := r.worked
 		r.worked += dt * time.Duration(r.pace) / 100
 		if r.spec().Checkpointed && r.worked/time.Second > before/time.Second {
@@ -182,6 +186,19 @@
 	}
 }
 
+// judgeHarm checks that a serving task that can be seen is not over its target for long through what fills beside it.
+func (w *simWorker) judgeHarm(r *simRun, now time.Duration) {
+	target := r.spec().TailTargetMS
+	switch {
+	case target == 0 || r.spec().Fills || w.cut(now) || w.load(r) <= target:
+		r.harmedSince = 0
+	case r.harmedSince == 0:
+		r.harmedSince = now
+	case now-r.harmedSince > simHarm:
+		w.judge.fail("HARM", "%s is over its target since %s at %s", r.task.name, r.harmedSince, w)
+	}
+}
+
 // answer is what the worker says on a hold, or false if the token is too low.
 func (w *simWorker) answer(req HoldRequest, token int64, now time.Duration) (HoldAnswer, bool) {
 	if w.fenced(token) {
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -87,8 +87,10 @@
 	stopDoneAt  time.Duration
 	percent     int64
 	load        int64
-	pace        int64
-	ticket      string
+	// pace is the percent that was ordered last, paceKnown whether the worker has answered that order.
+	pace      int64
+	paceKnown bool
+	ticket    string
 }
 
 type phase uint8
--- a/owner/calls.go
+++ b/owner/calls.go
@@ -131,7 +131,11 @@
 		}
 		o.post(func() { o.pool.StopAnswered(order, err == nil, o.clock()) })
 	case engine.OrderPace:
-		o.ended(order, o.set.Workers.Pace(ctx, order, o.set.Token))
+		err := o.set.Workers.Pace(ctx, order, o.set.Token)
+		if o.ended(order, err) {
+			return
+		}
+		o.post(func() { o.pool.PaceAnswered(order, err == nil, o.clock()) })
 	}
 }
 
