--- a/engine/fills_test.go
+++ b/engine/fills_test.go
@@ -42,6 +42,7 @@
 	g.Expect(paces(true)).To(BeEmpty(), "a tail below the limit changes nothing")
 	w.successor()
 	w.hold()
+	g.Expect(w.pool.TakeOrders()).To(ConsistOf(HaveField("Kind", OrderPace)), "the pace of an inherited run isn't known")
 	g.Expect(paces(false)).To(HaveLen(4), "without an answer the pace is ordered again")
 	g.Expect(paces(true)).To(HaveLen(1))
 }
