Ask the adviser for each worker of a large pool in its turn

Cause: a question names 30 workers, and each one named the first 30 by ID; in a larger pool a step whose good workers come later, or whose good workers are full, waited for ever. Change: those asked for longest ago come first, then those with room; workers with a valid ticket are not asked for again.

--- a/engine/advice.go
+++ b/engine/advice.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -43,14 +44,10 @@
 		return room
 	}
 	req := AdviceRequest{Step: st.occ.job.Spec.ID + "." + itoa(int64(st.occ.index)) + "." + itoa(int64(st.index)), state: st, born: map[string]int64{}}
-	for _, w := range workers {
-		if len(req.Workers) == adviceBatch {
-			break
-		}
-		if w.info.Room.Covers(st.spec.Occupies()) && w.hasLabel(st.spec.RequiredLabel) {
-			req.Workers = append(req.Workers, w.ID)
-			req.born[w.ID] = w.bornMS
-		}
+	for _, w := range st.toAsk(workers, c) {
+		req.Workers = append(req.Workers, w.ID)
+		req.born[w.ID] = w.bornMS
+		st.askedOf[w.ID] = c.Now
 	}
 	if len(req.Workers) > 0 {
 		st.asked = true
@@ -60,6 +57,26 @@
 	return room
 }
 
+// toAsk chooses the workers to ask for: of those that could run the step and have no valid ticket, the ones that were asked
+// for longest ago, so that in a large pool each has its turn; among equals, those with room now.
+func (st *stepState) toAsk(workers []*Worker, c Clock) []*Worker {
+	if st.askedOf == nil {
+		st.askedOf = map[string]time.Duration{}
+	}
+	need := st.spec.Occupies()
+	var out []*Worker
+	for _, w := range workers {
+		if w.info.Room.Covers(need) && w.hasLabel(st.spec.RequiredLabel) && !st.ticketed(w, c.Now) {
+			out = append(out, w)
+		}
+	}
+	full := func(w *Worker) int { return boolRank(w.info.Room.Sub(w.used).Covers(need)) }
+	slices.SortStableFunc(out, func(a, b *Worker) int {
+		return cmp.Or(cmp.Compare(st.askedOf[a.ID], st.askedOf[b.ID]), cmp.Compare(full(a), full(b)))
+	})
+	return out[:min(len(out), adviceBatch)]
+}
+
 // ticketed reports whether the step has a valid ticket for this life of the worker.
 func (st *stepState) ticketed(w *Worker, now time.Duration) bool {
 	tk, ok := st.tickets[w.ID]
--- a/engine/job.go
+++ b/engine/job.go
@@ -52,6 +52,8 @@
 	asked   bool
 	askedAt time.Duration
 	noGood  time.Duration
+	// askedOf is when the adviser was last asked for each worker.
+	askedOf map[string]time.Duration
 }
 
 // Task is one task of a step in one occurrence.
