Give pools away while the store fails only this daemon

Change: a daemon that the store has failed for 0.45 s offers its pools, all at once, to daemons that don't decline; one whose own store has not answered for 0.9 s declines, so that nothing moves while the store is away for all.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -113,6 +113,9 @@
 	roster      map[string][]engine.WorkerInfo
 	kick        chan struct{}
 	since       time.Duration
+	// declined are the daemons that did not take a pool, and when; handingOff is set while pools are offered.
+	declined   map[string]time.Duration
+	handingOff atomic.Bool
 	// unreached are the daemons that could not be reached, and when.
 	unreached map[string]time.Duration
 }
@@ -121,7 +124,7 @@
 func NewNode(s Settings) *Node {
 	return &Node{
 		set: s, view: NewView(s.Name, deadAfter), owned: map[string]Tenure{}, pools: map[string]*owner.Owner{}, tried: map[string]time.Duration{},
-		kick: make(chan struct{}, 1), peers: newPeerClient(), since: s.Now(), unreached: map[string]time.Duration{},
+		kick: make(chan struct{}, 1), peers: newPeerClient(), since: s.Now(), unreached: map[string]time.Duration{}, declined: map[string]time.Duration{},
 	}
 }
 
@@ -193,6 +196,7 @@
 // look reads the members and takes what is free.
 func (n *Node) look(ctx context.Context) {
 	if !n.observe(ctx) {
+		n.handOffStoreless(ctx)
 		return
 	}
 	n.confirm(ctx)
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -33,6 +33,8 @@
 	ForMS  int64        `json:"forMS,omitempty"`
 	Token  int64        `json:"token,omitempty"`
 	From   string       `json:"from,omitempty"`
+	// Storeless marks a pool that is given away as the store does not serve its owner.
+	Storeless bool `json:"storeless,omitempty"`
 }
 
 // Result answers a Call that did not fail.
@@ -158,6 +160,9 @@
 		if n.leaving.Load() {
 			return Result{}, verdict.Unavailable(time.Second, "leaving")
 		}
+		if err := n.mayTakeFrom(call); err != nil {
+			return Result{}, err
+		}
 		return Result{}, n.take(context.WithoutCancel(ctx), call.Pool)
 	case OpOwner:
 		n.learnOwner(call)
