Leave the rotation while most other daemons are out of reach

Change: a daemon that can't reach more than half of the others answers 503 on ready and ends its callers' connections with each answer; while some are out of reach it looks at them itself, so that it comes back without a caller's request. TestDaemonKnowsThatItIsIsolated guards both directions.

--- a/cluster/beat.go
+++ b/cluster/beat.go
@@ -21,11 +21,7 @@
 	for p, o := range n.owned {
 		m.Pools[p] = o.Token()
 	}
-	for node, at := range n.unreached {
-		if n.set.Now()-at < unreachedFor {
-			m.Unreachable = append(m.Unreachable, node)
-		}
-	}
+	m.Unreachable = n.unreachedNow()
 	if c := n.catalog.Load(); c != nil {
 		m.Version = c.Version
 	}
--- /dev/null
+++ b/cluster/isolation_test.go
@@ -0,0 +1,35 @@
+package cluster
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+)
+
+// Guards against callers who are sent to a daemon that is cut off from most others for as long as the cut lasts, and against one
+// that stays out of rotation after the cut as no caller makes it try the others.
+func TestDaemonKnowsThatItIsIsolated(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Minute
+	n := NewNode(Settings{Name: "a", Log: zerolog.Nop(), Now: func() time.Duration { return now }})
+	others := NewNode(Settings{Name: "b", Log: zerolog.Nop(), Now: n.set.Now})
+	server := httptest.NewServer(others.PeerHandler())
+	defer server.Close()
+	members := []Member{member("a", 1), member("b", 1), member("c", 1), member("d", 1)}
+	for i := range members {
+		members[i].Address = strings.TrimPrefix(server.URL, "http://")
+	}
+	n.view.Observe(members, true, now)
+	g.Expect(n.Isolated()).To(BeFalse())
+	n.noteReach("b", silence, context.DeadlineExceeded)
+	g.Expect(n.Isolated()).To(BeFalse(), "one of three is out of reach")
+	n.noteReach("c", silence, context.DeadlineExceeded)
+	g.Expect(n.Isolated()).To(BeTrue())
+	n.pingUnreached(context.Background())
+	g.Eventually(n.Isolated, "10s").Should(BeFalse(), "they answer again")
+}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -116,6 +116,8 @@
 	// declined are the daemons that did not take a pool, and when; handingOff is set while pools are offered.
 	declined   map[string]time.Duration
 	handingOff atomic.Bool
+	// pinging is set while unreached daemons are looked at.
+	pinging atomic.Bool
 	// unreached are the daemons that could not be reached, and when.
 	unreached map[string]time.Duration
 }
@@ -195,6 +197,7 @@
 
 // look reads the members and takes what is free.
 func (n *Node) look(ctx context.Context) {
+	n.pingUnreached(ctx)
 	if !n.observe(ctx) {
 		n.handOffStoreless(ctx)
 		return
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -60,6 +60,7 @@
 	OpReport  = "report"
 	OpGone    = "gone"
 	OpExplain = "explain"
+	OpPing    = "ping"
 )
 
 // attemptTime bounds one attempt at one daemon; the next one may find another owner.
@@ -167,6 +168,8 @@
 	case OpOwner:
 		n.learnOwner(call)
 		return Result{}, nil
+	case OpPing:
+		return Result{}, nil
 	}
 	n.mu.Lock()
 	o := n.pools[call.Pool]
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -160,7 +160,7 @@
 
 // listen opens the daemon's addresses.
 func (d *Daemon) listen(g *errgroup.Group) ([]*http.Server, error) {
-	front := &platform.Front{Jobs: d.node, Log: d.log, Leaving: d.leaving.Load}
+	front := &platform.Front{Jobs: d.node, Log: d.log, Leaving: d.unready}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /api/ready", d.ready)
 	var out []*http.Server
@@ -189,9 +189,12 @@
 	return mux
 }
 
+// unready reports whether callers are better served by another daemon.
+func (d *Daemon) unready() bool { return d.leaving.Load() || d.node.Isolated() }
+
 // ready says whether the balancer may send new connections.
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
-	if d.leaving.Load() || d.node.Catalog() == nil {
+	if d.unready() || d.node.Catalog() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
