--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -134,32 +133,6 @@
 	return e, nil
 }
 
-func (e *Entry) openSecurity() error {
-	if e.cfg.Tokens == "" {
-		return errors.New("settings: tokens: missing, expected the name of the token file; an entry does not run without authentication")
-	}
-	tokens, err := auth.Open(e.cfg.Tokens)
-	if err != nil {
-		return err
-	}
-	e.tokens, e.verifier = tokens, tokens
-	if e.cfg.CallerTLS.Enabled() {
-		if e.callerTLS, err = auth.ServerTLS(tlsFiles(e.cfg.CallerTLS)); err != nil {
-			return err
-		}
-	}
-	if e.cfg.PeerTLS.Enabled() {
-		if e.peerTLS, err = auth.ServerTLS(tlsFiles(e.cfg.PeerTLS)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func tlsFiles(t settings.TLS) auth.Files {
-	return auth.Files{Certificate: t.Certificate, Key: t.Key, Authorities: t.Authorities}
-}
-
 func (e *Entry) listen() error {
 	var err error
 	if e.callerListener, err = network.Or(e.network).Listen(e.cfg.Listen.Callers); err != nil {
@@ -244,18 +217,6 @@
 	})
 }
 
-func (e *Entry) peerClientTLS() *tls.Config {
-	if !e.cfg.PeerTLS.Enabled() {
-		return nil
-	}
-	c, err := auth.ClientTLS(tlsFiles(e.cfg.PeerTLS))
-	if err != nil {
-		e.log.Error().Err(err).Msg("peer TLS cannot be used")
-		return nil
-	}
-	return c
-}
-
 // buildTraffic creates scheduler, claims, jobs and the filter chains.
 func (e *Entry) buildTraffic() {
 	owner := e.processName()
@@ -389,13 +350,6 @@
 	}
 }
 
-// tokenReload is the time between looks at the token file.
-const tokenReload = 5 * time.Second
-
-func (e *Entry) tokenError(err error) {
-	e.log.Error().Err(err).Msg("token file was not reloaded, the former tokens stay valid")
-}
-
 func (e *Entry) server(h http.Handler, tlsConfig *tls.Config) *http.Server {
 	return &http.Server{
 		Handler:           h,
--- a/peer/leaving.go
+++ b/peer/leaving.go
@@ -69,3 +69,51 @@
 	})
 	view.Leaving = view.Leaving[:min(len(view.Leaving), leavingPerMessage)]
 }
+
+// NoteLeaving spreads the news that a worker takes no new work.
+func (g *Gossip) NoteLeaving(worker string) {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.noteLeaving(worker, now, now)
+}
+
+func (g *Gossip) noteLeaving(worker string, since, now time.Time) {
+	if worker == "" || since.Before(g.back[worker]) || !g.leaving.note(worker, since, now) {
+		return
+	}
+	g.showLeaving()
+}
+
+// NoteBack takes back the news that a worker is leaving, because the worker said at time at that it takes work. Later
+// news counts again.
+func (g *Gossip) NoteBack(worker string, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	since, ok := g.leaving[worker]
+	if !ok || !since.Before(at) {
+		return
+	}
+	delete(g.leaving, worker)
+	g.back[worker] = at
+	g.showLeaving()
+}
+
+// showLeaving copies the table for readers without the lock.
+func (g *Gossip) showLeaving() {
+	shown := make(leavingTable, len(g.leaving))
+	for w, t := range g.leaving {
+		shown[w] = t
+	}
+	g.leavingShown.Store(&shown)
+}
+
+// Leaving reports whether a worker was found to be leaving within the last minute.
+func (g *Gossip) Leaving(worker string) bool {
+	shown := g.leavingShown.Load()
+	if shown == nil {
+		return false
+	}
+	since, ok := (*shown)[worker]
+	return ok && g.now().Sub(since) < leavingKept
+}
