Remove the rows of daemons that have gone for good

The row of a daemon that had been replaced half a minute before still named it as their owner; those that started couldn't tell it from a live one until it had stood still for 1.7 s. Rows of dead daemons were never removed. Change: the first of the living daemons removes a row that has stood still for 5 s more than death takes, if it has not changed meanwhile.

--- a/cluster/beat.go
+++ b/cluster/beat.go
@@ -58,6 +58,11 @@
 		n.view.Postpone(gap)
 	}
 	n.lastOK = now
+	for _, r := range list {
+		if r.Removed && r.Name != n.set.Name {
+			n.view.Forget(r.Name)
+		}
+	}
 	n.view.Observe(parseMembers(list), all, now)
 	return true
 }
@@ -65,7 +70,7 @@
 func parseMembers(list []rows.Row) []Member {
 	var members []Member
 	for _, r := range list {
-		var m Member
+		m := Member{ver: r.Ver}
 		if !r.Removed && json.Unmarshal(r.Value, &m) == nil && m.Node != "" {
 			members = append(members, m)
 		}
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -21,6 +21,9 @@
 	Version     int64            `json:"v,omitempty"`
 	// Unreachable are the daemons that this one could not reach lately.
 	Unreachable []string `json:"u,omitempty"`
+
+	// ver is the version of the row that this was read from.
+	ver int64
 }
 
 // observed is a member as this daemon has seen it change.
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -205,6 +205,7 @@
 	n.confirm(ctx)
 	n.takePools(ctx)
 	n.rebalance(ctx)
+	n.forgetDead(ctx)
 }
 
 // StoreSeen is how long ago the store last answered.
