Put twice as many jobs into a transaction, new ones first

An owner writes one transaction after the other, about two a second then, and each job took a condition and a write of the 100 entries; a hundred open jobs took three transactions to come round, and new jobs behind them were withdrawn after 1.1 s without having been handed to the store. Change: one row a pool, replaced by each transaction on condition that it is as the last one left it, takes the place of a condition for each job; it keeps late tries from doing anything as well as these did. Jobs that are not in the store yet go first.

--- a/engine/commit.go
+++ b/engine/commit.go
@@ -1,6 +1,9 @@
 package engine
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Change is the state of a job that is to be written to the store.
 type Change struct {
@@ -15,17 +18,19 @@
 	state State
 }
 
-// Entries is how many entries of a transaction the change takes: a condition, a write, and one for the spec.
+// Entries is how many entries of a transaction the change takes: one for the record, and one for the spec.
 func (ch *Change) Entries() int {
 	if ch.Spec != nil || ch.DropSpec {
-		return 3
+		return 2
 	}
-	return 2
+	return 1
 }
 
-// NextBatch returns the changed jobs, up to the given number of entries and about maxBytes.
+// NextBatch returns the changed jobs, up to the given number of entries and about maxBytes. Jobs that are not in the store yet go
+// first: while the store is slow, their callers wait and have little time.
 func (p *Pool) NextBatch(entries, maxBytes int) []Change {
 	var out []Change
+	slices.SortStableFunc(p.dirty, func(a, b *Job) int { return cmp.Compare(boolRank(!a.Known()), boolRank(!b.Known())) })
 	bytes := 0
 	for len(p.dirty) > 0 && bytes < maxBytes {
 		ch := p.change(p.dirty[0])
@@ -59,23 +64,22 @@
 	return ch
 }
 
-// Committed takes in that a batch is in the store as version ver, and releases what waited for it.
-func (p *Pool) Committed(batch []Change, ver int64, c Clock) {
+// Committed takes in that a batch is in the store, and releases what waited for it.
+func (p *Pool) Committed(batch []Change, c Clock) {
 	for i := range batch {
-		p.committed(&batch[i], ver, c)
+		p.committed(&batch[i], c)
 	}
 	for _, w := range p.workers {
 		w.advanceAcks()
 	}
 }
 
-func (p *Pool) committed(ch *Change, ver int64, c Clock) {
+func (p *Pool) committed(ch *Change, c Clock) {
 	j := ch.Job
 	if ch.Record == nil {
 		delete(p.jobs, j.Spec.ID)
 		return
 	}
-	j.Ver = ver
 	if ch.Spec != nil {
 		j.Stored = true
 	}
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -346,3 +347,25 @@
 	}
 	g.Expect(running).To(BeNumerically(">=", 2))
 }
+
+// Guards against callers whose jobs wait for the store behind a crowd of changes to accepted jobs: while the store is slow, a
+// transaction takes half a second and holds a part of them.
+func TestNewJobsGoFirstToTheStore(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(2)
+	for n := range 40 {
+		w.pool.Submit(oneStep(fmt.Sprintf("%016x", n), Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	}
+	w.place()
+	w.storeDown = true
+	w.endAll(EndDone)
+	w.hold()
+	w.pool.Submit(oneStep("00000000000000ff", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	batch := w.pool.NextBatch(10, 1<<20)
+	ids := []string{}
+	for _, ch := range batch {
+		ids = append(ids, ch.Job.Spec.ID)
+	}
+	g.Expect(ids).To(HaveLen(5), "two entries each: a record, and a spec that comes or goes")
+	g.Expect(ids[0]).To(Equal("00000000000000ff"))
+}
--- a/engine/explore_calls_test.go
+++ b/engine/explore_calls_test.go
@@ -46,11 +46,10 @@
 
 func (x *explorer) write() {
 	for batch := x.pool.NextBatch(99, 1<<20); len(batch) > 0; batch = x.pool.NextBatch(99, 1<<20) {
-		x.ver++
 		for _, ch := range batch {
 			x.store(ch)
 		}
-		x.pool.Committed(batch, x.ver, x.clock())
+		x.pool.Committed(batch, x.clock())
 	}
 }
 
@@ -69,7 +68,7 @@
 			rec.Tasks[i].Failures = 0
 		}
 	}
-	x.records[id] = stored{spec: ch.Job.Spec, record: rec, ver: x.ver}
+	x.records[id] = stored{spec: ch.Job.Spec, record: rec}
 }
 
 // send carries an order out, now or late, with or without an answer.
--- a/engine/explore_test.go
+++ b/engine/explore_test.go
@@ -41,7 +41,6 @@
 	jobs    []*simJob
 	queues  []Queue
 	records map[string]stored
-	ver     int64
 	// storeUntil is until when the store is away.
 	storeUntil time.Duration
 	calm       bool
@@ -85,7 +84,7 @@
 	p.SetQueues(x.queues)
 	for id, s := range x.records {
 		spec := s.spec
-		p.Load(&spec, id, s.record, s.ver, x.clock())
+		p.Load(&spec, id, s.record, x.clock())
 	}
 	x.pool = p
 	x.roster()
--- a/engine/job.go
+++ b/engine/job.go
@@ -9,8 +9,7 @@
 // Job is a job with the state of its tasks. Its exported fields belong to the caller that writes it to the store.
 type Job struct {
 	Spec Spec
-	// Ver is the version of the job's row in the store, Stored whether its spec is there.
-	Ver    int64
+	// Stored is set while the job's spec is in the store.
 	Stored bool
 
 	state       State
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -111,14 +111,14 @@
 	return j
 }
 
-// Load takes in a job from the store, as its record had it at version ver.
-func (p *Pool) Load(spec *Spec, id string, rec Record, ver int64, c Clock) {
+// Load takes in a job from the store, as its record has it.
+func (p *Pool) Load(spec *Spec, id string, rec Record, c Clock) {
 	if spec == nil {
 		spec = &Spec{ID: id, Queue: rec.Queue}
 	}
 	j := newJob(*spec, rec.SubmittedMS)
 	j.state, j.shown, j.begun, j.endedMS = rec.State, rec.State, rec.Begun, rec.EndedMS
-	j.Ver, j.Stored, j.committed, j.rev = ver, true, 1, 1
+	j.Stored, j.committed, j.rev = true, 1, 1
 	p.jobs[id] = j
 	if len(spec.Steps) > 0 {
 		for _, tr := range rec.Tasks {
--- a/engine/world_test.go
+++ b/engine/world_test.go
@@ -14,14 +14,12 @@
 	storeDown bool
 	// record is the last written state of each job, as a successor would load it.
 	record map[string]stored
-	ver    int64
 	orders []Order
 }
 
 type stored struct {
 	spec   Spec
 	record Record
-	ver    int64
 }
 
 type fakeWorker struct {
@@ -140,16 +138,15 @@
 		if len(batch) == 0 {
 			return
 		}
-		w.ver++
 		for _, ch := range batch {
 			id := ch.Job.Spec.ID
 			if ch.Record == nil {
 				delete(w.record, id)
 				continue
 			}
-			w.record[id] = stored{spec: ch.Job.Spec, record: ch.Job.record(), ver: w.ver}
+			w.record[id] = stored{spec: ch.Job.Spec, record: ch.Job.record()}
 		}
-		w.pool.Committed(batch, w.ver, w.clock())
+		w.pool.Committed(batch, w.clock())
 	}
 }
 
@@ -259,7 +256,7 @@
 	p.SetQueues([]Queue{{Name: "q", Attempts: 3, Stretch: 1.6, TargetMS: 600}})
 	for id, s := range w.record {
 		spec := s.spec
-		p.Load(&spec, id, s.record, s.ver, w.clock())
+		p.Load(&spec, id, s.record, w.clock())
 	}
 	w.pool = p
 	w.roster()
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"samphirepoint/engine"
@@ -20,12 +21,31 @@
 	commitRetry = 60 * time.Millisecond
 )
 
+// ownEntries are the entries of each transaction beside those of its batch: the conditions on the claim and on the last
+// transaction, and the row that names this one.
+const ownEntries = 3
+
+func (o *Owner) lastTransaction() rows.Key {
+	return rows.Key{Table: TableCommits, Part: o.set.Pool, Name: lastKey}
+}
+
+// readLast returns the version of the row of the last transaction, 0 if there was none.
+func (o *Owner) readLast(ctx context.Context) (int64, error) {
+	list, _, err := o.set.Store.Read(ctx, TableCommits, o.set.Pool)
+	for _, r := range list {
+		if r.Key == o.lastTransaction() {
+			return r.Ver, err
+		}
+	}
+	return 0, err
+}
+
 // commit writes the next batch if none is being written.
 func (o *Owner) commit(c engine.Clock) {
 	if o.inFlight || c.Now-o.lastWrite < commitInterval {
 		return
 	}
-	batch := o.pool.NextBatch(rows.MaxEntries-1, batchBytes)
+	batch := o.pool.NextBatch(rows.MaxEntries-ownEntries, batchBytes)
 	if len(batch) == 0 {
 		return
 	}
@@ -38,13 +58,19 @@
 	return rows.Key{Table: TableJobs, Part: o.set.Pool, Name: id}
 }
 
+// transaction writes a batch on condition that the claim stands and that no other transaction has come after the last one: a
+// try that is carried out late then does nothing.
 func (o *Owner) transaction(batch []engine.Change) rows.Tx {
-	tx := rows.Tx{Expected: []rows.Condition{Claimed(o.set.Pool, o.set.ClaimVer)}}
+	o.commits++
+	name := fmt.Appendf(nil, "%d.%d", o.set.Token, o.commits)
+	tx := rows.Tx{
+		Expected: []rows.Condition{Claimed(o.set.Pool, o.set.ClaimVer), {Key: o.lastTransaction(), Ver: o.lastVer}},
+		Writes:   []rows.Write{{Key: o.lastTransaction(), Value: name}},
+	}
 	for i := range batch {
 		ch := &batch[i]
 		id := ch.Job.Spec.ID
 		spec := rows.Key{Table: TableSpecs, Part: o.set.Pool, Name: id}
-		tx.Expected = append(tx.Expected, rows.Condition{Key: o.jobKey(id), Ver: ch.Job.Ver})
 		if ch.Record == nil {
 			tx.Remove = append(tx.Remove, o.jobKey(id))
 		} else {
@@ -106,24 +132,18 @@
 	if !unknown {
 		return 0, errors.New("owner: rows changed under the claim")
 	}
-	ver := int64(0)
-	for _, w := range tx.Writes {
-		if w.Table != TableJobs {
-			continue
-		}
-		r := conflict.Find(w.Key)
-		if len(r.Value) > 0 && !bytes.Equal(r.Value, w.Value) {
-			return 0, errors.New("owner: rows changed under the claim")
-		}
-		ver = max(ver, r.Ver)
+	last := conflict.Find(o.lastTransaction())
+	if !bytes.Equal(last.Value, tx.Writes[0].Value) {
+		return 0, errors.New("owner: rows changed under the claim")
 	}
-	return ver, nil
+	return last.Ver, nil
 }
 
 func (o *Owner) wrote(batch []engine.Change, ver int64) {
 	o.inFlight = false
 	o.storeBad = 0
-	o.pool.Committed(batch, ver, o.clock())
+	o.lastVer = ver
+	o.pool.Committed(batch, o.clock())
 	for _, wake := range o.holds {
 		select {
 		case wake <- struct{}{}:
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -60,8 +60,11 @@
 	TableOwners = "owners"
 	TableJobs   = "jobs"
 	TableSpecs  = "specs"
-	// OwnerKey is the row of a part that names its owner.
+	// TableCommits has one row a pool, which each transaction of the owner replaces.
+	TableCommits = "commits"
+	// OwnerKey is the row of a part that names its owner, lastKey the one that names the last transaction.
 	OwnerKey = "owner"
+	lastKey  = "last"
 )
 
 // Claim is the value of the owner's row.
@@ -106,15 +109,17 @@
 	done  chan struct{}
 	err   error
 
-	holds     map[string]chan struct{}
-	inFlight  bool
-	lastWrite time.Duration
-	storeBad  time.Duration // since when the store has refused or not answered; 0 while it serves
-	probing   bool
-	probedAt  time.Duration
-	loaded    chan struct{}
-	ctx       context.Context
-	cancel    context.CancelFunc
+	holds map[string]chan struct{}
+	// lastVer is the version of the last transaction's row, commits counts the transactions of this ownership.
+	lastVer, commits int64
+	inFlight         bool
+	lastWrite        time.Duration
+	storeBad         time.Duration // since when the store has refused or not answered; 0 while it serves
+	probing          bool
+	probedAt         time.Duration
+	loaded           chan struct{}
+	ctx              context.Context
+	cancel           context.CancelFunc
 }
 
 const (
@@ -196,6 +201,9 @@
 	if err != nil {
 		return err
 	}
+	if o.lastVer, err = o.readLast(ctx); err != nil {
+		return err
+	}
 	byID := map[string]*engine.Spec{}
 	for _, r := range specs {
 		var s engine.Spec
@@ -214,7 +222,7 @@
 			// Both rows come and go in one transaction, but they are read by two calls.
 			return fmt.Errorf("job %s: its spec is missing, reading again", r.Name)
 		}
-		o.pool.Load(byID[r.Name], r.Name, rec, r.Ver, o.clock())
+		o.pool.Load(byID[r.Name], r.Name, rec, o.clock())
 	}
 	return o.keepOffOrdered(ctx)
 }
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -132,9 +132,13 @@
 }
 
 func serve(t *testing.T, s *memrows.Store, l *labour, token int64) *Owner {
+	return serveOn(t, s, claim(t, s, token), l, token)
+}
+
+func serveOn(t *testing.T, s rows.Store, claimVer int64, l *labour, token int64) *Owner {
 	began := time.Now()
 	o := New(context.Background(), Settings{
-		Pool: "pumps", Token: token, ClaimVer: claim(t, s, token), Store: s, Workers: l, Options: engine.DefaultOptions(),
+		Pool: "pumps", Token: token, ClaimVer: claimVer, Store: s, Workers: l, Options: engine.DefaultOptions(),
 		Log: zerolog.Nop(), Now: func() time.Duration { return time.Since(began) },
 	})
 	go func() { _ = o.Run() }()
