Count only living daemons as out of reach

Cause: daemons that are dead can't be reached either, so that after half of them had lost power the others took themselves for isolated. Change: only members that still beat count. TestDaemonKnowsThatItIsIsolated fails without it.

--- a/cluster/isolation.go
+++ b/cluster/isolation.go
@@ -26,8 +26,15 @@
 func (n *Node) Isolated() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	others := len(n.view.Alive()) - 1
-	return others > 1 && 2*len(n.unreachedNow()) > others
+	alive := n.view.Alive()
+	unreached := 0
+	for _, node := range n.unreachedNow() {
+		if _, ok := named(alive, node); ok {
+			unreached++ // one that is dead is no sign of a cut
+		}
+	}
+	others := len(alive) - 1
+	return others > 1 && 2*unreached > others
 }
 
 // pingUnreached looks whether the daemons that could not be reached can be reached again, so that this doesn't hang on requests
