Go on with an uncertain call through refusals until the caller's time is over

Cause: a submission whose first attempt had no answer and whose next one was refused was answered with 504 at once. The caller of unsafe work can't ask again after that, although there was time to find out: repeating a call does no harm. Change: such a call is repeated until the caller's time ends; one that was certainly not carried out is still refused at once. TestUncertainCallGoesOnThroughRefusals guards both sides.

--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -67,7 +67,8 @@
 const attemptTime = 1300 * time.Millisecond
 
 // Do carries out a call at the pool's owner, wherever that is. Calls may be repeated without harm, so one without an
-// answer is made again until ctx ends. Once an attempt may have been carried out, an error says so to the end.
+// answer is made again until ctx ends, also if a later attempt is refused: the caller could not be told whether the first
+// was carried out, and some callers can't ask again then. An error after such an attempt says so.
 func (n *Node) Do(ctx context.Context, call Call) (Result, error) {
 	limit := n.set.Now() + findTime
 	uncertain := false
@@ -78,9 +79,9 @@
 		if err == nil {
 			return res, nil
 		}
-		unknown := verdict.Is(err, verdict.MayHaveRun)
-		uncertain = uncertain || unknown
-		if !unknown && (!again(err) || n.set.Now() > limit) || ctx.Err() != nil {
+		uncertain = uncertain || verdict.Is(err, verdict.MayHaveRun)
+		refused := !again(err) || n.set.Now() > limit
+		if ctx.Err() != nil || refused && !uncertain {
 			return res, certainty(err, uncertain)
 		}
 		_ = sleep.Context(ctx, findPause)
--- /dev/null
+++ b/cluster/requests_test.go
@@ -0,0 +1,50 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"samphirepoint/verdict"
+)
+
+// Guards against a caller who is told that a job may have been accepted, and can't ask again, although the time that the caller
+// gave would have been enough to find out.
+func TestUncertainCallGoesOnThroughRefusals(t *testing.T) {
+	g := NewWithT(t)
+	var calls atomic.Int64
+	owner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		switch n := calls.Add(1); {
+		case n == 1:
+			writeError(w, verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "no answer in time"))
+		case n < 5:
+			writeError(w, verdict.Unavailable(time.Second, "the store is away"))
+		default:
+			_ = json.NewEncoder(w).Encode(Result{Known: true})
+		}
+	}))
+	defer owner.Close()
+	now := time.Minute
+	n := NewNode(Settings{Name: "a", Log: zerolog.Nop(), Now: func() time.Duration { return now }})
+	b := member("b", 1, "pumps")
+	b.Address = strings.TrimPrefix(owner.URL, "http://")
+	n.view.Observe([]Member{member("a", 1), b}, true, now)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	res, err := n.Do(ctx, Call{Op: OpSubmit, Pool: "pumps"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.Known).To(BeTrue())
+
+	calls.Store(1)
+	_, err = n.Do(ctx, Call{Op: OpSubmit, Pool: "pumps"})
+	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue(), "a refusal of a call that was certainly not carried out is told at once")
+	g.Expect(calls.Load()).To(Equal(int64(2)))
+}
