Hand pools over through one function, name a run's key and a stream's wake-up once

Behaviour is unchanged. A pool that is offered as the store fails its owner goes through the same hand as one that is handed over on leaving; the key of a listed run stood in three places, the wake-up of a stream in three; PaceAnswered took a clock that it did not use, and a refusal had an error value of its own that nobody compared.

--- a/cluster/leave.go
+++ b/cluster/leave.go
@@ -39,7 +39,7 @@
 	}
 	for pool, node := range Assign(alive, pools, true) {
 		if m, ok := named(alive, node); ok && node != n.set.Name {
-			n.hand(ctx, pool, m)
+			_ = n.hand(ctx, pool, m, false) // tried again while the pool is here
 		}
 	}
 }
@@ -64,7 +64,7 @@
 	}
 	n.excessSince = 0
 	if m, ok := named(members, to); ok {
-		n.hand(ctx, pool, m)
+		_ = n.hand(ctx, pool, m, false) // tried again while there are too many
 	}
 }
 
@@ -76,13 +76,18 @@
 	return Member{}, false
 }
 
-// hand gives one pool to another daemon.
-func (n *Node) hand(ctx context.Context, pool string, to Member) {
-	c, cancel := context.WithTimeout(ctx, time.Second)
+// handTime bounds how long another daemon may take to claim a pool.
+const handTime = time.Second
+
+// hand gives one pool to another daemon; storeless says that the store does not serve this one. On an error the pool stays.
+func (n *Node) hand(ctx context.Context, pool string, to Member, storeless bool) error {
+	c, cancel := context.WithTimeout(ctx, handTime)
 	defer cancel()
-	if _, err := n.peers.call(c, to.Address, Call{Op: OpTake, Pool: pool, From: n.set.Name}); err == nil {
+	_, err := n.peers.call(c, to.Address, Call{Op: OpTake, Pool: pool, From: n.set.Name, Storeless: storeless})
+	if err == nil {
 		n.drop(pool)
 	}
+	return err
 }
 
 func (n *Node) drop(pool string) {
--- a/cluster/storeless.go
+++ b/cluster/storeless.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
@@ -69,12 +69,9 @@
 }
 
 func (n *Node) offer(ctx context.Context, pool string, to Member) {
-	c, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	_, err := n.peers.call(c, to.Address, Call{Op: OpTake, Pool: pool, From: n.set.Name, Storeless: true})
+	err := n.hand(ctx, pool, to, true)
 	n.set.Log.Info().Str("pool", pool).Str("to", to.Node).AnErr("outcome", err).Msg("pool offered, the store does not serve this daemon")
 	if err == nil {
-		n.drop(pool)
 		return
 	}
 	n.mu.Lock()
@@ -82,13 +79,10 @@
 	n.declined[to.Node] = n.set.Now()
 }
 
-// errNoStoreHere declines a pool of a daemon without a store: the store doesn't serve this one either.
-var errNoStoreHere = errors.New("cluster: the store has not answered here lately")
-
 // mayTakeFrom reports why a daemon without a store can't give a pool to this one, or nil.
 func (n *Node) mayTakeFrom(call Call) error {
 	if call.Storeless && n.StoreSeen() > storeFresh {
-		return verdict.Wrap(errNoStoreHere, verdict.NotRun, 503)
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "the store has not answered here lately")
 	}
 	return nil
 }
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -61,7 +61,7 @@
 func (p *Pool) takeEnds(w *Worker, rows []EndedRow, c Clock) map[string]bool {
 	seen := map[string]bool{}
 	for _, e := range rows {
-		seen[e.Task+"#"+itoa(e.Run)] = true
+		seen[listedKey(e.Task, e.Run)] = true
 		if e.N <= w.ends {
 			continue
 		}
--- a/engine/explore_calls_test.go
+++ b/engine/explore_calls_test.go
@@ -127,7 +127,7 @@
 	case o.Kind == OrderStop:
 		p.StopAnswered(o, done, x.clock())
 	case o.Kind == OrderPace:
-		p.PaceAnswered(o, done, x.clock())
+		p.PaceAnswered(o, done)
 	}
 }
 
--- a/engine/fills.go
+++ b/engine/fills.go
@@ -61,7 +61,7 @@
 }
 
 // PaceAnswered takes in whether a worker has answered an order on pace.
-func (p *Pool) PaceAnswered(o Order, done bool, _ Clock) {
+func (p *Pool) PaceAnswered(o Order, done bool) {
 	if r := p.findRun(o); r != nil && r.pace == o.Percent {
 		r.paceKnown = done
 	}
--- a/engine/fills_test.go
+++ b/engine/fills_test.go
@@ -33,7 +33,7 @@
 			for _, o := range w.pool.TakeOrders() {
 				if o.Kind == OrderPace {
 					out = append(out, o.Percent)
-					w.pool.PaceAnswered(o, answered, w.clock())
+					w.pool.PaceAnswered(o, answered)
 				}
 			}
 		}
--- a/engine/rebirth.go
+++ b/engine/rebirth.go
@@ -40,10 +40,10 @@
 func (a *HoldAnswer) keys() map[string]bool {
 	keys := map[string]bool{}
 	for _, row := range a.Running {
-		keys[row.Task+"#"+itoa(row.Run)] = true
+		keys[listedKey(row.Task, row.Run)] = true
 	}
 	for _, row := range a.Ended {
-		keys[row.Task+"#"+itoa(row.Run)] = true
+		keys[listedKey(row.Task, row.Run)] = true
 	}
 	return keys
 }
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -142,7 +142,10 @@
 
 func (w *Worker) target() Target { return Target{ID: w.ID, Address: w.info.Address} }
 
-func runKey(t TaskID, run int64) string { return t.String() + "#" + itoa(run) }
+func runKey(t TaskID, run int64) string { return listedKey(t.String(), run) }
+
+// listedKey is the key of a run as a worker lists it.
+func listedKey(task string, run int64) string { return task + "#" + itoa(run) }
 
 func (w *Worker) add(r *Run) {
 	w.runs[runKey(r.Task.id, r.Num)] = r
--- a/owner/calls.go
+++ b/owner/calls.go
@@ -135,7 +135,7 @@
 		if o.ended(order, err) {
 			return
 		}
-		o.post(func() { o.pool.PaceAnswered(order, err == nil, o.clock()) })
+		o.post(func() { o.pool.PaceAnswered(order, err == nil) })
 	}
 }
 
--- a/standin/memnet/stream.go
+++ b/standin/memnet/stream.go
@@ -30,6 +30,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f()
+	s.wake()
+}
+
+// wake lets whoever waits look again; the caller holds mu.
+func (s *stream) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -72,8 +77,7 @@
 	case len(s.data) > 0:
 		n = copy(b, s.data)
 		s.data = s.data[n:]
-		close(s.changed)
-		s.changed = make(chan struct{})
+		s.wake()
 	default:
 		err = s.readErr
 	}
@@ -106,8 +110,7 @@
 	default:
 		n = min(window-len(s.data), len(b))
 		s.data = append(s.data, b[:n]...)
-		close(s.changed)
-		s.changed = make(chan struct{})
+		s.wake()
 	}
 	return n, s.changed, s.writeDeadline, err
 }
