Assign pools by the daemons' processor share

Cause: Assign counted pools only, so on the grown sites every pool was owned by a machine of 0.192 cores (and a link of 10 Mbit/s) while machines of 0.8 cores owned none. In a burst the owner ran seconds late: LOST, and the failed transfers that led to TWICE.

Change: a member's row carries the cores of its machine (limits.cpu_share x cores of the settings); a free pool goes to the member with the fewest pools per core, and a pool moves once that gains a factor of 1.25. Members that report no share count as one core.

Evidence: TestPoolsGoToMembersByProcessorShare fails when the share is ignored.

--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -91,3 +91,38 @@
 	g.Expect(float64(300) / n.interval().Seconds()).To(BeNumerically("<=", 130))
 	g.Expect(n.view.deadAfter).To(BeNumerically(">", 3*n.interval()))
 }
+
+// memberWithCores returns a member whose machine has the given processor share.
+func memberWithCores(node string, cores float64, pools ...string) Member {
+	m := member(node, 1, pools...)
+	m.Cores = cores
+	return m
+}
+
+// Guards against pools owned by the weakest machines: the owner of a large pool then had no processor left for its heartbeats,
+// its lease renewals and its transactions, while larger machines owned none.
+func TestPoolsGoToMembersByProcessorShare(t *testing.T) {
+	g := NewWithT(t)
+	var members []Member
+	for k := range 36 {
+		members = append(members, memberWithCores(fmt.Sprintf("small-%d", k), 0.192))
+	}
+	for k := range 6 {
+		members = append(members, memberWithCores(fmt.Sprintf("large-%d", k), 0.8))
+	}
+	pools := []string{"pumps", "deliveries", "slips", "routes", FleetControllerRole}
+	owners := map[string]bool{}
+	for _, node := range Assign(members, pools, false) {
+		g.Expect(node).To(HavePrefix("large"))
+		owners[node] = true
+	}
+	g.Expect(owners).To(HaveLen(len(pools)), "one pool each while there are enough of them")
+
+	members[0].Pools["pumps"] = 1
+	pool, to, ok := ExcessPool(members, "small-0")
+	g.Expect(ok).To(BeTrue(), "a pool that a small machine claimed goes to a large one once that is there")
+	g.Expect(pool).To(Equal("pumps"))
+	g.Expect(to).To(HavePrefix("large"))
+	_, _, ok = ExcessPool([]Member{memberWithCores("a", 0.38, "pumps"), memberWithCores("b", 0.4)}, "a")
+	g.Expect(ok).To(BeFalse(), "a small difference isn't worth a handover")
+}
--- a/cluster/heartbeat.go
+++ b/cluster/heartbeat.go
@@ -15,7 +15,7 @@
 	defer n.mu.Unlock()
 	n.heartbeat++
 	m := Member{
-		Node: n.settings.Name, Incarnation: n.settings.Incarnation, Address: n.settings.Address, Zone: n.settings.Zone, Heartbeat: n.heartbeat,
+		Node: n.settings.Name, Incarnation: n.settings.Incarnation, Address: n.settings.Address, Zone: n.settings.Zone, Cores: n.settings.Cores, Heartbeat: n.heartbeat,
 		Leaving: n.leaving.Load(), Pools: map[string]int64{},
 	}
 	for p, o := range n.owned {
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -11,14 +11,16 @@
 
 // Member is the value of a daemon's row in TableMembers.
 type Member struct {
-	Node        string           `json:"n"`
-	Incarnation string           `json:"i"`
-	Address     string           `json:"a"`
-	Zone        string           `json:"z"`
-	Heartbeat   int64            `json:"b"`
-	Leaving     bool             `json:"l,omitempty"`
-	Pools       map[string]int64 `json:"p,omitempty"`
-	Version     int64            `json:"v,omitempty"`
+	Node        string `json:"n"`
+	Incarnation string `json:"i"`
+	Address     string `json:"a"`
+	Zone        string `json:"z"`
+	// Cores is the processor share of the daemon's machine, in cores; 0 if it isn't known.
+	Cores     float64          `json:"c,omitempty"`
+	Heartbeat int64            `json:"b"`
+	Leaving   bool             `json:"l,omitempty"`
+	Pools     map[string]int64 `json:"p,omitempty"`
+	Version   int64            `json:"v,omitempty"`
 	// Unreachable lists the daemons that this one recently could not reach.
 	Unreachable []string `json:"u,omitempty"`
 
@@ -141,16 +143,28 @@
 	return best, found
 }
 
-// Assign returns the member that should claim each pool that no live member owns: the one with the fewest pools, and among
-// equals the one with the highest hash. Leaving members get no pools, and the pools they own count as unowned if
-// reassignLeaving is set.
+// defaultCores stands for the processor share of a daemon that doesn't report it.
+const defaultCores = 1.0
+
+func (m Member) cores() float64 {
+	if m.Cores > 0 {
+		return m.Cores
+	}
+	return defaultCores
+}
+
+// loadWith returns the pools per core of a member that owns the given number of pools.
+func (m Member) loadWith(pools int) float64 { return float64(pools) / m.cores() }
+
+// Assign returns the member that should claim each pool that no live member owns: the one that has the fewest pools per core with
+// it, and among equals the one with the highest hash. The owner of a pool makes all of the pool's calls, so its processor bounds
+// what the pool can start. Leaving members get no pools, and the pools they own count as unowned if reassignLeaving is set.
 func Assign(members []Member, pools []string, reassignLeaving bool) map[string]string {
-	load := map[string]int{}
+	owned := map[string]int{}
 	var able []Member
 	for _, m := range members {
 		if !m.Leaving {
 			able = append(able, m)
-			load[m.Node] = 0
 		}
 	}
 	out := map[string]string{}
@@ -161,34 +175,38 @@
 	for _, p := range slices.Sorted(slices.Values(pools)) {
 		o, ok := Owner(members, p)
 		if ok && (!o.Leaving || !reassignLeaving) {
-			load[o.Node]++
+			owned[o.Node]++
 			continue
 		}
 		free = append(free, p)
 	}
 	for _, p := range free {
 		best := slices.MinFunc(able, func(a, b Member) int {
-			return cmp.Or(cmp.Compare(load[a.Node], load[b.Node]), cmp.Compare(hashRank(b.Node, p), hashRank(a.Node, p)))
+			return cmp.Or(cmp.Compare(a.loadWith(owned[a.Node]+1), b.loadWith(owned[b.Node]+1)), cmp.Compare(hashRank(b.Node, p), hashRank(a.Node, p)))
 		})
 		out[p] = best.Node
-		load[best.Node]++
+		owned[best.Node]++
 	}
 	return out
 }
 
-// ExcessPool returns a pool that the daemon self should transfer and the daemon to receive it, the one with the fewest pools.
-// It reports false unless self owns at least two pools more than that one.
+// minTransferGain is how many times the pools per core of the giving daemon must exceed those of the receiving one after the
+// transfer. Smaller gains don't pay for the handover, during which the pool is not served.
+const minTransferGain = 1.25
+
+// ExcessPool returns a pool that the daemon self should transfer and the daemon to receive it, the one that has the fewest
+// pools per core with it. It reports false if the gain is less than minTransferGain.
 func ExcessPool(members []Member, self string) (pool, to string, ok bool) {
 	var mine, least Member
 	for _, m := range members {
 		switch {
 		case m.Node == self:
 			mine = m
-		case !m.Leaving && (least.Node == "" || len(m.Pools) < len(least.Pools)):
+		case !m.Leaving && (least.Node == "" || m.loadWith(len(m.Pools)+1) < least.loadWith(len(least.Pools)+1)):
 			least = m
 		}
 	}
-	if least.Node == "" || len(mine.Pools) < len(least.Pools)+2 {
+	if least.Node == "" || mine.loadWith(len(mine.Pools)) < minTransferGain*least.loadWith(len(least.Pools)+1) {
 		return "", "", false
 	}
 	for _, name := range slices.Sorted(maps.Keys(mine.Pools)) {
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -72,10 +72,12 @@
 	Incarnation string
 	Address     string
 	Zone        string
-	Store       rows.Store
-	Workers     owner.Workers
-	Adviser     owner.Adviser
-	Roster      Roster
+	// Cores is the processor share of this machine, in cores; 0 if it isn't known.
+	Cores   float64
+	Store   rows.Store
+	Workers owner.Workers
+	Adviser owner.Adviser
+	Roster  Roster
 	// WorkersWithOpenOrders lists the workers whose instances have an open order.
 	WorkersWithOpenOrders func(ctx context.Context) ([]string, error)
 	Options               engine.Options
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,7 +57,7 @@
 	d.waves = &platform.Waves{Store: d.store, Now: now}
 	instances := platform.NewInstances(settings.Instances.Address)
 	d.node = cluster.NewNode(cluster.Settings{
-		Name: settings.Node, Incarnation: incarnation(), Address: settings.PeerAddress(), Zone: settings.Zone,
+		Name: settings.Node, Incarnation: incarnation(), Address: settings.PeerAddress(), Zone: settings.Zone, Cores: settings.Cores(),
 		Store: d.store, Workers: platform.NewWorkers(), Adviser: platform.NewAdviser(settings.Advice), Roster: d.store,
 		Options: options(settings), Log: log, Now: now,
 		WorkersWithOpenOrders: func(ctx context.Context) ([]string, error) {
