Keep pools on a daemon that runs late, and write heartbeats apart from reads

Cause: a daemon whose processor is exhausted sees its calls to the store time out. It took this for a failure of the store and gave its pools to another daemon, which was exhausted by the takeover in turn; and as one loop wrote heartbeats and read the members with a time limit of 0.8 s each, the others took it for dead after 1.7 s.

A daemon that was late by 100 ms within the last second doesn't transfer pools for want of the store. Heartbeats have a loop of their own.

--- a/cluster/heartbeat.go
+++ b/cluster/heartbeat.go
@@ -42,7 +42,9 @@
 	if _, err := n.settings.Store.Transact(c, rows.Tx{Writes: []rows.Write{{Key: key, Value: value}}}); err != nil {
 		n.settings.Log.Warn().Err(err).Msg("failed to write heartbeat")
 	}
+	n.mu.Lock()
 	n.heartbeatLatency = n.settings.Now() - began
+	n.mu.Unlock()
 }
 
 // observe reads the changes of the members and reports whether the store responded. While the store can't be read, no member
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"samphirepoint/catalog"
 	"samphirepoint/engine"
@@ -59,6 +60,8 @@
 	unreachableRetryInterval = 500 * time.Millisecond
 	// claimRetryInterval is the least time between two attempts to claim the same pool.
 	claimRetryInterval = 300 * time.Millisecond
+	// minLoopWait is the least time between two passes of a loop of Run that nothing has woken.
+	minLoopWait = 20 * time.Millisecond
 )
 
 // Roster reads the platform's list of workers, by pool.
@@ -83,8 +86,10 @@
 	Options               engine.Options
 	// NewFleetController returns the fleet controller, to run under a fencing token and the version of its claim.
 	NewFleetController func(ctx context.Context, token, ver int64) Term
-	Log                zerolog.Logger
-	Now                func() time.Duration
+	// Late reports whether this process runs late, so that its calls time out whatever the other side does. It may be nil.
+	Late func() bool
+	Log  zerolog.Logger
+	Now  func() time.Duration
 }
 
 // Term is one term of ownership, of a pool or of the fleet controller role.
@@ -110,13 +115,14 @@
 	heartbeat     int64
 	// observedVer is the version up to which the members have been read. Only the goroutine of Run uses it.
 	observedVer int64
-	// heartbeatLatency is the latency of the last heartbeat write. Only the goroutine of Run uses it.
+	// heartbeatLatency is the latency of the last heartbeat write.
 	heartbeatLatency time.Duration
 	// excessSince is when this daemon began to own too many pools, or 0. Only the goroutine of Run uses it.
 	excessSince      time.Duration
 	lastStoreContact time.Duration
 	roster           map[string][]engine.WorkerInfo
-	wake             chan struct{}
+	wakeHeartbeat    chan struct{}
+	wakeReconcile    chan struct{}
 	createdAt        time.Duration
 	// declined holds when each daemon last failed to claim a pool that was transferred to it; transferring is set while pools
 	// are being transferred because the store does not serve this daemon.
@@ -132,7 +138,7 @@
 func NewNode(s Settings) *Node {
 	return &Node{
 		settings: s, view: NewView(s.Name, deadAfter), owned: map[string]Term{}, pools: map[string]*owner.Owner{}, claimAttempts: map[string]time.Duration{},
-		wake: make(chan struct{}, 1), peers: newPeerClient(), createdAt: s.Now(), unreachable: map[string]time.Duration{}, declined: map[string]time.Duration{},
+		wakeHeartbeat: make(chan struct{}, 1), wakeReconcile: make(chan struct{}, 1), peers: newPeerClient(), createdAt: s.Now(), unreachable: map[string]time.Duration{}, declined: map[string]time.Duration{},
 	}
 }
 
@@ -156,40 +162,56 @@
 // Catalog returns the configuration in force, or nil before the first one.
 func (n *Node) Catalog() *catalog.Catalog { return n.catalog.Load() }
 
-// Wake wakes the loop of Run to write a heartbeat immediately.
+// Wake makes Run write a heartbeat and read the members immediately.
 func (n *Node) Wake() {
-	select {
-	case n.wake <- struct{}{}:
-	default:
+	for _, wake := range []chan struct{}{n.wakeHeartbeat, n.wakeReconcile} {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
 	}
 }
 
 // Run writes heartbeats, reads the members and claims pools until ctx ends. It then stops all terms of this daemon.
 func (n *Node) Run(ctx context.Context) error {
-	var nextHeartbeat time.Duration
+	var g errgroup.Group
+	g.Go(func() error {
+		n.writeHeartbeats(ctx)
+		return nil
+	})
 	for ctx.Err() == nil {
 		began := n.settings.Now()
-		if began >= nextHeartbeat {
-			n.writeHeartbeat(ctx)
-			nextHeartbeat = began + n.interval()
-		}
 		n.reconcile(ctx)
 		wait := min(max(pollInterval, n.interval()/pollsPerHeartbeat), n.interval()) - (n.settings.Now() - began)
-		t := time.NewTimer(max(wait, 20*time.Millisecond))
-		select {
-		case <-ctx.Done():
-		case <-n.wake:
-			nextHeartbeat = 0
-		case <-t.C:
-		}
-		t.Stop()
+		waitOrWake(ctx, wait, n.wakeReconcile)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, o := range n.owned {
 		o.Stop()
 	}
-	return nil
+	return g.Wait()
+}
+
+// writeHeartbeats writes heartbeats until ctx ends. It is independent of the reads of the members: a slow read must not make the
+// others consider this daemon dead.
+func (n *Node) writeHeartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := n.settings.Now()
+		n.writeHeartbeat(ctx)
+		waitOrWake(ctx, n.interval()-(n.settings.Now()-began), n.wakeHeartbeat)
+	}
+}
+
+// waitOrWake waits for d, but at least minLoopWait, or until wake or ctx ends the wait.
+func waitOrWake(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	t := time.NewTimer(max(d, minLoopWait))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-t.C:
+	}
 }
 
 // interval returns the time between two heartbeats, from the number of members and the latency of the store, and sets the time
--- a/cluster/store_failure_test.go
+++ b/cluster/store_failure_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -128,3 +129,69 @@
 	g.Expect(b.owned).To(HaveKey("pumps"))
 	g.Expect(b.transferWithoutStore(ctx)).To(BeFalse(), "a daemon that the store serves keeps its pools")
 }
+
+// Guards against pools that go to and fro between daemons whose processors are exhausted: each took its own delay for a failure
+// of the store, and every takeover cost more processor time than the work that it interrupted.
+func TestLateDaemonKeepsItsPools(t *testing.T) {
+	g := NewWithT(t)
+	p := newPair(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	a := p.nodes[0]
+	var late atomic.Bool
+	a.settings.Late = late.Load
+	p.observe()
+	g.Expect(a.claimPool(ctx, "pumps")).To(Succeed())
+	p.stores[0].refuses.Store(true)
+	p.now.Add(int64(time.Second))
+	p.observe()
+	late.Store(true)
+	g.Expect(a.transferWithoutStore(ctx)).To(BeFalse())
+	late.Store(false)
+	g.Expect(a.transferWithoutStore(ctx)).To(BeTrue(), "a failure of the store for a daemon that runs in time")
+	g.Eventually(a.transferring.Load, "10s").Should(BeFalse())
+	g.Expect(p.owner(g)).To(Equal("b"))
+}
+
+// slowReadStore answers reads of members only when the caller gives up.
+type slowReadStore struct{ *memrows.Store }
+
+func (s slowReadStore) Read(ctx context.Context, _, _ string) ([]rows.Row, int64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func (s slowReadStore) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) ([]rows.Row, int64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// Guards against a daemon that is considered dead because its heartbeats wait for its reads of the members, which may each take
+// as long as their time limit.
+func TestHeartbeatsDoNotWaitForReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := memrows.New()
+		began := time.Now()
+		n := NewNode(Settings{Name: "a", Store: slowReadStore{store}, Log: zerolog.Nop(), Now: func() time.Duration { return time.Since(began) }})
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = n.Run(ctx)
+		}()
+		var last int64
+		for range 10 {
+			time.Sleep(storeTimeout)
+			list, _, err := store.Read(ctx, TableMembers, memberPart("a"))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(list).To(HaveLen(1))
+			m := parseMembers(list)[0]
+			g.Expect(m.Heartbeat).To(BeNumerically(">", last))
+			last = m.Heartbeat
+		}
+		g.Expect(last).To(BeNumerically(">=", 15), "a heartbeat each 0.4 s for 8 s")
+		cancel()
+		<-ended
+	})
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 
 	"samphirepoint/cluster"
 	"samphirepoint/engine"
+	"samphirepoint/lateness"
 	"samphirepoint/observe"
 	"samphirepoint/platform"
 	"samphirepoint/sleep"
@@ -45,6 +46,7 @@
 	store          *platform.Store
 	node           *cluster.Node
 	waves          *platform.Waves
+	lateness       *lateness.Monitor
 	leaving        atomic.Bool
 	leaveRequested chan struct{}
 }
@@ -53,13 +55,13 @@
 func New(settings *platform.Settings, log zerolog.Logger) *Daemon {
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
-	d := &Daemon{settings: settings, log: log, store: platform.NewStore(settings.Store.Address), leaveRequested: make(chan struct{})}
+	d := &Daemon{settings: settings, log: log, store: platform.NewStore(settings.Store.Address), leaveRequested: make(chan struct{}), lateness: lateness.NewMonitor(log)}
 	d.waves = &platform.Waves{Store: d.store, Now: now}
 	instances := platform.NewInstances(settings.Instances.Address)
 	d.node = cluster.NewNode(cluster.Settings{
 		Name: settings.Node, Incarnation: incarnation(), Address: settings.PeerAddress(), Zone: settings.Zone, Cores: settings.Cores(),
 		Store: d.store, Workers: platform.NewWorkers(), Adviser: platform.NewAdviser(settings.Advice), Roster: d.store,
-		Options: options(settings), Log: log, Now: now,
+		Options: options(settings), Late: d.lateness.Late, Log: log, Now: now,
 		WorkersWithOpenOrders: func(ctx context.Context) ([]string, error) {
 			return upkeep.WorkersWithOpenOrders(ctx, d.store, cluster.FleetControllerRole)
 		},
@@ -110,6 +112,7 @@
 		return err
 	}
 	d.log.Info().Str("zone", d.settings.Zone).Msg("start")
+	g.Go(func() error { return d.lateness.Run(ctx) })
 	g.Go(func() error { return d.store.FollowOperator(ctx, d.node.SetCatalog, d.waves.Apply) })
 	g.Go(func() error { return d.node.Run(ctx) })
 	g.Go(func() error { return d.node.FollowRoster(ctx, workerListInterval) })
