Reject jobs while the accepted work can't be completed in time

Cause: an owner accepted every job with 200, however much accepted work waited. Where the owner itself limits the starts, the backlog grew beyond what could be completed: callers saw accepted jobs that never ended (LOST 17 s after the end of the traffic).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -91,6 +91,9 @@
 	if s := settings.Bounds.StatusS; s > 0 {
 		o.Retention = time.Duration((s + 30) * float64(time.Second))
 	}
+	if s := settings.Bounds.FinishS; s > 0 {
+		o.CompleteWithin = time.Duration(s * float64(time.Second))
+	}
 	return o
 }
 
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -126,6 +126,7 @@
 	switch {
 	case reason == EndDone && !st.LongRunning:
 		p.recordRunTime(t, r, c)
+		p.backlog.completed++
 		p.completeTask(t, c)
 	case reason == EndFailed:
 		p.handleFailure(t, r, c)
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -17,6 +17,8 @@
 	OrderRetryDelay time.Duration
 	// SuspectAfter is the time since the last contact after which a worker gets no new starts.
 	SuspectAfter time.Duration
+	// CompleteWithin is the time within which accepted work must be completed once no more arrives.
+	CompleteWithin time.Duration
 }
 
 // DefaultOptions returns options for a platform with leases of up to 10 s.
@@ -27,6 +29,7 @@
 		Retention:       150 * time.Second,
 		OrderRetryDelay: 250 * time.Millisecond,
 		SuspectAfter:    2200 * time.Millisecond,
+		CompleteWithin:  14 * time.Second,
 	}
 }
 
@@ -52,6 +55,7 @@
 	decisions []Decision
 	// placementNeeded is set by every event that may allow a new start.
 	placementNeeded bool
+	backlog         backlog
 }
 
 // Decision is a scheduling decision to be logged.
@@ -253,6 +257,7 @@
 	for _, w := range p.workers {
 		p.tickWorker(w, c)
 	}
+	p.updateBacklog(c)
 	p.expire(c)
 }
 
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirepoint/engine"
+	"samphirepoint/observe"
 	"samphirepoint/verdict"
 )
 
@@ -22,13 +23,27 @@
 // will never run.
 func (o *Owner) Submit(ctx context.Context, spec engine.Spec) error {
 	return o.changeAndCommit(ctx, func(p *engine.Pool, c engine.Clock) (*engine.Job, error) {
-		if j := p.Job(spec.ID); j == nil && o.storeFailingSince != 0 && c.Now-o.storeFailingSince > storeFailureGrace {
-			return nil, errStoreUnavailable()
+		if p.Job(spec.ID) == nil {
+			if err := o.admit(p, &spec, c); err != nil {
+				return nil, err
+			}
 		}
 		return p.Submit(spec, c), nil
 	})
 }
 
+// admit returns the reason why a job that isn't known yet can't be accepted now, or nil.
+func (o *Owner) admit(p *engine.Pool, spec *engine.Spec, c engine.Clock) error {
+	if o.storeFailingSince != 0 && c.Now-o.storeFailingSince > storeFailureGrace {
+		return errStoreUnavailable()
+	}
+	if retryAfter, ok := p.Admit(spec, c); !ok {
+		observe.Count("jobs.rejected_backlog")
+		return verdict.Unavailable(retryAfter, "pool %s has more accepted work than it can complete in time", o.settings.Pool)
+	}
+	return nil
+}
+
 // Cancel cancels a job. It reports false if the job is unknown.
 func (o *Owner) Cancel(ctx context.Context, id string) (bool, error) {
 	known := true
