Report a worker as empty only once the ends of its runs are stored

Cause: Pool.Cordon, and Runs in the pool's report, counted a worker as empty as soon as its runs had ended in memory. The fleet controller then moved the instance, and the worker's list of ends was gone before the transaction with these ends was in the store. The successor loaded the runs as live, was told that the worker had terminated, and started the tasks again.

A worker now counts as occupied while one of its ends waits for the store. The store then has all ends that the worker has listed to this owner, so that a successor needs the worker's list for none of them.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -372,3 +372,28 @@
 	g.Expect(ids).To(HaveLen(5), "two entries each: a record, and a spec that is added or deleted")
 	g.Expect(ids[0]).To(Equal("00000000000000ff"))
 }
+
+// Guards against an instance that is moved, and its worker's list of ends with it, before these ends are stored: a successor
+// of the pool's owner would start the tasks again.
+func TestWorkerIsEmptyOnlyOnceItsEndsAreStored(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(1)
+	w.pool.Submit(oneStep("00000000000000b1", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	w.flush()
+	w.run(100 * time.Millisecond)
+	cordon := func() bool {
+		empty, known := w.pool.Cordon("i-00", w.now+time.Second, w.clock())
+		g.Expect(known).To(BeTrue())
+		return empty
+	}
+	w.storeDown = true
+	w.endAll(EndDone)
+	w.renewLeases()
+	w.flush()
+	g.Expect(cordon()).To(BeFalse(), "the end is not stored")
+	g.Expect(w.pool.Report(w.clock()).Workers[0].Runs).To(Equal(1))
+	w.storeDown = false
+	w.flush()
+	g.Expect(cordon()).To(BeTrue())
+	g.Expect(w.pool.Report(w.clock()).Workers[0].Runs).To(BeZero())
+}
--- a/engine/report.go
+++ b/engine/report.go
@@ -12,10 +12,11 @@
 	Rack        string `json:"k,omitempty"`
 	CapacityCPU int64  `json:"c"`
 	UsedCPU     int64  `json:"u"`
-	Runs        int    `json:"r"`
-	LongRunning int    `json:"l,omitempty"`
-	Cordoned    bool   `json:"o,omitempty"`
-	Usable      bool   `json:"a,omitempty"`
+	// Runs counts the runs that have not ended, and the ends that are not stored yet.
+	Runs        int  `json:"r"`
+	LongRunning int  `json:"l,omitempty"`
+	Cordoned    bool `json:"o,omitempty"`
+	Usable      bool `json:"a,omitempty"`
 }
 
 // PoolReport is the state of a pool. CPU is in thousandths of a core.
@@ -44,7 +45,7 @@
 	}
 	for _, w := range p.workers {
 		wr := WorkerReport{
-			ID: w.ID, Rack: w.rack(), CapacityCPU: w.info.Capacity.CPU, UsedCPU: w.used.CPU, Runs: len(w.runs),
+			ID: w.ID, Rack: w.rack(), CapacityCPU: w.info.Capacity.CPU, UsedCPU: w.used.CPU, Runs: w.occupancy(),
 			LongRunning: w.countRuns(isLongRunning), Cordoned: w.cordonedUntil > c.Now, Usable: p.reachable(w, c) && w.listed && !w.info.Draining,
 		}
 		for _, x := range w.runs {
--- a/engine/simulation_test.go
+++ b/engine/simulation_test.go
@@ -180,7 +180,7 @@
 		x.pick().restart(x.now)
 	}
 	if x.chance(0.01) {
-		x.replace()
+		x.replace(x.pick())
 	}
 	if x.chance(0.01) {
 		x.storeUnavailableUntil = x.now + time.Duration(x.rnd.IntN(3000))*time.Millisecond
@@ -189,7 +189,7 @@
 		x.takeOver(x.pool.Token + 1)
 	}
 	if x.chance(0.02) {
-		x.pool.Cordon(x.pick().info.ID, x.now+2*time.Second, x.clock())
+		x.moveIfEmpty(x.pick())
 	}
 	if x.injected == falseTermination && x.chance(0.05) {
 		x.pool.WorkerTerminated(x.pick().info.ID, x.clock())
@@ -199,8 +199,17 @@
 	}
 }
 
-func (x *simulation) replace() {
-	w := x.pick()
+// moveIfEmpty cordons a worker and, if its owner reports it as empty, moves its instance. Such a move is planned, so the ends that
+// the worker has listed count as acknowledged.
+func (x *simulation) moveIfEmpty(w *simWorker) {
+	empty, known := x.pool.Cordon(w.info.ID, x.now+2*time.Second, x.clock())
+	if empty && known {
+		x.checker.endsAcked(w, w.ackedUpTo, w.listedUpTo)
+		x.replace(w)
+	}
+}
+
+func (x *simulation) replace(w *simWorker) {
 	x.checker.workerTerminated(w)
 	delete(x.checker.workers, w.info.ID)
 	x.pool.WorkerTerminated(w.info.ID, x.clock())
--- a/engine/simworker_test.go
+++ b/engine/simworker_test.go
@@ -43,6 +43,8 @@
 	highestRun         map[string]int64 // the highest run number stopped or ended here, by task
 	ended              []EndedRow
 	lastEnd, ackedUpTo int64
+	// listedUpTo is the highest end that was in an answer.
+	listedUpTo int64
 	// partitionedUntil is the end of the worker's last network partition.
 	partitionedUntil time.Duration
 	checker          *ruleChecker
@@ -58,7 +60,7 @@
 func (w *simWorker) restart(now time.Duration) {
 	w.checker.workerTerminated(w)
 	w.incarnation++
-	w.startedAt, w.token, w.leaseDeadline, w.lastEnd, w.ackedUpTo = now, 0, 0, 0, 0
+	w.startedAt, w.token, w.leaseDeadline, w.lastEnd, w.ackedUpTo, w.listedUpTo = now, 0, 0, 0, 0, 0
 	w.runs, w.highestRun, w.ended = map[string]*simRun{}, map[string]int64{}, nil
 }
 
@@ -219,6 +221,7 @@
 	for _, e := range w.ended {
 		if e.Seq > w.ackedUpTo {
 			a.Ended = append(a.Ended, e)
+			w.listedUpTo = max(w.listedUpTo, e.Seq)
 		}
 	}
 	return a, true
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -373,16 +373,21 @@
 	}
 }
 
-// Cordon keeps new work off a worker until the given time, and reports whether the worker has no runs.
+// Cordon keeps new work off a worker until the given time, and reports whether the worker is empty: it has no runs, and the
+// store has all ends that it has listed. The instance of an empty worker may be moved or go down, and the worker's list of
+// ends with it.
 func (p *Pool) Cordon(id string, until time.Duration, c Clock) (empty, known bool) {
 	w := p.workers[id]
 	if w == nil || !w.contacted {
 		return false, false
 	}
 	w.cordonedUntil = max(w.cordonedUntil, until)
-	return len(w.runs) == 0, true
+	return w.occupancy() == 0, true
 }
 
+// occupancy counts the worker's runs, and its ends that are not stored yet.
+func (w *Worker) occupancy() int { return len(w.runs) + len(w.pendingAcks) }
+
 // ForceCordon cordons a worker even if it was not contacted or listed yet.
 func (p *Pool) ForceCordon(id string, until time.Duration) {
 	w := p.ensureWorker(id)
--- /dev/null
+++ b/owner/takeover_test.go
@@ -0,0 +1,86 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"samphirepoint/engine"
+	"samphirepoint/rows"
+	"samphirepoint/rows/memrows"
+	"samphirepoint/verdict"
+)
+
+// holdingStore is one owner's access to a shared store. While held is set, its transactions wait until their context ends
+// and have no effect.
+type holdingStore struct {
+	*memrows.Store
+	mu   sync.Mutex
+	held bool
+}
+
+func (s *holdingStore) hold(held bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = held
+}
+
+func (s *holdingStore) Transact(ctx context.Context, tx rows.Tx) (int64, error) {
+	s.mu.Lock()
+	held := s.held
+	s.mu.Unlock()
+	if held {
+		<-ctx.Done()
+		return 0, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, 504)
+	}
+	return s.Store.Transact(ctx, tx)
+}
+
+// replace ends the worker incarnation with its list of ends, as a move of its instance does.
+func (w *fakeWorkers) replace() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended, w.endCount = nil, 0
+	w.incarnation++
+}
+
+// Guards against a task that runs again after a takeover because the instance of its worker was moved, as empty, before the
+// end of its first run was stored.
+func TestWorkerWithUnstoredEndsIsNotReportedEmpty(t *testing.T) {
+	g := NewWithT(t)
+	shared, w := memrows.New(), newFakeWorkers(t)
+	held := &holdingStore{Store: shared}
+	first := serveOn(t, held, claim(t, shared, 1), w, 1)
+	spec := engine.Spec{ID: job(1).ID, Queue: "q", Steps: []engine.Step{{Count: 1, Need: engine.Resources{CPU: 1000, Mem: 100}}}}
+	g.Expect(first.Submit(context.Background(), spec)).To(Succeed())
+	usedCPU := func() int64 {
+		r, err := first.Report(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+		return r.UsedCPU
+	}
+	g.Eventually(usedCPU, time.Minute, time.Millisecond).Should(Equal(int64(1000)))
+	g.Eventually(func() int { w.mu.Lock(); defer w.mu.Unlock(); return w.starts }, time.Minute, time.Millisecond).Should(Equal(1))
+	held.hold(true)
+	w.finishAll()
+	g.Eventually(usedCPU, time.Minute, time.Millisecond).Should(BeZero(), "the first owner has applied the end")
+	empty, known, err := first.Cordon(context.Background(), "i-1", time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(known).To(BeTrue())
+	if empty {
+		w.replace()
+	}
+	second := serve(t, shared, w, 2)
+	g.Eventually(func() bool {
+		empty, known, err = second.Cordon(context.Background(), "i-1", time.Second)
+		return err == nil && known && empty
+	}, time.Minute, 5*time.Millisecond).Should(BeTrue())
+	_, _, err = second.Cordon(context.Background(), "i-1", 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	eventuallyInState(g, second, spec.ID, engine.Completed)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	g.Expect(w.starts).To(Equal(1))
+}
