Keep unstored ends and cordons of a worker that is missing from one reading of the list

Callers could see a task run twice after a worker's entry had lapsed for a moment, as it may while the store is down.

Cause: SetRoster forgot a worker without runs, together with its ends that waited for the store and its cordon. Once listed again, the worker listed these ends a second time; as they were applied in memory, each counted as a late end without effect and was acknowledged at once, before the store had it. And as the cordon was gone, work was started on an instance that the fleet controller had been told was empty, and was about to move.

A worker is now kept while an end of it waits for the store or it is cordoned; its lease is renewed only in the former case. A repeated end is acknowledged once the job's newest state is stored. The removal of an expired job's rows counts as a commit, so that such an acknowledgement cannot wait forever.

--- a/engine/commit.go
+++ b/engine/commit.go
@@ -78,6 +78,7 @@
 func (p *Pool) committed(ch *Change, c Clock) {
 	j := ch.Job
 	if ch.Record == nil {
+		j.committed = ch.rev
 		delete(p.jobs, j.Spec.ID)
 		return
 	}
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -109,10 +109,11 @@
 	return j
 }
 
-// applyLateEnd handles the end of a run that was already considered over. Only a successful end still matters.
+// applyLateEnd handles the end of a run that was already considered over. Only a successful end still matters. Any other may be
+// listed a second time and be applied in memory only, so that its acknowledgement waits for the store as well.
 func (p *Pool) applyLateEnd(t *Task, w *Worker, e EndedRow, c Clock) *Job {
 	if e.Reason != EndDone || t.done || t.step.spec.LongRunning || t.job().state.Terminal() || e.Run > t.lastRun {
-		return nil
+		return t.job()
 	}
 	p.recordDecision("late-end", e.Task, e.Run, w.ID, string(e.Reason))
 	p.completeTask(t, c)
--- /dev/null
+++ b/engine/relisted_test.go
@@ -0,0 +1,53 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// relist removes a worker from the platform's list for one reading of it.
+func (w *testPool) relist(id string) {
+	f := w.workers[id]
+	delete(w.workers, id)
+	w.updateRoster()
+	w.workers[id] = f
+	w.updateRoster()
+}
+
+// Guards against an end that is acknowledged before it is stored: a worker that is listed again lists it a second time, when
+// its task is done in memory only.
+func TestRepeatedEndIsAcknowledgedOnlyOnceStored(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(1)
+	w.pool.Submit(oneStep("00000000000000b2", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	w.flush()
+	w.run(100 * time.Millisecond)
+	w.storeDown = true
+	w.endAll(EndDone)
+	w.renewLeases()
+	w.relist("i-00")
+	w.renewLeases()
+	w.renewLeases()
+	g.Expect(w.workers["i-00"].ackedUpTo).To(BeZero())
+	w.storeDown = false
+	w.flush()
+	w.renewLeases()
+	g.Expect(w.workers["i-00"].ackedUpTo).To(Equal(int64(1)))
+}
+
+// Guards against work that is started on a worker whose instance is about to be moved, because the worker was missing from
+// the platform's list for a moment.
+func TestCordonSurvivesRelisting(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(1)
+	empty, known := w.pool.Cordon("i-00", w.now+2*time.Second, w.clock())
+	g.Expect(empty && known).To(BeTrue())
+	w.relist("i-00")
+	w.pool.Submit(oneStep("00000000000000b3", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	w.run(time.Second)
+	g.Expect(w.workers["i-00"].running).To(BeEmpty())
+	w.run(2 * time.Second)
+	g.Expect(w.workers["i-00"].running).To(HaveLen(1))
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -230,17 +230,20 @@
 			p.recordDecision("worker-unlisted", "", 0, id, "")
 		}
 		w.listed = false
-		if len(w.runs) == 0 {
+		if w.occupancy() == 0 && w.cordonedUntil <= c.Now {
 			delete(p.workers, id)
 		}
 	}
 }
 
-// Targets returns the workers whose lease is to be renewed: the listed ones, and others that may still have runs.
+// needsRenewal reports whether the worker's lease is to be renewed: it is listed, or may still have runs or unstored ends.
+func (w *Worker) needsRenewal() bool { return w.listed || w.occupancy() > 0 }
+
+// Targets returns the workers whose lease is to be renewed.
 func (p *Pool) Targets() []Target {
 	var out []Target
 	for _, w := range p.workers {
-		if w.info.Address != "" {
+		if w.info.Address != "" && w.needsRenewal() {
 			out = append(out, w.target())
 		}
 	}
@@ -260,7 +263,7 @@
 // NextRenewal returns the worker's next lease renewal, and false if its lease is no longer to be renewed.
 func (p *Pool) NextRenewal(id string, c Clock) (RenewalRequest, bool) {
 	w := p.workers[id]
-	if w == nil {
+	if w == nil || !w.needsRenewal() {
 		return RenewalRequest{}, false
 	}
 	return RenewalRequest{DeadlineMS: p.lease(w, c), AckedUpTo: w.ackedUpTo, Unacknowledged: len(w.pendingAcks) > 0, Idle: len(w.runs) == 0}, true
