Store an order for an instance only while the owner that reported its worker as empty owns the pool

Callers could see runs killed by a move, and a task of which an end was lost with the worker's list run twice, when a pool changed its owner between the cordon of a worker and the order for its instance.

Cause: the answer "empty" of an owner that had lost the pool, because it was frozen, cut off or overtaken, was as good as that of its successor, which knew neither of the cordon nor of an order that was not stored yet, and started work on the worker.

Evidence: without the new condition TestOrderIsDroppedOncePoolHasAnotherOwner fails: the instance is moved although its pool has been claimed in between.

The answer to a cordon now carries the version of the claim under which it is given, and the transaction that stores the order as open is conditional on it. A successor claims the pool before it reads the open orders, so either it finds the order and cordons the worker, or the order is not stored and not sent. The orders of each pool are stored in a transaction of their own, so that a conflict drops only these; orders that need no owner are stored as before. An order that is certainly not stored no longer counts as open in the controller's memory.

--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"samphirepoint/engine"
+	"samphirepoint/owner"
 	"samphirepoint/verdict"
 )
 
@@ -20,11 +21,10 @@
 	return *res.Report, nil
 }
 
-// Cordon asks a pool's owner to keep new work off a worker for the given duration. It reports whether the worker is empty and
-// whether it is known.
-func (n *Node) Cordon(ctx context.Context, pool, worker string, length time.Duration) (empty, known bool, err error) {
+// Cordon asks a pool's owner to keep new work off a worker for the given duration; 0 removes the cordon.
+func (n *Node) Cordon(ctx context.Context, pool, worker string, length time.Duration) (owner.CordonAnswer, error) {
 	res, err := n.attempt(ctx, Call{Op: OpCordon, Pool: pool, Worker: worker, DurationMS: length.Milliseconds()})
-	return res.Empty, res.Known, err
+	return owner.CordonAnswer{Empty: res.Empty, Known: res.Known, ClaimVer: res.ClaimVer}, err
 }
 
 // WorkerTerminated notifies a pool's owner that a worker has terminated.
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -43,6 +43,8 @@
 	State   engine.State `json:"state,omitempty"`
 	Waiting int          `json:"waiting,omitempty"`
 	Empty   bool         `json:"empty,omitempty"`
+	// ClaimVer is the version of the claim of the owner that answers a cordon.
+	ClaimVer int64 `json:"claimVer,omitempty"`
 
 	Report *engine.PoolReport `json:"report,omitempty"`
 	Job    *engine.JobReport  `json:"job,omitempty"`
@@ -200,7 +202,9 @@
 	case OpWaiting:
 		res.Waiting, err = o.Waiting(ctx, call.Queue)
 	case OpCordon:
-		res.Empty, res.Known, err = o.Cordon(ctx, call.Worker, time.Duration(call.DurationMS)*time.Millisecond)
+		var a owner.CordonAnswer
+		a, err = o.Cordon(ctx, call.Worker, time.Duration(call.DurationMS)*time.Millisecond)
+		res.Empty, res.Known, res.ClaimVer = a.Empty, a.Known, a.ClaimVer
 	case OpWorkerTerminated:
 		err = o.WorkerTerminated(ctx, call.Worker)
 	case OpReport:
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -126,17 +126,26 @@
 	o.post(func() { o.pool.SetRoster(list, o.clock()) })
 }
 
-// Cordon keeps new work off a worker for the given duration and reports whether the worker is empty and whether it is known.
-// A duration of 0 or less removes the cordon.
-func (o *Owner) Cordon(ctx context.Context, worker string, length time.Duration) (empty, known bool, err error) {
-	err = o.WithState(ctx, func(p *engine.Pool, c engine.Clock) {
+// CordonAnswer is an owner's answer to a request to cordon a worker.
+type CordonAnswer struct {
+	// Empty and Known report whether the worker is empty, as Pool.Cordon defines it, and whether the owner has contact with it.
+	Empty, Known bool
+	// ClaimVer is the version of the claim under which the owner answers. Once that claim is not current, the answer says nothing:
+	// a successor doesn't know of the cordon, and may have started work on the worker.
+	ClaimVer int64
+}
+
+// Cordon keeps new work off a worker for the given duration. A duration of 0 or less removes the cordon.
+func (o *Owner) Cordon(ctx context.Context, worker string, length time.Duration) (CordonAnswer, error) {
+	a := CordonAnswer{ClaimVer: o.settings.ClaimVer}
+	err := o.WithState(ctx, func(p *engine.Pool, c engine.Clock) {
 		if length <= 0 {
 			p.Uncordon(worker)
 			return
 		}
-		empty, known = p.Cordon(worker, c.Now+length, c)
+		a.Empty, a.Known = p.Cordon(worker, c.Now+length, c)
 	})
-	return empty, known, err
+	return a, err
 }
 
 // Report returns the state of the pool, for the planning of maintenance and of moves between pools.
--- a/owner/takeover_test.go
+++ b/owner/takeover_test.go
@@ -66,18 +66,18 @@
 	held.hold(true)
 	w.finishAll()
 	g.Eventually(usedCPU, time.Minute, time.Millisecond).Should(BeZero(), "the first owner has applied the end")
-	empty, known, err := first.Cordon(context.Background(), "i-1", time.Second)
+	a, err := first.Cordon(context.Background(), "i-1", time.Second)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(known).To(BeTrue())
-	if empty {
+	g.Expect(a.Known).To(BeTrue())
+	if a.Empty {
 		w.replace()
 	}
 	second := serve(t, shared, w, 2)
 	g.Eventually(func() bool {
-		empty, known, err = second.Cordon(context.Background(), "i-1", time.Second)
-		return err == nil && known && empty
+		a, err = second.Cordon(context.Background(), "i-1", time.Second)
+		return err == nil && a.Known && a.Empty
 	}, time.Minute, 5*time.Millisecond).Should(BeTrue())
-	_, _, err = second.Cordon(context.Background(), "i-1", 0)
+	_, err = second.Cordon(context.Background(), "i-1", 0)
 	g.Expect(err).NotTo(HaveOccurred())
 	eventuallyInState(g, second, spec.ID, engine.Completed)
 	w.mu.Lock()
--- a/rows/memrows/memrows.go
+++ b/rows/memrows/memrows.go
@@ -60,6 +60,9 @@
 
 // Transact implements rows.Store.
 func (s *Store) Transact(_ context.Context, tx rows.Tx) (int64, error) {
+	if !tx.Across && tx.SpansParts() {
+		return 0, verdict.New(verdict.NotRun, http.StatusBadRequest, "memrows: the transaction spans several parts")
+	}
 	f := s.fault("transact")
 	if f.Refuse {
 		return 0, errRejected()
--- a/rows/rows.go
+++ b/rows/rows.go
@@ -10,13 +10,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
 // ErrHistoryGone reports that the changes after the requested version are no longer available. The rows must be read again.
 var ErrHistoryGone = errors.New("rows: the requested history is gone")
 
-// Key identifies a row. A transaction spans rows of one part only.
+// Key identifies a row. A transaction spans rows of one part only, unless it has Across set.
 type Key struct {
 	Table, Part, Name string
 }
@@ -47,6 +48,21 @@
 	Expected []Condition
 	Writes   []Write
 	Remove   []Key
+	// Across permits rows of several parts. Such a transaction takes the store twice as long, and time of each of the parts.
+	Across bool
+}
+
+// SpansParts reports whether the transaction has rows of more than one part.
+func (tx *Tx) SpansParts() bool {
+	var keys []Key
+	for _, e := range tx.Expected {
+		keys = append(keys, e.Key)
+	}
+	for _, w := range tx.Writes {
+		keys = append(keys, w.Key)
+	}
+	keys = append(keys, tx.Remove...)
+	return slices.ContainsFunc(keys, func(k Key) bool { return k.Part != keys[0].Part })
 }
 
 // MaxEntries is the maximum number of conditions, writes and removals in one transaction, all counted together.
--- a/standin/jobfleet/jobfleet.go
+++ b/standin/jobfleet/jobfleet.go
@@ -299,12 +299,15 @@
 }
 
 func (f *Fleet) transact(w http.ResponseWriter, r *http.Request) {
-	var m struct{ Expected, Writes, Remove []wireRow }
+	var m struct {
+		Expected, Writes, Remove []wireRow
+		Across                   bool
+	}
 	if json.NewDecoder(r.Body).Decode(&m) != nil {
 		writeJSON(w, 400, map[string]any{})
 		return
 	}
-	var tx rows.Tx
+	tx := rows.Tx{Across: m.Across}
 	for _, e := range m.Expected {
 		tx.Expected = append(tx.Expected, rows.Condition{Key: e.key(), Ver: e.Ver})
 	}
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphirepoint/engine"
+	"samphirepoint/owner"
 	"samphirepoint/rows"
 	"samphirepoint/sleep"
 )
@@ -37,7 +38,7 @@
 type Pools interface {
 	Report(ctx context.Context, pool string) (engine.PoolReport, error)
 	// Cordon keeps new work off a worker for the given time; length 0 uncordons it.
-	Cordon(ctx context.Context, pool, worker string, length time.Duration) (empty, known bool, err error)
+	Cordon(ctx context.Context, pool, worker string, length time.Duration) (owner.CordonAnswer, error)
 	// WorkerTerminated notifies the owner that a worker has terminated.
 	WorkerTerminated(ctx context.Context, pool, worker string) error
 	// Pools returns all pools by name; the value is true for spare pools.
--- a/upkeep/orders.go
+++ b/upkeep/orders.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"samphirepoint/rows"
 	"samphirepoint/verdict"
 )
 
@@ -17,6 +19,23 @@
 	instance   Instance
 	wave       int64
 	targetPool string
+	// claimVer is the version of the claim under which the pool's owner has reported the worker as empty. It is 0 for an instance
+	// that needs no owner's consent.
+	claimVer int64
+}
+
+// consent identifies the claim of a pool's owner under which a worker was reported as empty. It is zero for orders that need no
+// owner's consent.
+type consent struct {
+	pool string
+	ver  int64
+}
+
+func (o *order) consent() consent {
+	if o.claimVer == 0 {
+		return consent{}
+	}
+	return consent{pool: o.instance.Pool, ver: o.claimVer}
 }
 
 // uncordon ends the cordons of instances for which no order is due any more.
@@ -27,7 +46,7 @@
 		}
 		delete(c.cordoned, id)
 		ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
-		_, _, _ = c.settings.Pools.Cordon(ctx, c.listed[id].Pool, worker, 0)
+		_, _ = c.settings.Pools.Cordon(ctx, c.listed[id].Pool, worker, 0) // Without a response, the cordon expires.
 		cancel()
 	}
 }
@@ -50,8 +69,9 @@
 		}
 		c.cordoned[id] = o.instance.Worker
 		g.Go(func() error {
-			empty, known, err := c.settings.Pools.Cordon(ctx, o.instance.Pool, o.instance.Worker, cordonTTL)
-			if err == nil && known && empty {
+			a, err := c.settings.Pools.Cordon(ctx, o.instance.Pool, o.instance.Worker, cordonTTL)
+			o.claimVer = a.ClaimVer
+			if err == nil && a.Known && a.Empty && a.ClaimVer != 0 {
 				mu.Lock()
 				out = append(out, o)
 				mu.Unlock()
@@ -74,21 +94,10 @@
 
 // execute stores the orders as open, sends them, and stores their outcomes.
 func (c *Controller) execute(orders []order) {
+	orders = c.storeOpen(orders)
 	if len(orders) == 0 {
 		return
 	}
-	for _, o := range orders {
-		rec := c.orders[o.instance.ID]
-		if !rec.Open {
-			rec.Worker = o.instance.Worker
-		}
-		rec.Holder, rec.AtMS, rec.Wave, rec.TargetPool, rec.Open = c.settings.Holder, time.Now().UnixMilli(), o.wave, o.targetPool, true
-		rec.Started = slices.Clone(rec.Started)
-		c.orders[o.instance.ID] = rec
-	}
-	if !c.storeOrders(orders) {
-		return
-	}
 	results := make([]error, len(orders))
 	var g errgroup.Group
 	for i, o := range orders {
@@ -98,10 +107,93 @@
 		})
 	}
 	_ = g.Wait()
+	closed := map[string]OrderRecord{}
 	for i, o := range orders {
 		c.recordOutcome(o, results[i])
+		closed[o.instance.ID] = c.orders[o.instance.ID]
+	}
+	if err := c.storeRecords(closed); err != nil {
+		c.settings.Log.Warn().Err(err).Msg("cannot store the outcomes of orders")
+		c.fenced = c.fenced || c.overtaken(err)
+	}
+}
+
+// batch is orders whose records are stored in one transaction, and its outcome.
+type batch struct {
+	consent consent
+	orders  []order
+	records map[string]OrderRecord
+	err     error
+}
+
+// maxBatch is the number of orders in a batch: its transaction also has up to two conditions.
+const maxBatch = rows.MaxEntries - 2
+
+// storeOpen stores the orders as open and returns those that are certainly stored. The orders of each pool go into a transaction of
+// their own, which fails if the pool has another owner than the one that reported their workers as empty: an owner reads the
+// open orders after it has claimed the pool, so either it finds the order or the order is not stored.
+func (c *Controller) storeOpen(orders []order) []order {
+	var g errgroup.Group
+	batches := c.batches(orders)
+	for _, b := range batches {
+		g.Go(func() error {
+			b.err = c.storeRecords(b.records, b.consent.conditions()...)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	var stored []order
+	for _, b := range batches {
+		stored = append(stored, c.recordOpen(b)...)
+	}
+	return stored
+}
+
+// batches divides orders by the consent that they need, with records in which they are open.
+func (c *Controller) batches(orders []order) []*batch {
+	groups := map[consent][]order{}
+	for _, o := range orders {
+		groups[o.consent()] = append(groups[o.consent()], o)
+	}
+	var out []*batch
+	for k, list := range groups {
+		for chunk := range slices.Chunk(list, maxBatch) {
+			b := &batch{consent: k, orders: chunk, records: map[string]OrderRecord{}}
+			for _, o := range chunk {
+				b.records[o.instance.ID] = c.openRecord(o)
+			}
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// openRecord returns the record of an instance with the order as its open one.
+func (c *Controller) openRecord(o order) OrderRecord {
+	rec := c.orders[o.instance.ID]
+	if !rec.Open {
+		rec.Worker = o.instance.Worker
+	}
+	rec.Holder, rec.AtMS, rec.Wave, rec.TargetPool, rec.Open = c.settings.Holder, time.Now().UnixMilli(), o.wave, o.targetPool, true
+	rec.Started = slices.Clone(rec.Started)
+	return rec
+}
+
+// recordOpen takes over the records of a batch unless they are certainly not stored, and returns the orders that may be sent. An
+// order that may be stored counts as open, so that it is stored again until the outcome is known.
+func (c *Controller) recordOpen(b *batch) []order {
+	if b.err != nil {
+		c.settings.Log.Warn().Str("pool", b.consent.pool).Int64("claimVer", b.consent.ver).Int("orders", len(b.orders)).Err(b.err).Msg("cannot store orders for instances; not sent")
+		c.fenced = c.fenced || c.overtaken(b.err)
+		if isConflict(b.err) || verdict.Is(b.err, verdict.NotRun) {
+			return nil
+		}
+	}
+	maps.Copy(c.orders, b.records)
+	if b.err != nil {
+		return nil
 	}
-	c.storeOrders(orders)
+	return b.orders
 }
 
 func (c *Controller) sendOrder(o order) error {
--- /dev/null
+++ b/upkeep/orders_test.go
@@ -0,0 +1,162 @@
+package upkeep
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"samphirepoint/engine"
+	"samphirepoint/owner"
+	"samphirepoint/rows"
+	"samphirepoint/rows/memrows"
+)
+
+const testRole = "~fleet"
+
+// testPools answers cordons as the owners of pools, whose workers are all empty.
+type testPools struct {
+	claims map[string]int64
+	// afterCordon is called after a cordon was answered.
+	afterCordon func(pool string)
+}
+
+func (p *testPools) Cordon(_ context.Context, pool, _ string, _ time.Duration) (owner.CordonAnswer, error) {
+	a := owner.CordonAnswer{Empty: true, Known: true, ClaimVer: p.claims[pool]}
+	if p.afterCordon != nil {
+		p.afterCordon(pool)
+	}
+	return a, nil
+}
+
+func (p *testPools) Report(context.Context, string) (engine.PoolReport, error) {
+	return engine.PoolReport{}, nil
+}
+func (p *testPools) WorkerTerminated(context.Context, string, string) error { return nil }
+func (p *testPools) Pools() map[string]bool                                 { return map[string]bool{"pumps": false, "routes": false} }
+
+// testInstances records the moves that it receives.
+type testInstances struct {
+	mu    sync.Mutex
+	moved []string
+}
+
+func (t *testInstances) List(context.Context) ([]Instance, error) { return nil, nil }
+func (t *testInstances) Upkeep(context.Context, string, int64, string, int64) error {
+	return nil
+}
+func (t *testInstances) Move(_ context.Context, instance, _, _ string, _ int64) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.moved = append(t.moved, instance)
+	return nil
+}
+
+// testController is a controller with its surroundings.
+type testController struct {
+	*Controller
+	store     *memrows.Store
+	pools     *testPools
+	instances *testInstances
+	now       atomic.Int64
+}
+
+func newTestController(t *testing.T) *testController {
+	x := &testController{store: memrows.New(), pools: &testPools{claims: map[string]int64{}}, instances: &testInstances{}}
+	x.now.Store(int64(time.Minute))
+	for _, pool := range []string{"pumps", "routes"} {
+		x.pools.claims[pool] = x.claimPart(t, pool)
+	}
+	x.Controller = New(t.Context(), Settings{
+		Role: testRole, Holder: "a", Token: 1, ClaimVer: x.claimPart(t, testRole), Store: x.store, Instances: x.instances, Pools: x.pools,
+		Log: zerolog.Nop(), Now: func() time.Duration { return time.Duration(x.now.Load()) },
+	})
+	return x
+}
+
+// claimPart writes a new claim of a part and returns its version.
+func (x *testController) claimPart(t *testing.T, part string) int64 {
+	ver, err := x.store.Transact(t.Context(), rows.Tx{Writes: []rows.Write{{Key: owner.ClaimKey(part), Value: []byte("{}")}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ver
+}
+
+// reconcileMoves cordons the instances, one of each pool, and executes the moves of those that are empty.
+func (x *testController) reconcileMoves() {
+	s := fleet(x.settings.Now(), map[string]int{"pumps": 1, "routes": 1})
+	due := map[string]order{}
+	for id, i := range s.Instances {
+		due[id] = order{instance: i, targetPool: "slips"}
+	}
+	x.execute(x.cordon(s, due))
+}
+
+// openOrders returns the instances with an open order in the store.
+func (x *testController) openOrders(g Gomega) map[string]bool {
+	list, _, err := x.store.Read(context.Background(), TableFleet, testRole)
+	g.Expect(err).NotTo(HaveOccurred())
+	out := map[string]bool{}
+	for _, r := range list {
+		var rec OrderRecord
+		g.Expect(json.Unmarshal(r.Value, &rec)).To(Succeed())
+		if rec.Open {
+			out[r.Name] = true
+		}
+	}
+	return out
+}
+
+// Guards against moving an instance on which a new owner of its pool has started work: the former owner had reported the worker
+// as empty, and the new one knew neither of the cordon nor of the order. The orders of other pools are not affected.
+func TestOrderIsDroppedOncePoolHasAnotherOwner(t *testing.T) {
+	g := NewWithT(t)
+	x := newTestController(t)
+	x.pools.afterCordon = func(pool string) {
+		if pool == "pumps" {
+			x.claimPart(t, pool)
+		}
+	}
+	x.reconcileMoves()
+	g.Expect(x.instances.moved).To(ConsistOf("routes-00"))
+	g.Expect(x.orders).NotTo(HaveKey("pumps-00"))
+	g.Expect(x.openOrders(g)).To(BeEmpty())
+	g.Expect(x.fenced).To(BeFalse())
+
+	x.pools.afterCordon = nil
+	x.reconcileMoves()
+	g.Expect(x.instances.moved).NotTo(ContainElement("pumps-00"), "the former owner still answers")
+	x.pools.claims["pumps"] = x.claimPart(t, "pumps")
+	x.reconcileMoves()
+	g.Expect(x.instances.moved).To(ContainElement("pumps-00"))
+}
+
+// Guards against orders that are sent although another controller has claimed the role.
+func TestOvertakenControllerSendsNoOrder(t *testing.T) {
+	g := NewWithT(t)
+	x := newTestController(t)
+	x.claimPart(t, testRole)
+	x.reconcileMoves()
+	g.Expect(x.instances.moved).To(BeEmpty())
+	g.Expect(x.fenced).To(BeTrue())
+}
+
+// Guards against an order whose record may be stored as open and is forgotten: the owners' successors keep its worker cordoned.
+func TestOrderWithUnknownRecordIsStoredAgain(t *testing.T) {
+	g := NewWithT(t)
+	x := newTestController(t)
+	x.store.Fault = func(string) memrows.Fault { return memrows.Fault{LoseResponse: true} }
+	x.reconcileMoves()
+	x.store.Fault = nil
+	g.Expect(x.instances.moved).To(BeEmpty())
+	g.Expect(x.openOrders(g)).To(HaveLen(2))
+	due := map[string]order{}
+	x.resumeOpenOrders(fleet(x.settings.Now(), map[string]int{"pumps": 1, "routes": 1}), due)
+	g.Expect(due).To(HaveLen(2))
+}
--- a/upkeep/store.go
+++ b/upkeep/store.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"samphirepoint/owner"
@@ -97,32 +99,44 @@
 	return out, nil
 }
 
-// storeOrders writes the order records of the orders' instances on the condition that the claim stands. If it returns
-// false, none of the orders may be sent.
-func (c *Controller) storeOrders(orders []order) bool {
-	claim := c.claim()
-	for len(orders) > 0 {
-		n := min(len(orders), rows.MaxEntries/2)
-		tx := rows.Tx{Expected: []rows.Condition{claim}}
-		for _, o := range orders[:n] {
-			value, err := json.Marshal(c.orders[o.instance.ID])
+// conditions returns the condition that the owner's claim is still current.
+func (k consent) conditions() []rows.Condition {
+	if k.ver == 0 {
+		return nil
+	}
+	return []rows.Condition{owner.ClaimCondition(k.pool, k.ver)}
+}
+
+// storeRecords writes order records on the condition that the controller's claim is current and the given conditions hold. After
+// an error, some of the records may be stored.
+func (c *Controller) storeRecords(records map[string]OrderRecord, conditions ...rows.Condition) error {
+	expected := append([]rows.Condition{c.claim()}, conditions...)
+	for chunk := range slices.Chunk(slices.Sorted(maps.Keys(records)), rows.MaxEntries-len(expected)) {
+		tx := rows.Tx{Expected: expected, Across: len(conditions) > 0}
+		for _, id := range chunk {
+			value, err := json.Marshal(records[id])
 			if err != nil {
 				panic(err) // An OrderRecord always encodes.
 			}
-			tx.Writes = append(tx.Writes, rows.Write{Key: c.key(o.instance.ID), Value: value})
+			tx.Writes = append(tx.Writes, rows.Write{Key: c.key(id), Value: value})
 		}
 		ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
 		_, err := c.settings.Store.Transact(ctx, tx)
 		cancel()
-		var conflict *rows.Conflict
-		if errors.As(err, &conflict) {
-			c.fenced = true
-		}
 		if err != nil {
-			c.settings.Log.Warn().Err(err).Msg("cannot store the order records")
-			return false
+			return err
 		}
-		orders = orders[n:]
 	}
-	return true
+	return nil
+}
+
+func isConflict(err error) bool {
+	var conflict *rows.Conflict
+	return errors.As(err, &conflict)
+}
+
+// overtaken reports whether the error shows that another controller has claimed the role.
+func (c *Controller) overtaken(err error) bool {
+	var conflict *rows.Conflict
+	return errors.As(err, &conflict) && conflict.Find(c.claim().Key).Ver != c.settings.ClaimVer
 }
