Send an order for an instance only while the cordon of its worker lasts

Callers could see runs killed by a move or an upkeep while the store or the platform answered slowly.

Cause: a cordon lasted 2.5 s, but the calls between its request and the response to the order may take 2.7 s (cordon, store, order, 0.9 s each), and a reconciliation as a whole up to five such calls. Work could be started on the worker before the order reached the instance, or while an order without a response was still to be executed.

Evidence: TestOrderIsNotSentAfterCordonHasExpired failed: both instances were moved although storing the orders had taken half of the cordon's length twice.

An order is sent only if the cordon, counted from its request, outlasts the call. An order that is not sent stays open and is sent once its worker has been reported as empty again. Cordons last 5 s, as do those of a new owner for open orders; the controller still removes those that it no longer needs.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -231,7 +231,7 @@
 
 // openOrderCordon is how long a new owner cordons the workers of instances with open orders. The fleet controller extends the
 // cordon.
-const openOrderCordon = 3 * time.Second
+const openOrderCordon = 5 * time.Second
 
 // cordonOpenOrders cordons the workers whose instances have an open order.
 func (o *Owner) cordonOpenOrders(ctx context.Context) error {
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -83,8 +83,9 @@
 	reconcileDelay = 250 * time.Millisecond
 	// loadRetryDelay is the delay after a failed read of the order records.
 	loadRetryDelay = 200 * time.Millisecond
-	// cordonTTL is how long a cordon lasts unless it is renewed; each reconciliation renews it.
-	cordonTTL = 2500 * time.Millisecond
+	// cordonTTL is how long a cordon lasts unless it is renewed; each reconciliation renews it. One reconciliation makes up to five
+	// calls that take callTimeout each, and a cordon must outlast it while an order has no response.
+	cordonTTL = 5 * time.Second
 	// callTimeout bounds one remote call.
 	callTimeout = 900 * time.Millisecond
 	// handoverMargin is added to the handover delay to allow for clock differences and slow orders.
--- a/upkeep/orders.go
+++ b/upkeep/orders.go
@@ -19,9 +19,10 @@
 	instance   Instance
 	wave       int64
 	targetPool string
-	// claimVer is the version of the claim under which the pool's owner has reported the worker as empty. It is 0 for an instance
-	// that needs no owner's consent.
-	claimVer int64
+	// claimVer is the version of the claim under which the pool's owner has reported the worker as empty, cordonedAt the time
+	// at which it was asked. Both are 0 for an instance that needs no owner's consent.
+	claimVer   int64
+	cordonedAt time.Duration
 }
 
 // consent identifies the claim of a pool's owner under which a worker was reported as empty. It is zero for orders that need no
@@ -69,6 +70,7 @@
 		}
 		c.cordoned[id] = o.instance.Worker
 		g.Go(func() error {
+			o.cordonedAt = c.settings.Now()
 			a, err := c.settings.Pools.Cordon(ctx, o.instance.Pool, o.instance.Worker, cordonTTL)
 			o.claimVer = a.ClaimVer
 			if err == nil && a.Known && a.Empty && a.ClaimVer != 0 {
@@ -94,7 +96,7 @@
 
 // execute stores the orders as open, sends them, and stores their outcomes.
 func (c *Controller) execute(orders []order) {
-	orders = c.storeOpen(orders)
+	orders = slices.DeleteFunc(c.storeOpen(orders), func(o order) bool { return !c.cordonHolds(&o) })
 	if len(orders) == 0 {
 		return
 	}
@@ -118,6 +120,12 @@
 	}
 }
 
+// cordonHolds reports whether the cordon of the order's worker lasts until the order has had a response. An order that is not sent
+// stays open, and is sent once its worker has been reported as empty again.
+func (c *Controller) cordonHolds(o *order) bool {
+	return o.claimVer == 0 || c.settings.Now()-o.cordonedAt+callTimeout < cordonTTL
+}
+
 // batch is orders whose records are stored in one transaction, and its outcome.
 type batch struct {
 	consent consent
--- a/upkeep/orders_test.go
+++ b/upkeep/orders_test.go
@@ -147,6 +147,23 @@
 	g.Expect(x.fenced).To(BeTrue())
 }
 
+// Guards against an order that is sent after the cordon of its worker has expired, here because the store was slow.
+func TestOrderIsNotSentAfterCordonHasExpired(t *testing.T) {
+	g := NewWithT(t)
+	x := newTestController(t)
+	x.store.Fault = func(string) memrows.Fault {
+		x.now.Add(int64(cordonTTL / 2))
+		return memrows.Fault{}
+	}
+	x.reconcileMoves()
+	g.Expect(x.instances.moved).To(BeEmpty())
+	g.Expect(x.openOrders(g)).To(HaveLen(2), "a successor of the owner cordons the workers")
+	x.store.Fault = nil
+	x.reconcileMoves()
+	g.Expect(x.instances.moved).To(HaveLen(2))
+	g.Expect(x.openOrders(g)).To(BeEmpty())
+}
+
 // Guards against an order whose record may be stored as open and is forgotten: the owners' successors keep its worker cordoned.
 func TestOrderWithUnknownRecordIsStoredAgain(t *testing.T) {
 	g := NewWithT(t)
