Ignore a cordon request whose caller has given up

Callers could see runs killed by an order for an instance whose owner was slow.

Cause: the request to remove a cordon stays in the queue of a busy owner after its caller's timeout, and was executed then. In the meantime the controller may have cordoned the same worker again, had it reported as empty, and be about to send an order.

The owner now checks when it executes the request whether the caller still waits. The server ends the request's context when the caller's connection ends.

--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -135,10 +135,14 @@
 	ClaimVer int64
 }
 
-// Cordon keeps new work off a worker for the given duration. A duration of 0 or less removes the cordon.
+// Cordon keeps new work off a worker for the given duration. A duration of 0 or less removes the cordon. Once ctx has ended, the
+// request has no effect: the caller may rely on a later one.
 func (o *Owner) Cordon(ctx context.Context, worker string, length time.Duration) (CordonAnswer, error) {
 	a := CordonAnswer{ClaimVer: o.settings.ClaimVer}
 	err := o.WithState(ctx, func(p *engine.Pool, c engine.Clock) {
+		if ctx.Err() != nil {
+			return
+		}
 		if length <= 0 {
 			p.Uncordon(worker)
 			return
--- a/owner/takeover_test.go
+++ b/owner/takeover_test.go
@@ -84,3 +84,22 @@
 	defer w.mu.Unlock()
 	g.Expect(w.starts).To(Equal(1))
 }
+
+// Guards against the removal of a cordon that is executed after its caller has given up, when a later cordon may be in force and
+// an order for the instance on its way.
+func TestAbandonedRemovalOfCordonHasNoEffect(t *testing.T) {
+	g := NewWithT(t)
+	o := serve(t, memrows.New(), newFakeWorkers(t), 1)
+	g.Eventually(func() bool {
+		a, err := o.Cordon(context.Background(), "i-1", time.Minute)
+		return err == nil && a.Known
+	}, time.Minute, time.Millisecond).Should(BeTrue())
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 20 {
+		_, _ = o.Cordon(ended, "i-1", 0)
+	}
+	r, err := o.Report(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Workers[0].Cordoned).To(BeTrue())
+}
