Read the baseline back when its write conflicts

Callers could see waves and moves stand still until the fleet controller changed.

Cause: the baseline is written on condition that its row is absent. If the store executed the write and its response was lost, each further attempt conflicted, and a reconciliation ends with that error before it plans anything.

Evidence: TestBaselineWithUnknownOutcomeIsReadBack failed on the second attempt with the conflict.

The conflict returns the row, which is used as the baseline. A conflict on the claim ends the term at once.

--- a/upkeep/orders_test.go
+++ b/upkeep/orders_test.go
@@ -177,3 +177,16 @@
 	x.resumeOpenOrders(fleet(x.settings.Now(), map[string]int{"pumps": 1, "routes": 1}), due)
 	g.Expect(due).To(HaveLen(2))
 }
+
+// Guards against a controller that can do nothing for its whole term because the response to its write of the baseline was
+// lost: the row exists, so that the same write always conflicts.
+func TestBaselineWithUnknownOutcomeIsReadBack(t *testing.T) {
+	g := NewWithT(t)
+	x := newTestController(t)
+	x.store.Fault = func(string) memrows.Fault { return memrows.Fault{LoseResponse: true} }
+	s := fleet(x.settings.Now(), map[string]int{"pumps": 3, "common": 2})
+	g.Expect(x.initBaseline(t.Context(), s)).NotTo(Succeed())
+	x.store.Fault = nil
+	g.Expect(x.initBaseline(t.Context(), s)).To(Succeed())
+	g.Expect(s.Baseline).To(Equal(map[string]int{"pumps": 3, "common": 2}))
+}
--- a/upkeep/store.go
+++ b/upkeep/store.go
@@ -34,20 +34,35 @@
 		for _, i := range s.Instances {
 			b[i.Pool]++
 		}
-		value, err := json.Marshal(b)
-		if err != nil {
-			panic(err) // A map of counts always encodes.
-		}
-		key := c.key(keyBaseline)
-		if _, err := c.settings.Store.Transact(ctx, rows.Tx{Expected: []rows.Condition{c.claim(), {Key: key}}, Writes: []rows.Write{{Key: key, Value: value}}}); err != nil {
+		if err := c.storeBaseline(ctx, b); err != nil {
 			return err
 		}
-		c.baseline = b
 	}
 	s.Baseline = c.baseline
 	return nil
 }
 
+// storeBaseline stores the baseline unless there is one, and takes over the one that is in the store: an earlier attempt may have
+// succeeded although its response was lost.
+func (c *Controller) storeBaseline(ctx context.Context, b map[string]int) error {
+	value, err := json.Marshal(b)
+	if err != nil {
+		panic(err) // A map of counts always encodes.
+	}
+	key := c.key(keyBaseline)
+	_, err = c.settings.Store.Transact(ctx, rows.Tx{Expected: []rows.Condition{c.claim(), {Key: key}}, Writes: []rows.Write{{Key: key, Value: value}}})
+	var conflict *rows.Conflict
+	switch {
+	case err == nil:
+		c.baseline = b
+		return nil
+	case errors.As(err, &conflict) && !c.overtaken(err):
+		return json.Unmarshal(conflict.Find(key).Value, &c.baseline)
+	}
+	c.fenced = c.fenced || c.overtaken(err)
+	return err
+}
+
 func (c *Controller) claim() rows.Condition {
 	return owner.ClaimCondition(c.settings.Role, c.settings.ClaimVer)
 }
