Write an order record only over the version that it replaces

Callers could see an instance moved or taken down again after a change of the fleet controller.

Cause: the records were conditional on the controller's claim alone. The store may execute a transaction seconds after its response was lost, so a record with an open order could replace the newer one in which that order is closed, or one for another worker, and a successor or the pool's next owner acted on it.

Evidence: TestDelayedOrderRecordHasNoEffect failed: the withheld transaction was executed after the order had been closed.

Each record is conditional on its last known version. After a lost response the next attempt conflicts once, which returns the versions, and the one after it succeeds.

--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -100,6 +100,9 @@
 
 	orders   map[string]OrderRecord
 	cordoned map[string]string // instance -> cordoned worker
+	// recordVers holds the last known version of each order record. Batches are stored concurrently, so mu protects it.
+	mu         sync.Mutex
+	recordVers map[string]int64
 	// cordonedSince is the time at which each cordon began, coolDownUntil the end of each instance's last cool-down.
 	cordonedSince map[string]time.Duration
 	coolDownUntil map[string]time.Duration
@@ -121,7 +124,7 @@
 	c, cancel := context.WithCancel(ctx)
 	return &Controller{
 		settings: s, ctx: c, cancel: cancel,
-		orders: map[string]OrderRecord{}, cordoned: map[string]string{}, cordonedSince: map[string]time.Duration{}, coolDownUntil: map[string]time.Duration{},
+		orders: map[string]OrderRecord{}, recordVers: map[string]int64{}, cordoned: map[string]string{}, cordonedSince: map[string]time.Duration{}, coolDownUntil: map[string]time.Duration{},
 		reported: map[int64]string{}, lastSeen: map[string]Instance{}, terminated: map[string]string{},
 		forecast: NewForecast(), surplusSince: map[string]time.Duration{},
 	}
--- a/upkeep/orders.go
+++ b/upkeep/orders.go
@@ -134,8 +134,9 @@
 	err     error
 }
 
-// maxBatch is the number of orders in a batch: its transaction also has up to two conditions.
-const maxBatch = rows.MaxEntries - 2
+// maxBatch is the number of orders in a batch: its transaction has a condition and a write for each, and up to two conditions on
+// claims.
+const maxBatch = (rows.MaxEntries - 2) / 2
 
 // storeOpen stores the orders as open and returns those that are certainly stored. The orders of each pool go into a transaction of
 // their own, which fails if the pool has another owner than the one that reported their workers as empty: an owner reads the
--- a/upkeep/orders_test.go
+++ b/upkeep/orders_test.go
@@ -15,6 +15,7 @@
 	"samphirepoint/owner"
 	"samphirepoint/rows"
 	"samphirepoint/rows/memrows"
+	"samphirepoint/verdict"
 )
 
 const testRole = "~fleet"
@@ -190,3 +191,42 @@
 	g.Expect(x.initBaseline(t.Context(), s)).To(Succeed())
 	g.Expect(s.Baseline).To(Equal(map[string]int{"pumps": 3, "common": 2}))
 }
+
+// delayingStore withholds the first transaction with an order record: its outcome is unknown, and it is executed later.
+type delayingStore struct {
+	*memrows.Store
+	withheld *rows.Tx
+}
+
+func (s *delayingStore) Transact(ctx context.Context, tx rows.Tx) (int64, error) {
+	if s.withheld == nil && len(tx.Writes) > 0 && tx.Writes[0].Table == TableFleet {
+		s.withheld = &tx
+		return 0, verdict.New(verdict.MayHaveRun, 504, "no response")
+	}
+	return s.Store.Transact(ctx, tx)
+}
+
+// Guards against a record that the store writes after a newer one of the same instance: a successor would repeat an order that
+// is closed.
+func TestDelayedOrderRecordHasNoEffect(t *testing.T) {
+	g := NewWithT(t)
+	x := newTestController(t)
+	s := &delayingStore{Store: x.store}
+	x.settings.Store = s
+	reconcile := func() {
+		f := fleet(x.settings.Now(), map[string]int{"pumps": 1})
+		x.execute(x.cordon(f, map[string]order{"pumps-00": {instance: f.Instances["pumps-00"], targetPool: "slips"}}))
+	}
+	reconcile()
+	g.Expect(x.instances.moved).To(BeEmpty())
+	reconcile()
+	g.Expect(x.instances.moved).To(ConsistOf("pumps-00"))
+	_, err := x.store.Transact(t.Context(), *s.withheld)
+	g.Expect(isConflict(err)).To(BeTrue(), "%v", err)
+	g.Expect(x.openOrders(g)).To(BeEmpty())
+
+	x.store.Fault = func(string) memrows.Fault { return memrows.Fault{LoseResponse: true} }
+	reconcile()
+	x.store.Fault = nil
+	g.Eventually(func() []string { reconcile(); return x.instances.moved }, time.Minute, time.Millisecond).Should(HaveLen(2), "the record is stored although its version was unknown")
+}
--- a/upkeep/store.go
+++ b/upkeep/store.go
@@ -93,6 +93,7 @@
 		var rec OrderRecord
 		if json.Unmarshal(r.Value, &rec) == nil {
 			c.orders[r.Name] = rec
+			c.recordVers[r.Name] = r.Ver
 		}
 	}
 	return nil
@@ -122,22 +123,24 @@
 	return []rows.Condition{owner.ClaimCondition(k.pool, k.ver)}
 }
 
-// storeRecords writes order records on the condition that the controller's claim is current and the given conditions hold. After
-// an error, some of the records may be stored.
+// storeRecords writes order records on the condition that the controller's claim is current, the given conditions hold and the
+// records are as they were last known, as the store may execute an earlier attempt late. After an error, some of the records may be
+// stored.
 func (c *Controller) storeRecords(records map[string]OrderRecord, conditions ...rows.Condition) error {
-	expected := append([]rows.Condition{c.claim()}, conditions...)
-	for chunk := range slices.Chunk(slices.Sorted(maps.Keys(records)), rows.MaxEntries-len(expected)) {
-		tx := rows.Tx{Expected: expected, Across: len(conditions) > 0}
+	for chunk := range slices.Chunk(slices.Sorted(maps.Keys(records)), maxBatch) {
+		tx := rows.Tx{Expected: append([]rows.Condition{c.claim()}, conditions...), Across: len(conditions) > 0}
 		for _, id := range chunk {
 			value, err := json.Marshal(records[id])
 			if err != nil {
 				panic(err) // An OrderRecord always encodes.
 			}
+			tx.Expected = append(tx.Expected, rows.Condition{Key: c.key(id), Ver: c.recordVer(id)})
 			tx.Writes = append(tx.Writes, rows.Write{Key: c.key(id), Value: value})
 		}
 		ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
-		_, err := c.settings.Store.Transact(ctx, tx)
+		ver, err := c.settings.Store.Transact(ctx, tx)
 		cancel()
+		c.learnVersions(chunk, ver, err)
 		if err != nil {
 			return err
 		}
@@ -145,6 +148,29 @@
 	return nil
 }
 
+// recordVer returns the last known version of an instance's order record, or 0 if it has none.
+func (c *Controller) recordVer(id string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.recordVers[id]
+}
+
+// learnVersions updates the versions of order records from the outcome of a transaction. After one without a response they are
+// out of date if it was executed; the conflict of the next one returns them.
+func (c *Controller) learnVersions(ids []string, ver int64, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var conflict *rows.Conflict
+	for _, id := range ids {
+		switch {
+		case err == nil:
+			c.recordVers[id] = ver
+		case errors.As(err, &conflict):
+			c.recordVers[id] = conflict.Find(c.key(id)).Ver
+		}
+	}
+}
+
 func isConflict(err error) bool {
 	var conflict *rows.Conflict
 	return errors.As(err, &conflict)
