--- a/cluster/heartbeat.go
+++ b/cluster/heartbeat.go
@@ -15,7 +15,7 @@
 	defer n.mu.Unlock()
 	n.heartbeat++
 	m := Member{
-		Node: n.settings.Name, Incarnation: n.settings.Incarnation, Address: n.settings.Address, Zone: n.settings.Zone, Heartbeat: n.heartbeat,
+		Node: n.settings.Name, Incarnation: n.settings.Incarnation, Address: n.settings.Address, Zone: n.settings.Zone, Cores: n.settings.Cores, Heartbeat: n.heartbeat,
 		Leaving: n.leaving.Load(), Pools: map[string]int64{},
 	}
 	for p, o := range n.owned {
@@ -42,7 +42,9 @@
 	if _, err := n.settings.Store.Transact(c, rows.Tx{Writes: []rows.Write{{Key: key, Value: value}}}); err != nil {
 		n.settings.Log.Warn().Err(err).Msg("failed to write heartbeat")
 	}
+	n.mu.Lock()
 	n.heartbeatLatency = n.settings.Now() - began
+	n.mu.Unlock()
 }
 
 // observe reads the changes of the members and reports whether the store responded. While the store can't be read, no member
