Name each transaction of an owner uniquely

Callers could see a task run twice, or an accepted job lost, after two terms of one daemon had served a pool under one claim.

Cause: a transaction's name was the token and a count. Two owners with one token gave their transactions the same names, so that one with a lost response took the other's transaction for its own, counted changes as stored that were not, and let workers discard the ends.

Evidence: TestTransactionOfAnotherTermIsNotTakenForOwn failed: the conflict was resolved as a success.

The name now contains a random identifier of the term. The second term finds a conflict that is not its own and ends.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -59,10 +59,10 @@
 }
 
 // transaction builds the transaction for a batch. It is conditional on the claim and on the version of the last transaction,
-// so an attempt that the store executes late has no effect.
+// so an attempt that the store executes late has no effect. Its name occurs only once, so that resolveConflict recognizes it.
 func (o *Owner) transaction(batch []engine.Change) rows.Tx {
 	o.transactionCount++
-	name := fmt.Appendf(nil, "%d.%d", o.settings.Token, o.transactionCount)
+	name := fmt.Appendf(nil, "%d.%s.%d", o.settings.Token, o.term, o.transactionCount)
 	tx := rows.Tx{
 		Expected: []rows.Condition{ClaimCondition(o.settings.Pool, o.settings.ClaimVer), {Key: o.lastTransactionRow(), Ver: o.lastTransactionVer}},
 		Writes:   []rows.Write{{Key: o.lastTransactionRow(), Value: name}},
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -111,6 +112,8 @@
 	done     chan struct{}
 	err      error
 
+	// term identifies this owner among all that ever serve the pool.
+	term     string
 	renewers map[string]chan struct{}
 	// lastTransactionVer is the version of the last transaction's row; transactionCount counts the transactions of this owner.
 	lastTransactionVer, transactionCount int64
@@ -139,7 +142,7 @@
 func New(ctx context.Context, s Settings) *Owner {
 	c, cancel := context.WithCancel(ctx)
 	return &Owner{
-		settings: s, ctx: c, cancel: cancel,
+		settings: s, ctx: c, cancel: cancel, term: rand.Text(),
 		pool:  engine.NewPool(s.Pool, s.Token, s.Options, s.Now()),
 		inbox: make(chan func(), 256), done: make(chan struct{}), loaded: make(chan struct{}),
 		renewers: map[string]chan struct{}{},
