Read the last transaction's version before the rows of a pool

Callers could see states of jobs go back, and tasks run twice, if another term under the same claim wrote while an owner loaded the pool.

Cause: loadOnce read the version of the last transaction after the jobs. A transaction in between was missing from the jobs but covered by the version, so that the owner's own transactions succeeded and replaced the newer rows.

Evidence: TestTransactionDuringLoadIsDetected failed: the job was accepted.

The version is read first. A transaction after it makes the owner's first transaction conflict, which ends the term.

--- a/owner/concurrent_terms_test.go
+++ b/owner/concurrent_terms_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -37,3 +38,31 @@
 	_, err = second.resolveConflict(tx, conflict, true)
 	g.Expect(err).To(HaveOccurred())
 }
+
+// interveningStore executes a transaction between an owner's read of the jobs and its next call.
+type interveningStore struct {
+	*memrows.Store
+	tx *rows.Tx
+}
+
+func (s *interveningStore) Read(ctx context.Context, table, part string) ([]rows.Row, int64, error) {
+	list, ver, err := s.Store.Read(ctx, table, part)
+	if table == TableJobs && s.tx != nil {
+		if _, err := s.Store.Transact(ctx, *s.tx); err != nil {
+			return nil, 0, err
+		}
+		s.tx = nil
+	}
+	return list, ver, err
+}
+
+// Guards against an owner that serves from rows that were replaced while it read them, and overwrites the newer ones.
+func TestTransactionDuringLoadIsDetected(t *testing.T) {
+	g := NewWithT(t)
+	shared := memrows.New()
+	ver := claim(t, shared, 1)
+	tx := newTerm(t, shared, ver).transaction(nil)
+	o := serveOn(t, &interveningStore{Store: shared, tx: &tx}, ver, newFakeWorkers(t), 1)
+	g.Expect(o.Submit(context.Background(), job(1))).NotTo(Succeed())
+	g.Eventually(o.Done(), time.Minute).Should(BeClosed())
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -198,6 +198,11 @@
 func (o *Owner) loadOnce() error {
 	ctx, cancel := context.WithTimeout(o.ctx, 3*time.Second)
 	defer cancel()
+	// The version is read first, so that a transaction during the reads that follow makes this owner's first one conflict.
+	var err error
+	if o.lastTransactionVer, err = o.readLastVersion(ctx); err != nil {
+		return err
+	}
 	specs, _, err := o.settings.Store.Read(ctx, TableSpecs, o.settings.Pool)
 	if err != nil {
 		return err
@@ -206,9 +211,6 @@
 	if err != nil {
 		return err
 	}
-	if o.lastTransactionVer, err = o.readLastVersion(ctx); err != nil {
-		return err
-	}
 	byID := map[string]*engine.Spec{}
 	for _, r := range specs {
 		var s engine.Spec
