Start at most one term of a daemon for a pool

Callers could see a task run twice, or jobs that were accepted and then lost, after a pool had been transferred to a slow daemon.

Cause: a sender that times out repeats the request to claim a pool, and the receiver may also claim it on its own; nothing kept these attempts apart. All wrote the same value, so that an attempt that conflicted found its own value in the row and took the other's success for its own: two owners ran under one token and one version of the claim. And a repeated request made the receiver claim and load again a pool that it had just begun to serve.

Concurrent requests share one attempt (golang.org/x/sync/singleflight), a daemon that owns the pool under the claim in the row answers without a new one, and a claim contains a random identifier of its attempt.

--- a/cluster/claim.go
+++ b/cluster/claim.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
+	"errors"
 
 	"samphirepoint/owner"
 	"samphirepoint/rows"
@@ -37,12 +39,30 @@
 	return true
 }
 
-// claimPool claims a pool and starts serving it. It returns once the claim has succeeded or failed.
+// claimPool claims a pool and starts serving it, unless this daemon owns it under a current claim. It returns once the claim has
+// succeeded or failed. Concurrent calls share one attempt: each claim ends the term that the one before has begun.
 func (n *Node) claimPool(ctx context.Context, pool string) error {
+	_, err, _ := n.claims.Do(pool, func() (any, error) { return nil, n.claimOnce(ctx, pool) })
+	return err
+}
+
+// errOwned ends an attempt to claim a pool that this daemon owns already.
+var errOwned = errors.New("cluster: this daemon owns the pool already")
+
+func (n *Node) claimOnce(ctx context.Context, pool string) error {
 	c, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
-	claim, ver, err := Claim(c, n.settings.Store, pool, owner.Claim{Node: n.settings.Name, Incarnation: n.settings.Incarnation, Address: n.settings.Address})
-	if err != nil {
+	self := owner.Claim{Node: n.settings.Name, Incarnation: n.settings.Incarnation, Address: n.settings.Address}
+	claim, ver, err := Claim(c, n.settings.Store, pool, self, func(present owner.Claim) error {
+		if n.owns(pool, present) {
+			return errOwned
+		}
+		return nil
+	})
+	switch {
+	case errors.Is(err, errOwned):
+		return nil
+	case err != nil:
 		n.settings.Log.Warn().Str("pool", pool).Err(err).Msg("failed to claim pool")
 		return err
 	}
@@ -50,6 +70,14 @@
 	return nil
 }
 
+// owns reports whether this daemon serves the pool under the given claim.
+func (n *Node) owns(pool string, c owner.Claim) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t := n.owned[pool]
+	return t != nil && c.Node == n.settings.Name && c.Incarnation == n.settings.Incarnation && c.Token == t.Token()
+}
+
 // startTerm starts a term for a pool, or for the fleet controller role, under a claim.
 func (n *Node) startTerm(ctx context.Context, pool string, token, ver int64) {
 	if pool == FleetControllerRole {
@@ -97,11 +125,12 @@
 	}()
 }
 
-// Claim claims a pool by one conditional write that increments its fencing token, and returns the claim and its version. If
-// the write gets no response, Claim reads the row to learn the outcome. If it then returns an error, the outcome is unknown even
+// Claim claims a pool by one conditional write that increments its fencing token, and returns the claim and its version. It
+// passes the present claim to permit first, whose error ends the attempt. If the write gets no response, Claim reads the row to learn the outcome. If it then returns an error, the outcome is unknown even
 // if the error has verdict not-run: the unanswered write may have claimed the pool.
-func Claim(ctx context.Context, store rows.Store, pool string, c owner.Claim) (owner.Claim, int64, error) {
+func Claim(ctx context.Context, store rows.Store, pool string, c owner.Claim, permit func(present owner.Claim) error) (owner.Claim, int64, error) {
 	key := owner.ClaimKey(pool)
+	c.Attempt = rand.Text()
 	for {
 		list, _, err := store.Read(ctx, owner.TableOwners, pool)
 		if err != nil {
@@ -118,6 +147,9 @@
 		if c.Token != 0 && old == c {
 			return c, ver, nil
 		}
+		if err := permit(old); err != nil {
+			return c, 0, err
+		}
 		c.Token = old.Token + 1
 		value, err := json.Marshal(c)
 		if err != nil {
--- /dev/null
+++ b/cluster/claim_test.go
@@ -0,0 +1,83 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"samphirepoint/owner"
+	"samphirepoint/rows"
+	"samphirepoint/rows/memrows"
+)
+
+// slowStore answers each call after a second of simulated time, in which other calls begin.
+type slowStore struct{ *memrows.Store }
+
+func (s slowStore) Transact(ctx context.Context, tx rows.Tx) (int64, error) {
+	time.Sleep(time.Second)
+	return s.Store.Transact(ctx, tx)
+}
+
+func anyClaim(owner.Claim) error { return nil }
+
+// Guards against two attempts of one daemon that take one row for the success of both: two owners of one pool then ran under one
+// claim, and each took the other's transactions for its own.
+func TestConcurrentClaimsOfOneDaemonAreNotTakenForOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := slowStore{memrows.New()}
+		claim := owner.Claim{Node: "a", Incarnation: "x", Address: "y"}
+		var mu sync.Mutex
+		var versions []int64
+		for range 2 {
+			go func() {
+				if _, ver, err := Claim(t.Context(), s, "pumps", claim, anyClaim); err == nil {
+					mu.Lock()
+					versions = append(versions, ver)
+					mu.Unlock()
+				}
+			}()
+		}
+		time.Sleep(time.Minute)
+		mu.Lock()
+		defer mu.Unlock()
+		if len(versions) == 2 {
+			g.Expect(versions[0]).NotTo(Equal(versions[1]))
+		}
+	})
+}
+
+// Guards against a second term of a daemon for a pool that it has just claimed, when the request to claim it is repeated by a
+// sender that timed out, or arrives while the daemon claims the pool on its own: the pool would be loaded again, and the first
+// owner's work lost.
+func TestRepeatedClaimRequestsStartOneTerm(t *testing.T) {
+	g := NewWithT(t)
+	p := newPair(t)
+	p.observe()
+	a, b := p.nodes[0], p.nodes[1]
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.Expect(b.claimPool(ctx, "pumps")).To(Succeed())
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			_, err := a.HandleCall(ctx, Call{Op: OpClaim, Pool: "pumps", From: "b"})
+			g.Expect(err).NotTo(HaveOccurred())
+		})
+		wg.Go(func() { g.Expect(a.claimPool(ctx, "pumps")).To(Succeed()) })
+	}
+	wg.Wait()
+	_, err := a.HandleCall(ctx, Call{Op: OpClaim, Pool: "pumps", From: "b"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(p.claim(g).Token).To(Equal(int64(2)))
+	g.Expect(a.owned["pumps"].Token()).To(Equal(int64(2)))
+
+	g.Expect(b.claimPool(ctx, "pumps")).To(Succeed())
+	_, err = a.HandleCall(ctx, Call{Op: OpClaim, Pool: "pumps", From: "b"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(p.claim(g).Token).To(Equal(int64(4)), "a term that another daemon has overtaken does not count as ownership")
+}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"samphirepoint/catalog"
 	"samphirepoint/engine"
@@ -106,6 +107,9 @@
 	leaving  atomic.Bool
 	peers    *peerClient
 
+	// claims makes concurrent requests to claim a pool share one attempt.
+	claims singleflight.Group
+
 	mu   sync.Mutex
 	view *View
 	// owned holds all terms of this daemon, by name; pools holds those of pools only.
--- a/cluster/store_failure_test.go
+++ b/cluster/store_failure_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"samphirepoint/catalog"
+	"samphirepoint/owner"
 	"samphirepoint/rows"
 	"samphirepoint/rows/memrows"
 	"samphirepoint/verdict"
@@ -87,15 +88,16 @@
 	}
 }
 
-func (p *pair) owner(g Gomega) string {
+func (p *pair) owner(g Gomega) string { return p.claim(g).Node }
+
+// claim returns the claim of the pool that is in the store.
+func (p *pair) claim(g Gomega) owner.Claim {
 	list, _, err := p.stores[0].Store.Read(context.Background(), "owners", "pumps")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(list).To(HaveLen(1))
-	var claim struct {
-		Node string `json:"n"`
-	}
+	var claim owner.Claim
 	g.Expect(json.Unmarshal(list[0].Value, &claim)).To(Succeed())
-	return claim.Node
+	return claim
 }
 
 // Guards against a pool that is not served until its owner has missed heartbeats for 1.7 s although the store fails only
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -76,6 +76,8 @@
 	Incarnation string `json:"i"`
 	Address     string `json:"a"`
 	Token       int64  `json:"t"`
+	// Attempt identifies the attempt that wrote the claim, as several of one daemon may be in progress.
+	Attempt string `json:"x,omitempty"`
 }
 
 // ClaimKey returns the key of the row that identifies the owner of a part.
