Report a claim as uncertain after an unanswered write

Callers of Claim could take a pool for not claimed that this daemon had claimed in the store.

Cause: Claim repeats after a write without a response, and returned the error of the repeated call as it was. If the store refused that one, the error had verdict not-run although the first write may have claimed the pool.

Evidence: TestClaimAfterUnansweredWriteIsUncertain failed: not-run, with the claim in the store.

An unanswered write turns the verdict of all later errors of the call into may-have-run; a failed read alone is not-run. The attempt is repeated after 40 ms instead of at once.

--- a/cluster/claim.go
+++ b/cluster/claim.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"time"
 
 	"samphirepoint/owner"
 	"samphirepoint/rows"
+	"samphirepoint/sleep"
 	"samphirepoint/verdict"
 )
 
@@ -134,44 +136,57 @@
 	}()
 }
 
+// claimRepeatDelay is the delay before the outcome of an unanswered write is read.
+const claimRepeatDelay = 40 * time.Millisecond
+
 // Claim claims a pool by one conditional write that increments its fencing token, and returns the claim and its version. It
 // passes the present claim to permit first, whose error ends the attempt. If the write gets no response, Claim reads the row to
-// learn the outcome. If another claim comes first, Claim fails: that one has just begun a term. If it then returns an error, the
-// outcome is unknown even if the error has verdict not-run: the unanswered write may have claimed the pool.
+// learn the outcome. If another claim comes first, Claim fails: that one has just begun a term. An error has verdict not-run only if
+// no write of this call has claimed the pool or will.
 func Claim(ctx context.Context, store rows.Store, pool string, c owner.Claim, permit func(present owner.Claim) error) (owner.Claim, int64, error) {
-	key := owner.ClaimKey(pool)
 	c.Attempt = rand.Text()
+	uncertain := false
 	for {
-		list, _, err := store.Read(ctx, owner.TableOwners, pool)
-		if err != nil {
-			return c, 0, err
-		}
-		present, ver := presentClaim(key, list)
-		if present == c {
+		ver, err := tryClaim(ctx, store, pool, &c, permit)
+		if err == nil {
 			return c, ver, nil
 		}
-		if err := permit(present); err != nil {
-			return c, 0, err
-		}
-		c.Token = present.Token + 1
-		value, err := json.Marshal(c)
-		if err != nil {
-			return c, 0, err
-		}
-		v, err := store.Transact(ctx, rows.Tx{Expected: []rows.Condition{owner.ClaimCondition(pool, ver)}, Writes: []rows.Write{{Key: key, Value: value}}})
-		var conflict *rows.Conflict
-		switch {
-		case err == nil:
-			return c, v, nil
-		case errors.As(err, &conflict):
-			if present, ver = presentClaim(key, conflict.Rows); present == c {
-				return c, ver, nil
-			}
-			return c, 0, verdict.New(verdict.NotRun, http.StatusConflict, "pool %s was claimed by %s with token %d at the same time", pool, present.Node, present.Token)
-		case verdict.Is(err, verdict.NotRun), ctx.Err() != nil:
-			return c, 0, err
+		uncertain = uncertain || verdict.Is(err, verdict.MayHaveRun)
+		if verdict.Is(err, verdict.NotRun) || ctx.Err() != nil {
+			return c, 0, keepUncertainty(err, uncertain)
 		}
+		_ = sleep.Context(ctx, claimRepeatDelay)
+	}
+}
+
+// tryClaim reads the present claim and tries once to replace it by c with the next token.
+func tryClaim(ctx context.Context, store rows.Store, pool string, c *owner.Claim, permit func(present owner.Claim) error) (int64, error) {
+	key := owner.ClaimKey(pool)
+	list, _, err := store.Read(ctx, owner.TableOwners, pool)
+	if err != nil {
+		return 0, verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable)
+	}
+	present, ver := presentClaim(key, list)
+	if present == *c {
+		return ver, nil
+	}
+	if err := permit(present); err != nil {
+		return 0, verdict.Wrap(err, verdict.NotRun, http.StatusConflict)
+	}
+	c.Token = present.Token + 1
+	value, err := json.Marshal(c)
+	if err != nil {
+		return 0, err
+	}
+	written, err := store.Transact(ctx, rows.Tx{Expected: []rows.Condition{owner.ClaimCondition(pool, ver)}, Writes: []rows.Write{{Key: key, Value: value}}})
+	var conflict *rows.Conflict
+	if !errors.As(err, &conflict) {
+		return written, err
+	}
+	if present, ver = presentClaim(key, conflict.Rows); present == *c {
+		return ver, nil
 	}
+	return 0, verdict.New(verdict.NotRun, http.StatusConflict, "pool %s was claimed by %s with token %d at the same time", pool, present.Node, present.Token)
 }
 
 // presentClaim returns the claim in the row with the given key, and its version, or 0 if there is none.
--- a/cluster/claim_test.go
+++ b/cluster/claim_test.go
@@ -115,3 +115,23 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(p.claim(g).Token).To(Equal(int64(4)), "a term that another daemon has overtaken does not count as ownership")
 }
+
+// Guards against a claim that is reported as not run although an unanswered write may have claimed the pool.
+func TestClaimAfterUnansweredWriteIsUncertain(t *testing.T) {
+	g := NewWithT(t)
+	s := memrows.New()
+	calls := 0
+	s.Fault = func(string) memrows.Fault {
+		calls++
+		return memrows.Fault{LoseResponse: calls == 2, Refuse: calls > 2}
+	}
+	_, _, err := Claim(t.Context(), s, "pumps", owner.Claim{Node: "a"}, anyClaim)
+	g.Expect(verdict.Is(err, verdict.MayHaveRun)).To(BeTrue(), "%v", err)
+	s.Fault = nil
+	list, _, err := s.Read(t.Context(), owner.TableOwners, "pumps")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list).To(HaveLen(1), "the write has claimed the pool")
+	s.Fault = func(string) memrows.Fault { return memrows.Fault{Refuse: true} }
+	_, _, err = Claim(t.Context(), s, "pumps", owner.Claim{Node: "a"}, anyClaim)
+	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue(), "%v", err)
+}
