--- a/cluster/claim.go
+++ b/cluster/claim.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
 
 	"samphirepoint/owner"
 	"samphirepoint/rows"
+	"samphirepoint/sleep"
 	"samphirepoint/verdict"
 )
 
@@ -37,12 +42,38 @@
 	return true
 }
 
-// claimPool claims a pool and starts serving it. It returns once the claim has succeeded or failed.
+// claimPool claims a pool and starts serving it, unless this daemon owns it under a current claim. It returns once the claim has
+// succeeded or failed. Concurrent calls share one attempt: each claim ends the term that the one before has begun.
 func (n *Node) claimPool(ctx context.Context, pool string) error {
+	return n.claimFrom(ctx, pool, 0)
+}
+
+// claimFrom claims a pool as claimPool does, but fails if the present owner's token is higher than the given one, unless that is 0.
+func (n *Node) claimFrom(ctx context.Context, pool string, token int64) error {
+	_, err, _ := n.claims.Do(pool, func() (any, error) { return nil, n.claimOnce(ctx, pool, token) })
+	return err
+}
+
+// errOwned ends an attempt to claim a pool that this daemon owns already.
+var errOwned = errors.New("cluster: this daemon owns the pool already")
+
+func (n *Node) claimOnce(ctx context.Context, pool string, token int64) error {
 	c, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
-	claim, ver, err := Claim(c, n.settings.Store, pool, owner.Claim{Node: n.settings.Name, Incarnation: n.settings.Incarnation, Address: n.settings.Address})
-	if err != nil {
+	self := owner.Claim{Node: n.settings.Name, Incarnation: n.settings.Incarnation, Address: n.settings.Address}
+	claim, ver, err := Claim(c, n.settings.Store, pool, self, func(present owner.Claim) error {
+		switch {
+		case n.owns(pool, present):
+			return errOwned
+		case token != 0 && present.Token > token:
+			return verdict.New(verdict.NotRun, http.StatusConflict, "pool %s is owned by %s with token %d, and no longer with token %d", pool, present.Node, present.Token, token)
+		}
+		return nil
+	})
+	switch {
+	case errors.Is(err, errOwned):
+		return nil
+	case err != nil:
 		n.settings.Log.Warn().Str("pool", pool).Err(err).Msg("failed to claim pool")
 		return err
 	}
@@ -50,6 +81,14 @@
 	return nil
 }
 
+// owns reports whether this daemon serves the pool under the given claim.
+func (n *Node) owns(pool string, c owner.Claim) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t := n.owned[pool]
+	return t != nil && c.Node == n.settings.Name && c.Incarnation == n.settings.Incarnation && c.Token == t.Token()
+}
+
 // startTerm starts a term for a pool, or for the fleet controller role, under a claim.
 func (n *Node) startTerm(ctx context.Context, pool string, token, ver int64) {
 	if pool == FleetControllerRole {
@@ -97,38 +136,67 @@
 	}()
 }
 
-// Claim claims a pool by one conditional write that increments its fencing token, and returns the claim and its version. If
-// the write gets no response, Claim reads the row to learn the outcome. If it then returns an error, the outcome is unknown even
-// if the error has verdict not-run: the unanswered write may have claimed the pool.
-func Claim(ctx context.Context, store rows.Store, pool string, c owner.Claim) (owner.Claim, int64, error) {
-	key := owner.ClaimKey(pool)
+// claimRepeatDelay is the delay before the outcome of an unanswered write is read.
+const claimRepeatDelay = 40 * time.Millisecond
+
+// Claim claims a pool by one conditional write that increments its fencing token, and returns the claim and its version. It
+// passes the present claim to permit first, whose error ends the attempt. If the write gets no response, Claim reads the row to
+// learn the outcome. If another claim comes first, Claim fails: that one has just begun a term. An error has verdict not-run only if
+// no write of this call has claimed the pool or will.
+func Claim(ctx context.Context, store rows.Store, pool string, c owner.Claim, permit func(present owner.Claim) error) (owner.Claim, int64, error) {
+	c.Attempt = rand.Text()
+	uncertain := false
 	for {
-		list, _, err := store.Read(ctx, owner.TableOwners, pool)
-		if err != nil {
-			return c, 0, err
-		}
-		var old owner.Claim
-		ver := int64(0)
-		for _, r := range list {
-			if r.Key == key {
-				ver = r.Ver
-				_ = json.Unmarshal(r.Value, &old)
-			}
-		}
-		if c.Token != 0 && old == c {
-			return c, ver, nil
-		}
-		c.Token = old.Token + 1
-		value, err := json.Marshal(c)
-		if err != nil {
-			return c, 0, err
-		}
-		v, err := store.Transact(ctx, rows.Tx{Expected: []rows.Condition{owner.ClaimCondition(pool, ver)}, Writes: []rows.Write{{Key: key, Value: value}}})
+		ver, err := tryClaim(ctx, store, pool, &c, permit)
 		if err == nil {
-			return c, v, nil
+			return c, ver, nil
 		}
+		uncertain = uncertain || verdict.Is(err, verdict.MayHaveRun)
 		if verdict.Is(err, verdict.NotRun) || ctx.Err() != nil {
-			return c, 0, err
+			return c, 0, keepUncertainty(err, uncertain)
+		}
+		_ = sleep.Context(ctx, claimRepeatDelay)
+	}
+}
+
+// tryClaim reads the present claim and tries once to replace it by c with the next token.
+func tryClaim(ctx context.Context, store rows.Store, pool string, c *owner.Claim, permit func(present owner.Claim) error) (int64, error) {
+	key := owner.ClaimKey(pool)
+	list, _, err := store.Read(ctx, owner.TableOwners, pool)
+	if err != nil {
+		return 0, verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable)
+	}
+	present, ver := presentClaim(key, list)
+	if present == *c {
+		return ver, nil
+	}
+	if err := permit(present); err != nil {
+		return 0, verdict.Wrap(err, verdict.NotRun, http.StatusConflict)
+	}
+	c.Token = present.Token + 1
+	value, err := json.Marshal(c)
+	if err != nil {
+		return 0, err
+	}
+	written, err := store.Transact(ctx, rows.Tx{Expected: []rows.Condition{owner.ClaimCondition(pool, ver)}, Writes: []rows.Write{{Key: key, Value: value}}})
+	var conflict *rows.Conflict
+	if !errors.As(err, &conflict) {
+		return written, err
+	}
+	if present, ver = presentClaim(key, conflict.Rows); present == *c {
+		return ver, nil
+	}
+	return 0, verdict.New(verdict.NotRun, http.StatusConflict, "pool %s was claimed by %s with token %d at the same time", pool, present.Node, present.Token)
+}
+
+// presentClaim returns the claim in the row with the given key, and its version, or 0 if there is none.
+func presentClaim(key rows.Key, list []rows.Row) (owner.Claim, int64) {
+	var c owner.Claim
+	for _, r := range list {
+		if r.Key == key {
+			_ = json.Unmarshal(r.Value, &c) // A value that can't be decoded counts as a claim with token 0.
+			return c, r.Ver
 		}
 	}
+	return c, 0
 }
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -31,8 +31,9 @@
 	Queue      string       `json:"queue,omitempty"`
 	Worker     string       `json:"worker,omitempty"`
 	DurationMS int64        `json:"forMS,omitempty"`
-	Token      int64        `json:"token,omitempty"`
-	From       string       `json:"from,omitempty"`
+	// Token is the token of a pool's new owner (OpOwner), or of the one that transfers it (OpClaim).
+	Token int64  `json:"token,omitempty"`
+	From  string `json:"from,omitempty"`
 	// NoStoreAccess marks a pool that is transferred because the store does not serve its owner.
 	NoStoreAccess bool `json:"storeless,omitempty"`
 }
@@ -43,6 +44,8 @@
 	State   engine.State `json:"state,omitempty"`
 	Waiting int          `json:"waiting,omitempty"`
 	Empty   bool         `json:"empty,omitempty"`
+	// ClaimVer is the version of the claim of the owner that answers a cordon.
+	ClaimVer int64 `json:"claimVer,omitempty"`
 
 	Report *engine.PoolReport `json:"report,omitempty"`
 	Job    *engine.JobReport  `json:"job,omitempty"`
@@ -167,7 +170,7 @@
 		if err := n.mayClaimFrom(call); err != nil {
 			return Result{}, err
 		}
-		return Result{}, n.claimPool(context.WithoutCancel(ctx), call.Pool)
+		return Result{}, n.claimFrom(context.WithoutCancel(ctx), call.Pool, call.Token)
 	case OpOwner:
 		n.applyOwner(call)
 		return Result{}, nil
@@ -200,7 +203,9 @@
 	case OpWaiting:
 		res.Waiting, err = o.Waiting(ctx, call.Queue)
 	case OpCordon:
-		res.Empty, res.Known, err = o.Cordon(ctx, call.Worker, time.Duration(call.DurationMS)*time.Millisecond)
+		var a owner.CordonAnswer
+		a, err = o.Cordon(ctx, call.Worker, time.Duration(call.DurationMS)*time.Millisecond)
+		res.Empty, res.Known, res.ClaimVer = a.Empty, a.Known, a.ClaimVer
 	case OpWorkerTerminated:
 		err = o.WorkerTerminated(ctx, call.Worker)
 	case OpReport:
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -75,6 +76,8 @@
 	Incarnation string `json:"i"`
 	Address     string `json:"a"`
 	Token       int64  `json:"t"`
+	// Attempt identifies the attempt that wrote the claim, as several of one daemon may be in progress.
+	Attempt string `json:"x,omitempty"`
 }
 
 // ClaimKey returns the key of the row that identifies the owner of a part.
@@ -111,6 +114,8 @@
 	done     chan struct{}
 	err      error
 
+	// term identifies this owner among all that ever serve the pool.
+	term     string
 	renewers map[string]chan struct{}
 	// lastTransactionVer is the version of the last transaction's row; transactionCount counts the transactions of this owner.
 	lastTransactionVer, transactionCount int64
@@ -139,7 +144,7 @@
 func New(ctx context.Context, s Settings) *Owner {
 	c, cancel := context.WithCancel(ctx)
 	return &Owner{
-		settings: s, ctx: c, cancel: cancel,
+		settings: s, ctx: c, cancel: cancel, term: rand.Text(),
 		pool:  engine.NewPool(s.Pool, s.Token, s.Options, s.Now()),
 		inbox: make(chan func(), 256), done: make(chan struct{}), loaded: make(chan struct{}),
 		renewers: map[string]chan struct{}{},
@@ -195,6 +200,11 @@
 func (o *Owner) loadOnce() error {
 	ctx, cancel := context.WithTimeout(o.ctx, 3*time.Second)
 	defer cancel()
+	// The version is read first, so that a transaction during the reads that follow makes this owner's first one conflict.
+	var err error
+	if o.lastTransactionVer, err = o.readLastVersion(ctx); err != nil {
+		return err
+	}
 	specs, _, err := o.settings.Store.Read(ctx, TableSpecs, o.settings.Pool)
 	if err != nil {
 		return err
@@ -203,9 +213,6 @@
 	if err != nil {
 		return err
 	}
-	if o.lastTransactionVer, err = o.readLastVersion(ctx); err != nil {
-		return err
-	}
 	byID := map[string]*engine.Spec{}
 	for _, r := range specs {
 		var s engine.Spec
@@ -231,7 +238,7 @@
 
 // openOrderCordon is how long a new owner cordons the workers of instances with open orders. The fleet controller extends the
 // cordon.
-const openOrderCordon = 3 * time.Second
+const openOrderCordon = 5 * time.Second
 
 // cordonOpenOrders cordons the workers whose instances have an open order.
 func (o *Owner) cordonOpenOrders(ctx context.Context) error {
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphirepoint/engine"
+	"samphirepoint/owner"
 	"samphirepoint/rows"
 	"samphirepoint/sleep"
 )
@@ -37,7 +38,7 @@
 type Pools interface {
 	Report(ctx context.Context, pool string) (engine.PoolReport, error)
 	// Cordon keeps new work off a worker for the given time; length 0 uncordons it.
-	Cordon(ctx context.Context, pool, worker string, length time.Duration) (empty, known bool, err error)
+	Cordon(ctx context.Context, pool, worker string, length time.Duration) (owner.CordonAnswer, error)
 	// WorkerTerminated notifies the owner that a worker has terminated.
 	WorkerTerminated(ctx context.Context, pool, worker string) error
 	// Pools returns all pools by name; the value is true for spare pools.
@@ -82,8 +83,9 @@
 	reconcileDelay = 250 * time.Millisecond
 	// loadRetryDelay is the delay after a failed read of the order records.
 	loadRetryDelay = 200 * time.Millisecond
-	// cordonTTL is how long a cordon lasts unless it is renewed; each reconciliation renews it.
-	cordonTTL = 2500 * time.Millisecond
+	// cordonTTL is how long a cordon lasts unless it is renewed; each reconciliation renews it. One reconciliation makes up to five
+	// calls that take callTimeout each, and a cordon must outlast it while an order has no response.
+	cordonTTL = 5 * time.Second
 	// callTimeout bounds one remote call.
 	callTimeout = 900 * time.Millisecond
 	// handoverMargin is added to the handover delay to allow for clock differences and slow orders.
@@ -98,6 +100,9 @@
 
 	orders   map[string]OrderRecord
 	cordoned map[string]string // instance -> cordoned worker
+	// recordVers holds the last known version of each order record. Batches are stored concurrently, so mu protects it.
+	mu         sync.Mutex
+	recordVers map[string]int64
 	// cordonedSince is the time at which each cordon began, coolDownUntil the end of each instance's last cool-down.
 	cordonedSince map[string]time.Duration
 	coolDownUntil map[string]time.Duration
@@ -119,7 +124,7 @@
 	c, cancel := context.WithCancel(ctx)
 	return &Controller{
 		settings: s, ctx: c, cancel: cancel,
-		orders: map[string]OrderRecord{}, cordoned: map[string]string{}, cordonedSince: map[string]time.Duration{}, coolDownUntil: map[string]time.Duration{},
+		orders: map[string]OrderRecord{}, recordVers: map[string]int64{}, cordoned: map[string]string{}, cordonedSince: map[string]time.Duration{}, coolDownUntil: map[string]time.Duration{},
 		reported: map[int64]string{}, lastSeen: map[string]Instance{}, terminated: map[string]string{},
 		forecast: NewForecast(), surplusSince: map[string]time.Duration{},
 	}
