Attach a repeat to a request that a leaving entry still runs

Callers saw 409 may-have-run, "an entry that is gone may have run the request with this key", for a repeat of a non-idempotent request that a leaving entry had claimed and was running.

cluster.Alive answers "does this process keep its jobs", for which a leaving entry is not alive: its tasks are adopted by the next owner. The claims filter used it to ask "does this process still run the request", for which a leaving entry is alive until it exits. Holder now asks that itself; job.Cluster.Alive keeps its meaning.

TestRepeatAttachesAtLeavingEntry runs three entries in simulated time and repeats a key at another entry 1.5 s after the holder began to leave.

--- a/entry/cluster.go
+++ b/entry/cluster.go
@@ -76,10 +76,26 @@
 	return alive
 }
 
-// Holder implements filter.ClaimHolders.
+// Holder implements filter.ClaimHolders. A leaving entry is alive until it exits, since it completes its requests.
 func (r router) Holder(owner string) (filter.Target, bool) {
 	id, _ := filter.SplitOwner(owner)
-	return filter.Target{ID: id, Self: owner == r.e.processName()}, cluster(r).Alive(owner)
+	if owner == r.e.processName() {
+		return filter.Target{ID: id, Self: true}, true
+	}
+	_, alive := r.e.liveProcess(owner)
+	return filter.Target{ID: id}, alive
+}
+
+// liveProcess returns the member that is the named process, or false if that process is not a member, is suspect, or was
+// replaced by a later start of the same entry.
+func (e *Entry) liveProcess(name string) (membership.Member, bool) {
+	id, started := filter.SplitOwner(name)
+	at, err := time.Parse(time.RFC3339Nano, started)
+	if err != nil {
+		return membership.Member{}, false
+	}
+	m, ok := e.gossip.Members().Member(id)
+	return m.Member, ok && m.Status == membership.Alive && m.Incarnation == at.UnixMilli()
 }
 
 // cluster implements job.Cluster.
@@ -93,19 +109,14 @@
 	return c.e.gossip.Members().Owned(c.e.cfg.ID)
 }
 
-// Alive implements job.Cluster: it reports whether this incarnation of the process is a member, not suspect and not
-// leaving.
+// Alive implements job.Cluster: it reports whether this process keeps its jobs. A leaving entry does not: their tasks
+// continue on the workers and are adopted by the next owner.
 func (c cluster) Alive(owner string) bool {
 	if owner == c.e.processName() {
 		return true
 	}
-	id, started := filter.SplitOwner(owner)
-	at, err := time.Parse(time.RFC3339Nano, started)
-	if err != nil {
-		return false
-	}
-	m, ok := c.e.gossip.Members().Member(id)
-	return ok && m.Status == membership.Alive && !m.Leaving && m.Incarnation == at.UnixMilli()
+	m, alive := c.e.liveProcess(owner)
+	return alive && !m.Leaving
 }
 
 // peers implements forward.Peers.
--- /dev/null
+++ b/entry/deployment_test.go
@@ -0,0 +1,181 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"samphirepoint/dev"
+	"samphirepoint/entry"
+	"samphirepoint/membership"
+	"samphirepoint/network"
+	"samphirepoint/request"
+	"samphirepoint/settings"
+	"samphirepoint/standin/memnet"
+	"samphirepoint/standin/workerd"
+	"samphirepoint/table"
+	"samphirepoint/verdict"
+)
+
+// shutdownTimeout is the drain timeout of the entry that a test shuts down; no test runs into it.
+const shutdownTimeout = 30 * time.Second
+
+// deployment is a deployment in simulated time with one entry more, which a test shuts down.
+type deployment struct {
+	gomega.Gomega
+	*dev.Cluster
+	client  *http.Client
+	leaving *entry.Entry
+	// queue is a queue whose pool the leaving entry owns until it leaves.
+	queue string
+	// leave starts the shutdown; left receives the result of Run.
+	leave context.CancelFunc
+	left  chan error
+}
+
+// runDeployment runs a test on a deployment of three entries.
+func runDeployment(t *testing.T, test func(d *deployment)) {
+	t.Parallel()
+	metrics.NewMeter().Stop() // starts the library's own goroutine, which never ends, outside the synctest bubble
+	synctest.Test(t, func(t *testing.T) {
+		d := startDeployment(t)
+		defer d.close()
+		test(d)
+	})
+}
+
+func startDeployment(t *testing.T) *deployment {
+	t.Helper()
+	net := memnet.New()
+	d := &deployment{Gomega: gomega.NewWithT(t), client: network.Client(net), left: make(chan error, 1)}
+	doc := &table.Document{Backers: []table.Backer{{Name: "b", Weight: 1, NominalQuota: 40}}}
+	for _, name := range []string{"p1", "p2", "p3"} {
+		doc.Pools = append(doc.Pools, table.Pool{Name: name})
+		doc.Queues = append(doc.Queues, table.Queue{Name: name, Pools: []string{name}, MaxLength: 100})
+	}
+	log := zerolog.Nop()
+	if path := os.Getenv("LIVE_LOG"); path != "" {
+		f, err := os.Create(path + "-" + t.Name() + ".log")
+		d.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(func() { _ = f.Close() })
+		log = zerolog.New(zerolog.SyncWriter(f)).With().Timestamp().Logger()
+	}
+	dir, platform := t.TempDir(), ""
+	c, err := dev.Start(context.Background(), dev.Options{
+		Deployment: "inzira", Entries: 2, Dir: dir, Document: doc, Network: net, Log: log,
+		WorkersPerPool: map[string]int{"p1": 1, "p2": 1, "p3": 1}, Moves: settings.Moves{Policy: "fixed"},
+		PlatformURLFor: func(_, base string) (string, error) { platform = base; return base, nil },
+	})
+	d.Expect(err).NotTo(gomega.HaveOccurred())
+	d.Cluster = c
+	cfg := settings.Default()
+	cfg.ID, cfg.Zone, cfg.Zones = "leaving", "gasabo", []string{"gasabo"}
+	cfg.Platform, cfg.Tokens, cfg.Peers = platform, filepath.Join(dir, "tokens.yaml"), []string{c.Entries[0].PeerAddress()}
+	cfg.Listen = settings.Addresses{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+	cfg.Shutdown = settings.Shutdown{DrainTimeout: shutdownTimeout}
+	d.leaving, err = entry.New(&cfg, entry.Options{Log: log, Network: net})
+	d.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	d.leave = cancel
+	go func() { d.left <- d.leaving.Run(ctx) }()
+	d.awaitMembers(doc.Pools)
+	return d
+}
+
+// awaitMembers waits until all entries know each other and the owners of the pools are settled.
+func (d *deployment) awaitMembers(pools []table.Pool) {
+	time.Sleep(5 * time.Second)
+	var members []membership.Member
+	for _, e := range append([]*entry.Entry{d.leaving}, d.Entries...) {
+		d.Expect(e.Ready()).To(gomega.BeTrue())
+		d.Expect(e.Members()).To(gomega.HaveLen(3))
+	}
+	for _, id := range d.leaving.Members() {
+		members = append(members, membership.Member{ID: id})
+	}
+	var list []membership.Pool
+	for _, p := range pools {
+		list = append(list, membership.Pool{Name: p.Name})
+	}
+	for pool, owner := range membership.Owners(list, members) {
+		if owner.ID == "leaving" {
+			d.queue = pool
+		}
+	}
+	d.Expect(d.queue).NotTo(gomega.BeEmpty())
+}
+
+func (d *deployment) close() {
+	d.leave()
+	d.Expect(<-d.left).To(gomega.Succeed())
+	d.Close()
+	d.client.CloseIdleConnections()
+}
+
+// reply is the response to a request.
+type reply struct {
+	status   int
+	verdict  string
+	replayed bool
+	body     string
+}
+
+// submit submits a non-idempotent request that runs for the given time, and returns the reply.
+func (d *deployment) submit(at *entry.Entry, key string, runs time.Duration) reply {
+	body := fmt.Sprintf(`{"runMs":%d,"payload":%q}`, runs.Milliseconds(), key)
+	req, err := http.NewRequest(http.MethodPost, "http://"+at.CallerAddress()+"/v1/queues/"+d.queue+"/requests", bytes.NewReader([]byte(body)))
+	d.Expect(err).NotTo(gomega.HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+d.Tokens["b"])
+	req.Header.Set(request.HeaderIdempotent, "false")
+	req.Header.Set(request.HeaderIdempotencyKey, key)
+	resp, err := d.client.Do(req)
+	d.Expect(err).NotTo(gomega.HaveOccurred())
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	d.Expect(err).NotTo(gomega.HaveOccurred())
+	return reply{status: resp.StatusCode, verdict: resp.Header.Get(request.HeaderVerdict), replayed: resp.Header.Get(request.HeaderReplayed) == "true", body: string(data)}
+}
+
+// begin submits a request in the background and returns when it runs.
+func (d *deployment) begin(at *entry.Entry, key string, runs time.Duration) <-chan reply {
+	before, done := d.starts(), make(chan reply, 1)
+	go func() { done <- d.submit(at, key, runs) }()
+	for range 100 {
+		if d.starts() > before {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	d.Expect(d.starts()).To(gomega.Equal(before+1), "the request runs")
+	return done
+}
+
+// starts returns the number of runs that the workers started.
+func (d *deployment) starts() int {
+	n := 0
+	for _, w := range d.Workers {
+		for _, e := range w.Journal(0) {
+			if e.Kind == workerd.Start {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// expectSuccess expects a complete answer of a worker.
+func (d *deployment) expectSuccess(r reply) {
+	d.Expect(r.status).To(gomega.Equal(http.StatusOK), "%+v", r)
+	d.Expect(r.verdict).To(gomega.Equal(verdict.Ran.String()), "%+v", r)
+}
--- /dev/null
+++ b/entry/leave_test.go
@@ -0,0 +1,23 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// Guards against the answer may-have-run for a repeat of a request that a leaving entry still runs: the repeat must get the
+// answer of that request.
+func TestRepeatAttachesAtLeavingEntry(t *testing.T) {
+	runDeployment(t, func(d *deployment) {
+		first := d.begin(d.leaving, "k", 5*time.Second)
+		d.leave()
+		time.Sleep(1500 * time.Millisecond) // the other entries know that it leaves, and it does not reject work yet
+		repeat := d.submit(d.Entries[0], "k", 5*time.Second)
+		d.expectSuccess(repeat)
+		d.Expect(repeat.replayed).To(gomega.BeTrue())
+		d.expectSuccess(<-first)
+		d.Expect(d.starts()).To(gomega.Equal(1))
+	})
+}
