Name the request in rejections at admission, so that they count as not run

Callers saw may-have-run for a forwarded request that its owner had rejected at admission because the owner was shutting down or stale. A response names its request only once identification has read it. The forwarding entry compares that name with its own request, so it took the rejection for the answer to another request: unreachable, may have run. Later rejections as not run could not make that certain again.

The response now names the request as its sender did. The rejection of this entry's own token (401) also becomes readable by that; it counts as unreachable and not run, so that the next owner gets the request, as before, and the caller gets no answer about a token that is not its own.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -19,9 +19,7 @@
 
 // writeResult writes the answer to a request, or the error if it was rejected or failed.
 func writeResult(w http.ResponseWriter, c *filter.Context) {
-	if c.Request != nil {
-		w.Header().Set(request.HeaderRequestID, c.Request.ID)
-	}
+	setRequestID(w.Header(), c)
 	if c.Err != nil {
 		writeError(w, c.Err)
 		return
@@ -35,6 +33,18 @@
 	writeBody(w, c.Answer.Status, c.Answer.ContentType, c.Answer.Body)
 }
 
+// setRequestID names the request that the response belongs to. A request that was rejected before it was read is named as its
+// sender named it; another entry would otherwise take the rejection for the answer to another request.
+func setRequestID(h http.Header, c *filter.Context) {
+	id := c.HTTP.Header.Get(request.HeaderRequestID)
+	if c.Request != nil {
+		id = c.Request.ID
+	}
+	if id != "" {
+		h.Set(request.HeaderRequestID, id)
+	}
+}
+
 // writeError writes an error response that was created by this entry, with the verdict and Retry-After of err.
 func writeError(w http.ResponseWriter, err error) {
 	v := verdict.Of(err)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -275,8 +275,12 @@
 		e.Error = resp.Status
 	}
 	refused := errors.New(e.Error)
-	if resp.StatusCode == http.StatusMisdirectedRequest {
+	switch resp.StatusCode {
+	case http.StatusMisdirectedRequest:
 		refused = fmt.Errorf("%w: %s", dispatch.ErrNotOwner, e.Error)
+	case http.StatusUnauthorized:
+		// The other entry does not accept this entry's token, which does not concern the caller.
+		refused = fmt.Errorf("%w: %s", filter.ErrUnreachable, e.Error)
 	}
 	result := verdict.Wrap(refused, v, resp.StatusCode)
 	return verdict.WithRetryAfterHeader(result, resp.Header)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -79,6 +79,7 @@
 		"broken connection":   {answer: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, want: verdict.MayHaveRun, unreachable: true},
 		"refusal":             {answer: refused(429, "not-run"), want: verdict.NotRun},
 		"refusal, no verdict": {answer: refused(429, "?"), want: verdict.MayHaveRun},
+		"token not accepted":  {answer: refused(401, "not-run"), want: verdict.NotRun, unreachable: true},
 		"not the owner":       {answer: refused(421, "not-run"), want: verdict.NotRun, notOwner: true},
 		"worker's own answer": {answer: reply(503, "busy", map[string]string{request.HeaderVerdict: "not-run"}), want: verdict.Ran},
 	}
