Let a repeat attach at an entry that accepts no new work

Callers saw 409 may-have-run, "entry cannot be reached", for a repeat of a non-idempotent request that a leaving entry still ran, from 2 s after it began to leave until the request ended.

Admission rejects everything while the entry drains or is stale. A repeat that asks to be attached starts nothing: the deduplication filter answers it with the request in flight or rejects it. Admission now lets it pass.

TestRepeatAttachesAtDrainingEntry repeats a key 4 s after the holder began to leave, in simulated time.

--- a/entry/leave_test.go
+++ b/entry/leave_test.go
@@ -21,3 +21,17 @@
 		d.Expect(d.starts()).To(gomega.Equal(1))
 	})
 }
+
+// Guards against a leaving entry that no longer accepts a repeat of a request that it still runs, because it rejects new work.
+func TestRepeatAttachesAtDrainingEntry(t *testing.T) {
+	runDeployment(t, func(d *deployment) {
+		first := d.begin(d.leaving, "k", 8*time.Second)
+		d.leave()
+		time.Sleep(4 * time.Second)
+		repeat := d.submit(d.Entries[0], "k", 8*time.Second)
+		d.expectSuccess(repeat)
+		d.Expect(repeat.replayed).To(gomega.BeTrue())
+		d.expectSuccess(<-first)
+		d.Expect(d.starts()).To(gomega.Equal(1))
+	})
+}
--- a/filter/admission.go
+++ b/filter/admission.go
@@ -45,15 +45,15 @@
 	if required := f.requiredRole(c); principal.Role != required {
 		return verdict.New(verdict.NotRun, http.StatusForbidden, "token has role %q, this request requires role %q", principal.Role, required)
 	}
-	if f.State.Draining() {
-		return c.unavailableError("entry is shutting down")
-	}
 	c.Document = f.State.Document()
 	if c.Document == nil {
 		return c.unavailableError("entry has no configuration yet")
 	}
-	if !f.State.Fresh(time.Now()) {
-		return c.unavailableError("entry has contact with neither the table nor a majority of the entries")
+	// A repeat that only attaches to a request in flight is no new work.
+	if !c.Attach {
+		if err := f.rejectNewWork(c); err != nil {
+			return err
+		}
 	}
 	if c.HTTP.ContentLength > f.MaxBodyBytes {
 		return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, "body of %d bytes exceeds the limit of %d bytes", c.HTTP.ContentLength, f.MaxBodyBytes)
@@ -62,6 +62,17 @@
 	return nil
 }
 
+// rejectNewWork returns an error if the entry must not accept new work now.
+func (f Admission) rejectNewWork(c *Context) error {
+	if f.State.Draining() {
+		return c.unavailableError("entry is shutting down")
+	}
+	if !f.State.Fresh(time.Now()) {
+		return c.unavailableError("entry has contact with neither the table nor a majority of the entries")
+	}
+	return nil
+}
+
 // unavailableError returns the error of an entry that cannot serve requests. A forwarded request is rejected as
 // misdirected, so that the entry that received it from the caller submits it to the next owner.
 func (c *Context) unavailableError(reason string) error {
--- a/filter/admission_test.go
+++ b/filter/admission_test.go
@@ -32,7 +32,8 @@
 }
 
 // Guards against an entry that admits work while it does not know the limits in force or is shutting down, and against
-// a forwarded request that fails there instead of being submitted to the next owner.
+// a forwarded request that fails there instead of being submitted to the next owner. A repeat that attaches to a request in
+// flight is no new work.
 func TestAdmission(t *testing.T) {
 	w := &harness{t: t}
 	ready := entryState{document: &table.Document{}, fresh: true, role: auth.RoleBacker}
@@ -56,6 +57,10 @@
 		err = admit(testRequest{forwarded: true})
 		g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue(), name)
 		g.Expect(err).To(MatchError(dispatch.ErrNotOwner), name)
+		attach := w.context(testRequest{forwarded: true})
+		attach.Attach = true
+		err = Admission{Verifier: s, State: s}.Request(attach)
+		g.Expect(err == nil).To(Equal(s.document != nil), name)
 	}
 	g := NewWithT(t)
 	admission := Admission{Verifier: ready, State: ready, MaxBodyBytes: 10}
