Keep answering other entries until their requests have ended

Callers saw may-have-run for a request that another entry had forwarded to a leaving owner, when the request outlasted the owner's own callers: the shutdown cut it off (property P7).

The leaving entry closed its listener for peers as soon as its callers had their answers. The forwarding entry pings on new connections every 0.5 s while it waits, got "connection refused", took the owner for dead and gave the running request up. The listener now stays open until the responses to all forwarded requests are written, at most for the drain timeout as before.

TestForwardedRequestOutlastsLeaving forwards a request of 8 s to an owner that leaves, in simulated time.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -43,6 +43,8 @@
 }
 
 func (e *Entry) handleForwarded(w http.ResponseWriter, r *http.Request) {
+	e.forwarded.Add(1)
+	defer e.forwarded.Add(-1)
 	c := e.newContext(w, r)
 	forward.Options(r, c)
 	e.serve(w, c, e.requests)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -94,6 +94,8 @@
 	callerTLS, peerTLS           *tls.Config
 	// leaving is set when the entry stops being ready, draining when it rejects new work.
 	leaving, draining atomic.Bool
+	// forwarded counts the requests of other entries whose response is not written yet.
+	forwarded atomic.Int64
 }
 
 // Options are dependencies that a process or a test may replace.
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"samphirepoint/sleep"
 )
 
 const (
@@ -12,6 +14,8 @@
 	ownershipTransferDelay = 2 * time.Second
 	// deregisterTimeout bounds the call that removes the entry from the platform's list.
 	deregisterTimeout = time.Second
+	// drainPollInterval is the time between two checks for forwarded requests in flight.
+	drainPollInterval = 20 * time.Millisecond
 )
 
 // leave shuts the entry down without interrupting requests in flight. Waiting requests are forwarded to the next owners of
@@ -30,7 +34,7 @@
 	time.Sleep(min(ownershipTransferDelay, e.cfg.Shutdown.DrainTimeout/4))
 	e.draining.Store(true)
 
-	err := errors.Join(callers.Shutdown(ctx), peers.Shutdown(ctx))
+	err := e.drain(ctx, callers, peers)
 	if err != nil {
 		e.log.Error().Err(err).Int("inFlight", e.tracker.count()).Msg("drain timeout passed with requests in flight")
 		callers.Close()
@@ -45,3 +49,13 @@
 	e.log.Info().Msg("entry shut down")
 	return err
 }
+
+// drain closes the listeners and returns when the requests in flight have ended or ctx ends. The listener for peers stays open
+// until the requests of other entries have ended: these entries ping this one and ask for their requests on new connections,
+// and take it for dead if it does not answer.
+func (e *Entry) drain(ctx context.Context, callers, peers *http.Server) error {
+	err := callers.Shutdown(ctx)
+	for e.forwarded.Load() > 0 && sleep.Context(ctx, drainPollInterval) == nil {
+	}
+	return errors.Join(err, peers.Shutdown(ctx))
+}
--- a/entry/leave_test.go
+++ b/entry/leave_test.go
@@ -35,3 +35,14 @@
 		d.Expect(d.starts()).To(gomega.Equal(1))
 	})
 }
+
+// Guards against a leaving entry that stops answering other entries while it runs a request of theirs: they would take it for
+// dead and answer may-have-run (property P7 of the design document).
+func TestForwardedRequestOutlastsLeaving(t *testing.T) {
+	runDeployment(t, func(d *deployment) {
+		first := d.begin(d.Entries[0], "k", 8*time.Second)
+		d.leave()
+		d.expectSuccess(<-first)
+		d.Expect(d.starts()).To(gomega.Equal(1))
+	})
+}
