Forward through no entry that is leaving

A request whose owner was reachable only through a relay could be sent to a leaving entry: Relay took any live member, and a leaving one is alive until it exits. Once that entry drains, it rejects the request, and the receiver falls back to the next owner without need.

Relay now skips leaving members.

--- a/entry/cluster.go
+++ b/entry/cluster.go
@@ -53,18 +53,24 @@
 // reached.
 const recentHeartbeatMaxAge = 1500 * time.Millisecond
 
-// Relay implements filter.Router: any other live member.
+// Relay implements filter.Router: any other live member that is not leaving.
 func (r router) Relay(target filter.Target, except []string) (filter.Target, bool) {
-	snapshot := r.e.gossip.Members()
-	if m, ok := snapshot.Member(target.ID); !ok || time.Since(m.HeartbeatAt) > recentHeartbeatMaxAge {
-		return filter.Target{}, false
+	id, ok := relay(r.e.gossip.Members(), target.ID, except, time.Now())
+	return filter.Target{ID: id}, ok
+}
+
+// relay returns a member that can forward a request to target, which has a recent heartbeat but cannot be reached from the
+// entry itself. A leaving member is none, since it may reject the request.
+func relay(s *membership.Snapshot, target string, except []string, now time.Time) (string, bool) {
+	if m, ok := s.Member(target); !ok || now.Sub(m.HeartbeatAt) > recentHeartbeatMaxAge {
+		return "", false
 	}
-	for _, m := range snapshot.Alive() {
-		if m.ID != r.e.cfg.ID && m.ID != target.ID && !slices.Contains(except, m.ID) {
-			return filter.Target{ID: m.ID}, true
+	for _, m := range s.Alive() {
+		if !m.Leaving && m.ID != s.Self && m.ID != target && !slices.Contains(except, m.ID) {
+			return m.ID, true
 		}
 	}
-	return filter.Target{}, false
+	return "", false
 }
 
 // Suspect implements filter.Router.
