Wait for the answer of a silent owner before answering may-have-run

Callers saw 502 may-have-run, "the platform's table does not answer; non-idempotent work was not started", for a request that the pool's owner had rejected as not run.

The receiver gives an owner up as silent after 0.5 s without an answer and a failed ping, closes the connection, and submits the request to the next owner. The first submission then counts as may have run for good, although its owner only answers late, as on a busy machine, and the rejection by the next owner cannot change that.

The forward of non-idempotent work now stays open when its owner is given up (filter.Outstanding). If the request is rejected as not run afterwards, the receiver waits for the open answer: two rejections as not run are certain, a run is answered with its outcome, and everything else, like no answer until the deadline or for 30 s, stays may-have-run. The first owner's own verdict decides, so nothing that may have run is answered as not run. Takeover is as fast as before: only a rejection that would have been answered as may-have-run waits. Idempotent work and forwards whose answer is known to be lost are closed as before.

TestRejectionBySlowOwner delays the link to the owner by 0.6 s while the table is down, in simulated time, and failed before with the answer above.

--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -22,24 +22,30 @@
 	"samphirepoint/network"
 	"samphirepoint/request"
 	"samphirepoint/settings"
+	"samphirepoint/standin/faultproxy"
 	"samphirepoint/standin/memnet"
 	"samphirepoint/standin/workerd"
 	"samphirepoint/table"
 	"samphirepoint/verdict"
 )
 
-// shutdownTimeout is the drain timeout of the entry that a test shuts down; no test runs into it.
-const shutdownTimeout = 30 * time.Second
+const (
+	// shutdownTimeout is the drain timeout of the owner; no test runs into it.
+	shutdownTimeout = 30 * time.Second
+	// ownerPeers and ownerLink are the addresses of the owner's peer interface and of the proxy in front of it.
+	ownerPeers, ownerLink = "127.0.0.1:9001", "127.0.0.1:9002"
+)
 
-// deployment is a deployment in simulated time with one entry more, which a test shuts down.
+// deployment is a deployment in simulated time with one entry more, into which a test injects faults.
 type deployment struct {
 	gomega.Gomega
 	*dev.Cluster
-	client  *http.Client
-	leaving *entry.Entry
-	// queue is a queue whose pool the leaving entry owns until it leaves.
+	client *http.Client
+	// owner owns the pool of queue. The other entries reach it through link.
+	owner *entry.Entry
 	queue string
-	// leave starts the shutdown; left receives the result of Run.
+	link  *faultproxy.Proxy
+	// leave starts the shutdown of the owner; left receives the result of Run.
 	leave context.CancelFunc
 	left  chan error
 }
@@ -80,15 +86,18 @@
 	d.Expect(err).NotTo(gomega.HaveOccurred())
 	d.Cluster = c
 	cfg := settings.Default()
-	cfg.ID, cfg.Zone, cfg.Zones = "leaving", "gasabo", []string{"gasabo"}
+	cfg.ID, cfg.Zone, cfg.Zones = "owner", "gasabo", []string{"gasabo"}
 	cfg.Platform, cfg.Tokens, cfg.Peers = platform, filepath.Join(dir, "tokens.yaml"), []string{c.Entries[0].PeerAddress()}
-	cfg.Listen = settings.Addresses{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+	cfg.Listen = settings.Addresses{Callers: "127.0.0.1:0", Peers: ownerPeers}
+	cfg.Advertise.Peers = ownerLink
+	d.link, err = faultproxy.NewOn(net, ownerLink, ownerPeers)
+	d.Expect(err).NotTo(gomega.HaveOccurred())
 	cfg.Shutdown = settings.Shutdown{DrainTimeout: shutdownTimeout}
-	d.leaving, err = entry.New(&cfg, entry.Options{Log: log, Network: net})
+	d.owner, err = entry.New(&cfg, entry.Options{Log: log, Network: net})
 	d.Expect(err).NotTo(gomega.HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	d.leave = cancel
-	go func() { d.left <- d.leaving.Run(ctx) }()
+	go func() { d.left <- d.owner.Run(ctx) }()
 	d.awaitMembers(doc.Pools)
 	return d
 }
@@ -97,11 +106,11 @@
 func (d *deployment) awaitMembers(pools []table.Pool) {
 	time.Sleep(5 * time.Second)
 	var members []membership.Member
-	for _, e := range append([]*entry.Entry{d.leaving}, d.Entries...) {
+	for _, e := range append([]*entry.Entry{d.owner}, d.Entries...) {
 		d.Expect(e.Ready()).To(gomega.BeTrue())
 		d.Expect(e.Members()).To(gomega.HaveLen(3))
 	}
-	for _, id := range d.leaving.Members() {
+	for _, id := range d.owner.Members() {
 		members = append(members, membership.Member{ID: id})
 	}
 	var list []membership.Pool
@@ -109,7 +118,7 @@
 		list = append(list, membership.Pool{Name: p.Name})
 	}
 	for pool, owner := range membership.Owners(list, members) {
-		if owner.ID == "leaving" {
+		if owner.ID == "owner" {
 			d.queue = pool
 		}
 	}
@@ -118,6 +127,7 @@
 
 func (d *deployment) close() {
 	d.leave()
+	defer d.link.Close()
 	d.Expect(<-d.left).To(gomega.Succeed())
 	d.Close()
 	d.client.CloseIdleConnections()
--- a/entry/leave_test.go
+++ b/entry/leave_test.go
@@ -11,7 +11,7 @@
 // answer of that request.
 func TestRepeatAttachesAtLeavingEntry(t *testing.T) {
 	runDeployment(t, func(d *deployment) {
-		first := d.begin(d.leaving, "k", 5*time.Second)
+		first := d.begin(d.owner, "k", 5*time.Second)
 		d.leave()
 		time.Sleep(1500 * time.Millisecond) // the other entries know that it leaves, and it does not reject work yet
 		repeat := d.submit(d.Entries[0], "k", 5*time.Second)
@@ -25,7 +25,7 @@
 // Guards against a leaving entry that no longer accepts a repeat of a request that it still runs, because it rejects new work.
 func TestRepeatAttachesAtDrainingEntry(t *testing.T) {
 	runDeployment(t, func(d *deployment) {
-		first := d.begin(d.leaving, "k", 8*time.Second)
+		first := d.begin(d.owner, "k", 8*time.Second)
 		d.leave()
 		time.Sleep(4 * time.Second)
 		repeat := d.submit(d.Entries[0], "k", 8*time.Second)
--- /dev/null
+++ b/entry/silent_owner_test.go
@@ -0,0 +1,26 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"samphirepoint/standin"
+	"samphirepoint/standin/faultproxy"
+	"samphirepoint/standin/platformd"
+	"samphirepoint/verdict"
+)
+
+// Guards against the verdict may-have-run for a request that its owner rejected as not run because the table is down, only
+// because the rejection arrived after the receiver had given the owner up as silent.
+func TestRejectionBySlowOwner(t *testing.T) {
+	runDeployment(t, func(d *deployment) {
+		d.Platform.SetFaults(platformd.Faults{Table: platformd.Fault{Down: true}})
+		slow := faultproxy.Direction{Delay: standin.Duration(600 * time.Millisecond)}
+		d.link.Set(faultproxy.Faults{Up: slow, Down: slow})
+		r := d.submit(d.Entries[0], "k", time.Second)
+		d.Expect(r.verdict).To(gomega.Equal(verdict.NotRun.String()), "%+v", r)
+		d.Expect(d.starts()).To(gomega.BeZero())
+	})
+}
--- a/filter/deduplication.go
+++ b/filter/deduplication.go
@@ -33,6 +33,15 @@
 	err            error
 }
 
+// markForwarded marks the call as forwarded until the returned function is called.
+func (f *inFlightCall) markForwarded() (end func()) {
+	if f == nil {
+		return func() {}
+	}
+	f.remoteForwards.Add(1)
+	return func() { f.remoteForwards.Add(-1) }
+}
+
 // NewDeduplication returns a filter with no requests in flight.
 func NewDeduplication() *Deduplication { return &Deduplication{inFlight: map[string]*inFlightCall{}} }
 
--- a/filter/filter.go
+++ b/filter/filter.go
@@ -68,7 +68,9 @@
 
 	// inFlight is the request's record in Deduplication, nil for idempotent and attached requests.
 	inFlight *inFlightCall
-	cleanup  []func()
+	// outstanding holds the forwards that were given up but whose answer may still arrive.
+	outstanding []*Outstanding
+	cleanup     []func()
 }
 
 // OnEnd registers f to run after all filters have seen the result. Functions run in reverse order of registration.
@@ -109,6 +111,7 @@
 	if c.Answer == nil && c.Err == nil {
 		c.Err = verdict.New(verdict.NotRun, http.StatusInternalServerError, "no filter answered the request")
 	}
+	c.settle()
 	c.Err = c.downgradeVerdict(c.Err)
 	for i := reached - 1; i >= 0; i-- {
 		ch[i].Response(c)
--- a/filter/route.go
+++ b/filter/route.go
@@ -39,7 +39,7 @@
 // Forwarder sends a request to another entry.
 type Forwarder interface {
 	// Forward returns the answer, or an error with the verdict of the other entry. A transport error
-	// wraps ErrUnreachable.
+	// wraps ErrUnreachable; it is a *SilentError if the answer may still arrive.
 	Forward(c *Context, to Target, o ForwardOptions) (*Answer, error)
 }
 
@@ -134,18 +134,11 @@
 // Response implements Filter.
 func (Route) Response(*Context) {}
 
-// forward sends the request to another entry. Meanwhile the request in flight here is marked as forwarded.
-func (c *Context) forward(f Forwarder, to Target, o ForwardOptions) (*Answer, error) {
-	if c.inFlight != nil {
-		c.inFlight.remoteForwards.Add(1)
-		defer c.inFlight.remoteForwards.Add(-1)
-	}
-	return f.Forward(c, to, o)
-}
-
-// markUncertain records that a submission may have run, whatever the verdict of a later one.
+// markUncertain records that a submission may have run, whatever the verdict of a later one. The answer of an outstanding
+// forward may still tell; Context.settle waits for it.
 func (c *Context) markUncertain(err error) {
-	if verdict.Of(err) != verdict.NotRun {
+	var silent *SilentError
+	if !errors.As(err, &silent) && verdict.Of(err) != verdict.NotRun {
 		c.Uncertain = true
 	}
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -43,6 +43,9 @@
 	// bound the time to the next check is half of the time that the forward has taken so far: a lost answer to short work
 	// is detected within 2 s (design document, section 6), and long work needs few checks.
 	maxCheckInterval = 5 * time.Second
+	// maxPause bounds the wait for the answer of an unresponsive entry: a paused process goes on within 30 s (design document,
+	// section 1.6).
+	maxPause = 30 * time.Second
 	// maxAnswerBytes bounds the body of an answer.
 	maxAnswerBytes = 8 << 20
 	// maxErrorBytes bounds the bodies of error responses and of answers to short calls.
@@ -77,28 +80,63 @@
 	Error string `json:"error"`
 }
 
-// Forward implements filter.Forwarder.
+// Forward implements filter.Forwarder. If the other entry is unresponsive, it returns at once; a non-idempotent request that
+// was sent then stays outstanding, since the answer may still tell that it did not run.
 func (c *Client) Forward(fc *filter.Context, to filter.Target, o filter.ForwardOptions) (*filter.Answer, error) {
 	base, ok := c.peers.BaseURL(to.ID)
 	if !ok {
 		return nil, unreachable(fmt.Errorf("address of entry %s is unknown", to.ID), verdict.NotRun)
 	}
 	ctx, cancel := context.WithCancelCause(fc.Ctx)
-	defer cancel(nil)
-	var gotConn atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }})
-	req, err := c.newRequest(traced, fc, base, o)
+	req, err := c.newRequest(ctx, fc, base, o)
 	if err != nil {
+		cancel(nil)
 		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusInternalServerError)
 	}
-	stop := c.watch(ctx, cancel, to.ID, fc.Request.ID)
+	e := &exchange{client: c, requestCtx: fc.Ctx, requestID: fc.Request.ID}
+	e.result = filter.NewOutstanding(func() { cancel(nil) })
+	go func() {
+		defer cancel(nil)
+		e.result.Finish(e.run(req))
+	}()
+	silent := make(chan struct{})
+	stop := c.watch(ctx, to.ID, fc.Request.ID, func(answerLost bool) {
+		if answerLost || fc.Request.Idempotent || o.Attach || !e.gotConn.Load() {
+			cancel(errPeerUnresponsive)
+			return
+		}
+		time.AfterFunc(maxPause, func() { cancel(errPeerUnresponsive) })
+		close(silent)
+	})
 	defer stop()
-	resp, err := c.http.Do(req)
+	select {
+	case <-e.result.Done():
+		return e.result.Result()
+	case <-silent:
+		return nil, verdict.Wrap(&filter.SilentError{Forward: e.result}, verdict.MayHaveRun, http.StatusBadGateway)
+	}
+}
+
+// exchange is one HTTP request to another entry and its response.
+type exchange struct {
+	client *Client
+	// requestCtx is the context of the caller's request.
+	requestCtx context.Context
+	requestID  string
+	// gotConn is set once a connection is available, so that the request may have been sent.
+	gotConn atomic.Bool
+	result  *filter.Outstanding
+}
+
+// run sends the request and reads the answer.
+func (e *exchange) run(req *http.Request) (*filter.Answer, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { e.gotConn.Store(true) }}
+	resp, err := e.client.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
-		return nil, c.transportError(fc, err, gotConn.Load())
+		return nil, e.transportError(err)
 	}
 	defer resp.Body.Close()
-	return c.read(fc, resp)
+	return e.read(resp)
 }
 
 func (c *Client) newRequest(ctx context.Context, fc *filter.Context, base string, o filter.ForwardOptions) (*http.Request, error) {
@@ -165,21 +203,21 @@
 // longer has the request.
 var errPeerUnresponsive = errors.New("entry is unresponsive")
 
-// watch cancels the forward once the other entry does not answer a ping, or once it answers but the request is no
-// longer in flight there: then the answer was lost on a broken connection.
-func (c *Client) watch(ctx context.Context, cancel context.CancelCauseFunc, entryID, requestID string) (stop func()) {
+// watch calls giveUp once the other entry does not answer a ping, or once it answers but the request is no longer in flight
+// there: then the answer was lost on a broken connection.
+func (c *Client) watch(ctx context.Context, entryID, requestID string, giveUp func(answerLost bool)) (stop func()) {
 	done := make(chan struct{})
 	started := time.Now()
 	timer := time.AfterFunc(pingAfter, func() {
 		nextCheck := started.Add(2 * pingAfter)
 		for {
 			if !c.peers.Ping(ctx, entryID) {
-				cancel(errPeerUnresponsive)
+				giveUp(false)
 				return
 			}
 			if time.Now().After(nextCheck) {
 				if inFlight, err := c.inFlight(ctx, entryID, requestID); err == nil && !inFlight {
-					cancel(errPeerUnresponsive)
+					giveUp(true)
 					return
 				}
 				nextCheck = time.Now().Add(min(time.Since(started)/2, maxCheckInterval))
@@ -214,10 +252,10 @@
 	}
 }
 
-// transportError returns the error of a forward that failed in the transport. gotConn is set if a connection was
-// available, so that the request may have been sent.
-func (c *Client) transportError(fc *filter.Context, err error, gotConn bool) error {
-	if cause := context.Cause(fc.Ctx); cause != nil {
+// transportError returns the error of an exchange that failed in the transport.
+func (e *exchange) transportError(err error) error {
+	gotConn := e.gotConn.Load()
+	if cause := context.Cause(e.requestCtx); cause != nil {
 		if errors.Is(cause, context.DeadlineExceeded) {
 			cause = errors.New("deadline passed")
 		}
@@ -238,13 +276,13 @@
 
 // read checks that the answer is complete and belongs to this request. Error responses of the other
 // entry carry its verdict.
-func (c *Client) read(fc *filter.Context, resp *http.Response) (*filter.Answer, error) {
+func (e *exchange) read(resp *http.Response) (*filter.Answer, error) {
 	limit := int64(maxAnswerBytes)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
 	if err != nil {
 		return nil, unreachable(err, verdict.MayHaveRun)
 	}
-	if id := resp.Header.Get(request.HeaderRequestID); id != fc.Request.ID {
+	if id := resp.Header.Get(request.HeaderRequestID); id != e.requestID {
 		return nil, unreachable(fmt.Errorf("answer is for request %q", id), verdict.MayHaveRun)
 	}
 	if hash := resp.Header.Get(request.HeaderBodyHash); hash != request.BodyHash(body) {
--- /dev/null
+++ b/forward/silent_test.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"samphirepoint/filter"
+	"samphirepoint/request"
+	"samphirepoint/standin/memnet"
+	"samphirepoint/verdict"
+)
+
+const (
+	ownerAddress = "127.0.0.1:1"
+	nextAddress  = "127.0.0.1:2"
+)
+
+// twoOwners is the router of an entry that is not an owner itself: x owns the pool, and y if x is excluded. It is also Peers;
+// y answers pings and x does not.
+type twoOwners struct{}
+
+func (twoOwners) Owner(_ string, except []string) (filter.Target, bool) {
+	if slices.Contains(except, "x") {
+		return filter.Target{ID: "y"}, true
+	}
+	return filter.Target{ID: "x"}, true
+}
+
+func (twoOwners) Relay(filter.Target, []string) (filter.Target, bool) { return filter.Target{}, false }
+
+func (twoOwners) Suspect(context.Context, filter.Target) bool { return false }
+
+func (twoOwners) BaseURL(id string) (string, bool) {
+	return "http://" + map[string]string{"x": ownerAddress, "y": nextAddress}[id], true
+}
+
+func (twoOwners) Token() string { return "token" }
+
+func (twoOwners) Self() string { return "self" }
+
+func (twoOwners) Ping(_ context.Context, id string) bool { return id == "y" }
+
+// late delays an answer to one that arrives after the owner was given up as silent.
+func late(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(2 * time.Second)
+		h(w, r)
+	}
+}
+
+// Guards against a wrong verdict if the owner answers after it was given up as silent and the next owner rejected the request
+// as not run: not-run is only answered if the first owner says so as well, and may-have-run only if its answer does not tell.
+func TestAnswerOfSilentOwner(t *testing.T) {
+	rejection := func(v string) http.HandlerFunc {
+		return reply(503, `{"error":"table down"}`, map[string]string{HeaderRefusal: "true", request.HeaderVerdict: v})
+	}
+	never := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the server detects a closed connection only after the body
+		<-r.Context().Done()
+	}
+	cases := map[string]struct {
+		owner      http.HandlerFunc
+		idempotent bool
+		deadline   time.Duration
+		want       verdict.Verdict
+		// from and to bound the time of the answer.
+		from, to time.Duration
+	}{
+		"rejects as not run":  {owner: late(rejection("not-run")), want: verdict.NotRun, from: 2 * time.Second, to: 3 * time.Second},
+		"answers":             {owner: late(reply(200, "ok", nil)), want: verdict.Ran, from: 2 * time.Second, to: 3 * time.Second},
+		"result is lost":      {owner: late(rejection("ran")), want: verdict.Ran, from: 2 * time.Second, to: 3 * time.Second},
+		"may have run":        {owner: late(rejection("may-have-run")), want: verdict.MayHaveRun, from: 2 * time.Second, to: 3 * time.Second},
+		"breaks connection":   {owner: late(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), want: verdict.MayHaveRun, from: 2 * time.Second, to: 3 * time.Second},
+		"silent to deadline":  {owner: never, deadline: 5 * time.Second, want: verdict.MayHaveRun, from: 5 * time.Second, to: 6 * time.Second},
+		"silent for an hour":  {owner: never, deadline: time.Hour, want: verdict.MayHaveRun, from: maxPause, to: maxPause + time.Second},
+		"idempotent is final": {owner: late(rejection("not-run")), idempotent: true, want: verdict.MayHaveRun, to: time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				n := memnet.New()
+				var rejections atomic.Int32
+				serveOn(t, n, ownerAddress, tc.owner)
+				serveOn(t, n, nextAddress, func(w http.ResponseWriter, r *http.Request) {
+					rejections.Add(1)
+					rejection("not-run")(w, r)
+				})
+				transport := &http.Transport{DialContext: n.DialContext}
+				defer transport.CloseIdleConnections()
+				if tc.deadline == 0 {
+					tc.deadline = 10 * time.Second
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), tc.deadline)
+				defer cancel()
+				c := &filter.Context{Ctx: ctx, Log: zerolog.Nop(), Request: &request.Request{
+					ID: "r1", Backer: "b", Queue: "q", Pool: "p", Key: "k", Idempotent: tc.idempotent, Deadline: time.Now().Add(tc.deadline), Body: []byte("body"),
+				}}
+				begin := time.Now()
+				filter.Chain{filter.Route{Router: twoOwners{}, Forwarder: NewClient(twoOwners{}, transport)}}.Serve(c)
+				g.Expect(c.Verdict()).To(Equal(tc.want), "error %v", c.Err)
+				g.Expect(time.Since(begin)).To(And(BeNumerically(">=", tc.from), BeNumerically("<=", tc.to)))
+				g.Expect(rejections.Load()).To(Equal(int32(1)))
+			})
+		})
+	}
+}
+
+// serveOn serves at an address in the network until the test ends.
+func serveOn(t *testing.T, n *memnet.Network, address string, h http.HandlerFunc) {
+	t.Helper()
+	ln, err := n.Listen(address)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+}
