Answer a repeat as not run if the first request released its claim

Callers saw 409 may-have-run for a repeat that was attached, at another entry, to a request that then ended as not run. When attaching fails, the claims filter reads the claim again, but took only a recorded outcome from it. A released claim says that the request certainly did not run and that the key is free.

Such a repeat is now answered 503 not-run with Retry-After. A claim that cannot be read or is still held stays may-have-run.

--- a/filter/claims.go
+++ b/filter/claims.go
@@ -79,6 +79,9 @@
 	if err == nil && found && rec.State == claim.Done {
 		return f.replay(c, rec.Outcome)
 	}
+	if err == nil && found && rec.State == claim.Released {
+		return verdict.Unavailable(attachRetryAfter, "the request with this key was not run; its key is free again")
+	}
 	return verdict.Wrap(attachErr, verdict.MayHaveRun, http.StatusConflict)
 }
 
