Report a cancel that did not reach all entries as unconfirmed

A caller that cancelled a request was told 404, "no request in flight", although the entry that ran the request could not be reached: the errors of the calls to the other entries were dropped. The caller could take the request for ended while it runs on.

If no entry has the request but one could not be asked, the answer is now 503 may-have-run with Retry-After, as for an unconfirmed cancel of a job (docs/api.md). A status other than 204 and 404 counts as an error.

TestCancelWithUnreachableEntry cuts the link to the entry that runs the request, in simulated time; it failed before with 404.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -186,12 +186,22 @@
 		w.WriteHeader(http.StatusAccepted)
 		return
 	}
+	var silent []string
 	for _, entryID := range e.cancelTargets(id) {
-		if known, err := e.forwarder.Cancel(r.Context(), entryID, id+"@"+principal.Name); err == nil && known {
+		known, err := e.forwarder.Cancel(r.Context(), entryID, id+"@"+principal.Name)
+		if err != nil {
+			silent = append(silent, entryID)
+		}
+		if known {
 			w.WriteHeader(http.StatusAccepted)
 			return
 		}
 	}
+	if len(silent) > 0 {
+		err := verdict.New(verdict.MayHaveRun, http.StatusServiceUnavailable, "request %q may be in flight at %s, which could not be reached", id, strings.Join(silent, ", "))
+		writeError(w, verdict.WithRetryAfter(err, time.Second))
+		return
+	}
 	writeError(w, verdict.New(verdict.MayHaveRun, http.StatusNotFound, "this backer has no request %q in flight", id))
 }
 
--- a/entry/deployment_test.go
+++ b/entry/deployment_test.go
@@ -1,13 +1,13 @@
 package entry_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -141,14 +141,22 @@
 	body     string
 }
 
-// submit submits a non-idempotent request that runs for the given time, and returns the reply.
+// submit submits a non-idempotent request that runs for the given time, and returns the reply. The key is also the request id.
 func (d *deployment) submit(at *entry.Entry, key string, runs time.Duration) reply {
 	body := fmt.Sprintf(`{"runMs":%d,"payload":%q}`, runs.Milliseconds(), key)
-	req, err := http.NewRequest(http.MethodPost, "http://"+at.CallerAddress()+"/v1/queues/"+d.queue+"/requests", bytes.NewReader([]byte(body)))
+	return d.call(at, http.MethodPost, "/v1/queues/"+d.queue+"/requests", body, map[string]string{
+		request.HeaderIdempotent: "false", request.HeaderIdempotencyKey: key, request.HeaderRequestID: key,
+	})
+}
+
+// call sends a request of the backer to an entry.
+func (d *deployment) call(at *entry.Entry, method, path, body string, headers map[string]string) reply {
+	req, err := http.NewRequest(method, "http://"+at.CallerAddress()+path, strings.NewReader(body))
 	d.Expect(err).NotTo(gomega.HaveOccurred())
 	req.Header.Set("Authorization", "Bearer "+d.Tokens["b"])
-	req.Header.Set(request.HeaderIdempotent, "false")
-	req.Header.Set(request.HeaderIdempotencyKey, key)
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
 	resp, err := d.client.Do(req)
 	d.Expect(err).NotTo(gomega.HaveOccurred())
 	defer resp.Body.Close()
--- a/entry/silent_owner_test.go
+++ b/entry/silent_owner_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -24,3 +25,19 @@
 		d.Expect(d.starts()).To(gomega.BeZero())
 	})
 }
+
+// Guards against a cancel that is answered with "not in flight" although an entry that may run the request was not asked.
+func TestCancelWithUnreachableEntry(t *testing.T) {
+	runDeployment(t, func(d *deployment) {
+		running := d.begin(d.owner, "k", 20*time.Second)
+		cancel := func() reply { return d.call(d.Entries[0], http.MethodDelete, "/v1/requests/k", "", nil) }
+		d.link.Cut(true)
+		r := cancel()
+		d.Expect(r.status).To(gomega.Equal(http.StatusServiceUnavailable), "%+v", r)
+		d.Expect(r.verdict).To(gomega.Equal(verdict.MayHaveRun.String()))
+		d.link.Cut(false)
+		d.Expect(cancel().status).To(gomega.Equal(http.StatusAccepted))
+		d.Expect((<-running).status).To(gomega.Equal(http.StatusConflict))
+		d.Expect(cancel().status).To(gomega.Equal(http.StatusNotFound))
+	})
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -327,6 +327,9 @@
 // Cancel asks an entry to cancel a request and reports whether the request was in flight there.
 func (c *Client) Cancel(ctx context.Context, entryID, requestID string) (bool, error) {
 	status, err := c.call(ctx, http.MethodPost, entryID, CancelPath, requestID)
+	if err == nil && status != http.StatusNoContent && status != http.StatusNotFound {
+		err = fmt.Errorf("cancel at entry %s: status %d", entryID, status)
+	}
 	return err == nil && status == http.StatusNoContent, err
 }
 
