Attach a repeat to the request that holds the claim, and to no other

Two faults with one cause: the deduplication filter knew one request in flight per key, and not whether it was the one that holds the claim.

A repeat waited for itself until its deadline and was answered 504 may-have-run. Its key was claimed by this entry without a recorded outcome, as after a table outage; the entry forwarded the repeat to the owner, which found the claim and asked this entry to attach it, and the request in flight here was the repeat itself.

A repeat was answered 409 may-have-run, "no recorded outcome yet", although the first request was running at this entry. That happened while two entries forwarded the key to each other: the repeat passed the request that waited for the other entry, found the claim of its own entry, and nothing led from there to the request that held it.

All requests in flight are now kept by key, and the claims filter marks the one that acquires or holds the claim. A repeat attaches to that one first. A repeat sent to the holder of a claim attaches to no other, and one that finds a claim of its own entry attaches as well. The marked request waits for the table and for workers only, so no two requests can wait for each other.

--- a/entry/cluster.go
+++ b/entry/cluster.go
@@ -165,12 +165,7 @@
 
 // serveLocally runs the remaining filters for another pool that this entry owns itself.
 func (e *Entry) serveLocally(c *filter.Context, o filter.ForwardOptions) (*filter.Answer, error) {
-	r := *c.Request
-	r.Pool = o.Pool
-	local := &filter.Context{
-		Ctx: c.Ctx, Principal: c.Principal, Forwarded: true, Document: c.Document, Request: &r, Queue: c.Queue,
-		NoWait: o.NoWait, Attach: o.Attach, Log: c.Log,
-	}
+	local := c.ForPool(o)
 	e.local.Serve(local)
 	c.Sent = c.Sent || local.Sent
 	return local.Answer, local.Err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -240,9 +240,10 @@
 	queue := filter.Queue{Slots: e.scheduler, Route: route, Router: router, Forwarder: trackedForwarder{e}}
 	admission := filter.Admission{Verifier: e.verifier, State: e, MaxBodyBytes: e.cfg.Limits.MaxBodyBytes}
 	identification := filter.Identification{EntryID: e.cfg.ID, Track: e.tracker.track}
-	claims := filter.Claims{Store: e.claims, Holders: router, Forwarder: trackedForwarder{e}}
+	deduplication := filter.NewDeduplication()
+	claims := filter.Claims{Store: e.claims, Holders: router, Forwarder: trackedForwarder{e}, InFlight: deduplication}
 	send := filter.NewDispatch(e.cfg.ID, queue, e.retries, e.gossip)
-	e.requests = filter.Chain{admission, identification, filter.NewDeduplication(), route, queue, claims, send}
+	e.requests = filter.Chain{admission, identification, deduplication, route, queue, claims, send}
 	e.local = filter.Chain{queue, claims, send}
 	identification.Job = true
 	e.jobChain = filter.Chain{admission, identification, filter.AcceptJob{Store: e.jobStore, Notify: e.notifyOwner}}
--- a/filter/claims.go
+++ b/filter/claims.go
@@ -24,6 +24,8 @@
 	Store     *claim.Store
 	Holders   ClaimHolders
 	Forwarder Forwarder
+	// InFlight finds the holder of a claim at this entry.
+	InFlight *Deduplication
 }
 
 // Name implements Filter.
@@ -34,11 +36,13 @@
 	if c.Request.Idempotent {
 		return nil
 	}
+	c.inFlight.setClaims(true)
 	acquired, err := f.Store.Acquire(c.Ctx, claimKey(c.Request), request.BodyHash(c.Request.Body))
 	if err == nil {
 		c.Claim = acquired
 		return nil
 	}
+	c.inFlight.setClaims(false)
 	var existing *claim.ExistingError
 	if !errors.As(err, &existing) {
 		return err
@@ -61,7 +65,7 @@
 		return verdict.New(verdict.MayHaveRun, http.StatusConflict, "an entry that is gone may have run the request with this key; it is not run again")
 	}
 	if holder.Self {
-		return errInFlight()
+		return f.attachHere(c)
 	}
 	answer, err := c.forward(f.Forwarder, holder, ForwardOptions{Pool: c.Request.Pool, Attach: true})
 	if err != nil {
@@ -72,6 +76,14 @@
 	return nil
 }
 
+// attachHere answers a resubmission of a request whose claim this process holds.
+func (f Claims) attachHere(c *Context) error {
+	if call := f.InFlight.holder(claimKey(c.Request)); call != nil {
+		return call.attach(c)
+	}
+	return errInFlight()
+}
+
 // answerUnattached answers a resubmission that could not be attached to the request at the claim's holder. The request may
 // have ended meanwhile, so the claim is read again.
 func (f Claims) answerUnattached(c *Context, attachErr error) error {
@@ -108,6 +120,7 @@
 	if c.Claim == nil {
 		return
 	}
+	defer c.inFlight.setClaims(false)
 	if !c.Sent {
 		if !f.Store.Release(c.Claim) {
 			c.Log.Warn().Str("reason", "table does not answer").Msg("claim not released yet; release is retried")
--- a/filter/claims_test.go
+++ b/filter/claims_test.go
@@ -81,3 +81,52 @@
 	g.Expect(c.Err).NotTo(HaveOccurred())
 	g.Expect(w.starts()).To(Equal(1))
 }
+
+// Guards against a repeat that waits for itself until its deadline: it is forwarded to the owner of the pool, which finds a
+// claim of this entry without a recorded outcome and asks this entry to attach the repeat.
+func TestRepeatDoesNotWaitForItself(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	w := newHarness(t, 1, 1)
+	body := `{"runMs":1}`
+	_, err := w.claims.Acquire(context.Background(), claim.RowKey("b", "q", "k", time.Time{}), request.BodyHash([]byte(body)))
+	g.Expect(err).NotTo(HaveOccurred())
+	w.router.owners["p"] = []string{"o"}
+	w.peers.answer = func(*Context, Target, ForwardOptions) (*Answer, error) {
+		c := w.context(testRequest{key: "k", body: body, forwarded: true})
+		c.Attach = true
+		w.chain.Serve(c)
+		return c.Answer, c.Err
+	}
+	begin := time.Now()
+	c := w.serve(testRequest{key: "k", body: body, headers: map[string]string{request.HeaderDeadline: "5s"}})
+	g.Expect(c.Verdict()).To(Equal(verdict.MayHaveRun))
+	g.Expect(verdict.Status(c.Err)).To(Equal(http.StatusConflict), "error %v", c.Err)
+	g.Expect(time.Since(begin)).To(BeNumerically("<", 4*time.Second))
+	g.Expect(w.starts()).To(BeZero())
+}
+
+// Guards against the verdict may-have-run for a repeat while the first request runs at this entry: two entries forward the
+// key to each other, and a repeat of a third one passes the request that waits for the other entry.
+func TestRepeatAttachesToHolderOfClaim(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	w := newHarness(t, 2, 1)
+	w.router.owners["p"] = []string{"peer"}
+	body := `{"runMs":500}`
+	release := make(chan *Answer)
+	w.peers.answer = func(*Context, Target, ForwardOptions) (*Answer, error) { return <-release, nil }
+	waiting := w.begin(testRequest{key: "k", body: body})
+	g.Eventually(func() int { w.peers.mu.Lock(); defer w.peers.mu.Unlock(); return w.peers.calls }, testTimeout).Should(Equal(1))
+	running := w.begin(testRequest{key: "k", body: body, forwarded: true})
+	g.Eventually(w.starts, testTimeout).Should(Equal(1))
+	repeat := w.serve(testRequest{key: "k", body: body, forwarded: true})
+	g.Expect(repeat.Err).NotTo(HaveOccurred())
+	g.Expect(repeat.Answer.Replayed).To(BeTrue())
+	first := <-running
+	g.Expect(first.Err).NotTo(HaveOccurred())
+	g.Expect(repeat.Answer.Body).To(Equal(first.Answer.Body))
+	release <- first.Answer
+	g.Expect((<-waiting).Err).NotTo(HaveOccurred())
+	g.Expect(w.starts()).To(Equal(1))
+}
--- a/filter/deduplication.go
+++ b/filter/deduplication.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,8 +20,10 @@
 // Deduplication attaches a non-idempotent request to the request with the same key that is in flight
 // at this entry, so that both callers get the same answer.
 type Deduplication struct {
-	mu       sync.Mutex
-	inFlight map[string]*inFlightCall
+	mu sync.Mutex
+	// calls holds the requests in flight by key, in the order of arrival. There are several if two entries forward a
+	// request to each other.
+	calls map[string][]*inFlightCall
 }
 
 // inFlightCall is a request that resubmissions can attach to; answer and err are set before done is closed.
@@ -28,22 +31,33 @@
 	hash string
 	// remoteForwards is above 0 while the request is forwarded to another entry.
 	remoteForwards atomic.Int32
-	done           chan struct{}
-	answer         *Answer
-	err            error
+	// claims is set while the request acquires or holds the claim of its key. It then waits for no other request.
+	claims atomic.Bool
+	done   chan struct{}
+	answer *Answer
+	err    error
 }
 
 // markForwarded marks the call as forwarded until the returned function is called.
-func (f *inFlightCall) markForwarded() (end func()) {
-	if f == nil {
+func (call *inFlightCall) markForwarded() (end func()) {
+	if call == nil {
 		return func() {}
 	}
-	f.remoteForwards.Add(1)
-	return func() { f.remoteForwards.Add(-1) }
+	call.remoteForwards.Add(1)
+	return func() { call.remoteForwards.Add(-1) }
+}
+
+// setClaims sets whether the call acquires or holds the claim of its key.
+func (call *inFlightCall) setClaims(v bool) {
+	if call != nil {
+		call.claims.Store(v)
+	}
 }
 
 // NewDeduplication returns a filter with no requests in flight.
-func NewDeduplication() *Deduplication { return &Deduplication{inFlight: map[string]*inFlightCall{}} }
+func NewDeduplication() *Deduplication {
+	return &Deduplication{calls: map[string][]*inFlightCall{}}
+}
 
 // Name implements Filter.
 func (*Deduplication) Name() string { return "deduplication" }
@@ -55,52 +69,83 @@
 	}
 	key := claimKey(c.Request)
 	hash := request.BodyHash(c.Request.Body)
-	f.mu.Lock()
-	first, found := f.inFlight[key]
-	if !found && c.Attach {
-		f.mu.Unlock()
+	first := f.join(key, hash, c)
+	switch {
+	case first == nil && c.Attach:
 		return verdict.WithRetryAfter(verdict.New(verdict.MayHaveRun, http.StatusConflict, "the request with this key is no longer in flight at this entry"), attachRetryAfter)
-	}
-	if !found {
-		own := &inFlightCall{hash: hash, done: make(chan struct{})}
-		f.inFlight[key] = own
-		f.mu.Unlock()
-		c.inFlight = own
-		c.OnEnd(func() { f.publish(key, own, c) })
+	case first == nil:
+		c.OnEnd(func() { f.publish(key, c) })
 		return nil
+	case first.hash != hash:
+		return errKeyMismatch()
 	}
-	f.mu.Unlock()
-	if c.Forwarded && !c.Attach && first.remoteForwards.Load() > 0 {
-		// Two entries that each consider the other the owner would wait for each other. The claim decides which one runs it.
+	return first.attach(c)
+}
+
+// join returns the request that c attaches to, or nil after it has added c to the requests in flight. If c must
+// attach, it is not added.
+func (f *Deduplication) join(key, hash string, c *Context) *inFlightCall {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if call := f.claiming(key); call != nil {
+		return call
+	}
+	if c.Attach {
 		return nil
 	}
-	if first.hash != hash {
-		return errKeyMismatch()
+	// Two entries that each consider the other the owner would wait for each other if a forwarded request attached to one that
+	// is forwarded as well. The claim decides which one runs.
+	if calls := f.calls[key]; len(calls) > 0 && (!c.Forwarded || calls[0].remoteForwards.Load() == 0) {
+		return calls[0]
 	}
-	c.Log.Info().Str("reason", "key in flight").Msg("request attached to the one in flight")
-	return f.attach(c, first)
+	c.inFlight = &inFlightCall{hash: hash, done: make(chan struct{})}
+	f.calls[key] = append(f.calls[key], c.inFlight)
+	return nil
+}
+
+// claiming returns the request in flight that acquires or holds the claim of a key, or nil. The caller holds the lock.
+func (f *Deduplication) claiming(key string) *inFlightCall {
+	for _, call := range f.calls[key] {
+		if call.claims.Load() {
+			return call
+		}
+	}
+	return nil
+}
+
+// holder returns the request in flight that acquires or holds the claim of a key, or nil.
+func (f *Deduplication) holder(key string) *inFlightCall {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.claiming(key)
 }
 
-func (f *Deduplication) attach(c *Context, first *inFlightCall) error {
+// attach waits for the result of the call and makes it the result of c.
+func (call *inFlightCall) attach(c *Context) error {
+	c.Log.Info().Str("reason", "key in flight").Msg("request attached to the one in flight")
 	select {
-	case <-first.done:
+	case <-call.done:
 	case <-c.Ctx.Done():
 		return verdict.Wrap(context.Cause(c.Ctx), verdict.MayHaveRun, http.StatusGatewayTimeout)
 	}
-	if first.err != nil {
-		return first.err
+	if call.err != nil {
+		return call.err
 	}
-	answer := *first.answer
+	answer := *call.answer
 	answer.Replayed = true
 	c.Answer = &answer
 	return nil
 }
 
-// publish passes the result to the attached requests and removes the key from those in flight.
-func (f *Deduplication) publish(key string, own *inFlightCall, c *Context) {
+// publish passes the result of c to the attached requests and removes c from those in flight.
+func (f *Deduplication) publish(key string, c *Context) {
+	own := c.inFlight
 	own.answer, own.err = c.Answer, c.Err
 	f.mu.Lock()
-	delete(f.inFlight, key)
+	f.calls[key] = slices.DeleteFunc(f.calls[key], func(call *inFlightCall) bool { return call == own })
+	if len(f.calls[key]) == 0 {
+		delete(f.calls, key)
+	}
 	f.mu.Unlock()
 	close(own.done)
 }
--- a/filter/filter.go
+++ b/filter/filter.go
@@ -76,6 +76,16 @@
 // OnEnd registers f to run after all filters have seen the result. Functions run in reverse order of registration.
 func (c *Context) OnEnd(f func()) { c.cleanup = append(c.cleanup, f) }
 
+// ForPool returns the context of the request's submission to another pool that this entry owns itself.
+func (c *Context) ForPool(o ForwardOptions) *Context {
+	r := *c.Request
+	r.Pool = o.Pool
+	return &Context{
+		Ctx: c.Ctx, Principal: c.Principal, Forwarded: true, Document: c.Document, Request: &r, Queue: c.Queue,
+		NoWait: o.NoWait, Attach: o.Attach, Log: c.Log, inFlight: c.inFlight,
+	}
+}
+
 // Verdict returns the verdict on the execution of the request after the chain has ended.
 func (c *Context) Verdict() verdict.Verdict {
 	if c.Err != nil {
--- a/filter/harness_test.go
+++ b/filter/harness_test.go
@@ -135,7 +135,7 @@
 	queue := Queue{Slots: w.scheduler, Route: route, Router: w.router, Forwarder: w.peers}
 	w.dedup = NewDeduplication()
 	w.chain = Chain{Identification{EntryID: "self", Track: w.track}, w.dedup, route, queue,
-		Claims{Store: w.claims, Holders: w.router, Forwarder: w.peers}, NewDispatch("self", queue, unlimitedRetries{}, unlimitedRetries{})}
+		Claims{Store: w.claims, Holders: w.router, Forwarder: w.peers, InFlight: w.dedup}, NewDispatch("self", queue, unlimitedRetries{}, unlimitedRetries{})}
 	return w
 }
 
