Say in the message that an earlier submission may have run

Callers read "non-idempotent work was not started" beside the verdict may-have-run. The verdict took the earlier submission without a known end into account, the message was that of the last rejection alone.

The message now names both. TestRejectionAfterUncertainSubmission also checks the message, which failed before, and that Retry-After survives.

--- a/filter/chain_test.go
+++ b/filter/chain_test.go
@@ -25,8 +25,8 @@
 	return verdict.Wrap(ErrUnreachable, v, http.StatusBadGateway)
 }
 
-// Guards against the verdict not-run for a request whose first submission may have run and whose second one was
-// rejected (property P4 of the design document).
+// Guards against the verdict not-run, or a message that says only that the request was not started, for a request whose first
+// submission may have run and whose second one was rejected (property P4 of the design document).
 func TestRejectionAfterUncertainSubmission(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
@@ -36,11 +36,13 @@
 		if to.ID == "x" {
 			return nil, unreachable(verdict.MayHaveRun)
 		}
-		return nil, verdict.New(verdict.NotRun, http.StatusTooManyRequests, "full")
+		return nil, verdict.Unavailable(3*time.Second, "not started")
 	}
 	c := w.serve(testRequest{body: `{"runMs":1}`})
 	g.Expect(w.router.suspects).To(Equal([]string{"x"}))
 	g.Expect(c.Verdict()).To(Equal(verdict.MayHaveRun), "error %v", c.Err)
+	g.Expect(c.Err).To(MatchError(ContainSubstring("earlier submission of the request may have run")))
+	g.Expect(verdict.RetryAfter(c.Err)).To(Equal(3 * time.Second))
 }
 
 // Guards against a request that fails because its owner died: it must be submitted to the next owner, here this entry.
--- a/filter/route.go
+++ b/filter/route.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -145,8 +146,10 @@
 
 // downgradeVerdict changes the verdict of err from not-run to may-have-run if an earlier submission may have run.
 func (c *Context) downgradeVerdict(err error) error {
-	if c.Uncertain && verdict.Is(err, verdict.NotRun) {
-		return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
+	if !c.Uncertain || !verdict.Is(err, verdict.NotRun) {
+		return err
 	}
-	return err
+	// The text of err tells only about the last submission, for instance that it was not started.
+	err = fmt.Errorf("an earlier submission of the request may have run, the last one was rejected: %w", err)
+	return verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
 }
