Return a worker's failed answer if the retry after it gets no slot

Callers of idempotent work saw 502 may-have-run, "queue is full", or a passed deadline for a request that a worker had run and answered with a server error: the answer was dropped for the rejection of the retry. The request ran for certain, and the worker's answer says why it failed.

The answer of the failed attempt now stands if no slot is granted for the retry, as it does when the retry policy allows none.

TestFailedAnswerOutlastsRejectedRetry failed before with "queue is full" and may-have-run.

--- a/filter/dispatch.go
+++ b/filter/dispatch.go
@@ -81,6 +81,11 @@
 			return f.finalResult(c, &history, answer, err)
 		}
 		grant, err := f.nextGrant(c, &history)
+		if err != nil && answer != nil {
+			c.Log.Info().Str("pool", c.Request.Pool).Err(err).Str("reason", "retry was rejected").Msg("answer of the failed attempt returned")
+			c.Answer = answer
+			return nil
+		}
 		if err != nil || grant == nil {
 			return c.downgradeVerdict(err)
 		}
