--- a/standin/jobfleet/jobfleet.go
+++ b/standin/jobfleet/jobfleet.go
@@ -28,6 +28,8 @@
 // Fleet is a stand-in platform with its store, workers and instances.
 type Fleet struct {
 	Store *memrows.Store
+	// TaskDuration is the run time of each task. It must be set before the first start.
+	TaskDuration time.Duration
 
 	mu           sync.Mutex
 	workers      map[string]*worker
@@ -53,7 +55,7 @@
 // New starts a fleet with the given number of instances in each pool.
 func New(pools map[string]int) (*Fleet, error) {
 	f := &Fleet{
-		Store: memrows.New(), workers: map[string]*worker{}, instances: map[string]*instance{},
+		Store: memrows.New(), TaskDuration: defaultTaskDuration, workers: map[string]*worker{}, instances: map[string]*instance{},
 		completed: map[string]int{}, starts: map[string]int{}, maintenanceStarted: map[string]bool{},
 	}
 	var err error
--- a/standin/jobfleet/worker.go
+++ b/standin/jobfleet/worker.go
@@ -12,8 +12,8 @@
 
 func asConflict(err error, target **rows.Conflict) bool { return errors.As(err, target) }
 
-// taskDuration is the run time of each task.
-const taskDuration = 60 * time.Millisecond
+// defaultTaskDuration is the run time of each task unless Fleet.TaskDuration is changed.
+const defaultTaskDuration = 60 * time.Millisecond
 
 // worker is one incarnation of an instance's worker.
 type worker struct {
@@ -102,7 +102,7 @@
 		switch {
 		case w.leaseEndMS > 0 && w.clockMS() > w.leaseEndMS:
 			w.end(task, r, "lapsed")
-		case time.Since(r.startedAt) > taskDuration:
+		case time.Since(r.startedAt) > w.fleet.TaskDuration:
 			w.fleet.completed[task]++
 			w.end(task, r, "done")
 		}
