Follow the list of workers by the store's feed

Users of the grown sites saw accepted jobs lost while pools belonged to small daemons. Each owner read and decoded all 350 rows of the list of workers four times a second; on a link of 10 Mbit/s these reads compete with everything else that the owner does.

platform.Roster reads all rows once, and again after a gap in the history; otherwise it waits up to 0.5 s for changes and decodes only those. Changes also arrive sooner.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -61,9 +61,10 @@
 	claimRetryInterval = 300 * time.Millisecond
 )
 
-// Roster reads the platform's list of workers, by pool.
+// Roster follows the platform's list of workers.
 type Roster interface {
-	Workers(ctx context.Context) (map[string][]engine.WorkerInfo, error)
+	// Workers returns the usable workers by pool. Once the list is known, it waits up to wait for the first change.
+	Workers(ctx context.Context, wait time.Duration) (map[string][]engine.WorkerInfo, error)
 }
 
 // Settings configures a Node.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,7 +28,7 @@
 )
 
 const (
-	// workerListInterval is the time between two reads of the list of workers.
+	// workerListInterval is the least time between two reads of the list of workers.
 	workerListInterval = 250 * time.Millisecond
 	// watchInterval is the time between two checks whether the settings file has changed without a signal.
 	watchInterval = 2 * time.Second
@@ -58,7 +58,7 @@
 	instances := platform.NewInstances(settings.Instances.Address)
 	d.node = cluster.NewNode(cluster.Settings{
 		Name: settings.Node, Incarnation: incarnation(), Address: settings.PeerAddress(), Zone: settings.Zone,
-		Store: d.store, Workers: platform.NewWorkers(), Adviser: platform.NewAdviser(settings.Advice), Roster: d.store,
+		Store: d.store, Workers: platform.NewWorkers(), Adviser: platform.NewAdviser(settings.Advice), Roster: &platform.Roster{Store: d.store},
 		Options: options(settings), Log: log, Now: now,
 		WorkersWithOpenOrders: func(ctx context.Context) ([]string, error) {
 			return upkeep.WorkersWithOpenOrders(ctx, d.store, cluster.FleetControllerRole)
--- a/daemon/owner_cost_test.go
+++ b/daemon/owner_cost_test.go
@@ -93,7 +93,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	node := cluster.NewNode(cluster.Settings{
-		Name: "edge-1", Incarnation: "1", Address: "127.0.0.1:1", Zone: "z", Store: store, Workers: platform.NewWorkers(), Roster: store,
+		Name: "edge-1", Incarnation: "1", Address: "127.0.0.1:1", Zone: "z", Store: store, Workers: platform.NewWorkers(), Roster: &platform.Roster{Store: store},
 		Options: engine.DefaultOptions(), Log: log, Now: func() time.Duration { return time.Since(began) },
 	})
 	cat := &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: "pumps"}}, Queues: []catalog.Queue{{Queue: engine.Queue{Name: "q1", Attempts: 3, Stretch: 1.6, TargetMS: 600}, Pool: "pumps"}}}
