Make the event loop of a pool owner cheaper

Users of the grown sites saw jobs lost and served late while pools belonged to small daemons: in a burst the owner's processor was exhausted. A third of its time went to its event loop, which listed all workers after each event, built text keys for runs, copied the runs of all workers 20 times a second, searched all ended jobs as often, and tried every worker for every waiting step in each placement.

Renewers are started on ticks and after changes of the list of workers. Runs are identified by a struct. A placement remembers needs that fit on no worker and reuses its buffers. Expired jobs are searched for once a second. No decision changes.

The owners are still overloaded in bursts.

--- a/engine/ends.go
+++ b/engine/ends.go
@@ -32,13 +32,14 @@
 	if a.ClockMS > w.clockMS || w.clockAt == 0 {
 		w.clockMS, w.clockAt = a.ClockMS, c.Now
 	}
-	ended := p.applyEnds(w, a.Ended, c)
-	present := p.applyRunning(w, a.Running, c)
+	p.renewals++
+	p.applyEnds(w, a.Ended, c)
+	p.applyRunning(w, a.Running, c)
 	if len(a.Ended) >= maxEndsPerAnswer {
 		return
 	}
-	for _, r := range w.allRuns() {
-		if !present[r] && !ended[runKey(r.Task.id, r.Num)] && r.absenceIsFinal(sentAt) {
+	for _, r := range w.runs {
+		if r.listedIn != p.renewals && r.absenceIsFinal(sentAt) {
 			p.loseRun(r, c)
 		}
 	}
@@ -58,15 +59,20 @@
 	return false
 }
 
-func (p *Pool) applyEnds(w *Worker, rows []EndedRow, c Clock) map[string]bool {
-	seen := map[string]bool{}
+func (p *Pool) applyEnds(w *Worker, rows []EndedRow, c Clock) {
 	for _, e := range rows {
-		seen[reportedRunKey(e.Task, e.Run)] = true
+		id, err := ParseTaskID(e.Task)
+		if r := w.runs[runID{task: id, run: e.Run}]; err == nil && r != nil {
+			r.listedIn = p.renewals
+		}
 		if e.Seq <= w.lastEnd {
 			continue
 		}
 		w.lastEnd = e.Seq
-		j := p.applyListedEnd(w, e, c)
+		var j *Job
+		if err == nil {
+			j = p.applyListedEnd(w, id, e, c)
+		}
 		ack := pendingAck{end: e.Seq, job: j}
 		if j != nil {
 			ack.rev = j.rev
@@ -74,15 +80,10 @@
 		w.pendingAcks = append(w.pendingAcks, ack)
 	}
 	w.advanceAcks()
-	return seen
 }
 
 // applyListedEnd applies one listed end and returns the job that must be stored before the worker may discard the end.
-func (p *Pool) applyListedEnd(w *Worker, e EndedRow, c Clock) *Job {
-	id, err := ParseTaskID(e.Task)
-	if err != nil {
-		return nil
-	}
+func (p *Pool) applyListedEnd(w *Worker, id TaskID, e EndedRow, c Clock) *Job {
 	j := p.jobs[id.Job]
 	if j == nil {
 		return nil
@@ -91,7 +92,7 @@
 	if t == nil {
 		return nil
 	}
-	r := w.runs[runKey(id, e.Run)]
+	r := w.runs[runID{task: id, run: e.Run}]
 	if r == nil {
 		return p.applyLateEnd(t, w, e, c)
 	}
@@ -211,23 +212,21 @@
 	}
 }
 
-func (p *Pool) applyRunning(w *Worker, rows []RunningRow, c Clock) map[*Run]bool {
-	present := map[*Run]bool{}
+func (p *Pool) applyRunning(w *Worker, rows []RunningRow, c Clock) {
 	w.orphans = 0
 	for _, row := range rows {
 		id, err := ParseTaskID(row.Task)
 		if err != nil {
 			continue
 		}
-		r := w.runs[runKey(id, row.Run)]
+		r := w.runs[runID{task: id, run: row.Run}]
 		if r == nil || r.phase == phaseDecided {
 			p.stopOrphan(w, id, row, c)
 			continue
 		}
-		present[r] = true
+		r.listedIn = p.renewals
 		p.applyListedRun(r, row, c)
 	}
-	return present
 }
 
 // stopOrphan stops a run that was not ordered under this ownership.
--- a/engine/learn.go
+++ b/engine/learn.go
@@ -78,7 +78,8 @@
 
 // remainingCriticalPath returns the expected length of the longest chain of incomplete steps.
 func (p *Pool) remainingCriticalPath(o *occurrence) time.Duration {
-	ends := make([]float64, len(o.steps))
+	var buf [8]float64
+	ends := append(buf[:0], make([]float64, len(o.steps))...)
 	longest := 0.0
 	for i, st := range o.steps {
 		begin := 0.0
--- a/engine/model.go
+++ b/engine/model.go
@@ -144,24 +144,34 @@
 
 // String returns the form JOB.OCCURRENCE.STEP.INDEX.
 func (t TaskID) String() string {
-	return t.Job + "." + strconv.Itoa(t.Occ) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.IndexInStep)
+	var buf [64]byte
+	b := append(buf[:0], t.Job...)
+	for _, n := range [...]int{t.Occ, t.Step, t.IndexInStep} {
+		b = strconv.AppendInt(append(b, '.'), int64(n), 10)
+	}
+	return string(b)
 }
 
 // ParseTaskID parses the form that String returns.
 func ParseTaskID(s string) (TaskID, error) {
-	p := strings.Split(s, ".")
-	if len(p) != 4 {
-		return TaskID{}, fmt.Errorf("task %q: expected JOB.OCCURRENCE.STEP.INDEX", s)
-	}
+	job, rest, more := strings.Cut(s, ".")
 	var n [3]int
 	for i := range n {
-		v, err := strconv.Atoi(p[i+1])
+		var part string
+		if !more {
+			return TaskID{}, fmt.Errorf("task %q: expected JOB.OCCURRENCE.STEP.INDEX", s)
+		}
+		part, rest, more = strings.Cut(rest, ".")
+		v, err := strconv.Atoi(part)
 		if err != nil || v < 0 {
-			return TaskID{}, fmt.Errorf("task %q: %q is not a number", s, p[i+1])
+			return TaskID{}, fmt.Errorf("task %q: %q is not a number", s, part)
 		}
 		n[i] = v
 	}
-	return TaskID{Job: p[0], Occ: n[0], Step: n[1], IndexInStep: n[2]}, nil
+	if more {
+		return TaskID{}, fmt.Errorf("task %q: expected JOB.OCCURRENCE.STEP.INDEX", s)
+	}
+	return TaskID{Job: job, Occ: n[0], Step: n[1], IndexInStep: n[2]}, nil
 }
 
 // Clock is the time of an event: Now on the process's monotonic clock, Wall in Unix milliseconds.
--- a/engine/place.go
+++ b/engine/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -27,6 +28,7 @@
 		return
 	}
 	p.placementNeeded = false
+	p.noRoom = p.noRoom[:0]
 	workers := p.usableWorkers(c)
 	p.updateScarcity()
 	p.evacuate(c)
@@ -40,26 +42,30 @@
 func (p *Pool) RequestPlacement() { p.placementNeeded = true }
 
 func (p *Pool) usableWorkers(c Clock) []*Worker {
-	var out []*Worker
-	for _, w := range p.workers {
+	if p.workersByID == nil {
+		p.workersByID = slices.SortedFunc(maps.Values(p.workers), func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	out := p.usableBuffer[:0]
+	for _, w := range p.workersByID {
 		if p.schedulable(w, c) && w.backoffUntil <= c.Now {
 			out = append(out, w)
 		}
 	}
-	slices.SortFunc(out, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
+	p.usableBuffer = out
 	return out
 }
 
 // candidates returns the steps with tasks to start in scheduling order: long-running tasks, then jobs that can still
 // meet their objective, then the others; each group is ordered by priority, deadline and arrival.
 func (p *Pool) candidates(c Clock) []candidate {
-	var out []candidate
+	out := p.candidateBuffer[:0]
 	for _, j := range p.openJobs {
 		for o := range j.openOccurrences() {
 			out = p.addCandidates(out, o, c)
 		}
 	}
 	slices.SortStableFunc(out, compareCandidates)
+	p.candidateBuffer = out
 	return out
 }
 
@@ -117,6 +123,9 @@
 		p.placeGang(st, workers, c)
 		return
 	}
+	if p.knownFull(st.spec) {
+		return
+	}
 	rack := st.commonRack()
 	for _, t := range st.tasks {
 		if !t.pending(c.Now) {
@@ -128,6 +137,7 @@
 				p.reserve(t, workers, c)
 				continue
 			}
+			p.recordFull(st.spec, p.queues[st.occ.job.Spec.Queue])
 			return
 		}
 		p.start(t, w, t.lastRun+1, c)
@@ -137,6 +147,20 @@
 	}
 }
 
+// knownFull reports whether a step with no stricter requirements found no worker earlier in this placement. Without it, each
+// placement of a pool with a long queue tries every worker for every waiting step.
+func (p *Pool) knownFull(st *Step) bool {
+	return !st.LongRunning && slices.ContainsFunc(p.noRoom, st.Footprint().Covers)
+}
+
+// recordFull records that no worker has room for a task of the step, unless the step has requirements beyond its footprint.
+// Workers only fill up during a placement.
+func (p *Pool) recordFull(st *Step, q Queue) {
+	if !st.LongRunning && st.RequiredLabel == "" && st.AntiAffinity == 0 && !q.Advised {
+		p.noRoom = append(p.noRoom, st.Footprint())
+	}
+}
+
 // commonRack returns the rack on which tasks of a same-rack step already run, or "".
 func (st *stepState) commonRack() string {
 	if !st.spec.SameRack {
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -35,11 +35,15 @@
 	Name  string
 	Token int64
 
-	options           Options
-	queues            map[string]Queue
-	jobs              map[string]*Job
-	openJobs          []*Job // jobs that have not ended, in order of arrival
-	workers           map[string]*Worker
+	options  Options
+	queues   map[string]Queue
+	jobs     map[string]*Job
+	openJobs []*Job // jobs that have not ended, in order of arrival
+	workers  map[string]*Worker
+	// workersByID holds the workers ordered by ID, or nil after a change of workers.
+	workersByID []*Worker
+	// renewals counts the answered lease renewals.
+	renewals          int64
 	dirty             []*Job
 	orders            []Order
 	advice            []AdviceRequest
@@ -52,6 +56,12 @@
 	decisions []Decision
 	// placementNeeded is set by every event that may allow a new start.
 	placementNeeded bool
+	// noRoom holds needs that fit on no worker for the rest of the placement.
+	noRoom []Resources
+	// candidateBuffer and usableBuffer are reused by successive placements.
+	candidateBuffer []candidate
+	usableBuffer    []*Worker
+	nextExpiry      time.Duration
 }
 
 // Decision is a scheduling decision to be logged.
@@ -207,6 +217,7 @@
 	r.Worker.remove(r)
 	r.Task.removeRun(r)
 	p.placementNeeded = true
+	p.noRoom = p.noRoom[:0]
 }
 
 func (p *Pool) markDirty(j *Job) {
@@ -256,8 +267,15 @@
 	p.expire(c)
 }
 
+// expireInterval is the time between two searches for jobs whose retention has ended.
+const expireInterval = time.Second
+
 // expire removes ended jobs after the retention time.
 func (p *Pool) expire(c Clock) {
+	if c.Now < p.nextExpiry {
+		return
+	}
+	p.nextExpiry = c.Now + expireInterval
 	for _, j := range p.jobs {
 		if j.state.Terminal() && !j.expired && c.Wall-j.endedMS > p.options.Retention.Milliseconds() && j.liveRuns() == 0 {
 			j.expired = true
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -9,11 +9,11 @@
 // longest lease that a worker accepts.
 func (p *Pool) workerRestarted(w *Worker, a RenewalReply, sentAt time.Duration, c Clock) {
 	p.recordDecision("worker-reborn", "", 0, w.ID, itoa(a.Incarnation))
-	listed := a.runKeys()
+	listed := a.runIDs()
 	for _, r := range w.allRuns() {
 		former := r.phase == phaseInherited || (r.phase != phaseStarting && r.phase != phaseDecided && r.confirmedAt < sentAt)
 		switch {
-		case former && !listed[runKey(r.Task.id, r.Num)]:
+		case former && !listed[r.id()]:
 			p.loseRun(r, c)
 		case r.phase == phaseStarting:
 			p.stop(r, c) // its deadline is on the former incarnation's clock
@@ -37,14 +37,19 @@
 	return p.options.Lease
 }
 
-// runKeys returns the keys of the runs that the answer lists as running or ended.
-func (a *RenewalReply) runKeys() map[string]bool {
-	keys := map[string]bool{}
+// runIDs returns the IDs of the runs that the answer lists as running or ended.
+func (a *RenewalReply) runIDs() map[runID]bool {
+	ids := map[runID]bool{}
+	add := func(task string, run int64) {
+		if id, err := ParseTaskID(task); err == nil {
+			ids[runID{task: id, run: run}] = true
+		}
+	}
 	for _, row := range a.Running {
-		keys[reportedRunKey(row.Task, row.Run)] = true
+		add(row.Task, row.Run)
 	}
 	for _, row := range a.Ended {
-		keys[reportedRunKey(row.Task, row.Run)] = true
+		add(row.Task, row.Run)
 	}
-	return keys
+	return ids
 }
--- a/engine/starts.go
+++ b/engine/starts.go
@@ -87,5 +87,5 @@
 	if w == nil {
 		return nil
 	}
-	return w.runs[runKey(o.Task, o.Run)]
+	return w.runs[runID{task: o.Task, run: o.Run}]
 }
--- a/engine/testpool_test.go
+++ b/engine/testpool_test.go
@@ -263,3 +263,6 @@
 }
 
 func oneStep(id string, step Step) Spec { return Spec{ID: id, Queue: "q", Steps: []Step{step}} }
+
+// runKey returns the key of a run in the maps of the simulated workers.
+func runKey(t TaskID, run int64) string { return fmt.Sprintf("%s#%d", t, run) }
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -46,7 +46,7 @@
 	// orphans is the number of runs in the worker's last list that this owner did not order; the capacity they use is
 	// unknown.
 	orphans       int
-	runs          map[string]*Run
+	runs          map[runID]*Run
 	lastEnd       int64
 	pendingAcks   []pendingAck
 	ackedUpTo     int64
@@ -93,6 +93,8 @@
 	throttlePercent   int64
 	throttleConfirmed bool
 	ticket            string
+	// listedIn is the number of the last renewal reply that listed the run as running or ended.
+	listedIn int64
 }
 
 type phase uint8
@@ -136,30 +138,38 @@
 func (p *Pool) ensureWorker(id string) *Worker {
 	w := p.workers[id]
 	if w == nil {
-		w = &Worker{ID: id, runs: map[string]*Run{}, runTimeRatio: 1}
+		w = &Worker{ID: id, runs: map[runID]*Run{}, runTimeRatio: 1}
 		p.workers[id] = w
+		p.workersByID = nil
 	}
 	return w
 }
 
+func (p *Pool) removeWorker(id string) {
+	delete(p.workers, id)
+	p.workersByID = nil
+}
+
 func (w *Worker) target() Target { return Target{ID: w.ID, Address: w.info.Address} }
 
-func runKey(t TaskID, run int64) string { return reportedRunKey(t.String(), run) }
+// runID identifies a run on a worker.
+type runID struct {
+	task TaskID
+	run  int64
+}
 
-// reportedRunKey is the key of a run as named in a worker's lists.
-func reportedRunKey(task string, run int64) string { return task + "#" + itoa(run) }
+func (r *Run) id() runID { return runID{task: r.Task.id, run: r.Num} }
 
 func (w *Worker) add(r *Run) {
-	w.runs[runKey(r.Task.id, r.Num)] = r
+	w.runs[r.id()] = r
 	w.used = w.used.Add(r.Task.step.spec.Footprint())
 }
 
 func (w *Worker) remove(r *Run) {
-	k := runKey(r.Task.id, r.Num)
-	if w.runs[k] != r {
+	if w.runs[r.id()] != r {
 		return
 	}
-	delete(w.runs, k)
+	delete(w.runs, r.id())
 	w.used = w.used.Sub(r.Task.step.spec.Footprint())
 }
 
@@ -231,7 +241,7 @@
 		}
 		w.listed = false
 		if len(w.runs) == 0 {
-			delete(p.workers, id)
+			p.removeWorker(id)
 		}
 	}
 }
@@ -326,7 +336,7 @@
 	w.orphans = 0
 	w.pendingAcks = nil
 	if !w.listed {
-		delete(p.workers, id)
+		p.removeWorker(id)
 	}
 }
 
@@ -356,7 +366,7 @@
 		}
 		return
 	}
-	for _, r := range w.allRuns() {
+	for _, r := range w.runs {
 		p.tickRun(r, c)
 	}
 }
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -123,7 +123,10 @@
 
 // SetRoster updates the pool's workers from the platform's list.
 func (o *Owner) SetRoster(list []engine.WorkerInfo) {
-	o.post(func() { o.pool.SetRoster(list, o.clock()) })
+	o.post(func() {
+		o.pool.SetRoster(list, o.clock())
+		o.startRenewers()
+	})
 }
 
 // Cordon keeps new work off a worker for the given duration and reports whether the worker is empty and whether it is known.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -260,6 +260,7 @@
 		case <-tick.C:
 			o.pool.RequestPlacement()
 			o.pool.Tick(o.clock())
+			o.startRenewers()
 			o.probe()
 		}
 		c := o.clock()
@@ -285,7 +286,6 @@
 
 // flush executes the engine's decisions.
 func (o *Owner) flush(c engine.Clock) {
-	o.startRenewers()
 	o.commit(c)
 	for _, order := range o.pool.TakeOrders() {
 		go o.send(order)
