--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -138,7 +138,10 @@
 
 // SetRoster updates the pool's workers from the platform's list.
 func (o *Owner) SetRoster(list []engine.WorkerInfo) {
-	o.post(func() { o.pool.SetRoster(list, o.clock()) })
+	o.post(func() {
+		o.pool.SetRoster(list, o.clock())
+		o.startRenewers()
+	})
 }
 
 // CordonAnswer is an owner's answer to a request to cordon a worker.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -116,7 +116,9 @@
 
 	// term identifies this owner among all that ever serve the pool.
 	term     string
-	renewers map[string]chan struct{}
+	renewers map[string]*renewer
+	orders   *orderQueue
+	pace     pace
 	// lastTransactionVer is the version of the last transaction's row; transactionCount counts the transactions of this owner.
 	lastTransactionVer, transactionCount int64
 	writeInFlight                        bool
@@ -147,7 +149,7 @@
 		settings: s, ctx: c, cancel: cancel, term: rand.Text(),
 		pool:  engine.NewPool(s.Pool, s.Token, s.Options, s.Now()),
 		inbox: make(chan func(), 256), done: make(chan struct{}), loaded: make(chan struct{}),
-		renewers: map[string]chan struct{}{},
+		renewers: map[string]*renewer{}, orders: newOrderQueue(),
 	}
 }
 
@@ -175,6 +177,7 @@
 	o.settings.Log.Info().Str("pool", o.settings.Pool).Int64("token", o.settings.Token).Int("open", o.pool.OpenJobs()).Msg("pool ownership acquired")
 	observe.Count("pools.owned")
 	close(o.loaded)
+	go o.monitor()
 	o.serve()
 	o.settings.Log.Info().Str("pool", o.settings.Pool).Int64("token", o.settings.Token).AnErr("cause", o.err).Msg("pool ownership released or lost")
 	return o.err
@@ -256,7 +259,7 @@
 func (o *Owner) serve() {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	var lastPlace time.Duration
+	var mayPlaceAt time.Duration
 	for o.ctx.Err() == nil {
 		select {
 		case <-o.ctx.Done():
@@ -267,12 +270,13 @@
 		case <-tick.C:
 			o.pool.RequestPlacement()
 			o.pool.Tick(o.clock())
+			o.startRenewers()
 			o.probe()
 		}
 		c := o.clock()
-		if c.Now-lastPlace >= placeInterval {
-			lastPlace = c.Now
+		if c.Now >= mayPlaceAt {
 			o.pool.Place(c)
+			mayPlaceAt = c.Now + nextPlacement(o.settings.Now()-c.Now)
 		}
 		o.flush(c)
 	}
@@ -292,11 +296,8 @@
 
 // flush executes the engine's decisions.
 func (o *Owner) flush(c engine.Clock) {
-	o.startRenewers()
 	o.commit(c)
-	for _, order := range o.pool.TakeOrders() {
-		go o.send(order)
-	}
+	o.dispatch(c.Now)
 	for _, a := range o.pool.TakeAdviceRequests() {
 		go o.advise(a)
 	}
