Bound the orders at workers that left their last one unanswered

Cause: of 48 orders in flight two may be at each worker, and stops go before starts and are repeated until they are answered. 24 or more workers that are cut off at once therefore held all 48 places with stops that each took their whole time limit: no other worker got a start until the leases had lapsed.

--- a/owner/calls.go
+++ b/owner/calls.go
@@ -23,52 +23,54 @@
 			break
 		}
 		observe.RecordDuration("orders.queue-delay", now-next.queuedAt)
-		go o.send(next.Order)
+		go o.send(next)
 	}
 	observe.Gauge("orders.in-flight", int64(o.orders.inFlight))
 	observe.Gauge("orders.queued", int64(o.orders.length))
 }
 
 // send sends an order to its worker and posts the outcome.
-func (o *Owner) send(order engine.Order) {
+func (o *Owner) send(order queuedOrder) {
 	began := o.settings.Now()
 	ctx, cancel := o.callContext(orderTimeout)
-	handle := o.call(ctx, order)
+	answered, handle := o.call(ctx, order.Order)
 	cancel()
 	observe.RecordDuration("orders.answer", o.settings.Now()-began)
 	o.post(func() {
-		o.orders.done(order)
+		o.orders.done(order, answered)
 		handle()
 	})
 }
 
-// call makes the call for an order and returns the function that handles its outcome.
-func (o *Owner) call(ctx context.Context, order engine.Order) func() {
+// call makes the call for an order. It reports whether the worker answered, and returns the function that handles the outcome.
+func (o *Owner) call(ctx context.Context, order engine.Order) (answered bool, handle func()) {
 	var err error
-	var handle func()
 	switch order.Kind {
 	case engine.OrderStart:
 		var out engine.StartOutcome
 		var reason string
 		out, reason, err = o.settings.Workers.Start(ctx, order, o.settings.Token)
-		if out == engine.StartUnknown {
+		answered = out != engine.StartUnknown
+		if !answered {
 			observe.Count("orders.unanswered")
 		}
 		handle = func() { o.pool.StartAnswered(order, out, reason, o.clock()) }
 	case engine.OrderStop:
 		err = o.settings.Workers.Stop(ctx, order, o.settings.Token)
+		answered = err == nil || errors.Is(err, ErrIncarnationMismatch)
 		handle = func() { o.pool.StopAnswered(order, err == nil, o.clock()) }
 	case engine.OrderThrottle:
 		err = o.settings.Workers.Throttle(ctx, order, o.settings.Token)
+		answered = err == nil || errors.Is(err, ErrIncarnationMismatch)
 		handle = func() { o.pool.ThrottleAnswered(order, err == nil) }
 	}
 	switch {
 	case errors.Is(err, ErrFenced):
-		return func() { o.fail(err) }
+		return answered, func() { o.fail(err) }
 	case errors.Is(err, ErrIncarnationMismatch):
-		return func() { o.pool.WorkerTerminated(order.Worker.ID, o.clock()) }
+		return answered, func() { o.pool.WorkerTerminated(order.Worker.ID, o.clock()) }
 	}
-	return handle
+	return answered, handle
 }
 
 // adviceTimeout bounds one call to the adviser.
--- a/owner/pace_test.go
+++ b/owner/pace_test.go
@@ -16,14 +16,14 @@
 
 func allWanted(engine.Order) bool { return true }
 
-func takeAll(q *orderQueue, wanted func(engine.Order) bool) []engine.Order {
-	var out []engine.Order
+func takeAll(q *orderQueue, wanted func(engine.Order) bool) []queuedOrder {
+	var out []queuedOrder
 	for {
 		o, ok := q.next(wanted)
 		if !ok {
 			return out
 		}
-		out = append(out, o.Order)
+		out = append(out, o)
 	}
 }
 
@@ -44,7 +44,7 @@
 		g.Expect(sent).NotTo(HaveKey(o.Task))
 		sent[o.Task] = true
 		perWorker[o.Worker.ID]++
-		q.done(o)
+		q.done(o, true)
 		batch = append(batch[1:], takeAll(q, allWanted)...)
 		g.Expect(q.inFlight).To(BeNumerically("<=", maxOrdersInFlight))
 	}
@@ -70,10 +70,10 @@
 	g.Expect(batch[2].Kind).To(Equal(engine.OrderStart))
 	q.add(stop, 0)
 	for _, o := range batch {
-		q.done(o)
+		q.done(o, true)
 	}
 	q.add(stop, 0)
-	g.Expect(takeAll(q, allWanted)[0]).To(Equal(stop), "an unanswered stop is sent again")
+	g.Expect(takeAll(q, allWanted)[0].Order).To(Equal(stop), "an unanswered stop is sent again")
 }
 
 // Guards against one worker that leaves its orders unanswered holding up the orders of the others.
@@ -93,7 +93,7 @@
 		batch = batch[1:]
 		if o.Worker.ID == "i-ok" {
 			started++
-			q.done(o)
+			q.done(o, true)
 			batch = append(batch, takeAll(q, allWanted)...)
 		}
 	}
@@ -101,6 +101,51 @@
 	g.Expect(q.inFlight).To(Equal(maxOrdersPerWorker))
 }
 
+// Guards against stops for a rack that was cut off, which are repeated until they are answered, holding up the starts on all other
+// workers: each stop takes its whole time limit.
+func TestSilentRackDoesNotHoldUpOtherWorkers(t *testing.T) {
+	g := NewWithT(t)
+	q := newOrderQueue()
+	for n := range 300 {
+		q.add(queuedOrderFor(engine.OrderStop, fmt.Sprintf("i-silent-%02d", n%30), n), 0)
+	}
+	const step, timeLimit = 10 * time.Millisecond, 350 * time.Millisecond
+	ends := map[engine.TaskID]time.Duration{}
+	inFlight := map[engine.TaskID]queuedOrder{}
+	started, silentInFlight := 0, 0
+	for now := time.Duration(0); now < 3*time.Second; now += step {
+		for k := range 4 { // 400 starts a second, answered after one step
+			q.add(queuedOrderFor(engine.OrderStart, fmt.Sprintf("i-%02d", k), 1000+int(now/step)*4+k), 0)
+		}
+		silentInFlight = 0
+		for id, o := range inFlight {
+			silent := o.Kind == engine.OrderStop
+			if silent {
+				silentInFlight++
+			}
+			if now >= ends[id] {
+				delete(inFlight, id)
+				q.done(o, !silent)
+				if silent {
+					q.add(o.Order, now) // as the engine does
+				} else {
+					started++
+				}
+			}
+		}
+		for _, o := range takeAll(q, allWanted) {
+			inFlight[o.Task] = o
+			ends[o.Task] = now + step
+			if o.Kind == engine.OrderStop {
+				ends[o.Task] = now + timeLimit
+			}
+		}
+	}
+	g.Expect(started).To(BeNumerically(">", 1000), "of 1,200; the first stops hold up the others for one time limit")
+	g.Expect(silentInFlight).To(BeNumerically("<=", maxOrdersUnanswered))
+	g.Expect(silentInFlight).To(BeNumerically(">", 0), "the stops are still tried")
+}
+
 // Guards against starts that are sent although their run was given up or stopped while they waited.
 func TestUnwantedStartsAreNotSent(t *testing.T) {
 	g := NewWithT(t)
