Release only the term whose pool was transferred

Callers could see a pool without an owner for a moment after it had gone to another daemon and back.

Cause: a daemon that had transferred a pool ended whatever term it had for that pool when the response came. If the pool had come back in between, this was the new term.

Evidence: TestTransferReleasesOnlyTheTransferredTerm failed: no term was left.

release takes the term that was transferred and keeps a later one.

--- a/cluster/leave.go
+++ b/cluster/leave.go
@@ -94,19 +94,18 @@
 	defer cancel()
 	_, err := n.peers.call(c, to.Address, Call{Op: OpClaim, Pool: pool, From: n.settings.Name, Token: t.Token(), NoStoreAccess: noStoreAccess})
 	if err == nil {
-		n.release(pool)
+		n.release(pool, t)
 	}
 	return err
 }
 
-// release stops serving a pool.
-func (n *Node) release(pool string) {
+// release ends a term for a pool. This daemon may have claimed the pool again in the meantime; it then keeps the later term.
+func (n *Node) release(pool string, t Term) {
 	n.mu.Lock()
-	o := n.owned[pool]
-	delete(n.owned, pool)
-	delete(n.pools, pool)
-	n.mu.Unlock()
-	if o != nil {
-		o.Stop()
+	if n.owned[pool] == t {
+		delete(n.owned, pool)
+		delete(n.pools, pool)
 	}
+	n.mu.Unlock()
+	t.Stop()
 }
