Register a term and its owner at once

A daemon could own a pool and answer that it does not, until its next term for that pool.

Cause: startTerm entered the owner into pools and only then the term into owned. If the daemon's former term for the pool ended in between, its end found itself still in owned and removed both entries, the new owner's included. The window is a few instructions; no test hits it (200 repetitions of a takeover against an ending term did not).

Both entries are now made under one lock.

--- a/cluster/claim.go
+++ b/cluster/claim.go
@@ -93,7 +93,7 @@
 func (n *Node) startTerm(ctx context.Context, pool string, token, ver int64) {
 	if pool == FleetControllerRole {
 		if n.settings.NewFleetController != nil {
-			n.runTerm(pool, n.settings.NewFleetController(ctx, token, ver))
+			n.runTerm(pool, n.settings.NewFleetController(ctx, token, ver), nil)
 		}
 		return
 	}
@@ -101,11 +101,10 @@
 		Pool: pool, Token: token, ClaimVer: ver, Store: n.settings.Store, Workers: n.settings.Workers, Adviser: n.settings.Adviser,
 		WorkersWithOpenOrders: n.settings.WorkersWithOpenOrders, Options: n.settings.Options, Log: n.settings.Log, Now: n.settings.Now,
 	})
+	n.runTerm(pool, o, o)
 	n.mu.Lock()
-	n.pools[pool] = o
 	list := n.roster[pool]
 	n.mu.Unlock()
-	n.runTerm(pool, o)
 	if cat := n.catalog.Load(); cat != nil {
 		o.SetQueues(cat.QueuesOf(pool))
 	}
@@ -115,13 +114,17 @@
 	n.announce(ctx, pool, token)
 }
 
-// runTerm registers a term, stops any earlier one for the same name, and runs it in the background until it ends.
-func (n *Node) runTerm(pool string, t Term) {
+// runTerm registers a term, which for a pool is that of an owner, stops any earlier one for the same name, and runs it in the
+// background until it ends.
+func (n *Node) runTerm(pool string, t Term, o *owner.Owner) {
 	n.mu.Lock()
 	if old := n.owned[pool]; old != nil {
 		old.Stop()
 	}
 	n.owned[pool] = t
+	if o != nil {
+		n.pools[pool] = o
+	}
 	n.mu.Unlock()
 	n.Wake()
 	go func() {
