End the node's loop without waiting for a heartbeat under the mutex

Operators could see a daemon that does not exit after its servers have closed, until SIGKILL.

Cause: since heartbeats are written apart from reads, Run waits for the heartbeat's goroutine, and did so while it held the node's mutex, which that goroutine takes after the write.

Evidence: TestRunEndsDuringHeartbeat did not end within 10 s.

The mutex is released before the wait.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -189,12 +189,16 @@
 		wait := min(max(pollInterval, n.interval()/pollsPerHeartbeat), n.interval()) - (n.settings.Now() - began)
 		waitOrWake(ctx, wait, n.wakeReconcile)
 	}
+	n.stopTerms()
+	return g.Wait()
+}
+
+func (n *Node) stopTerms() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, o := range n.owned {
 		o.Stop()
 	}
-	return g.Wait()
 }
 
 // writeHeartbeats writes heartbeats until ctx ends. It is independent of the reads of the members: a slow read must not make the
