Log each claim with its cause, each cordon that becomes empty and each conflict

One line is written for each claim, when the answer to a cordon becomes "empty", and for each conflict; orders for instances name the claim that they rely on. The number of lines is bounded by claims, cordons and conflicts, not by requests. The counter store.conflicts is new. TestClaimsAreLoggedWithTheirCause and TestWorkerIsEmptyOnlyOnceItsEndsAreStored check the lines.

--- a/cluster/claim.go
+++ b/cluster/claim.go
@@ -45,23 +45,48 @@
 // claimPool claims a pool and starts serving it, unless this daemon owns it under a current claim. It returns once the claim has
 // succeeded or failed. Concurrent calls share one attempt: each claim ends the term that the one before has begun.
 func (n *Node) claimPool(ctx context.Context, pool string) error {
-	return n.claimFrom(ctx, pool, 0)
+	n.mu.Lock()
+	cause := n.view.lossOf(pool)
+	n.mu.Unlock()
+	return n.claimFrom(ctx, pool, 0, cause)
 }
 
 // claimFrom claims a pool as claimPool does, but fails if the present owner's token is higher than the given one, unless that is 0.
-func (n *Node) claimFrom(ctx context.Context, pool string, token int64) error {
-	_, err, _ := n.claims.Do(pool, func() (any, error) { return nil, n.claimOnce(ctx, pool, token) })
+// The cause is logged.
+func (n *Node) claimFrom(ctx context.Context, pool string, token int64, cause string) error {
+	_, err, _ := n.claims.Do(pool, func() (any, error) { return nil, n.claimOnce(ctx, pool, token, cause) })
 	return err
 }
 
+// lossOf describes why a pool is assigned to this daemon: what has become of its last known owner.
+func (v *View) lossOf(pool string) string {
+	var last *observed
+	for _, o := range v.members {
+		if t, ok := o.Pools[pool]; ok && (last == nil || t > last.Pools[pool]) {
+			last = o
+		}
+	}
+	switch {
+	case last == nil:
+		return "assigned: no member owns it"
+	case last.refusals >= refusedLimit:
+		return "assigned: " + last.Node + " refuses connections"
+	case v.observedAt-last.changedAt > v.deadAfter:
+		return "assigned: no heartbeat of " + last.Node + " for " + (v.observedAt - last.changedAt).String()
+	}
+	return "assigned: " + last.Node + " is isolated"
+}
+
 // errOwned ends an attempt to claim a pool that this daemon owns already.
 var errOwned = errors.New("cluster: this daemon owns the pool already")
 
-func (n *Node) claimOnce(ctx context.Context, pool string, token int64) error {
+func (n *Node) claimOnce(ctx context.Context, pool string, token int64, cause string) error {
 	c, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
 	self := owner.Claim{Node: n.settings.Name, Incarnation: n.settings.Incarnation, Address: n.settings.Address}
+	var former owner.Claim
 	claim, ver, err := Claim(c, n.settings.Store, pool, self, func(present owner.Claim) error {
+		former = present
 		switch {
 		case n.owns(pool, present):
 			return errOwned
@@ -70,13 +95,16 @@
 		}
 		return nil
 	})
+	log := n.settings.Log.With().Str("pool", pool).Str("cause", cause).Str("former", former.Node).Int64("formerToken", former.Token).Logger()
 	switch {
 	case errors.Is(err, errOwned):
+		log.Info().Msg("pool not claimed: this daemon owns it")
 		return nil
 	case err != nil:
-		n.settings.Log.Warn().Str("pool", pool).Err(err).Msg("failed to claim pool")
+		log.Warn().Err(err).Msg("failed to claim pool")
 		return err
 	}
+	log.Info().Int64("token", claim.Token).Int64("ver", ver).Msg("pool claimed")
 	n.startTerm(ctx, pool, claim.Token, ver)
 	return nil
 }
--- a/cluster/claim_test.go
+++ b/cluster/claim_test.go
@@ -1,13 +1,17 @@
 package cluster
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/rs/zerolog"
 
 	"samphirepoint/owner"
 	"samphirepoint/rows"
@@ -135,3 +139,37 @@
 	_, _, err = Claim(t.Context(), s, "pumps", owner.Claim{Node: "a"}, anyClaim)
 	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue(), "%v", err)
 }
+
+// Guards against takeovers whose cause can't be told afterwards: each claim takes one log line.
+func TestClaimsAreLoggedWithTheirCause(t *testing.T) {
+	g := NewWithT(t)
+	p := newPair(t)
+	p.observe()
+	a, b := p.nodes[0], p.nodes[1]
+	log := gbytes.NewBuffer()
+	a.settings.Log, b.settings.Log = zerolog.New(log), zerolog.New(log)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	lastClaim := func() map[string]any {
+		var last map[string]any
+		for _, line := range bytes.Split(log.Contents(), []byte("\n")) {
+			var m map[string]any
+			if json.Unmarshal(line, &m) == nil && m["message"] == "pool claimed" {
+				last = m
+			}
+		}
+		return last
+	}
+	g.Expect(b.claimPool(ctx, "pumps")).To(Succeed())
+	g.Expect(lastClaim()).To(And(HaveKeyWithValue("cause", "assigned: no member owns it"), HaveKeyWithValue("token", 1.0), HaveKey("ver")))
+	_, err := a.HandleCall(ctx, Call{Op: OpClaim, Pool: "pumps", From: "b", Token: 1})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(lastClaim()).To(And(HaveKeyWithValue("cause", "transferred by b"), HaveKeyWithValue("former", "b"), HaveKeyWithValue("formerToken", 1.0)))
+	b.writeHeartbeat(ctx)
+	a.writeHeartbeat(ctx)
+	p.observe()
+	b.view.Refused("a")
+	b.view.Refused("a")
+	g.Expect(b.claimPool(ctx, "pumps")).To(Succeed())
+	g.Expect(lastClaim()).To(And(HaveKeyWithValue("cause", "assigned: a refuses connections"), HaveKeyWithValue("token", 3.0)))
+}
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -170,7 +170,7 @@
 		if err := n.mayClaimFrom(call); err != nil {
 			return Result{}, err
 		}
-		return Result{}, n.claimFrom(context.WithoutCancel(ctx), call.Pool, call.Token)
+		return Result{}, n.claimFrom(context.WithoutCancel(ctx), call.Pool, call.Token, "transferred by "+call.From)
 	case OpOwner:
 		n.applyOwner(call)
 		return Result{}, nil
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -394,6 +394,9 @@
 	g.Expect(w.pool.Report(w.clock()).Workers[0].Runs).To(Equal(1))
 	w.storeDown = false
 	w.flush()
+	w.pool.TakeDecisions()
 	g.Expect(cordon()).To(BeTrue())
+	g.Expect(cordon()).To(BeTrue())
+	g.Expect(w.pool.TakeDecisions()).To(ConsistOf(Decision{Event: "cordon-empty", Worker: "i-00", Detail: "ends stored up to 1"}), "one line when the answer becomes empty")
 	g.Expect(w.pool.Report(w.clock()).Workers[0].Runs).To(BeZero())
 }
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -51,6 +51,8 @@
 	pendingAcks   []pendingAck
 	ackedUpTo     int64
 	cordonedUntil time.Duration
+	// reportedEmpty is set if the last answer to a cordon was that the worker is empty.
+	reportedEmpty bool
 	// reservedAt is the time of the placement that reserved the worker for a long-running task.
 	reservedAt   time.Duration
 	backoffUntil time.Duration
@@ -384,8 +386,13 @@
 	if w == nil || !w.contacted {
 		return false, false
 	}
+	empty = w.occupancy() == 0
+	if empty && (!w.reportedEmpty || w.cordonedUntil <= c.Now) {
+		p.recordDecision("cordon-empty", "", 0, id, "ends stored up to "+itoa(w.ackedUpTo))
+	}
+	w.reportedEmpty = empty
 	w.cordonedUntil = max(w.cordonedUntil, until)
-	return w.occupancy() == 0, true
+	return empty, true
 }
 
 // occupancy counts the worker's runs, and its ends that are not stored yet.
@@ -400,7 +407,7 @@
 // Uncordon makes a worker schedulable again.
 func (p *Pool) Uncordon(id string) {
 	if w := p.workers[id]; w != nil {
-		w.cordonedUntil = 0
+		w.cordonedUntil, w.reportedEmpty = 0, false
 		p.placementNeeded = true
 	}
 }
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -126,18 +126,19 @@
 // resolveConflict determines the cause of a conflict: another owner, or an earlier attempt of the same transaction that succeeded.
 // In the latter case it returns the version of that attempt.
 func (o *Owner) resolveConflict(tx rows.Tx, conflict *rows.Conflict, unknown bool) (int64, error) {
-	claim := tx.Expected[0]
-	if conflict.Find(claim.Key).Ver != claim.Ver {
-		return 0, ErrOwnershipLost
+	claim, last := conflict.Find(tx.Expected[0].Key), conflict.Find(tx.Expected[1].Key)
+	var err error
+	switch {
+	case claim.Ver != tx.Expected[0].Ver:
+		err = ErrOwnershipLost
+	case !unknown || !bytes.Equal(last.Value, tx.Writes[0].Value):
+		err = errors.New("owner: rows were modified although the claim is current")
 	}
-	if !unknown {
-		return 0, errors.New("owner: rows were modified although the claim is current")
-	}
-	last := conflict.Find(o.lastTransactionRow())
-	if !bytes.Equal(last.Value, tx.Writes[0].Value) {
-		return 0, errors.New("owner: rows were modified although the claim is current")
-	}
-	return last.Ver, nil
+	observe.Count("store.conflicts")
+	o.settings.Log.Warn().Str("pool", o.settings.Pool).Int64("token", o.settings.Token).Bytes("transaction", tx.Writes[0].Value).Bool("mayHaveRun", unknown).
+		Int64("expectedClaimVer", tx.Expected[0].Ver).Int64("claimVer", claim.Ver).Bytes("claim", claim.Value).
+		Int64("expectedLastVer", tx.Expected[1].Ver).Int64("lastVer", last.Ver).Bytes("last", last.Value).AnErr("outcome", err).Msg("transaction conflicts")
+	return last.Ver, err
 }
 
 func (o *Owner) handleCommitted(batch []engine.Change, ver int64) {
--- a/upkeep/orders.go
+++ b/upkeep/orders.go
@@ -218,7 +218,7 @@
 func (c *Controller) recordOutcome(o order, err error) {
 	id := o.instance.ID
 	rec := c.orders[id]
-	c.settings.Log.Info().Str("instance", id).Str("pool", o.instance.Pool).Int64("wave", o.wave).Str("to", o.targetPool).AnErr("outcome", err).Msg("order for instance returned")
+	c.settings.Log.Info().Str("instance", id).Str("pool", o.instance.Pool).Int64("wave", o.wave).Str("to", o.targetPool).Int64("claimVer", o.claimVer).AnErr("outcome", err).Msg("order for instance returned")
 	switch {
 	case err == nil || errors.Is(err, ErrNotApplicable):
 		rec.Open = false
