Attach a repeat at the holder of its claim even if that is suspect

Callers saw 409 may-have-run, "an entry that is gone may have run the request with this key", for a repeat of a request that another entry was running. TestGracefulShutdown failed with it in 1 of 20 runs beside load: a stall of the machine let pings time out, an entry marked another one suspect, and 230 ms later, when that one had just placed the request, the repeat found its claim.

The answer was right to be uncertain but did not ask who knows. One failed ping makes an entry suspect so that work goes elsewhere at once; it doesn't make it gone. A claim is now taken for one of a process that is gone only if the members have forgotten the process or know a later start of it. Otherwise the repeat is sent to it; if it cannot be reached, the answer is may-have-run as before, after about 1 s if it is silent. New work and jobs still avoid suspect entries.

TestRepeatAttachesAtSuspectEntry makes the holder suspect at all other entries by a cut link, in simulated time.

--- a/entry/cluster.go
+++ b/entry/cluster.go
@@ -82,26 +82,22 @@
 	return alive
 }
 
-// Holder implements filter.ClaimHolders. A leaving entry is alive until it exits, since it completes its requests.
+// Holder implements filter.ClaimHolders. A process is gone only if it was forgotten or replaced by a later start: a leaving
+// entry completes its requests, and a suspect one may only have been slow to answer a ping.
 func (r router) Holder(owner string) (filter.Target, bool) {
-	id, _ := filter.SplitOwner(owner)
+	id, started, ok := splitProcessName(owner)
 	if owner == r.e.processName() {
 		return filter.Target{ID: id, Self: true}, true
 	}
-	_, alive := r.e.liveProcess(owner)
-	return filter.Target{ID: id}, alive
+	m, known := r.e.gossip.Members().Member(id)
+	return filter.Target{ID: id}, ok && known && id != r.e.cfg.ID && m.Incarnation <= started
 }
 
-// liveProcess returns the member that is the named process, or false if that process is not a member, is suspect, or was
-// replaced by a later start of the same entry.
-func (e *Entry) liveProcess(name string) (membership.Member, bool) {
+// splitProcessName returns the entry id and the incarnation in a process name, or false if the name is malformed.
+func splitProcessName(name string) (id string, incarnation int64, ok bool) {
 	id, started := filter.SplitOwner(name)
 	at, err := time.Parse(time.RFC3339Nano, started)
-	if err != nil {
-		return membership.Member{}, false
-	}
-	m, ok := e.gossip.Members().Member(id)
-	return m.Member, ok && m.Status == membership.Alive && m.Incarnation == at.UnixMilli()
+	return id, at.UnixMilli(), err == nil
 }
 
 // cluster implements job.Cluster.
@@ -121,8 +117,9 @@
 	if owner == c.e.processName() {
 		return true
 	}
-	m, alive := c.e.liveProcess(owner)
-	return alive && !m.Leaving
+	id, started, ok := splitProcessName(owner)
+	m, known := c.e.gossip.Members().Member(id)
+	return ok && known && m.Status == membership.Alive && !m.Leaving && m.Incarnation == started
 }
 
 // peers implements forward.Peers.
--- a/entry/silent_owner_test.go
+++ b/entry/silent_owner_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -41,3 +42,32 @@
 		d.Expect(cancel().status).To(gomega.Equal(http.StatusNotFound))
 	})
 }
+
+// Guards against the answer may-have-run for a repeat of a request that another entry runs, because that entry did not answer
+// a ping shortly before: a suspect entry is not gone.
+func TestRepeatAttachesAtSuspectEntry(t *testing.T) {
+	runDeployment(t, func(d *deployment) {
+		first := d.begin(d.owner, "k", 8*time.Second)
+		d.link.Cut(true)
+		others := make(chan reply, 2)
+		for i, e := range d.Entries {
+			go func() { others <- d.submit(e, fmt.Sprint("other-", i), time.Millisecond) }()
+		}
+		suspected := func() bool { return len(d.Entries[0].Members()) == 2 && len(d.Entries[1].Members()) == 2 }
+		for range 200 {
+			if suspected() {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		d.Expect(suspected()).To(gomega.BeTrue(), "the owner is suspect at both entries")
+		d.link.Cut(false)
+		repeat := d.submit(d.Entries[0], "k", 8*time.Second)
+		d.expectSuccess(repeat)
+		d.Expect(repeat.replayed).To(gomega.BeTrue())
+		d.expectSuccess(<-first)
+		d.expectSuccess(<-others)
+		d.expectSuccess(<-others)
+		d.Expect(d.starts()).To(gomega.Equal(3))
+	})
+}
--- a/filter/claims.go
+++ b/filter/claims.go
@@ -15,7 +15,7 @@
 
 // ClaimHolders finds the process that holds a claim.
 type ClaimHolders interface {
-	// Holder returns the entry of a claim's owner and reports whether that same process, not a restarted one, is alive.
+	// Holder returns the entry of a claim's owner and reports whether that same process, not a restarted one, may be alive.
 	Holder(owner string) (Target, bool)
 }
 
