Bear a short stall of the holder when a repeat attaches to its request

Callers saw 409 may-have-run for a repeat that was attached at another entry, when that entry did not answer one ping within 0.5 s. A forward gives up then, so that the next owner gets the request. A repeat has no other entry to go to: giving up only turns a known answer into an unknown one.

A repeat now gives up when the holder has answered no ping for 3 s, the time for which an entry without heartbeats counts as alive. That also bounds the wait for a holder that is paused or cut off; one whose process is gone refuses the connection at once.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -43,6 +43,9 @@
 	// bound the time to the next check is half of the time that the forward has taken so far: a lost answer to short work
 	// is detected within 2 s (design document, section 6), and long work needs few checks.
 	maxCheckInterval = 5 * time.Second
+	// attachPatience is the time without an answer to a ping after which a request that only attaches gives up. It has no other
+	// entry to go to, so it bears a stall for as long as an entry without heartbeats counts as alive.
+	attachPatience = 3 * time.Second
 	// maxPause bounds the wait for the answer of an unresponsive entry: a paused process goes on within 30 s (design document,
 	// section 1.6).
 	maxPause = 30 * time.Second
@@ -100,7 +103,11 @@
 		e.result.Finish(e.run(req))
 	}()
 	silent := make(chan struct{})
-	stop := c.watch(ctx, to.ID, fc.Request.ID, func(answerLost bool) {
+	patience := time.Duration(0)
+	if o.Attach {
+		patience = attachPatience
+	}
+	stop := c.watch(ctx, to.ID, fc.Request.ID, patience, func(answerLost bool) {
 		if answerLost || fc.Request.Idempotent || o.Attach || !e.gotConn.Load() {
 			cancel(errPeerUnresponsive)
 			return
@@ -203,19 +210,23 @@
 // longer has the request.
 var errPeerUnresponsive = errors.New("entry is unresponsive")
 
-// watch calls giveUp once the other entry does not answer a ping, or once it answers but the request is no longer in flight
-// there: then the answer was lost on a broken connection.
-func (c *Client) watch(ctx context.Context, entryID, requestID string, giveUp func(answerLost bool)) (stop func()) {
+// watch calls giveUp once the other entry has not answered pings for the time of patience, or once it answers but the request
+// is no longer in flight there: then the answer was lost on a broken connection.
+func (c *Client) watch(ctx context.Context, entryID, requestID string, patience time.Duration, giveUp func(answerLost bool)) (stop func()) {
 	done := make(chan struct{})
 	started := time.Now()
+	lastSign := started
 	timer := time.AfterFunc(pingAfter, func() {
 		nextCheck := started.Add(2 * pingAfter)
 		for {
-			if !c.peers.Ping(ctx, entryID) {
+			answers := c.peers.Ping(ctx, entryID)
+			if answers {
+				lastSign = time.Now()
+			} else if time.Since(lastSign) >= patience {
 				giveUp(false)
 				return
 			}
-			if time.Now().After(nextCheck) {
+			if answers && time.Now().After(nextCheck) {
 				if inFlight, err := c.inFlight(ctx, entryID, requestID); err == nil && !inFlight {
 					giveUp(true)
 					return
--- a/forward/silent_test.go
+++ b/forward/silent_test.go
@@ -124,3 +124,47 @@
 	go func() { _ = s.Serve(ln) }()
 	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
 }
+
+// flakyPeers is twoOwners, but x answers pings from a point in time on.
+type flakyPeers struct {
+	twoOwners
+	answersFrom time.Time
+}
+
+func (p flakyPeers) Ping(context.Context, string) bool { return !time.Now().Before(p.answersFrom) }
+
+// Guards against the answer may-have-run for a repeat, because the entry that runs the request was slow to answer pings, and
+// against a repeat that waits for an entry that is down until its deadline.
+func TestAttachWaitsForSlowHolder(t *testing.T) {
+	cases := map[string]struct {
+		pingsFail time.Duration
+		want      verdict.Verdict
+		to        time.Duration
+	}{
+		"slow": {pingsFail: 2 * time.Second, want: verdict.Ran, to: 5 * time.Second},
+		"down": {pingsFail: time.Hour, want: verdict.MayHaveRun, to: 4 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				n := memnet.New()
+				serveOn(t, n, ownerAddress, func(w http.ResponseWriter, r *http.Request) {
+					if r.Method == http.MethodPost {
+						time.Sleep(5 * time.Second)
+					}
+					reply(200, "ok", nil)(w, r)
+				})
+				transport := &http.Transport{DialContext: n.DialContext}
+				defer transport.CloseIdleConnections()
+				ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+				defer cancel()
+				fc := &filter.Context{Ctx: ctx, Request: &request.Request{ID: "r1", Backer: "b", Queue: "q", Pool: "p", Key: "k", Deadline: time.Now().Add(30 * time.Second)}}
+				begin := time.Now()
+				_, err := NewClient(flakyPeers{answersFrom: begin.Add(tc.pingsFail)}, transport).Forward(fc, filter.Target{ID: "x"}, filter.ForwardOptions{Pool: "p", Attach: true})
+				g.Expect(verdict.Of(err)).To(Equal(tc.want), "error %v", err)
+				g.Expect(time.Since(begin)).To(BeNumerically("<=", tc.to))
+			})
+		})
+	}
+}
