Move the exchange with another entry into a type and file of its own

Forward had grown to carry the options, the state and the timers of one exchange in closures. No change of behaviour.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -7,18 +7,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
-	"samphirepoint/dispatch"
 	"samphirepoint/filter"
 	"samphirepoint/request"
 	"samphirepoint/verdict"
@@ -96,54 +92,7 @@
 		cancel(nil)
 		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusInternalServerError)
 	}
-	e := &exchange{client: c, requestCtx: fc.Ctx, requestID: fc.Request.ID}
-	e.result = filter.NewOutstanding(func() { cancel(nil) })
-	go func() {
-		defer cancel(nil)
-		e.result.Finish(e.run(req))
-	}()
-	silent := make(chan struct{})
-	patience := time.Duration(0)
-	if o.Attach {
-		patience = attachPatience
-	}
-	stop := c.watch(ctx, to.ID, fc.Request.ID, patience, func(answerLost bool) {
-		if answerLost || fc.Request.Idempotent || o.Attach || !e.gotConn.Load() {
-			cancel(errPeerUnresponsive)
-			return
-		}
-		time.AfterFunc(maxPause, func() { cancel(errPeerUnresponsive) })
-		close(silent)
-	})
-	defer stop()
-	select {
-	case <-e.result.Done():
-		return e.result.Result()
-	case <-silent:
-		return nil, verdict.Wrap(&filter.SilentError{Forward: e.result}, verdict.MayHaveRun, http.StatusBadGateway)
-	}
-}
-
-// exchange is one HTTP request to another entry and its response.
-type exchange struct {
-	client *Client
-	// requestCtx is the context of the caller's request.
-	requestCtx context.Context
-	requestID  string
-	// gotConn is set once a connection is available, so that the request may have been sent.
-	gotConn atomic.Bool
-	result  *filter.Outstanding
-}
-
-// run sends the request and reads the answer.
-func (e *exchange) run(req *http.Request) (*filter.Answer, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { e.gotConn.Store(true) }}
-	resp, err := e.client.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err != nil {
-		return nil, e.transportError(err)
-	}
-	defer resp.Body.Close()
-	return e.read(resp)
+	return newExchange(c, fc, to.ID, o, cancel).do(req)
 }
 
 func (c *Client) newRequest(ctx context.Context, fc *filter.Context, base string, o filter.ForwardOptions) (*http.Request, error) {
@@ -206,48 +155,6 @@
 	c.Attach = r.Header.Get(headerAttach) == "true"
 }
 
-// errPeerUnresponsive is the cause of a forward that was cancelled because the other entry does not answer pings or no
-// longer has the request.
-var errPeerUnresponsive = errors.New("entry is unresponsive")
-
-// watch calls giveUp once the other entry has not answered pings for the time of patience, or once it answers but the request
-// is no longer in flight there: then the answer was lost on a broken connection.
-func (c *Client) watch(ctx context.Context, entryID, requestID string, patience time.Duration, giveUp func(answerLost bool)) (stop func()) {
-	done := make(chan struct{})
-	started := time.Now()
-	lastSign := started
-	timer := time.AfterFunc(pingAfter, func() {
-		nextCheck := started.Add(2 * pingAfter)
-		for {
-			answers := c.peers.Ping(ctx, entryID)
-			if answers {
-				lastSign = time.Now()
-			} else if time.Since(lastSign) >= patience {
-				giveUp(false)
-				return
-			}
-			if answers && time.Now().After(nextCheck) {
-				if inFlight, err := c.inFlight(ctx, entryID, requestID); err == nil && !inFlight {
-					giveUp(true)
-					return
-				}
-				nextCheck = time.Now().Add(min(time.Since(started)/2, maxCheckInterval))
-			}
-			select {
-			case <-done:
-				return
-			case <-ctx.Done():
-				return
-			case <-time.After(pingAfter):
-			}
-		}
-	})
-	return func() {
-		close(done)
-		timer.Stop()
-	}
-}
-
 // inFlight asks the entry whether it still works on a request. It asks a second time before it reports false, since the
 // answer to the request may have been on its way at the first time.
 func (c *Client) inFlight(ctx context.Context, entryID, requestID string) (bool, error) {
@@ -263,78 +170,6 @@
 	}
 }
 
-// transportError returns the error of an exchange that failed in the transport.
-func (e *exchange) transportError(err error) error {
-	gotConn := e.gotConn.Load()
-	if cause := context.Cause(e.requestCtx); cause != nil {
-		if errors.Is(cause, context.DeadlineExceeded) {
-			cause = errors.New("deadline passed")
-		}
-		if gotConn {
-			return verdict.Wrap(cause, verdict.MayHaveRun, http.StatusGatewayTimeout)
-		}
-		return verdict.Wrap(cause, verdict.NotRun, http.StatusGatewayTimeout)
-	}
-	if !gotConn || verdict.NeverSent(err) {
-		return unreachable(err, verdict.NotRun)
-	}
-	return unreachable(err, verdict.MayHaveRun)
-}
-
-func unreachable(err error, v verdict.Verdict) error {
-	return verdict.Wrap(fmt.Errorf("%w: %v", filter.ErrUnreachable, err), v, http.StatusBadGateway)
-}
-
-// read checks that the answer is complete and belongs to this request. Error responses of the other
-// entry carry its verdict.
-func (e *exchange) read(resp *http.Response) (*filter.Answer, error) {
-	limit := int64(maxAnswerBytes)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
-	if err != nil {
-		return nil, unreachable(err, verdict.MayHaveRun)
-	}
-	if id := resp.Header.Get(request.HeaderRequestID); id != e.requestID {
-		return nil, unreachable(fmt.Errorf("answer is for request %q", id), verdict.MayHaveRun)
-	}
-	if hash := resp.Header.Get(request.HeaderBodyHash); hash != request.BodyHash(body) {
-		return nil, unreachable(fmt.Errorf("answer has body hash %q", hash), verdict.MayHaveRun)
-	}
-	if resp.Header.Get(HeaderRefusal) == "true" {
-		return nil, responseError(resp, body)
-	}
-	return &filter.Answer{
-		Status:      resp.StatusCode,
-		ContentType: resp.Header.Get("Content-Type"),
-		Body:        body,
-		Worker:      resp.Header.Get(request.HeaderWorker),
-		Replayed:    resp.Header.Get(request.HeaderReplayed) == "true",
-	}, nil
-}
-
-// HeaderRefusal marks an answer that was created by an entry and not by a worker.
-const HeaderRefusal = "Samphire-Refusal"
-
-func responseError(resp *http.Response, body []byte) error {
-	v, err := verdict.Parse(resp.Header.Get(request.HeaderVerdict))
-	if err != nil {
-		v = verdict.MayHaveRun
-	}
-	var e errorBody
-	if json.Unmarshal(body[:min(len(body), maxErrorBytes)], &e) != nil || e.Error == "" {
-		e.Error = resp.Status
-	}
-	refused := errors.New(e.Error)
-	switch resp.StatusCode {
-	case http.StatusMisdirectedRequest:
-		refused = fmt.Errorf("%w: %s", dispatch.ErrNotOwner, e.Error)
-	case http.StatusUnauthorized:
-		// The other entry does not accept this entry's token, which does not concern the caller.
-		refused = fmt.Errorf("%w: %s", filter.ErrUnreachable, e.Error)
-	}
-	result := verdict.Wrap(refused, v, resp.StatusCode)
-	return verdict.WithRetryAfterHeader(result, resp.Header)
-}
-
 // Cancel asks an entry to cancel a request and reports whether the request was in flight there.
 func (c *Client) Cancel(ctx context.Context, entryID, requestID string) (bool, error) {
 	status, err := c.call(ctx, http.MethodPost, entryID, CancelPath, requestID)
