Wait for the body of a forwarded request before asking whether it is in flight

A request whose body takes more than about 1.5 s to reach the owner, as 8 MiB over a slow link, was never served: the forwarding entry asked the owner whether the request is in flight, which it is not before its body is read, concluded that the answer was lost, closed the connection and submitted the request again, until the deadline. Non-idempotent work was then answered may-have-run, although no owner ever had the request.

If the exchange fails before that, the request did not run: the body is sealed, so that the rest cannot be sent afterwards, and the other entry rejects an incomplete body as not run.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -26,6 +26,7 @@
 	// requestCtx is the context of the caller's request; cancel ends that of the exchange.
 	requestCtx context.Context
 	cancel     context.CancelCauseFunc
+	body       *requestBody
 	// gotConn is set once a connection is available, so that the request may have been sent.
 	gotConn atomic.Bool
 	result  *filter.Outstanding
@@ -33,10 +34,10 @@
 	silent chan struct{}
 }
 
-func newExchange(c *Client, fc *filter.Context, entryID string, o filter.ForwardOptions, cancel context.CancelCauseFunc) *exchange {
+func newExchange(c *Client, fc *filter.Context, entryID string, o filter.ForwardOptions, body *requestBody, cancel context.CancelCauseFunc) *exchange {
 	return &exchange{
 		client: c, entryID: entryID, requestID: fc.Request.ID, idempotent: fc.Request.Idempotent, attach: o.Attach,
-		requestCtx: fc.Ctx, cancel: cancel,
+		requestCtx: fc.Ctx, cancel: cancel, body: body,
 		result: filter.NewOutstanding(func() { cancel(nil) }), silent: make(chan struct{}),
 	}
 }
@@ -74,7 +75,8 @@
 var errPeerUnresponsive = errors.New("entry is unresponsive")
 
 // watch gives the exchange up once the other entry has not answered pings for the time of patience, or once it answers but the
-// request is no longer in flight there: then the answer was lost on a broken connection. It returns when ctx ends.
+// request is no longer in flight there: then the answer was lost on a broken connection. A request whose body is still on its
+// way is not in flight there yet. watch returns when ctx ends.
 func (e *exchange) watch(ctx context.Context) {
 	started := time.Now()
 	lastSign, nextCheck := started, started.Add(2*pingAfter)
@@ -86,6 +88,9 @@
 			e.giveUp(false)
 			return
 		}
+		if !e.body.taken() {
+			nextCheck = time.Now().Add(2 * pingAfter)
+		}
 		if !answers || !time.Now().After(nextCheck) {
 			continue
 		}
@@ -107,7 +112,7 @@
 
 // giveUp ends the exchange, or leaves it outstanding if its answer may still arrive and tell whether the request ran.
 func (e *exchange) giveUp(answerLost bool) {
-	if answerLost || e.idempotent || e.attach || !e.gotConn.Load() {
+	if answerLost || e.idempotent || e.attach || !e.mayArrive() {
 		e.cancel(errPeerUnresponsive)
 		return
 	}
@@ -115,19 +120,22 @@
 	close(e.silent)
 }
 
-// transportError returns the error of an exchange that failed in the transport.
+// mayArrive reports whether the other entry may get the whole request, as far as known now.
+func (e *exchange) mayArrive() bool { return e.gotConn.Load() && e.body.taken() }
+
+// transportError returns the error of an exchange that failed in the transport. No part of the request is sent after that.
 func (e *exchange) transportError(err error) error {
-	gotConn := e.gotConn.Load()
+	sent := e.gotConn.Load() && e.body.seal()
 	if cause := context.Cause(e.requestCtx); cause != nil {
 		if errors.Is(cause, context.DeadlineExceeded) {
 			cause = errors.New("deadline passed")
 		}
-		if gotConn {
+		if sent {
 			return verdict.Wrap(cause, verdict.MayHaveRun, http.StatusGatewayTimeout)
 		}
 		return verdict.Wrap(cause, verdict.NotRun, http.StatusGatewayTimeout)
 	}
-	if !gotConn || verdict.NeverSent(err) {
+	if !sent || verdict.NeverSent(err) {
 		return unreachable(err, verdict.NotRun)
 	}
 	return unreachable(err, verdict.MayHaveRun)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -87,19 +87,20 @@
 		return nil, unreachable(fmt.Errorf("address of entry %s is unknown", to.ID), verdict.NotRun)
 	}
 	ctx, cancel := context.WithCancelCause(fc.Ctx)
-	req, err := c.newRequest(ctx, fc, base, o)
+	body := &requestBody{reader: bytes.NewReader(fc.Request.Body)}
+	req, err := c.newRequest(ctx, fc, base, body, o)
 	if err != nil {
 		cancel(nil)
 		return nil, verdict.Wrap(err, verdict.NotRun, http.StatusInternalServerError)
 	}
-	return newExchange(c, fc, to.ID, o, cancel).do(req)
+	return newExchange(c, fc, to.ID, o, body, cancel).do(req)
 }
 
-func (c *Client) newRequest(ctx context.Context, fc *filter.Context, base string, o filter.ForwardOptions) (*http.Request, error) {
+func (c *Client) newRequest(ctx context.Context, fc *filter.Context, base string, body *requestBody, o filter.ForwardOptions) (*http.Request, error) {
 	r := fc.Request
 	target := base + strings.Replace(Path, "{queue}", url.PathEscape(r.Queue), 1)
-	// NopCloser hides the type of the body, so that net/http cannot rewind it and never retries the request on its own.
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, io.NopCloser(bytes.NewReader(r.Body)))
+	// net/http cannot rewind a body of an unknown type, so it never retries the request on its own.
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, body)
 	if err != nil {
 		return nil, err
 	}
--- a/forward/silent_test.go
+++ b/forward/silent_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -168,3 +169,42 @@
 		})
 	}
 }
+
+// Guards against a request that is given up while its body is still on its way over a slow link, since the other entry has no
+// such request yet; and against the verdict may-have-run for a body that never arrived whole.
+func TestSlowBody(t *testing.T) {
+	body := bytes.Repeat([]byte("body"), 1<<20)
+	cases := map[string]struct {
+		// pause is the time until the other entry reads the body.
+		pause time.Duration
+		want  verdict.Verdict
+	}{
+		"arrives":       {pause: 4 * time.Second, want: verdict.Ran},
+		"never arrives": {pause: time.Minute, want: verdict.NotRun},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				n := memnet.New()
+				serveOn(t, n, ownerAddress, func(w http.ResponseWriter, r *http.Request) {
+					if r.Method == http.MethodGet {
+						w.WriteHeader(http.StatusNotFound) // no request is in flight before its body is read
+						return
+					}
+					time.Sleep(tc.pause)
+					if got, err := io.ReadAll(r.Body); err == nil && bytes.Equal(got, body) {
+						reply(200, "ok", nil)(w, r)
+					}
+				})
+				transport := &http.Transport{DialContext: n.DialContext}
+				defer transport.CloseIdleConnections()
+				ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+				defer cancel()
+				fc := &filter.Context{Ctx: ctx, Request: &request.Request{ID: "r1", Backer: "b", Queue: "q", Pool: "p", Key: "k", Deadline: time.Now().Add(30 * time.Second), Body: body}}
+				_, err := NewClient(flakyPeers{}, transport).Forward(fc, filter.Target{ID: "x"}, filter.ForwardOptions{Pool: "p"})
+				g.Expect(verdict.Of(err)).To(Equal(tc.want), "error %v", err)
+			})
+		})
+	}
+}
