--- a/forward/forward.go
+++ b/forward/forward.go
@@ -189,26 +189,35 @@
 // callTimeout bounds short calls between entries.
 const callTimeout = time.Second
 
+// call makes a call about the request or job id and returns the status of the response.
 func (c *Client) call(ctx context.Context, method, entryID, path, id string) (status int, err error) {
+	err = c.send(ctx, method, entryID, strings.Replace(path, "{id}", url.PathEscape(id), 1), func(resp *http.Response) error {
+		status = resp.StatusCode
+		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
+		return err
+	})
+	return status, err
+}
+
+// send sends a request without a body to an entry and passes the response to read.
+func (c *Client) send(ctx context.Context, method, entryID, path string, read func(*http.Response) error) error {
 	base, ok := c.peers.BaseURL(entryID)
 	if !ok {
-		return 0, fmt.Errorf("address of entry %s is unknown", entryID)
+		return fmt.Errorf("address of entry %s is unknown", entryID)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	target := base + strings.Replace(path, "{id}", url.PathEscape(id), 1)
-	req, err := http.NewRequestWithContext(ctx, method, target, nil)
+	req, err := http.NewRequestWithContext(ctx, method, base+path, nil)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	req.Header.Set("Authorization", "Bearer "+c.peers.Token())
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
-	return resp.StatusCode, err
+	return read(resp)
 }
 
 // DemandPath is the URL path where the lease holder reads the demand per queue of an entry.
@@ -216,26 +225,12 @@
 
 // Demand returns an entry's demand in slots per queue.
 func (c *Client) Demand(ctx context.Context, entryID string) (map[string]float64, error) {
-	base, ok := c.peers.BaseURL(entryID)
-	if !ok {
-		return nil, fmt.Errorf("address of entry %s is unknown", entryID)
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+DemandPath, nil)
-	if err != nil {
-		return nil, err
-	}
-	req.Header.Set("Authorization", "Bearer "+c.peers.Token())
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("demand of entry %s: status %d", entryID, resp.StatusCode)
-	}
 	var demand map[string]float64
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&demand)
+	err := c.send(ctx, http.MethodGet, entryID, DemandPath, func(resp *http.Response) error {
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("demand of entry %s: status %d", entryID, resp.StatusCode)
+		}
+		return json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&demand)
+	})
 	return demand, err
 }
