--- a/observe/batch.go
+++ b/observe/batch.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// maxBatchBytes bounds the log lines that are written by one call.
-	maxBatchBytes = 16 << 10
+	// maxBatchBytes bounds the log lines that are written by one call, except for a longer line. A pipe takes up to this size as a
+	// whole or not at all (PIPE_BUF), so that no line is cut or lost in part.
+	maxBatchBytes = 4 << 10
 	// batchDelay is how long a line waits for others. A process that is killed loses the lines of this time.
 	batchDelay = 20 * time.Millisecond
 )
@@ -25,13 +26,13 @@
 func (b *batchWriter) Write(line []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.pending)+len(line) > maxBatchBytes {
+		b.writePending()
+	}
 	if len(b.pending) == 0 {
 		time.AfterFunc(batchDelay, b.flush)
 	}
 	b.pending = append(b.pending, line...)
-	if len(b.pending) >= maxBatchBytes {
-		b.writePending()
-	}
 	return len(line), nil
 }
 
--- a/observe/batch_test.go
+++ b/observe/batch_test.go
@@ -16,12 +16,15 @@
 	mu    sync.Mutex
 	out   bytes.Buffer
 	calls int
+	// longest is the size of the largest write.
+	longest int
 }
 
 func (w *countingWriter) Write(p []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.calls++
+	w.longest = max(w.longest, len(p))
 	return w.out.Write(p)
 }
 
@@ -46,6 +49,7 @@
 		g.Expect(l).To(ContainSubstring(fmt.Sprintf("line %d.", n)))
 	}
 	g.Expect(w.calls).To(BeNumerically("<", 100))
+	g.Expect(w.longest).To(BeNumerically("<=", maxBatchBytes), "a larger write to a pipe may be cut")
 	log.Info().Msg("last")
 	closeLog()
 	g.Expect(w.text()).To(ContainSubstring("last"))
