Log the inputs of each decision to move instances

The log showed the orders for instances but not why a pool gains or loses them: its size and desired size, arriving, used and pending CPU, and whether its demand spikes. One line for each pool with planned moves, at most one per pool and reconciliation.

--- a/upkeep/due_orders.go
+++ b/upkeep/due_orders.go
@@ -71,9 +71,31 @@
 	if anyChanged {
 		c.storePeakPeriods()
 	}
-	for id, pool := range s.PlanMoves(c.forecast, c.surplusSince) {
+	moves := s.PlanMoves(c.forecast, c.surplusSince)
+	for id, pool := range moves {
 		due[id] = order{instance: s.Instances[id], targetPool: pool}
 	}
+	c.logMoves(s, moves)
+}
+
+// logMoves logs the inputs of the decision for each pool that gains or loses instances. CPU is in cores.
+func (c *Controller) logMoves(s *State, moves map[string]string) {
+	gained, lost := map[string]int{}, map[string]int{}
+	for id, to := range moves {
+		gained[to]++
+		lost[s.Instances[id].Pool]++
+	}
+	for pool, r := range s.Reports {
+		d := c.forecast.pools[pool]
+		if gained[pool]+lost[pool] == 0 || d == nil {
+			continue
+		}
+		n := s.currentSize(pool)
+		c.settings.Log.Info().Str("pool", pool).Int("gained", gained[pool]).Int("lost", lost[pool]).Int("instances", n).
+			Int("desired", s.desiredSize(pool, r, c.forecast, n)).Int("baseline", s.Baseline[pool]).Bool("surging", d.spiking).
+			Int64("arriving", int64(d.rate)/1000).Int64("used", r.UsedCPU/1000).Int64("pending", r.PendingCPU/1000).
+			Int64("capacity", r.CapacityCPU/1000).Int64("longRunning", r.LongRunningCPU/1000).Msg("moves planned")
+	}
 }
 
 // closeCompletedOrders closes the open orders for moves whose instance is listed in the target pool.
