Count starting instances as part of their pool

Cause: a fleet that is switched on lists its instances as down for up to 3 s. They did not count, so every pool lacked most of its instances and took the first ones that were up from the others, and the others took them back.

Change: an instance that was down when it was first listed counts for 6 s. One that was up and goes down still counts as missing at once.

--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -112,6 +112,8 @@
 	lastSeen     map[string]Instance
 	terminated   map[string]string
 	surplusSince map[string]time.Duration
+	// startingUntil holds the instances that were down when they were first listed and have not been up since.
+	startingUntil map[string]time.Duration
 }
 
 // New returns a Controller that acts under the claim in s.
@@ -121,7 +123,7 @@
 		settings: s, ctx: c, cancel: cancel,
 		orders: map[string]OrderRecord{}, cordoned: map[string]string{}, cordonedSince: map[string]time.Duration{}, coolDownUntil: map[string]time.Duration{},
 		reported: map[int64]string{}, lastSeen: map[string]Instance{}, terminated: map[string]string{},
-		forecast: NewForecast(), surplusSince: map[string]time.Duration{},
+		forecast: NewForecast(), surplusSince: map[string]time.Duration{}, startingUntil: map[string]time.Duration{},
 	}
 }
 
@@ -187,6 +189,7 @@
 	for _, i := range list {
 		s.Instances[i.ID] = i
 	}
+	s.starting = c.starting(s)
 	c.closeCompletedOrders(s)
 	c.notifyTerminated(ctx, s)
 	if err := c.initBaseline(ctx, s); err != nil {
@@ -212,6 +215,28 @@
 	return s, nil
 }
 
+// startTime is how long an instance that is down when it is first listed counts as starting. All instances of a fleet that is
+// switched on are listed as down for up to 3 s.
+const startTime = 6 * time.Second
+
+// starting returns the instances that are expected to be up soon without an order.
+func (c *Controller) starting(s *State) map[string]bool {
+	out := map[string]bool{}
+	for id, i := range s.Instances {
+		_, known := c.lastSeen[id]
+		switch {
+		case i.State != StateDown:
+			delete(c.startingUntil, id)
+		case !known:
+			c.startingUntil[id] = s.Now + startTime
+		}
+		if s.Now < c.startingUntil[id] {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // notifyTerminated notifies the pools' owners of workers that no longer run on their instance, so that the owners need not
 // wait for the workers' leases to expire.
 func (c *Controller) notifyTerminated(ctx context.Context, s *State) {
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -191,7 +191,7 @@
 }
 
 // currentSize counts a pool's instances, including those that are moving to it, and those in upkeep, which return
-// without an order. Instances in StateDown do not count.
+// without an order. Instances in StateDown count only while they are starting.
 func (s *State) currentSize(pool string) int {
 	n := 0
 	for _, i := range s.Instances {
@@ -199,7 +199,7 @@
 		if rec := s.Orders[i.ID]; rec.TargetPool != "" && (rec.Open || i.State == StateMoving) {
 			to = rec.TargetPool
 		}
-		if to == pool && i.State != StateDown {
+		if to == pool && (i.State != StateDown || s.starting[i.ID]) {
 			n++
 		}
 	}
--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -71,6 +71,8 @@
 
 	// coolingDown holds the instances that did not drain in time and take work again for a while.
 	coolingDown map[string]bool
+	// starting holds the instances that are down and are expected to be up soon without an order.
+	starting map[string]bool
 	// inProgress holds the instances that are being drained for an order.
 	inProgress map[string]bool
 }
