Give instances to pools in their peak period first

Cause: pools were served by the size of their shortage, whatever it was for. A pool that restores its size before its own peak period lacks more instances than one whose demand has just begun to rise.

Change: pools with a peak period, waiting work above their capacity or a waiting long-running task are served first, and only they get instances that the donor may need later. A pool that finds no donor no longer ends the planning for the others.

Ruled out: too few instances; the 46 were in the spare pool.

--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -35,6 +35,8 @@
 	pool    string
 	current int
 	desired int
+	// urgent is set while the pool's peak period lasts or is near, and while its tasks wait for capacity.
+	urgent bool
 	// minimum is the number of instances that the pool keeps when it is a donor for another pool.
 	minimum int
 	// empty are the pool's instances that can be released now; busy are others without long-running tasks, cordoned ones
@@ -75,9 +77,9 @@
 			continue
 		}
 		for missing := n.desired - n.current; missing > 0; missing-- {
-			id := s.donor(&donors, sizes, n.pool)
+			id := s.donor(&donors, sizes, n)
 			if id == "" {
-				return moves
+				break
 			}
 			moves[id] = n.pool
 		}
@@ -109,8 +111,10 @@
 	return out
 }
 
-// donor takes an instance from the spare pool, or else one from the pool with the largest surplus, empty ones first.
-func (s *State) donor(spares *[]Instance, sizes []poolSize, to string) string {
+// donor takes an instance for a pool from the spare pool, or else one from the pool with the largest surplus, empty ones
+// first. Only an urgent pool gets one that the donor may miss later: pools that merely restore their size would otherwise take
+// instances from each other in a circle.
+func (s *State) donor(spares *[]Instance, sizes []poolSize, to poolSize) string {
 	if n := len(*spares); n > 0 {
 		id := (*spares)[n-1].ID
 		*spares = (*spares)[:n-1]
@@ -119,15 +123,15 @@
 	var best *poolSize
 	for i := range sizes {
 		n := &sizes[i]
-		if n.pool == to || len(n.empty)+len(n.busy) == 0 {
+		if n.pool == to.pool || len(n.empty)+len(n.busy) == 0 {
 			continue
 		}
 		if n.current > n.desired && (best == nil || n.current-n.desired > best.current-best.desired) {
 			best = n
 		}
 	}
-	if best == nil {
-		best = largestReserveDonor(sizes, to)
+	if best == nil && to.urgent {
+		best = largestReserveDonor(sizes, to.pool)
 	}
 	if best == nil {
 		return ""
@@ -168,7 +172,7 @@
 	}
 }
 
-// poolSizes computes the desired size of each pool that is not spare, the largest shortage first.
+// poolSizes computes the desired size of each pool that is not spare: the urgent ones first, then the largest shortage first.
 func (s *State) poolSizes(f *Forecast) []poolSize {
 	var out []poolSize
 	for pool, r := range s.Reports {
@@ -178,14 +182,16 @@
 		n := poolSize{pool: pool, current: s.currentSize(pool)}
 		n.desired = s.desiredSize(pool, r, f, n.current)
 		n.minimum = n.desired
-		if !f.PeakExpected(pool, s.Now) {
+		peak := f.PeakExpected(pool, s.Now)
+		n.urgent = peak || r.LongRunningPending || r.UsedCPU+r.PendingCPU > r.CapacityCPU
+		if !peak {
 			n.minimum = min(n.desired, ceilDiv(donorShare*float64(n.desired), 1))
 		}
 		n.empty, n.busy = s.releasable(pool, r)
 		out = append(out, n)
 	}
 	slices.SortFunc(out, func(a, b poolSize) int {
-		return cmp.Or(cmp.Compare(b.desired-b.current, a.desired-a.current), cmp.Compare(a.pool, b.pool))
+		return cmp.Or(cmp.Compare(rankTrueFirst(a.urgent), rankTrueFirst(b.urgent)), cmp.Compare(b.desired-b.current, a.desired-a.current), cmp.Compare(a.pool, b.pool))
 	})
 	return out
 }
--- a/upkeep/moves_test.go
+++ b/upkeep/moves_test.go
@@ -7,6 +7,57 @@
 	. "github.com/onsi/gomega"
 )
 
+// shrink moves the pool's first n instances to another pool.
+func shrink(s *State, pool, to string, n int) {
+	r := s.Reports[pool]
+	for _, w := range r.Workers[:n] {
+		i := s.Instances[w.ID[len("w-"):]]
+		i.Pool = to
+		s.Instances[i.ID] = i
+	}
+	r.Workers = r.Workers[n:]
+	r.CapacityCPU -= int64(n) * testCapacity
+	s.Reports[pool] = r
+}
+
+// Load pattern: one pool at the start of its peak period while another one restores its size. Guards against giving the spare
+// instances to the pool that is idle because its shortage is larger.
+func TestPeakPeriodGoesBeforeRestoredSize(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	s := fleet(0, map[string]int{"letters": 9, "pumps": 20, "common": 2})
+	shrink(s, "pumps", "common", 14)
+	feed(f, "pumps", 10, 0, 5*time.Second, 20*testCapacity)
+	feed(f, "letters", 10, 0, 4*time.Second, 9*testCapacity)
+	s.Now = feed(f, "letters", 800, 4*time.Second, time.Second, 9*testCapacity)
+	counts := map[string]int{}
+	for _, to := range s.PlanMoves(f, map[string]time.Duration{}) {
+		counts[to]++
+	}
+	g.Expect(counts["letters"]).To(BeNumerically(">=", 8), "800 cores of work arrive at 9 instances")
+	g.Expect(counts["pumps"]).To(BeNumerically(">", 0), "what the peak does not need restores the other pool")
+}
+
+// Load pattern: a peak period has taken instances from all other pools. Guards against pools outside their peak period that
+// restore their size from each other, so that instances move in a circle and serve nobody meanwhile.
+func TestPoolsDoNotRestoreFromEachOther(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	s := fleet(0, map[string]int{"letters": 9, "pumps": 20, "routes": 20, "common": 0})
+	shrink(s, "pumps", "letters", 2)
+	shrink(s, "routes", "letters", 4)
+	for _, pool := range []string{"letters", "pumps", "routes"} {
+		s.Now = feed(f, pool, 10, 0, 4*time.Second, 20*testCapacity)
+	}
+	for id, i := range s.Instances {
+		if i.Pool == "letters" {
+			i.State = StateUpkeep
+			s.Instances[id] = i
+		}
+	}
+	g.Expect(s.PlanMoves(f, map[string]time.Duration{})).To(BeEmpty())
+}
+
 // Load pattern: a fleet that is switched on, whose instances are listed as down at first. Guards against moving the first
 // instances that are up to pools whose own instances are about to be up: 235 moves were once made before the first job.
 func TestStartingInstancesCount(t *testing.T) {
