Size a peak period from its start by the peaks of other pools

Cause: instances were ordered for the present rate, and serve 2.6 s later, when the rate is twice as high.

Change: operators size pools for their demand, so peaks reach about the same multiple of what each pool holds. The controller learns the highest rate of each peak period. From the start of a peak period a pool gets instances for its own last peak, or for the mean multiple of the other pools. The rates are stored for a successor with the peak periods.

Evidence: TestStartOfPeakIsSizedByPeaksOfOtherPools (no move on the old code).

--- a/upkeep/forecast.go
+++ b/upkeep/forecast.go
@@ -29,7 +29,11 @@
 	spiking       bool
 	starts        []time.Duration
 	ends          []time.Duration
-	peak          float64
+	// peak is the highest rate of the present or last spike, lastPeak that of the last peak period that has ended.
+	peak     float64
+	lastPeak float64
+	// baselineCPU is the CPU capacity of the pool at its baseline size.
+	baselineCPU float64
 	// lowSince is the time since which the rate has been below spikeEndShare, or 0 if it is not below it.
 	lowSince time.Duration
 }
@@ -55,7 +59,8 @@
 	d.rate = float64(r.ArrivalCPU)
 	d.total += d.rate * float64((now - d.lastObserved).Milliseconds())
 	d.lastObserved = now
-	d.observeRate(max(baselineCPU, 1), now)
+	d.baselineCPU = max(baselineCPU, 1)
+	d.observeRate(d.baselineCPU, now)
 	return d.spiking != wasSpiking, d.spiking
 }
 
@@ -89,6 +94,7 @@
 		return
 	}
 	d.ends = append(d.ends, d.lowSince)
+	d.lastPeak = d.peak
 }
 
 func (d *demand) meanRate(now time.Duration) float64 {
@@ -117,6 +123,33 @@
 	return 4 * time.Second
 }
 
+// knownPeak returns the highest rate of the pool's last peak period, or of the present one once its start is over; 0 if it has
+// had none.
+func (d *demand) knownPeak(now time.Duration) float64 {
+	if n := len(d.starts); d.spiking && now-d.starts[n-1] >= minPeakPeriod {
+		return d.peak
+	}
+	return d.lastPeak
+}
+
+// expectedPeak returns the rate that the pool's next or present peak period is expected to reach: that of its last one, or else
+// that of the other pools' in proportion to the pools' baseline sizes, as operators size pools for their demand. It returns 0 if
+// no pool has had one.
+func (f *Forecast) expectedPeak(pool string, now time.Duration) float64 {
+	d := f.pools[pool]
+	if own := d.knownPeak(now); own > 0 {
+		return own
+	}
+	sum, n := 0.0, 0.0
+	for _, o := range f.pools {
+		if known := o.knownPeak(now); known > 0 && o.baselineCPU > 0 {
+			sum += known / o.baselineCPU
+			n++
+		}
+	}
+	return sum / max(n, 1) * d.baselineCPU
+}
+
 // NextPeak returns the expected start of a pool's next peak period, and false if it is not known.
 func (f *Forecast) NextPeak(pool string) (time.Duration, bool) {
 	d := f.pools[pool]
@@ -170,10 +203,12 @@
 	return true
 }
 
-// PeakPeriod is the stored form of a pool's last peak period, in Unix milliseconds; EndMS is 0 while it lasts.
+// PeakPeriod is the stored form of a pool's last peak period, in Unix milliseconds; EndMS is 0 while it lasts. Rate is the
+// highest known rate, in thousandths of a core.
 type PeakPeriod struct {
 	StartMS int64 `json:"s"`
 	EndMS   int64 `json:"e,omitempty"`
+	Rate    int64 `json:"r,omitempty"`
 }
 
 // PeakPeriods returns the last peak period of each pool, to be stored for a successor. The wall time wallMS corresponds to
@@ -184,7 +219,7 @@
 		if len(d.starts) == 0 {
 			continue
 		}
-		t := PeakPeriod{StartMS: wallMS - (now - d.starts[len(d.starts)-1]).Milliseconds()}
+		t := PeakPeriod{StartMS: wallMS - (now - d.starts[len(d.starts)-1]).Milliseconds(), Rate: int64(d.knownPeak(now))}
 		if n := len(d.ends); n > 0 && !d.spiking {
 			t.EndMS = wallMS - (now - d.ends[n-1]).Milliseconds()
 		}
@@ -196,7 +231,7 @@
 // Restore loads the peak periods that a predecessor stored.
 func (f *Forecast) Restore(periods map[string]PeakPeriod, now time.Duration, wallMS int64) {
 	for pool, t := range periods {
-		d := &demand{lastObserved: now, firstObserved: now, starts: []time.Duration{now - time.Duration(wallMS-t.StartMS)*time.Millisecond}}
+		d := &demand{lastObserved: now, firstObserved: now, lastPeak: float64(t.Rate), starts: []time.Duration{now - time.Duration(wallMS-t.StartMS)*time.Millisecond}}
 		if t.EndMS != 0 {
 			d.ends = append(d.ends, now-time.Duration(wallMS-t.EndMS)*time.Millisecond)
 		} else {
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -17,9 +17,11 @@
 	// donorShare is the share of its desired instances that a pool outside its peak period keeps while another pool lacks
 	// some.
 	donorShare = 0.75
-	// spikeRampTime is the time after the start of a spike during which its highest rate counts instead of a lower present
-	// one.
-	spikeRampTime = 2 * time.Second
+	// spikeRampTime is the time after the start of a spike during which its highest rate and the expected one count instead of
+	// a lower present one: demand still rises, and an instance that is ordered now serves only at the end of this time.
+	spikeRampTime = 3 * time.Second
+	// expectedPeakMargin is the ratio of capacity to the expected rate of a peak period.
+	expectedPeakMargin = 1.1
 	// minObservation is how long a pool is observed before its instances are moved.
 	minObservation = time.Second
 	// offPeakMargin is the ratio of capacity to use that an off-peak pool keeps, and offPeakExtra the number of instances
@@ -226,7 +228,7 @@
 	case f.PeakExpected(pool, s.Now):
 		load := max(d.rate*spikeMargin, used*backlogMargin)
 		if !d.spiking || s.Now-d.starts[len(d.starts)-1] < spikeRampTime {
-			load = max(load, d.peak*spikeMargin)
+			load = max(load, d.peak*spikeMargin, f.expectedPeak(pool, s.Now)*expectedPeakMargin)
 		}
 		return max(s.Baseline[pool], ceilDiv(load+float64(r.LongRunningCPU), instanceCPU))
 	case f.OffPeak(pool, s.Now):
--- a/upkeep/moves_test.go
+++ b/upkeep/moves_test.go
@@ -77,3 +77,23 @@
 	s.starting = c.starting(s)
 	g.Expect(s.PlanMoves(c.forecast, c.surplusSince)).To(HaveLen(3), "an instance that does not start is replaced")
 }
+
+// Load pattern: demand peaks in one pool after another, each to the same multiple of what the pool holds, and rises over
+// seconds. Guards against sizing a pool by the rate at the start of its peak period, so that each order of instances arrives
+// when twice as many are needed.
+func TestStartOfPeakIsSizedByPeaksOfOtherPools(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	s := fleet(0, map[string]int{"pumps": 10, "letters": 20, "common": 40})
+	feed(f, "letters", 10, 0, 12*time.Second, 20*testCapacity)
+	now := feed(f, "pumps", 10, 0, 2*time.Second, 10*testCapacity)
+	now = feed(f, "pumps", 2.2*640, now, 6*time.Second, 10*testCapacity)
+	feed(f, "pumps", 10, now, 4*time.Second, 10*testCapacity)
+	s.Now = feed(f, "letters", 0.6*1280, 12*time.Second, 500*time.Millisecond, 20*testCapacity)
+	g.Expect(s.PlanMoves(f, map[string]time.Duration{})).To(HaveLen(29), "2.2 times 20 instances, and a tenth more")
+	next := NewForecast()
+	next.Restore(f.PeakPeriods(s.Now, 1_800_000_000_000), s.Now, 1_800_000_000_000)
+	feed(next, "pumps", 10, s.Now, 250*time.Millisecond, 10*testCapacity)
+	feed(next, "letters", 0.6*1280, s.Now, 250*time.Millisecond, 20*testCapacity)
+	g.Expect(next.expectedPeak("letters", s.Now)).To(BeNumerically("~", f.expectedPeak("letters", s.Now), 1000), "a successor knows the peaks")
+}
