Drain long-running tasks of all pools of a wave in parallel

Cause: at most two instances with long-running tasks drained early in the whole fleet. The pools took turns: the last one began at 16.3 s, although its tasks depend on no other pool.

Change: the limit of two holds for each pool.

--- a/upkeep/moves_test.go
+++ b/upkeep/moves_test.go
@@ -97,3 +97,23 @@
 	feed(next, "letters", 0.6*1280, s.Now, 250*time.Millisecond, 20*testCapacity)
 	g.Expect(next.expectedPeak("letters", s.Now)).To(BeNumerically("~", f.expectedPeak("letters", s.Now), 1000), "a successor knows the peaks")
 }
+
+// Load pattern: a wave over several pools, all with long-running tasks. Guards against draining these tasks in one pool after
+// the other, so that the last pool's instances are left when the wave's time is over.
+func TestPoolsDrainLongRunningTasksInParallel(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(0, map[string]int{"pumps": 8, "routes": 8, "letters": 8})
+	w := Wave{ID: 1, Cap: 12, Duration: 60 * time.Second}
+	for pool, r := range s.Reports {
+		r.UsedCPU = r.CapacityCPU
+		for k := range r.Workers {
+			r.Workers[k].LongRunning = 2
+		}
+		s.Reports[pool] = r
+	}
+	for id := range s.Instances {
+		w.Instances = append(w.Instances, id)
+	}
+	got := s.countLongRunning(s.PlanWave(w, nil))
+	g.Expect(got).To(Equal(map[string]int{"pumps": maxLongRunningDrains, "routes": maxLongRunningDrains, "letters": maxLongRunningDrains}))
+}
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -242,7 +242,7 @@
 	}
 	got := s.PlanWave(w, nil)
 	g.Expect(got).To(HaveLen(maxLongRunningDrains))
-	g.Expect(s.countLongRunning(got)).To(Equal(maxLongRunningDrains))
+	g.Expect(s.countLongRunning(got)).To(Equal(map[string]int{"pumps": maxLongRunningDrains}))
 	cordoned := map[string]bool{got[0]: true, got[1]: true}
 	g.Expect(s.PlanWave(w, cordoned)).To(ConsistOf(got), "no third instance with long-running tasks drains at the same time")
 }
