--- a/engine/job.go
+++ b/engine/job.go
@@ -38,7 +38,9 @@
 	index    int
 	steps    []*stepState
 	finished bool
-	dueMS    int64
+	// begun is set once a task of the occurrence has been started.
+	begun bool
+	dueMS int64
 }
 
 type stepState struct {
