--- a/engine/pool.go
+++ b/engine/pool.go
@@ -17,6 +17,8 @@
 	OrderRetryDelay time.Duration
 	// SuspectAfter is the time since the last contact after which a worker gets no new starts.
 	SuspectAfter time.Duration
+	// CompleteWithin is the time within which accepted work must be completed once no more arrives.
+	CompleteWithin time.Duration
 }
 
 // DefaultOptions returns options for a platform with leases of up to 10 s.
@@ -27,6 +29,7 @@
 		Retention:       150 * time.Second,
 		OrderRetryDelay: 250 * time.Millisecond,
 		SuspectAfter:    2200 * time.Millisecond,
+		CompleteWithin:  14 * time.Second,
 	}
 }
 
@@ -35,11 +38,15 @@
 	Name  string
 	Token int64
 
-	options           Options
-	queues            map[string]Queue
-	jobs              map[string]*Job
-	openJobs          []*Job // jobs that have not ended, in order of arrival
-	workers           map[string]*Worker
+	options  Options
+	queues   map[string]Queue
+	jobs     map[string]*Job
+	openJobs []*Job // jobs that have not ended, in order of arrival
+	workers  map[string]*Worker
+	// workersByID holds the workers ordered by ID, or nil after a change of workers.
+	workersByID []*Worker
+	// renewals counts the answered lease renewals.
+	renewals          int64
 	dirty             []*Job
 	orders            []Order
 	advice            []AdviceRequest
@@ -52,6 +59,15 @@
 	decisions []Decision
 	// placementNeeded is set by every event that may allow a new start.
 	placementNeeded bool
+	backlog         backlog
+	// pendingStarts is the number of runs for which Run.awaitsOutcome holds.
+	pendingStarts int
+	// noRoom holds needs that fit on no worker for the rest of the placement.
+	noRoom []Resources
+	// candidateBuffer and usableBuffer are reused by successive placements.
+	candidateBuffer []candidate
+	usableBuffer    []*Worker
+	nextExpiry      time.Duration
 }
 
 // Decision is a scheduling decision to be logged.
@@ -195,6 +211,7 @@
 	case phaseStopping:
 	default:
 		r.phase = phaseStopping
+		p.countPending(r, false)
 		r.stopSentAt = c.Now
 		r.stopAcked = false
 		p.orders = append(p.orders, Order{Kind: OrderStop, Task: r.Task.id, Run: r.Num, Worker: r.Worker.target()})
@@ -207,7 +224,9 @@
 	r.Task.waitingSince = p.now
 	r.Worker.remove(r)
 	r.Task.removeRun(r)
+	p.countPending(r, true)
 	p.placementNeeded = true
+	p.noRoom = p.noRoom[:0]
 }
 
 func (p *Pool) markDirty(j *Job) {
@@ -254,11 +273,19 @@
 	for _, w := range p.workers {
 		p.tickWorker(w, c)
 	}
+	p.updateBacklog(c)
 	p.expire(c)
 }
 
+// expireInterval is the time between two searches for jobs whose retention has ended.
+const expireInterval = time.Second
+
 // expire removes ended jobs after the retention time.
 func (p *Pool) expire(c Clock) {
+	if c.Now < p.nextExpiry {
+		return
+	}
+	p.nextExpiry = c.Now + expireInterval
 	for _, j := range p.jobs {
 		if j.state.Terminal() && !j.expired && c.Wall-j.endedMS > p.options.Retention.Milliseconds() && j.liveRuns() == 0 {
 			j.expired = true
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -46,11 +46,13 @@
 	// orphans is the number of runs in the worker's last list that this owner did not order; the capacity they use is
 	// unknown.
 	orphans       int
-	runs          map[string]*Run
+	runs          map[runID]*Run
 	lastEnd       int64
 	pendingAcks   []pendingAck
 	ackedUpTo     int64
 	cordonedUntil time.Duration
+	// reportedEmpty is set if the last answer to a cordon was that the worker is empty.
+	reportedEmpty bool
 	// reservedAt is the time of the placement that reserved the worker for a long-running task.
 	reservedAt   time.Duration
 	backoffUntil time.Duration
@@ -93,6 +95,10 @@
 	throttlePercent   int64
 	throttleConfirmed bool
 	ticket            string
+	// listedIn is the number of the last renewal reply that listed the run as running or ended.
+	listedIn int64
+	// pending is set while the run is counted in Pool.pendingStarts.
+	pending bool
 }
 
 type phase uint8
@@ -136,30 +142,38 @@
 func (p *Pool) ensureWorker(id string) *Worker {
 	w := p.workers[id]
 	if w == nil {
-		w = &Worker{ID: id, runs: map[string]*Run{}, runTimeRatio: 1}
+		w = &Worker{ID: id, runs: map[runID]*Run{}, runTimeRatio: 1}
 		p.workers[id] = w
+		p.workersByID = nil
 	}
 	return w
 }
 
+func (p *Pool) removeWorker(id string) {
+	delete(p.workers, id)
+	p.workersByID = nil
+}
+
 func (w *Worker) target() Target { return Target{ID: w.ID, Address: w.info.Address} }
 
-func runKey(t TaskID, run int64) string { return reportedRunKey(t.String(), run) }
+// runID identifies a run on a worker.
+type runID struct {
+	task TaskID
+	run  int64
+}
 
-// reportedRunKey is the key of a run as named in a worker's lists.
-func reportedRunKey(task string, run int64) string { return task + "#" + itoa(run) }
+func (r *Run) id() runID { return runID{task: r.Task.id, run: r.Num} }
 
 func (w *Worker) add(r *Run) {
-	w.runs[runKey(r.Task.id, r.Num)] = r
+	w.runs[r.id()] = r
 	w.used = w.used.Add(r.Task.step.spec.Footprint())
 }
 
 func (w *Worker) remove(r *Run) {
-	k := runKey(r.Task.id, r.Num)
-	if w.runs[k] != r {
+	if w.runs[r.id()] != r {
 		return
 	}
-	delete(w.runs, k)
+	delete(w.runs, r.id())
 	w.used = w.used.Sub(r.Task.step.spec.Footprint())
 }
 
@@ -230,17 +244,20 @@
 			p.recordDecision("worker-unlisted", "", 0, id, "")
 		}
 		w.listed = false
-		if len(w.runs) == 0 {
-			delete(p.workers, id)
+		if w.occupancy() == 0 && w.cordonedUntil <= c.Now {
+			p.removeWorker(id)
 		}
 	}
 }
 
-// Targets returns the workers whose lease is to be renewed: the listed ones, and others that may still have runs.
+// needsRenewal reports whether the worker's lease is to be renewed: it is listed, or may still have runs or unstored ends.
+func (w *Worker) needsRenewal() bool { return w.listed || w.occupancy() > 0 }
+
+// Targets returns the workers whose lease is to be renewed.
 func (p *Pool) Targets() []Target {
 	var out []Target
 	for _, w := range p.workers {
-		if w.info.Address != "" {
+		if w.info.Address != "" && w.needsRenewal() {
 			out = append(out, w.target())
 		}
 	}
@@ -257,10 +274,16 @@
 	Idle bool
 }
 
+// HasUnstoredEnds reports whether the worker has listed ends that are not stored yet.
+func (p *Pool) HasUnstoredEnds(id string) bool {
+	w := p.workers[id]
+	return w != nil && len(w.pendingAcks) > 0
+}
+
 // NextRenewal returns the worker's next lease renewal, and false if its lease is no longer to be renewed.
 func (p *Pool) NextRenewal(id string, c Clock) (RenewalRequest, bool) {
 	w := p.workers[id]
-	if w == nil {
+	if w == nil || !w.needsRenewal() {
 		return RenewalRequest{}, false
 	}
 	return RenewalRequest{DeadlineMS: p.lease(w, c), AckedUpTo: w.ackedUpTo, Unacknowledged: len(w.pendingAcks) > 0, Idle: len(w.runs) == 0}, true
@@ -303,13 +326,15 @@
 }
 
 // RenewalFailed marks a worker that did not answer a lease renewal as unresponsive.
-func (p *Pool) RenewalFailed(id string, c Clock) {
+// It reports whether the worker was responsive before.
+func (p *Pool) RenewalFailed(id string, c Clock) bool {
 	w := p.workers[id]
 	if w == nil || w.unresponsive {
-		return
+		return false
 	}
 	w.unresponsive = true
 	p.recordDecision("worker-silent", "", 0, id, "")
+	return true
 }
 
 // WorkerTerminated ends all runs of a worker incarnation that has certainly ended.
@@ -326,7 +351,7 @@
 	w.orphans = 0
 	w.pendingAcks = nil
 	if !w.listed {
-		delete(p.workers, id)
+		p.removeWorker(id)
 	}
 }
 
@@ -356,7 +381,7 @@
 		}
 		return
 	}
-	for _, r := range w.allRuns() {
+	for _, r := range w.runs {
 		p.tickRun(r, c)
 	}
 }
@@ -373,16 +398,26 @@
 	}
 }
 
-// Cordon keeps new work off a worker until the given time, and reports whether the worker has no runs.
+// Cordon keeps new work off a worker until the given time, and reports whether the worker is empty: it has no runs, and the
+// store has all ends that it has listed. The instance of an empty worker may be moved or go down, and the worker's list of
+// ends with it.
 func (p *Pool) Cordon(id string, until time.Duration, c Clock) (empty, known bool) {
 	w := p.workers[id]
 	if w == nil || !w.contacted {
 		return false, false
 	}
+	empty = w.occupancy() == 0
+	if empty && (!w.reportedEmpty || w.cordonedUntil <= c.Now) {
+		p.recordDecision("cordon-empty", "", 0, id, "ends stored up to "+itoa(w.ackedUpTo))
+	}
+	w.reportedEmpty = empty
 	w.cordonedUntil = max(w.cordonedUntil, until)
-	return len(w.runs) == 0, true
+	return empty, true
 }
 
+// occupancy counts the worker's runs, and its ends that are not stored yet.
+func (w *Worker) occupancy() int { return len(w.runs) + len(w.pendingAcks) }
+
 // ForceCordon cordons a worker even if it was not contacted or listed yet.
 func (p *Pool) ForceCordon(id string, until time.Duration) {
 	w := p.ensureWorker(id)
@@ -392,7 +427,7 @@
 // Uncordon makes a worker schedulable again.
 func (p *Pool) Uncordon(id string) {
 	if w := p.workers[id]; w != nil {
-		w.cordonedUntil = 0
+		w.cordonedUntil, w.reportedEmpty = 0, false
 		p.placementNeeded = true
 	}
 }
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirepoint/engine"
+	"samphirepoint/observe"
 	"samphirepoint/verdict"
 )
 
@@ -22,13 +23,27 @@
 // will never run.
 func (o *Owner) Submit(ctx context.Context, spec engine.Spec) error {
 	return o.changeAndCommit(ctx, func(p *engine.Pool, c engine.Clock) (*engine.Job, error) {
-		if j := p.Job(spec.ID); j == nil && o.storeFailingSince != 0 && c.Now-o.storeFailingSince > storeFailureGrace {
-			return nil, errStoreUnavailable()
+		if p.Job(spec.ID) == nil {
+			if err := o.admit(p, &spec, c); err != nil {
+				return nil, err
+			}
 		}
 		return p.Submit(spec, c), nil
 	})
 }
 
+// admit returns the reason why a job that isn't known yet can't be accepted now, or nil.
+func (o *Owner) admit(p *engine.Pool, spec *engine.Spec, c engine.Clock) error {
+	if o.storeFailingSince != 0 && c.Now-o.storeFailingSince > storeFailureGrace {
+		return errStoreUnavailable()
+	}
+	if retryAfter, ok := p.Admit(spec, c); !ok {
+		observe.Count("jobs.rejected_backlog")
+		return verdict.Unavailable(retryAfter, "pool %s has more accepted work than it can complete in time", o.settings.Pool)
+	}
+	return nil
+}
+
 // Cancel cancels a job. It reports false if the job is unknown.
 func (o *Owner) Cancel(ctx context.Context, id string) (bool, error) {
 	known := true
@@ -123,20 +138,36 @@
 
 // SetRoster updates the pool's workers from the platform's list.
 func (o *Owner) SetRoster(list []engine.WorkerInfo) {
-	o.post(func() { o.pool.SetRoster(list, o.clock()) })
+	o.post(func() {
+		o.pool.SetRoster(list, o.clock())
+		o.startRenewers()
+	})
 }
 
-// Cordon keeps new work off a worker for the given duration and reports whether the worker is empty and whether it is known.
-// A duration of 0 or less removes the cordon.
-func (o *Owner) Cordon(ctx context.Context, worker string, length time.Duration) (empty, known bool, err error) {
-	err = o.WithState(ctx, func(p *engine.Pool, c engine.Clock) {
+// CordonAnswer is an owner's answer to a request to cordon a worker.
+type CordonAnswer struct {
+	// Empty and Known report whether the worker is empty, as Pool.Cordon defines it, and whether the owner has contact with it.
+	Empty, Known bool
+	// ClaimVer is the version of the claim under which the owner answers. Once that claim is not current, the answer says nothing:
+	// a successor doesn't know of the cordon, and may have started work on the worker.
+	ClaimVer int64
+}
+
+// Cordon keeps new work off a worker for the given duration. A duration of 0 or less removes the cordon. Once ctx has ended, the
+// request has no effect: the caller may rely on a later one.
+func (o *Owner) Cordon(ctx context.Context, worker string, length time.Duration) (CordonAnswer, error) {
+	a := CordonAnswer{ClaimVer: o.settings.ClaimVer}
+	err := o.WithState(ctx, func(p *engine.Pool, c engine.Clock) {
+		if ctx.Err() != nil {
+			return
+		}
 		if length <= 0 {
 			p.Uncordon(worker)
 			return
 		}
-		empty, known = p.Cordon(worker, c.Now+length, c)
+		a.Empty, a.Known = p.Cordon(worker, c.Now+length, c)
 	})
-	return empty, known, err
+	return a, err
 }
 
 // Report returns the state of the pool, for the planning of maintenance and of moves between pools.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -75,6 +76,8 @@
 	Incarnation string `json:"i"`
 	Address     string `json:"a"`
 	Token       int64  `json:"t"`
+	// Attempt identifies the attempt that wrote the claim, as several of one daemon may be in progress.
+	Attempt string `json:"x,omitempty"`
 }
 
 // ClaimKey returns the key of the row that identifies the owner of a part.
@@ -111,7 +114,11 @@
 	done     chan struct{}
 	err      error
 
-	renewers map[string]chan struct{}
+	// term identifies this owner among all that ever serve the pool.
+	term     string
+	renewers map[string]*renewer
+	orders   *orderQueue
+	pace     pace
 	// lastTransactionVer is the version of the last transaction's row; transactionCount counts the transactions of this owner.
 	lastTransactionVer, transactionCount int64
 	writeInFlight                        bool
@@ -139,10 +146,10 @@
 func New(ctx context.Context, s Settings) *Owner {
 	c, cancel := context.WithCancel(ctx)
 	return &Owner{
-		settings: s, ctx: c, cancel: cancel,
+		settings: s, ctx: c, cancel: cancel, term: rand.Text(),
 		pool:  engine.NewPool(s.Pool, s.Token, s.Options, s.Now()),
 		inbox: make(chan func(), 256), done: make(chan struct{}), loaded: make(chan struct{}),
-		renewers: map[string]chan struct{}{},
+		renewers: map[string]*renewer{}, orders: newOrderQueue(),
 	}
 }
 
@@ -170,6 +177,7 @@
 	o.settings.Log.Info().Str("pool", o.settings.Pool).Int64("token", o.settings.Token).Int("open", o.pool.OpenJobs()).Msg("pool ownership acquired")
 	observe.Count("pools.owned")
 	close(o.loaded)
+	go o.monitor()
 	o.serve()
 	o.settings.Log.Info().Str("pool", o.settings.Pool).Int64("token", o.settings.Token).AnErr("cause", o.err).Msg("pool ownership released or lost")
 	return o.err
@@ -195,6 +203,11 @@
 func (o *Owner) loadOnce() error {
 	ctx, cancel := context.WithTimeout(o.ctx, 3*time.Second)
 	defer cancel()
+	// The version is read first, so that a transaction during the reads that follow makes this owner's first one conflict.
+	var err error
+	if o.lastTransactionVer, err = o.readLastVersion(ctx); err != nil {
+		return err
+	}
 	specs, _, err := o.settings.Store.Read(ctx, TableSpecs, o.settings.Pool)
 	if err != nil {
 		return err
@@ -203,9 +216,6 @@
 	if err != nil {
 		return err
 	}
-	if o.lastTransactionVer, err = o.readLastVersion(ctx); err != nil {
-		return err
-	}
 	byID := map[string]*engine.Spec{}
 	for _, r := range specs {
 		var s engine.Spec
@@ -231,7 +241,7 @@
 
 // openOrderCordon is how long a new owner cordons the workers of instances with open orders. The fleet controller extends the
 // cordon.
-const openOrderCordon = 3 * time.Second
+const openOrderCordon = 5 * time.Second
 
 // cordonOpenOrders cordons the workers whose instances have an open order.
 func (o *Owner) cordonOpenOrders(ctx context.Context) error {
@@ -249,7 +259,7 @@
 func (o *Owner) serve() {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	var lastPlace time.Duration
+	var mayPlaceAt time.Duration
 	for o.ctx.Err() == nil {
 		select {
 		case <-o.ctx.Done():
@@ -260,12 +270,13 @@
 		case <-tick.C:
 			o.pool.RequestPlacement()
 			o.pool.Tick(o.clock())
+			o.startRenewers()
 			o.probe()
 		}
 		c := o.clock()
-		if c.Now-lastPlace >= placeInterval {
-			lastPlace = c.Now
+		if c.Now >= mayPlaceAt {
 			o.pool.Place(c)
+			mayPlaceAt = c.Now + nextPlacement(o.settings.Now()-c.Now)
 		}
 		o.flush(c)
 	}
@@ -285,11 +296,8 @@
 
 // flush executes the engine's decisions.
 func (o *Owner) flush(c engine.Clock) {
-	o.startRenewers()
 	o.commit(c)
-	for _, order := range o.pool.TakeOrders() {
-		go o.send(order)
-	}
+	o.dispatch(c.Now)
 	for _, a := range o.pool.TakeAdviceRequests() {
 		go o.advise(a)
 	}
--- a/standin/jobfleet/jobfleet.go
+++ b/standin/jobfleet/jobfleet.go
@@ -28,6 +28,8 @@
 // Fleet is a stand-in platform with its store, workers and instances.
 type Fleet struct {
 	Store *memrows.Store
+	// TaskDuration is the run time of each task. It must be set before the first start.
+	TaskDuration time.Duration
 
 	mu           sync.Mutex
 	workers      map[string]*worker
@@ -53,7 +55,7 @@
 // New starts a fleet with the given number of instances in each pool.
 func New(pools map[string]int) (*Fleet, error) {
 	f := &Fleet{
-		Store: memrows.New(), workers: map[string]*worker{}, instances: map[string]*instance{},
+		Store: memrows.New(), TaskDuration: defaultTaskDuration, workers: map[string]*worker{}, instances: map[string]*instance{},
 		completed: map[string]int{}, starts: map[string]int{}, maintenanceStarted: map[string]bool{},
 	}
 	var err error
@@ -299,12 +301,15 @@
 }
 
 func (f *Fleet) transact(w http.ResponseWriter, r *http.Request) {
-	var m struct{ Expected, Writes, Remove []wireRow }
+	var m struct {
+		Expected, Writes, Remove []wireRow
+		Across                   bool
+	}
 	if json.NewDecoder(r.Body).Decode(&m) != nil {
 		writeJSON(w, 400, map[string]any{})
 		return
 	}
-	var tx rows.Tx
+	tx := rows.Tx{Across: m.Across}
 	for _, e := range m.Expected {
 		tx.Expected = append(tx.Expected, rows.Condition{Key: e.key(), Ver: e.Ver})
 	}
