Ask suspect entries as well when a request is cancelled

A caller that cancelled a request was told 404, "no request in flight", while the entry that ran it was suspect: only live entries were asked. An entry becomes suspect by one failed ping and may still run requests.

All known entries are now asked, except those that were leaving before they became suspect, which have exited. One that does not answer makes the cancel unconfirmed (503), as since.

TestCancelAtSuspectEntry failed before with 404; it shares the steps that make the owner suspect with TestRepeatAttachesAtSuspectEntry.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -10,6 +10,7 @@
 	"samphirepoint/filter"
 	"samphirepoint/forward"
 	"samphirepoint/job"
+	"samphirepoint/membership"
 	"samphirepoint/peer"
 	"samphirepoint/verdict"
 )
@@ -205,7 +206,8 @@
 	writeError(w, verdict.New(verdict.MayHaveRun, http.StatusNotFound, "this backer has no request %q in flight", id))
 }
 
-// cancelTargets returns the entry that generated the request id, or all other entries if a caller chose the id.
+// cancelTargets returns the entry that generated the request id, or all other entries if a caller chose the id. Suspect
+// entries may still run the request; one that was leaving before it became suspect has exited.
 func (e *Entry) cancelTargets(id string) []string {
 	members := e.gossip.Members()
 	if entryID, _, ok := strings.Cut(id, "."); ok {
@@ -214,8 +216,9 @@
 		}
 	}
 	var ids []string
-	for _, m := range members.Alive() {
-		if m.ID != e.cfg.ID {
+	for _, m := range members.Members {
+		exited := m.Leaving && m.Status == membership.Suspect
+		if m.ID != e.cfg.ID && !exited {
 			ids = append(ids, m.ID)
 		}
 	}
--- a/entry/silent_owner_test.go
+++ b/entry/silent_owner_test.go
@@ -43,24 +43,31 @@
 	})
 }
 
+// suspectOwner cuts the link to the owner and returns when both other entries suspect it, each because of a request that it
+// forwarded to it. The channel receives the replies to these.
+func (d *deployment) suspectOwner() <-chan reply {
+	d.link.Cut(true)
+	replies := make(chan reply, 2)
+	for i, e := range d.Entries {
+		go func() { replies <- d.submit(e, fmt.Sprint("other-", i), time.Millisecond) }()
+	}
+	suspected := func() bool { return len(d.Entries[0].Members()) == 2 && len(d.Entries[1].Members()) == 2 }
+	for range 200 {
+		if suspected() {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	d.Expect(suspected()).To(gomega.BeTrue(), "the owner is suspect at both entries")
+	return replies
+}
+
 // Guards against the answer may-have-run for a repeat of a request that another entry runs, because that entry did not answer
 // a ping shortly before: a suspect entry is not gone.
 func TestRepeatAttachesAtSuspectEntry(t *testing.T) {
 	runDeployment(t, func(d *deployment) {
 		first := d.begin(d.owner, "k", 8*time.Second)
-		d.link.Cut(true)
-		others := make(chan reply, 2)
-		for i, e := range d.Entries {
-			go func() { others <- d.submit(e, fmt.Sprint("other-", i), time.Millisecond) }()
-		}
-		suspected := func() bool { return len(d.Entries[0].Members()) == 2 && len(d.Entries[1].Members()) == 2 }
-		for range 200 {
-			if suspected() {
-				break
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
-		d.Expect(suspected()).To(gomega.BeTrue(), "the owner is suspect at both entries")
+		others := d.suspectOwner()
 		d.link.Cut(false)
 		repeat := d.submit(d.Entries[0], "k", 8*time.Second)
 		d.expectSuccess(repeat)
@@ -71,3 +78,19 @@
 		d.Expect(d.starts()).To(gomega.Equal(3))
 	})
 }
+
+// Guards against a cancel that is answered with "not in flight" because the entry that runs the request is suspect.
+func TestCancelAtSuspectEntry(t *testing.T) {
+	runDeployment(t, func(d *deployment) {
+		running := d.begin(d.owner, "k", 20*time.Second)
+		others := d.suspectOwner()
+		r := d.call(d.Entries[0], http.MethodDelete, "/v1/requests/k", "", nil)
+		d.Expect(r.status).To(gomega.Equal(http.StatusServiceUnavailable), "%+v", r)
+		d.link.Cut(false)
+		r = d.call(d.Entries[0], http.MethodDelete, "/v1/requests/k", "", nil)
+		d.Expect(r.status).To(gomega.Equal(http.StatusAccepted), "%+v", r)
+		d.Expect((<-running).status).To(gomega.Equal(http.StatusConflict))
+		d.expectSuccess(<-others)
+		d.expectSuccess(<-others)
+	})
+}
