Don't hold back long-running best-effort tasks in a burst

Cause: the bound on pending starts exempted long-running tasks unless they are best-effort, so that these waited for the end of a burst although they take no CPU from it.

--- a/engine/place.go
+++ b/engine/place.go
@@ -36,7 +36,7 @@
 	p.updateScarcity()
 	p.evacuate(c)
 	for _, cd := range p.candidates(c) {
-		if !cd.longRunning && p.pendingStarts >= maxPendingStarts {
+		if !cd.step.spec.LongRunning && p.pendingStarts >= maxPendingStarts {
 			p.placementNeeded = true
 			continue
 		}
