Bound the pause after a placement

Cause: the pause is a multiple of the placement's duration, so that a freeze of 4 s during one stopped placements for 16 s and more.

Evidence: TestFreezeDuringPlacementDoesNotDelayTheNext failed; found by review.

--- a/owner/pace.go
+++ b/owner/pace.go
@@ -23,6 +23,8 @@
 	// placeCostFactor times the duration of a placement is the least time until the next one, so that placements take at most a
 	// tenth of the owner's time.
 	placeCostFactor = 9
+	// maxPlacePause bounds the pause after a placement. A process that was suspended during one has not spent that time on it.
+	maxPlacePause = 250 * time.Millisecond
 )
 
 // pace measures how far the owner keeps up with its events: a round of the monitor takes paceStep and the time that its event waits
@@ -61,7 +63,7 @@
 
 // nextPlacement returns the least time between the beginning of a placement that took the given time and that of the next one.
 func nextPlacement(took time.Duration) time.Duration {
-	return max(placeInterval, (1+placeCostFactor)*took)
+	return max(placeInterval, took+min(placeCostFactor*took, maxPlacePause))
 }
 
 // monitor measures the pace of the event loop until the owner stops.
