Replace queued throttles that are superseded, and put stops before throttles

Cause: the engine repeats a throttle each 0.5 s until it is answered, and the order queue kept each one: 261 after 20 s with eight runs, and a stop for the worker waited behind them at one order per time limit.

--- a/owner/orderqueue.go
+++ b/owner/orderqueue.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"samphirepoint/engine"
@@ -77,11 +78,36 @@
 		}
 		w.stopping[id] = true
 	}
-	w.urgent = append(w.urgent, entry)
+	if o.Kind == engine.OrderThrottle && w.replaceThrottle(entry) {
+		return
+	}
+	w.addUrgent(entry)
 	q.length++
 	q.enlist(w)
 }
 
+// addUrgent adds a stop behind the other stops, and a throttle at the end.
+func (w *workerOrders) addUrgent(o queuedOrder) {
+	at := len(w.urgent)
+	if k := slices.IndexFunc(w.urgent, func(x queuedOrder) bool { return x.Kind == engine.OrderThrottle }); k >= 0 && o.Kind == engine.OrderStop {
+		at = k
+	}
+	w.urgent = slices.Insert(w.urgent, at, o)
+}
+
+// replaceThrottle puts a throttle in the place of an older one for the same run that is still queued, and reports whether there was
+// one. The engine repeats throttles until they are answered, and only the newest counts.
+func (w *workerOrders) replaceThrottle(o queuedOrder) bool {
+	for i := range w.urgent {
+		old := &w.urgent[i]
+		if old.Kind == engine.OrderThrottle && old.Task == o.Task && old.Run == o.Run {
+			old.Order = o.Order
+			return true
+		}
+	}
+	return false
+}
+
 // mayReceive reports whether another order may be sent to the worker now.
 func (w *workerOrders) mayReceive() bool {
 	if w.lastUnanswered {
