Abandon a use of an owner's state for good once its caller was told so

Callers could be told that a call was not executed, or that its outcome is unknown, while the stopping owner still executed it.

Cause: WithState returned as soon as the owner was stopped, but its function stayed in the inbox, which the owner's loop drains once more. The function then changed the state and, at the same time as the caller read them, the caller's variables.

Evidence: the race detector reported it in the simulation of takeovers; TestStateIsNotUsedAfterOwnerWasStopped failed.

The execution of the function and its abandonment exclude each other. If the function has begun, WithState waits for its end.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -314,7 +315,8 @@
 	}
 }
 
-// WithState runs fn on the state and waits for it to return. It fails with verdict not-run if the owner stops first.
+// WithState runs fn on the state and waits for it to return. It fails with verdict not-run if the owner stops first; fn is then not
+// executed later either.
 func (o *Owner) WithState(ctx context.Context, fn func(p *engine.Pool, c engine.Clock)) error {
 	ran := make(chan struct{})
 	select {
@@ -324,21 +326,22 @@
 	case <-ctx.Done():
 		return verdict.Unavailable(time.Second, "pool %s is still loading", o.settings.Pool)
 	}
+	var decided atomic.Bool // set by whichever is first: the execution of fn, or its abandonment
 	o.post(func() {
-		fn(o.pool, o.clock())
-		close(ran)
+		if decided.CompareAndSwap(false, true) {
+			fn(o.pool, o.clock())
+			close(ran)
+		}
 	})
 	select {
 	case <-ran:
-		return nil
 	case <-o.ctx.Done():
-		select {
-		case <-ran:
-			return nil
-		default:
+		if decided.CompareAndSwap(false, true) {
 			return notOwner(o.settings.Pool)
 		}
+		<-ran
 	}
+	return nil
 }
 
 func notOwner(pool string) error {
--- a/owner/takeover_test.go
+++ b/owner/takeover_test.go
@@ -103,3 +103,29 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(r.Workers[0].Cordoned).To(BeTrue())
 }
+
+// Guards against a function that still changes the state, and the variables of its caller, after WithState has reported that it was
+// not executed because the owner was stopped.
+func TestStateIsNotUsedAfterOwnerWasStopped(t *testing.T) {
+	g := NewWithT(t)
+	o := serve(t, memrows.New(), newFakeWorkers(t), 1)
+	g.Expect(o.Submit(context.Background(), job(1))).To(Succeed())
+	reached, release := make(chan struct{}), make(chan struct{})
+	o.post(func() {
+		close(reached)
+		<-release
+	})
+	<-reached
+	executed := false
+	failed := make(chan error)
+	go func() {
+		failed <- o.WithState(context.Background(), func(*engine.Pool, engine.Clock) { executed = true })
+	}()
+	g.Eventually(func() int { return len(o.inbox) }, time.Minute, time.Millisecond).Should(BeNumerically(">", 0))
+	time.Sleep(20 * time.Millisecond)
+	o.Stop()
+	g.Expect(<-failed).To(HaveOccurred())
+	close(release)
+	<-o.Done()
+	g.Expect(executed).To(BeFalse())
+}
