Collect the orders that need no consent under the mutex

Instances could miss one pass of the fleet controller.

Cause: cordon appended orders for instances that need no owner without the mutex, while answers to cordons of other instances appended theirs.

Evidence: the race detector reported it in the simulation of takeovers and in TestOrdersWithAndWithoutConsentAreCollected.

--- a/upkeep/orders.go
+++ b/upkeep/orders.go
@@ -65,7 +65,9 @@
 			continue
 		}
 		if s.Spare[o.instance.Pool] || o.instance.Worker == "" || o.instance.State != StateUp {
+			mu.Lock()
 			out = append(out, o)
+			mu.Unlock()
 			continue
 		}
 		c.cordoned[id] = o.instance.Worker
--- a/upkeep/orders_test.go
+++ b/upkeep/orders_test.go
@@ -230,3 +230,15 @@
 	x.store.Fault = nil
 	g.Eventually(func() []string { reconcile(); return x.instances.moved }, time.Minute, time.Millisecond).Should(HaveLen(2), "the record is stored although its version was unknown")
 }
+
+// Guards against orders that are lost because those that need no owner's consent are collected while answers to cordons arrive.
+func TestOrdersWithAndWithoutConsentAreCollected(t *testing.T) {
+	g := NewWithT(t)
+	x := newTestController(t)
+	s := fleet(x.settings.Now(), map[string]int{"pumps": 60, "common": 60})
+	due := map[string]order{}
+	for id, i := range s.Instances {
+		due[id] = order{instance: i, wave: 1}
+	}
+	g.Expect(x.cordon(s, due)).To(HaveLen(120))
+}
