Simulate takeovers while instances are taken down

Four daemons with their owners and the fleet controller run in simulated time (testing/synctest, standin/memnet) on a platform with slow and lost responses, while pools change their owner and a wave after the other takes instances down. The test checks that no task runs twice, that no order ends a run, and that every accepted job is completed.

The seed doesn't fix the order of the goroutines, so that the failing seeds differ between runs.

cluster.Settings gets Network for the calls between daemons.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -15,6 +15,7 @@
 
 	"samphirepoint/catalog"
 	"samphirepoint/engine"
+	"samphirepoint/network"
 	"samphirepoint/owner"
 	"samphirepoint/rows"
 )
@@ -82,6 +83,8 @@
 	Workers owner.Workers
 	Adviser owner.Adviser
 	Roster  Roster
+	// Network is for the calls to other daemons; nil stands for TCP.
+	Network network.Network
 	// WorkersWithOpenOrders lists the workers whose instances have an open order.
 	WorkersWithOpenOrders func(ctx context.Context) ([]string, error)
 	Options               engine.Options
@@ -142,7 +145,7 @@
 func NewNode(s Settings) *Node {
 	return &Node{
 		settings: s, view: NewView(s.Name, deadAfter), owned: map[string]Term{}, pools: map[string]*owner.Owner{}, claimAttempts: map[string]time.Duration{},
-		wakeHeartbeat: make(chan struct{}, 1), wakeReconcile: make(chan struct{}, 1), peers: newPeerClient(), createdAt: s.Now(), unreachable: map[string]time.Duration{}, declined: map[string]time.Duration{},
+		wakeHeartbeat: make(chan struct{}, 1), wakeReconcile: make(chan struct{}, 1), peers: newPeerClient(s.Network), createdAt: s.Now(), unreachable: map[string]time.Duration{}, declined: map[string]time.Duration{},
 	}
 }
 
--- a/cluster/peer.go
+++ b/cluster/peer.go
@@ -5,10 +5,10 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
+	"samphirepoint/network"
 	"samphirepoint/verdict"
 )
 
@@ -28,10 +28,10 @@
 	http *http.Client
 }
 
-func newPeerClient() *peerClient {
-	d := &net.Dialer{Timeout: dialTimeout}
+// newPeerClient returns a client that opens connections through n, or over TCP if n is nil.
+func newPeerClient(n network.Network) *peerClient {
 	return &peerClient{http: &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		DialContext: network.Dialer(n, dialTimeout, 0), MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 	}}}
 }
 
--- /dev/null
+++ b/cluster/simplatform_test.go
@@ -0,0 +1,280 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"samphirepoint/engine"
+	"samphirepoint/owner"
+	"samphirepoint/rows"
+	"samphirepoint/rows/memrows"
+	"samphirepoint/upkeep"
+	"samphirepoint/verdict"
+)
+
+// simPlatform is the platform of a simulated cluster: its store, workers, instances and operator. It checks what the workers see.
+type simPlatform struct {
+	store *memrows.Store
+
+	mu         sync.Mutex
+	rnd        *rand.Rand
+	workers    map[string]*simWorker
+	instances  map[string]*simInstance
+	tasks      map[string]*simTask
+	violations []string
+	wave       upkeep.Wave
+	began      time.Time
+	// faultFree ends lost responses; slowUntil is when each slow daemon's calls are fast again.
+	faultFree bool
+	slowUntil map[string]time.Time
+}
+
+type simInstance struct {
+	id, pool, state string
+	worker          *simWorker
+	wave            int64
+}
+
+// simTask is what the workers know of a task: where it runs, and the ends as done that its owner may have heard of.
+type simTask struct {
+	runningOn *simWorker
+	run       int64
+	doneEnds  []*simEnd
+	history   []string
+}
+
+// simEnd is a listed end. It is void if the worker's lease expired before it was acknowledged.
+type simEnd struct {
+	engine.EndedRow
+	void bool
+}
+
+type simWorker struct {
+	info       engine.WorkerInfo
+	born       time.Time
+	token      int64
+	leaseMS    int64
+	gone       bool
+	running    map[string]int64
+	highestRun map[string]int64
+	ended      []*simEnd
+	ackedUpTo  int64
+	// changed is closed at the next end.
+	changed chan struct{}
+}
+
+const (
+	// simMoveTime is how long an instance is down for its upkeep.
+	simMoveTime = 700 * time.Millisecond
+	// simInstancesPerPool is the number of instances of each pool.
+	simInstancesPerPool = 6
+	// simWaveCap is how many instances may be down at once. It is high, so that instances are ordered all the time.
+	simWaveCap = 4
+)
+
+var simPools = []string{"pumps", "routes"}
+
+func newSimPlatform(seed uint64) *simPlatform {
+	p := &simPlatform{
+		store: memrows.New(), rnd: rand.New(rand.NewPCG(seed, 7)), workers: map[string]*simWorker{}, instances: map[string]*simInstance{},
+		tasks: map[string]*simTask{}, began: time.Now(), slowUntil: map[string]time.Time{},
+	}
+	for _, pool := range simPools {
+		for k := range simInstancesPerPool {
+			in := &simInstance{id: fmt.Sprintf("m-%s-%d", pool, k), pool: pool}
+			p.instances[in.id] = in
+			p.startWorker(in)
+		}
+	}
+	p.nextWave()
+	return p
+}
+
+func (p *simPlatform) startWorker(in *simInstance) {
+	id := fmt.Sprintf("i-%03d", len(p.workers))
+	w := &simWorker{born: time.Now(), running: map[string]int64{}, highestRun: map[string]int64{}, changed: make(chan struct{})}
+	w.info = engine.WorkerInfo{ID: id, Address: id, Labels: []string{"a", "r-1"}, Capacity: engine.Resources{CPU: 8000, Mem: 8000}, Incarnation: w.born.UnixMilli()}
+	p.workers[id] = w
+	in.worker, in.state = w, upkeep.StateUp
+}
+
+// nextWave requests the upkeep of all instances once more.
+func (p *simPlatform) nextWave() {
+	p.wave = upkeep.Wave{ID: p.wave.ID + 1, Cap: simWaveCap, Duration: 8 * time.Second, SeenAt: time.Since(p.began)}
+	for id := range p.instances {
+		p.wave.Instances = append(p.wave.Instances, id)
+	}
+	slices.Sort(p.wave.Instances)
+}
+
+func (p *simPlatform) violate(format string, args ...any) {
+	p.violations = append(p.violations, fmt.Sprintf("%s ", time.Since(p.began))+fmt.Sprintf(format, args...))
+}
+
+// simAccess is one daemon's access to the platform. It implements rows.Store, owner.Workers, Roster, upkeep.Instances and
+// upkeep.Waves.
+type simAccess struct {
+	*simPlatform
+	daemon string
+}
+
+// remote executes a call with the delays of the network. It reports false if the response is lost or ctx ends first; the call
+// may then have been executed, or may be executed later.
+func (a *simAccess) remote(ctx context.Context, exec func()) bool {
+	a.mu.Lock()
+	there, back := time.Duration(1+a.rnd.IntN(8))*time.Millisecond, time.Duration(1+a.rnd.IntN(8))*time.Millisecond
+	if time.Now().Before(a.slowUntil[a.daemon]) {
+		there += time.Duration(a.rnd.IntN(900)) * time.Millisecond
+		back += time.Duration(a.rnd.IntN(900)) * time.Millisecond
+	}
+	lost := !a.faultFree && a.rnd.IntN(40) == 0
+	a.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		time.Sleep(there)
+		exec()
+		time.Sleep(back)
+		close(done)
+	}()
+	select {
+	case <-done:
+		return !lost
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func errNoResponse() error {
+	return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "no response")
+}
+
+func (a *simAccess) Transact(ctx context.Context, tx rows.Tx) (int64, error) {
+	var ver int64
+	var err error
+	if !a.remote(ctx, func() { ver, err = a.store.Transact(context.Background(), tx) }) {
+		return 0, errNoResponse()
+	}
+	return ver, err
+}
+
+func (a *simAccess) Read(ctx context.Context, table, part string) ([]rows.Row, int64, error) {
+	var list []rows.Row
+	var ver int64
+	var err error
+	if !a.remote(ctx, func() { list, ver, err = a.store.Read(context.Background(), table, part) }) {
+		return nil, 0, errNoResponse()
+	}
+	return list, ver, err
+}
+
+func (a *simAccess) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]rows.Row, int64, error) {
+	var list []rows.Row
+	var ver int64
+	var err error
+	if !a.remote(ctx, func() { list, ver, err = a.store.Watch(context.Background(), table, after, wait) }) {
+		return nil, 0, errNoResponse()
+	}
+	return list, ver, err
+}
+
+func (a *simAccess) Workers(ctx context.Context) (map[string][]engine.WorkerInfo, error) {
+	out := map[string][]engine.WorkerInfo{}
+	if !a.remote(ctx, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for _, in := range a.instances {
+			if in.worker != nil {
+				out[in.pool] = append(out[in.pool], in.worker.info)
+			}
+		}
+	}) {
+		return nil, errNoResponse()
+	}
+	return out, nil
+}
+
+func (a *simAccess) List(ctx context.Context) ([]upkeep.Instance, error) {
+	var out []upkeep.Instance
+	if !a.remote(ctx, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for _, in := range a.instances {
+			i := upkeep.Instance{ID: in.id, Pool: in.pool, State: in.state, CapacityCPU: 8000}
+			if in.worker != nil {
+				i.Worker = in.worker.info.ID
+			}
+			out = append(out, i)
+		}
+	}) {
+		return nil, errNoResponse()
+	}
+	return out, nil
+}
+
+func (a *simAccess) Move(context.Context, string, string, string, int64) error { return nil }
+
+func (a *simAccess) Upkeep(ctx context.Context, instance string, wave int64, _ string, _ int64) error {
+	var err error
+	if !a.remote(ctx, func() { err = a.takeDown(instance, wave) }) {
+		return errNoResponse()
+	}
+	return err
+}
+
+// takeDown ends an instance's worker, with its list of ends, and starts the next one after simMoveTime.
+func (p *simPlatform) takeDown(instance string, wave int64) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	in := p.instances[instance]
+	switch {
+	case in.wave >= wave:
+		return nil
+	case in.state != upkeep.StateUp:
+		return upkeep.ErrBusy
+	}
+	if len(in.worker.running) > 0 {
+		p.violate("LOST: an order for %s ends %d runs on %s", in.id, len(in.worker.running), in.worker.info.ID)
+	}
+	for task := range in.worker.running {
+		p.tasks[task].runningOn = nil
+	}
+	in.wave, in.state, in.worker.gone, in.worker = wave, upkeep.StateUpkeep, true, nil
+	time.AfterFunc(simMoveTime, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.startWorker(in)
+	})
+	return nil
+}
+
+func (a *simAccess) Waves() []upkeep.Wave {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return []upkeep.Wave{a.wave}
+}
+
+func (a *simAccess) Report(ctx context.Context, wave int64, completed bool) error {
+	if !a.remote(ctx, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if completed && wave == a.wave.ID && !a.faultFree {
+			a.nextWave()
+		}
+	}) {
+		return errNoResponse()
+	}
+	return nil
+}
+
+var _ interface {
+	rows.Store
+	owner.Workers
+	Roster
+	upkeep.Instances
+	upkeep.Waves
+} = (*simAccess)(nil)
--- /dev/null
+++ b/cluster/simulation_test.go
@@ -0,0 +1,229 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphirepoint/catalog"
+	"samphirepoint/engine"
+	"samphirepoint/standin/memnet"
+	"samphirepoint/upkeep"
+)
+
+const (
+	simSeeds   = 12
+	simDaemons = 4
+	// simFaultTime is the time with jobs and faults, simCalmTime the time after it in which all jobs must end.
+	simFaultTime = 30 * time.Second
+	simCalmTime  = 14 * time.Second
+	// simJobInterval is the time between two jobs; the workers are about half busy.
+	simJobInterval = 60 * time.Millisecond
+	// simFaultInterval is the mean time between two faults.
+	simFaultInterval = 1200 * time.Millisecond
+)
+
+// clusterSimulation is several daemons on a simulated platform and network.
+type clusterSimulation struct {
+	*simPlatform
+	nodes    []*Node
+	ctx      context.Context
+	servers  []*http.Server
+	tasks    sync.WaitGroup
+	accepted map[string]string // job -> pool
+}
+
+func newClusterSimulation(t *testing.T, ctx context.Context, seed uint64) *clusterSimulation {
+	x := &clusterSimulation{simPlatform: newSimPlatform(seed), ctx: ctx, accepted: map[string]string{}}
+	network := memnet.New()
+	c := &catalog.Catalog{Version: 1}
+	for _, pool := range simPools {
+		c.Pools = append(c.Pools, catalog.Pool{Name: pool})
+		c.Queues = append(c.Queues, catalog.Queue{Queue: engine.Queue{Name: "q-" + pool, Attempts: 9, Stretch: 2, TargetMS: 600}, Pool: pool})
+	}
+	c.Index()
+	for k := range simDaemons {
+		ln, err := network.Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := x.newNode(fmt.Sprintf("edge-%d", k), ln, network)
+		n.SetCatalog(c)
+		x.nodes = append(x.nodes, n)
+		x.spawn(func() { _ = n.Run(ctx) })
+		x.spawn(func() { _ = n.FollowRoster(ctx, 250*time.Millisecond) })
+	}
+	return x
+}
+
+func (x *clusterSimulation) spawn(fn func()) { x.tasks.Go(fn) }
+
+func (x *clusterSimulation) newNode(name string, ln net.Listener, network *memnet.Network) *Node {
+	access := &simAccess{simPlatform: x.simPlatform, daemon: name}
+	now := func() time.Duration { return time.Since(x.began) }
+	var n *Node
+	n = NewNode(Settings{
+		Name: name, Incarnation: name, Address: ln.Addr().String(), Store: access, Workers: access, Roster: access, Network: network,
+		Options: engine.DefaultOptions(), Log: zerolog.Nop(), Now: now,
+		WorkersWithOpenOrders: func(ctx context.Context) ([]string, error) {
+			return upkeep.WorkersWithOpenOrders(ctx, access, FleetControllerRole)
+		},
+		NewFleetController: func(ctx context.Context, token, ver int64) Term {
+			return upkeep.New(ctx, upkeep.Settings{
+				Role: FleetControllerRole, Holder: name, Token: token, ClaimVer: ver, Store: access, Instances: access, Pools: n, Waves: access,
+				HandoverDelay: 300 * time.Millisecond, Log: zerolog.Nop(), Now: now,
+			})
+		},
+	})
+	s := &http.Server{Handler: x.unreliable(name, n.PeerHandler())}
+	x.servers = append(x.servers, s)
+	x.spawn(func() { _ = s.Serve(ln) })
+	return n
+}
+
+// unreliable delays or drops calls to a daemon.
+func (x *clusterSimulation) unreliable(daemon string, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x.mu.Lock()
+		delay, dropped := time.Duration(x.rnd.IntN(5))*time.Millisecond, !x.faultFree && x.rnd.IntN(3) == 0
+		if time.Now().Before(x.slowUntil[daemon]) {
+			delay += time.Duration(x.rnd.IntN(400)) * time.Millisecond
+		}
+		x.mu.Unlock()
+		time.Sleep(delay)
+		if dropped {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (x *clusterSimulation) intN(n int) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.rnd.IntN(n)
+}
+
+// submitJobs submits jobs until the end of the time with faults.
+func (x *clusterSimulation) submitJobs() {
+	for k := 0; time.Since(x.began) < simFaultTime; k++ {
+		time.Sleep(simJobInterval)
+		pool := simPools[x.intN(len(simPools))]
+		spec := engine.Spec{ID: fmt.Sprintf("%016x", k), Queue: "q-" + pool, Steps: []engine.Step{
+			{Count: 1 + x.intN(4), Need: engine.Resources{CPU: 1000, Mem: 100}, EstimateMS: 300},
+			{Count: 1 + x.intN(2), Need: engine.Resources{CPU: 1000, Mem: 100}, EstimateMS: 300, After: []int{0}},
+		}}
+		n := x.nodes[x.intN(len(x.nodes))]
+		x.spawn(func() {
+			ctx, cancel := context.WithTimeout(x.ctx, 3*time.Second)
+			defer cancel()
+			if _, err := n.Execute(ctx, Call{Op: OpSubmit, Pool: pool, ID: spec.ID, Spec: &spec}); err == nil {
+				x.mu.Lock()
+				x.accepted[spec.ID] = pool
+				x.mu.Unlock()
+			}
+		})
+	}
+}
+
+// injectFaults makes daemons slow and lets pools change their owner, until the end of the time with faults.
+func (x *clusterSimulation) injectFaults() {
+	for time.Since(x.began) < simFaultTime {
+		time.Sleep(time.Duration(x.intN(int(2 * simFaultInterval))))
+		pool := append([]string{FleetControllerRole}, simPools...)[x.intN(1+len(simPools))]
+		from, ok := Owner(x.nodes[0].Alive(), pool)
+		to := x.nodes[x.intN(len(x.nodes))]
+		if !ok {
+			continue
+		}
+		switch x.intN(3) {
+		case 0: // the owner's calls are slow, while its workers finish what they run
+			x.slowDown(from.Node)
+		case 1: // the request to claim a pool is repeated before it was answered
+			x.slowDown(to.settings.Name)
+			for range 3 {
+				x.spawn(func() {
+					time.Sleep(time.Duration(x.intN(400)) * time.Millisecond)
+					_, _ = to.HandleCall(x.ctx, Call{Op: OpClaim, Pool: pool, From: from.Node, Token: from.Pools[pool]})
+				})
+			}
+		case 2: // a daemon with another view of the members claims the pool
+			x.spawn(func() { _ = to.claimPool(x.ctx, pool) })
+		}
+	}
+}
+
+// slowDown makes the calls of a daemon slow for a while.
+func (x *clusterSimulation) slowDown(daemon string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.slowUntil[daemon] = time.Now().Add(time.Duration(500+x.rnd.IntN(2500)) * time.Millisecond)
+}
+
+// checkJobs checks that every accepted job is completed.
+func (x *clusterSimulation) checkJobs() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for id, pool := range x.accepted {
+		x.mu.Unlock()
+		res, err := x.nodes[0].Execute(x.ctx, Call{Op: OpState, Pool: pool, ID: id})
+		x.mu.Lock()
+		if err != nil || res.State != engine.Completed {
+			x.violate("LOST: job %s of %s is %q (known %t): %v", id, pool, res.State, res.Known, err)
+		}
+	}
+}
+
+func (x *clusterSimulation) run() {
+	x.spawn(x.submitJobs)
+	x.spawn(x.injectFaults)
+	time.Sleep(simFaultTime)
+	x.mu.Lock()
+	x.faultFree = true
+	clear(x.slowUntil)
+	x.mu.Unlock()
+	time.Sleep(simCalmTime)
+	x.checkJobs()
+}
+
+func (x *clusterSimulation) close() {
+	for _, s := range x.servers {
+		_ = s.Close()
+	}
+	for _, n := range x.nodes {
+		n.peers.http.CloseIdleConnections()
+	}
+}
+
+// Guards against a task that runs twice, a run that an order for an instance ends, and an accepted job that is lost, while pools
+// change their owner with transactions in flight and instances are taken down as soon as their workers are reported as empty.
+func TestTakeoversWhileInstancesMove(t *testing.T) {
+	for seed := range uint64(simSeeds) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				x := newClusterSimulation(t, ctx, seed)
+				x.run()
+				cancel()
+				x.close()
+				x.tasks.Wait()
+				time.Sleep(time.Minute) // for delayed calls and idle connections to end
+				x.mu.Lock()
+				defer x.mu.Unlock()
+				t.Logf("%d jobs accepted, %d waves, %d workers", len(x.accepted), x.wave.ID, len(x.workers))
+				if len(x.violations) > 0 {
+					t.Errorf("%d violations, the first: %s", len(x.violations), x.violations[0])
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/cluster/simworkers_test.go
@@ -0,0 +1,194 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"samphirepoint/engine"
+	"samphirepoint/owner"
+)
+
+func (w *simWorker) clockMS() int64 { return time.Since(w.born).Milliseconds() }
+
+// checkCall checks the caller's token and ends all runs if the lease has expired. The caller must hold mu.
+func (p *simPlatform) checkCall(id string, token int64) (*simWorker, error) {
+	w := p.workers[id]
+	if w == nil || w.gone {
+		return nil, owner.ErrIncarnationMismatch
+	}
+	p.expireLease(w)
+	if token < w.token {
+		return nil, owner.ErrFenced
+	}
+	w.token = token
+	return w, nil
+}
+
+func (p *simPlatform) expireLease(w *simWorker) {
+	if w.leaseMS == 0 || w.clockMS() <= w.leaseMS {
+		return
+	}
+	for task, run := range w.running {
+		p.end(w, task, run, engine.EndLeaseExpired)
+	}
+	for _, e := range w.ended {
+		e.void = e.void || e.Seq > w.ackedUpTo
+	}
+}
+
+func (p *simPlatform) end(w *simWorker, task string, run int64, reason engine.EndReason) {
+	t := p.tasks[task]
+	delete(w.running, task)
+	w.highestRun[task] = max(w.highestRun[task], run)
+	e := &simEnd{EndedRow: engine.EndedRow{Seq: int64(len(w.ended) + 1), Task: task, Run: run, Reason: reason}}
+	w.ended = append(w.ended, e)
+	t.runningOn = nil
+	if reason == engine.EndDone {
+		t.doneEnds = append(t.doneEnds, e)
+	}
+	t.note(p, "run %d ends %s at %s", run, reason, w.info.ID)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (t *simTask) note(p *simPlatform, format string, args ...any) {
+	t.history = append(t.history, time.Since(p.began).String()+" "+fmt.Sprintf(format, args...))
+}
+
+// RenewLease implements owner.Workers.
+func (a *simAccess) RenewLease(ctx context.Context, to engine.Target, renewal owner.LeaseRenewal) (engine.RenewalReply, error) {
+	var reply engine.RenewalReply
+	var err error
+	if !a.remote(ctx, func() { reply, err = a.hold(to.ID, renewal) }) {
+		return engine.RenewalReply{}, errNoResponse()
+	}
+	return reply, err
+}
+
+func (p *simPlatform) hold(id string, renewal owner.LeaseRenewal) (engine.RenewalReply, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, err := p.checkCall(id, renewal.Token)
+	if err != nil {
+		return engine.RenewalReply{}, err
+	}
+	w.leaseMS, w.ackedUpTo = max(w.leaseMS, renewal.DeadlineMS), max(w.ackedUpTo, renewal.AckedUpTo)
+	if renewal.Wait > 0 && int64(len(w.ended)) == w.ackedUpTo {
+		changed := w.changed
+		p.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(renewal.Wait):
+		}
+		p.mu.Lock()
+		if w.gone {
+			return engine.RenewalReply{}, owner.ErrIncarnationMismatch
+		}
+	}
+	a := engine.RenewalReply{Incarnation: w.born.UnixMilli(), ClockMS: w.clockMS()}
+	for task, run := range w.running {
+		a.Running = append(a.Running, engine.RunningRow{Task: task, Run: run, Percent: 100})
+	}
+	for _, e := range w.ended[w.ackedUpTo:] {
+		a.Ended = append(a.Ended, e.EndedRow)
+	}
+	return a, nil
+}
+
+// Start implements owner.Workers.
+func (a *simAccess) Start(ctx context.Context, o engine.Order, token int64) (engine.StartOutcome, string, error) {
+	var out engine.StartOutcome
+	var reason string
+	var err error
+	if !a.remote(ctx, func() { out, reason, err = a.start(o, token, a.daemon) }) {
+		return engine.StartUnknown, "", nil
+	}
+	return out, reason, err
+}
+
+func (p *simPlatform) start(o engine.Order, token int64, daemon string) (engine.StartOutcome, string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, err := p.checkCall(o.Worker.ID, token)
+	if err != nil {
+		return engine.StartRejected, "", err
+	}
+	task := o.Task.String()
+	switch {
+	case w.running[task] == o.Run:
+		return engine.StartAccepted, "", nil
+	case o.Run <= w.highestRun[task]:
+		return engine.StartRejected, engine.ReasonStaleRun, nil
+	case o.DeadlineMS <= w.clockMS():
+		return engine.StartRejected, engine.ReasonDeadlinePassed, nil
+	}
+	t := p.tasks[task]
+	if t == nil {
+		t = &simTask{}
+		p.tasks[task] = t
+	}
+	t.note(p, "run %d starts at %s by %s with token %d", o.Run, w.info.ID, daemon, token)
+	p.checkStart(task, t)
+	w.leaseMS = max(w.leaseMS, o.DeadlineMS)
+	w.running[task] = o.Run
+	t.runningOn, t.run = w, o.Run
+	length, reason := time.Duration(100+p.rnd.IntN(500))*time.Millisecond, engine.EndDone
+	if p.rnd.IntN(12) == 0 {
+		reason = engine.EndFailed
+	}
+	time.AfterFunc(length, func() { p.finish(w, task, o.Run, reason) })
+	return engine.StartAccepted, "", nil
+}
+
+// checkStart checks the rule TWICE.
+func (p *simPlatform) checkStart(task string, t *simTask) {
+	if t.runningOn != nil {
+		p.expireLease(t.runningOn)
+	}
+	if t.runningOn != nil {
+		p.violate("TWICE: %s starts while it runs: %q", task, t.history)
+	}
+	for _, e := range t.doneEnds {
+		if !e.void {
+			p.violate("TWICE: %s starts although it is done: %q", task, t.history)
+		}
+	}
+}
+
+// finish ends a run that still runs after its time.
+func (p *simPlatform) finish(w *simWorker, task string, run int64, reason engine.EndReason) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w.gone {
+		return
+	}
+	p.expireLease(w)
+	if w.running[task] == run {
+		p.end(w, task, run, reason)
+	}
+}
+
+// Stop implements owner.Workers.
+func (a *simAccess) Stop(ctx context.Context, o engine.Order, token int64) error {
+	var err error
+	if !a.remote(ctx, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		var w *simWorker
+		if w, err = a.checkCall(o.Worker.ID, token); err != nil {
+			return
+		}
+		task := o.Task.String()
+		w.highestRun[task] = max(w.highestRun[task], o.Run)
+		if w.running[task] == o.Run {
+			a.end(w, task, o.Run, engine.EndStopped)
+		}
+	}) {
+		return errNoResponse()
+	}
+	return err
+}
+
+// Throttle implements owner.Workers.
+func (a *simAccess) Throttle(context.Context, engine.Order, int64) error { return nil }
