Confirm the claim before a job is reported as unknown

Callers could be told 410 for a job that had been accepted, by a former owner of its pool that did not know of its successor yet.

Cause: the owner answered "unknown" from memory. All other answers either wait for a transaction, which fails after a takeover, or repeat a state that was stored; this one relies on the absence of a job that a successor may have accepted since.

Evidence: TestFormerOwnerReportsNoJobAsUnknown failed: both calls were answered as unknown after the pool had been claimed.

The owner reads its claim's row before such an answer. If it has changed, the owner stops and the call finds the next one; if it can't be read, the answer is 503. That costs one read for each request for a job that isn't known.

--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"samphirepoint/engine"
 	"samphirepoint/observe"
+	"samphirepoint/rows"
 	"samphirepoint/verdict"
 )
 
@@ -52,6 +54,9 @@
 		j, known = p.Cancel(id, c)
 		return j, nil
 	})
+	if err == nil && !known {
+		err = o.confirmClaim(ctx)
+	}
 	return known, err
 }
 
@@ -123,9 +128,29 @@
 			s, known = j.State(), true
 		}
 	})
+	if err == nil && !known {
+		err = o.confirmClaim(ctx)
+	}
 	return s, known, err
 }
 
+// confirmClaim checks that the claim is still current, before the owner answers that a job isn't known: a successor may have
+// accepted it. Such answers are rare, so that one read for each is acceptable.
+func (o *Owner) confirmClaim(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	list, _, err := o.settings.Store.Read(ctx, TableOwners, o.settings.Pool)
+	if err != nil {
+		return errStoreUnavailable()
+	}
+	current := slices.ContainsFunc(list, func(r rows.Row) bool { return r.Key == ClaimKey(o.settings.Pool) && r.Ver == o.settings.ClaimVer })
+	if !current {
+		o.post(func() { o.fail(ErrOwnershipLost) })
+		return notOwner(o.settings.Pool)
+	}
+	return nil
+}
+
 // Waiting returns the number of a queue's jobs that have not started.
 func (o *Owner) Waiting(ctx context.Context, queue string) (int, error) {
 	n := 0
--- a/owner/takeover_test.go
+++ b/owner/takeover_test.go
@@ -129,3 +129,19 @@
 	<-o.Done()
 	g.Expect(executed).To(BeFalse())
 }
+
+// Guards against a job that a successor has accepted, and that the former owner, which does not know of its successor yet, reports as
+// unknown.
+func TestFormerOwnerReportsNoJobAsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	s := memrows.New()
+	o := serve(t, s, newFakeWorkers(t), 1)
+	_, known, err := o.State(context.Background(), job(1).ID)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(known).To(BeFalse())
+	claim(t, s, 2)
+	_, _, err = o.State(context.Background(), job(1).ID)
+	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue(), "%v", err)
+	_, err = o.Cancel(context.Background(), job(1).ID)
+	g.Expect(err).To(HaveOccurred())
+}
