End a term on the announcement of a daemon whose row was not read yet

A former owner could go on for as long as it noticed its successor neither at the store nor at a worker.

Cause: an announcement was ignored as a whole if the receiver did not know the announcing daemon, as after that one's start.

Evidence: TestAnnouncementOfUnknownMemberEndsTerm failed.

The comparison of the tokens doesn't need the member's row and goes first.

--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -227,6 +227,9 @@
 func (n *Node) applyOwner(call Call) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if own := n.owned[call.Pool]; own != nil && own.Token() < call.Token {
+		own.Stop()
+	}
 	o := n.view.members[call.From]
 	if o == nil {
 		return
@@ -237,9 +240,6 @@
 	}
 	pools[call.Pool] = call.Token
 	o.Pools = pools
-	if own := n.owned[call.Pool]; own != nil && own.Token() < call.Token {
-		own.Stop()
-	}
 }
 
 // announce informs the other daemons that this daemon has claimed a pool.
--- a/cluster/terms_test.go
+++ b/cluster/terms_test.go
@@ -55,3 +55,18 @@
 		<-ended
 	})
 }
+
+// Guards against a term that goes on although its successor has announced itself, because that daemon's row was not read yet.
+func TestAnnouncementOfUnknownMemberEndsTerm(t *testing.T) {
+	g := NewWithT(t)
+	p := newPair(t)
+	p.observe()
+	a := p.nodes[0]
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.Expect(a.claimPool(ctx, "pumps")).To(Succeed())
+	term := a.pools["pumps"]
+	_, err := a.HandleCall(ctx, Call{Op: OpOwner, Pool: "pumps", Token: 2, From: "new"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(term.Done(), "10s").Should(BeClosed())
+}
