--- a/engine/place.go
+++ b/engine/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -17,8 +18,11 @@
 	step        *stepState
 	longRunning bool
 	priority    int
-	late        bool
+	urgency     urgency
 	deadline    time.Duration
+	// slack is the time by which the job can still be delayed, whole what that was when the job was due.
+	slack, whole time.Duration
+	begun        bool
 }
 
 // Place decides which tasks start where, and records the decisions in the jobs.
@@ -27,77 +31,119 @@
 		return
 	}
 	p.placementNeeded = false
+	p.noRoom = p.noRoom[:0]
 	workers := p.usableWorkers(c)
 	p.updateScarcity()
 	p.evacuate(c)
 	for _, cd := range p.candidates(c) {
+		if !cd.longRunning && p.pendingStarts >= maxPendingStarts {
+			p.placementNeeded = true
+			continue
+		}
 		p.placeStep(cd, workers, c)
 	}
-	p.speculate(workers, c)
+	if p.pendingStarts < maxPendingStarts {
+		p.speculate(workers, c)
+	}
+}
+
+// maxPendingStarts is the number of starts that may wait for the store or for their worker's answer before no more are decided, so
+// that the choice of the next task uses the newest state of the queue and no start waits until its lease is used up. An owner with a
+// fifth of a core handles about 500 starts a second, so these wait for half a second at most; at 1,000 starts a second
+// with answers from store and worker within 50 ms, a fifth of them wait.
+const maxPendingStarts = 240
+
+// awaitsOutcome reports whether the run was decided and its start is neither answered nor known to be unanswered.
+func (r *Run) awaitsOutcome() bool {
+	return r.phase == phaseDecided || (r.phase == phaseStarting && !r.outcomeUnknown)
+}
+
+// countPending updates the number of pending starts after a change of a run. gone is set if the run has ended.
+func (p *Pool) countPending(r *Run, gone bool) {
+	pending := !gone && r.awaitsOutcome()
+	switch {
+	case pending && !r.pending:
+		p.pendingStarts++
+	case !pending && r.pending:
+		p.pendingStarts--
+	}
+	r.pending = pending
 }
 
 // RequestPlacement makes the next Place run a placement even if no event asked for one.
 func (p *Pool) RequestPlacement() { p.placementNeeded = true }
 
 func (p *Pool) usableWorkers(c Clock) []*Worker {
-	var out []*Worker
-	for _, w := range p.workers {
+	if p.workersByID == nil {
+		p.workersByID = slices.SortedFunc(maps.Values(p.workers), func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	out := p.usableBuffer[:0]
+	for _, w := range p.workersByID {
 		if p.schedulable(w, c) && w.backoffUntil <= c.Now {
 			out = append(out, w)
 		}
 	}
-	slices.SortFunc(out, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
+	p.usableBuffer = out
 	return out
 }
 
 // candidates returns the steps with tasks to start in scheduling order: long-running tasks, then jobs that can still
-// meet their objective, then the others; each group is ordered by priority, deadline and arrival.
+// meet their objective, then the others; each group is ordered by priority, urgency, deadline and arrival.
 func (p *Pool) candidates(c Clock) []candidate {
-	var out []candidate
+	out := p.candidateBuffer[:0]
 	for _, j := range p.openJobs {
 		for o := range j.openOccurrences() {
 			out = p.addCandidates(out, o, c)
 		}
 	}
+	p.rankCandidates(out)
 	slices.SortStableFunc(out, compareCandidates)
+	p.candidateBuffer = out
 	return out
 }
 
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(rankTrueFirst(a.longRunning), rankTrueFirst(b.longRunning)),
-		cmp.Compare(rankTrueFirst(!a.late), rankTrueFirst(!b.late)),
+		cmp.Compare(rankTrueFirst(a.urgency != urgencyLate), rankTrueFirst(b.urgency != urgencyLate)),
 		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.urgency, b.urgency),
 		cmp.Compare(a.deadline, b.deadline),
 	)
 }
 
 func (p *Pool) addCandidates(out []candidate, o *occurrence, c Clock) []candidate {
-	var deadline time.Duration
 	q := p.queues[o.job.Spec.Queue]
-	known := false
+	first := len(out)
 	for _, st := range o.steps {
-		if st.complete() || !st.dependenciesDone() || !st.hasPending(c.Now) {
-			continue
-		}
-		if !known {
-			known = true
-			deadline = p.deadline(o, q, c)
+		if !st.complete() && st.dependenciesDone() && st.hasPending(c.Now) {
+			out = append(out, candidate{step: st, longRunning: st.spec.LongRunning && !st.spec.BestEffort, priority: q.Priority, begun: o.begun})
 		}
-		late := !st.spec.LongRunning && c.Now+p.remainingCriticalPath(o) > deadline
-		out = append(out, candidate{step: st, longRunning: st.spec.LongRunning && !st.spec.BestEffort, priority: q.Priority, late: late, deadline: deadline})
+	}
+	if len(out) == first {
+		return out
+	}
+	deadline := p.deadline(o, q, c)
+	slack, whole := deadline-c.Now-p.remainingCriticalPath(o), p.objective(o, q)-o.job.criticalPath
+	for i := range out[first:] {
+		cd := &out[first+i]
+		cd.deadline, cd.slack, cd.whole = deadline, slack, whole
 	}
 	return out
 }
 
 // deadline returns when the occurrence's objective expires, on the monotonic clock.
 func (p *Pool) deadline(o *occurrence, q Queue, c Clock) time.Duration {
+	age := time.Duration(c.Wall-o.dueMS) * time.Millisecond
+	return c.Now - age + p.objective(o, q)
+}
+
+// objective returns the time in which the occurrence should end.
+func (p *Pool) objective(o *occurrence, q Queue) time.Duration {
 	if o.job.criticalPath == 0 {
 		o.job.criticalPath = p.remainingCriticalPath(o)
 	}
-	age := time.Duration(c.Wall-o.dueMS) * time.Millisecond
-	whole := time.Duration(q.Stretch*float64(o.job.criticalPath)) + time.Duration(q.TargetMS)*time.Millisecond
-	return c.Now - age + whole
+	return time.Duration(q.Stretch*float64(o.job.criticalPath)) + time.Duration(q.TargetMS)*time.Millisecond
 }
 
 func (t *Task) pending(now time.Duration) bool {
@@ -117,6 +163,9 @@
 		p.placeGang(st, workers, c)
 		return
 	}
+	if p.knownFull(st.spec) {
+		return
+	}
 	rack := st.commonRack()
 	for _, t := range st.tasks {
 		if !t.pending(c.Now) {
@@ -128,6 +177,7 @@
 				p.reserve(t, workers, c)
 				continue
 			}
+			p.recordFull(st.spec, p.queues[st.occ.job.Spec.Queue])
 			return
 		}
 		p.start(t, w, t.lastRun+1, c)
@@ -137,6 +187,20 @@
 	}
 }
 
+// knownFull reports whether a step with no stricter requirements found no worker earlier in this placement. Without it, each
+// placement of a pool with a long queue tries every worker for every waiting step.
+func (p *Pool) knownFull(st *Step) bool {
+	return !st.LongRunning && slices.ContainsFunc(p.noRoom, st.Footprint().Covers)
+}
+
+// recordFull records that no worker has room for a task of the step, unless the step has requirements beyond its footprint.
+// Workers only fill up during a placement.
+func (p *Pool) recordFull(st *Step, q Queue) {
+	if !st.LongRunning && st.RequiredLabel == "" && st.AntiAffinity == 0 && !q.Advised {
+		p.noRoom = append(p.noRoom, st.Footprint())
+	}
+}
+
 // commonRack returns the rack on which tasks of a same-rack step already run, or "".
 func (st *stepState) commonRack() string {
 	if !st.spec.SameRack {
@@ -153,12 +217,14 @@
 // start creates a run; its order is sent once the job is in the store.
 func (p *Pool) start(t *Task, w *Worker, run int64, c Clock) {
 	t.lastRun = run
+	t.step.occ.begun = true
 	r := &Run{Task: t, Num: run, Worker: w, incarnation: w.incarnation, phase: phaseDecided, throttlePercent: 100, throttleConfirmed: true, startedAt: c.Now}
 	if tk, ok := t.step.tickets[w.ID]; ok {
 		r.ticket = tk.code
 	}
 	t.live = append(t.live, r)
 	w.add(r)
+	p.countPending(r, false)
 	p.markDirty(t.job())
 	r.rev = t.job().rev
 	p.recordDecision("start", t.id.String(), run, w.ID, "")
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -38,11 +38,15 @@
 	Name  string
 	Token int64
 
-	options           Options
-	queues            map[string]Queue
-	jobs              map[string]*Job
-	openJobs          []*Job // jobs that have not ended, in order of arrival
-	workers           map[string]*Worker
+	options  Options
+	queues   map[string]Queue
+	jobs     map[string]*Job
+	openJobs []*Job // jobs that have not ended, in order of arrival
+	workers  map[string]*Worker
+	// workersByID holds the workers ordered by ID, or nil after a change of workers.
+	workersByID []*Worker
+	// renewals counts the answered lease renewals.
+	renewals          int64
 	dirty             []*Job
 	orders            []Order
 	advice            []AdviceRequest
@@ -56,6 +60,14 @@
 	// placementNeeded is set by every event that may allow a new start.
 	placementNeeded bool
 	backlog         backlog
+	// pendingStarts is the number of runs for which Run.awaitsOutcome holds.
+	pendingStarts int
+	// noRoom holds needs that fit on no worker for the rest of the placement.
+	noRoom []Resources
+	// candidateBuffer and usableBuffer are reused by successive placements.
+	candidateBuffer []candidate
+	usableBuffer    []*Worker
+	nextExpiry      time.Duration
 }
 
 // Decision is a scheduling decision to be logged.
@@ -146,6 +158,7 @@
 		return
 	}
 	t.lastRun, t.failures, t.checkpoint = tr.LastRun, tr.Failures, tr.Checkpoint
+	t.step.occ.begun = t.step.occ.begun || t.lastRun > 0
 	if tr.Done {
 		t.markDone()
 	}
@@ -198,6 +211,7 @@
 	case phaseStopping:
 	default:
 		r.phase = phaseStopping
+		p.countPending(r, false)
 		r.stopSentAt = c.Now
 		r.stopAcked = false
 		p.orders = append(p.orders, Order{Kind: OrderStop, Task: r.Task.id, Run: r.Num, Worker: r.Worker.target()})
@@ -210,7 +224,9 @@
 	r.Task.waitingSince = p.now
 	r.Worker.remove(r)
 	r.Task.removeRun(r)
+	p.countPending(r, true)
 	p.placementNeeded = true
+	p.noRoom = p.noRoom[:0]
 }
 
 func (p *Pool) markDirty(j *Job) {
@@ -261,8 +277,15 @@
 	p.expire(c)
 }
 
+// expireInterval is the time between two searches for jobs whose retention has ended.
+const expireInterval = time.Second
+
 // expire removes ended jobs after the retention time.
 func (p *Pool) expire(c Clock) {
+	if c.Now < p.nextExpiry {
+		return
+	}
+	p.nextExpiry = c.Now + expireInterval
 	for _, j := range p.jobs {
 		if j.state.Terminal() && !j.expired && c.Wall-j.endedMS > p.options.Retention.Milliseconds() && j.liveRuns() == 0 {
 			j.expired = true
