--- a/cluster/simplatform_test.go
+++ b/cluster/simplatform_test.go
@@ -182,7 +182,7 @@
 	return list, ver, err
 }
 
-func (a *simAccess) Workers(ctx context.Context) (map[string][]engine.WorkerInfo, error) {
+func (a *simAccess) Workers(ctx context.Context, _ time.Duration) (map[string][]engine.WorkerInfo, error) {
 	out := map[string][]engine.WorkerInfo{}
 	if !a.remote(ctx, func() {
 		a.mu.Lock()
