--- a/engine/ends.go
+++ b/engine/ends.go
@@ -110,10 +110,11 @@
 	return j
 }
 
-// applyLateEnd handles the end of a run that was already considered over. Only a successful end still matters.
+// applyLateEnd handles the end of a run that was already considered over. Only a successful end still matters. Any other may be
+// listed a second time and be applied in memory only, so that its acknowledgement waits for the store as well.
 func (p *Pool) applyLateEnd(t *Task, w *Worker, e EndedRow, c Clock) *Job {
 	if e.Reason != EndDone || t.done || t.step.spec.LongRunning || t.job().state.Terminal() || e.Run > t.lastRun {
-		return nil
+		return t.job()
 	}
 	p.recordDecision("late-end", e.Task, e.Run, w.ID, string(e.Reason))
 	p.completeTask(t, c)
@@ -127,6 +128,7 @@
 	switch {
 	case reason == EndDone && !st.LongRunning:
 		p.recordRunTime(t, r, c)
+		p.backlog.completed++
 		p.completeTask(t, c)
 	case reason == EndFailed:
 		p.handleFailure(t, r, c)
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -51,6 +51,8 @@
 	pendingAcks   []pendingAck
 	ackedUpTo     int64
 	cordonedUntil time.Duration
+	// reportedEmpty is set if the last answer to a cordon was that the worker is empty.
+	reportedEmpty bool
 	// reservedAt is the time of the placement that reserved the worker for a long-running task.
 	reservedAt   time.Duration
 	backoffUntil time.Duration
@@ -242,17 +244,20 @@
 			p.recordDecision("worker-unlisted", "", 0, id, "")
 		}
 		w.listed = false
-		if len(w.runs) == 0 {
+		if w.occupancy() == 0 && w.cordonedUntil <= c.Now {
 			p.removeWorker(id)
 		}
 	}
 }
 
-// Targets returns the workers whose lease is to be renewed: the listed ones, and others that may still have runs.
+// needsRenewal reports whether the worker's lease is to be renewed: it is listed, or may still have runs or unstored ends.
+func (w *Worker) needsRenewal() bool { return w.listed || w.occupancy() > 0 }
+
+// Targets returns the workers whose lease is to be renewed.
 func (p *Pool) Targets() []Target {
 	var out []Target
 	for _, w := range p.workers {
-		if w.info.Address != "" {
+		if w.info.Address != "" && w.needsRenewal() {
 			out = append(out, w.target())
 		}
 	}
@@ -278,7 +283,7 @@
 // NextRenewal returns the worker's next lease renewal, and false if its lease is no longer to be renewed.
 func (p *Pool) NextRenewal(id string, c Clock) (RenewalRequest, bool) {
 	w := p.workers[id]
-	if w == nil {
+	if w == nil || !w.needsRenewal() {
 		return RenewalRequest{}, false
 	}
 	return RenewalRequest{DeadlineMS: p.lease(w, c), AckedUpTo: w.ackedUpTo, Unacknowledged: len(w.pendingAcks) > 0, Idle: len(w.runs) == 0}, true
@@ -393,16 +398,26 @@
 	}
 }
 
-// Cordon keeps new work off a worker until the given time, and reports whether the worker has no runs.
+// Cordon keeps new work off a worker until the given time, and reports whether the worker is empty: it has no runs, and the
+// store has all ends that it has listed. The instance of an empty worker may be moved or go down, and the worker's list of
+// ends with it.
 func (p *Pool) Cordon(id string, until time.Duration, c Clock) (empty, known bool) {
 	w := p.workers[id]
 	if w == nil || !w.contacted {
 		return false, false
 	}
+	empty = w.occupancy() == 0
+	if empty && (!w.reportedEmpty || w.cordonedUntil <= c.Now) {
+		p.recordDecision("cordon-empty", "", 0, id, "ends stored up to "+itoa(w.ackedUpTo))
+	}
+	w.reportedEmpty = empty
 	w.cordonedUntil = max(w.cordonedUntil, until)
-	return len(w.runs) == 0, true
+	return empty, true
 }
 
+// occupancy counts the worker's runs, and its ends that are not stored yet.
+func (w *Worker) occupancy() int { return len(w.runs) + len(w.pendingAcks) }
+
 // ForceCordon cordons a worker even if it was not contacted or listed yet.
 func (p *Pool) ForceCordon(id string, until time.Duration) {
 	w := p.ensureWorker(id)
@@ -412,7 +427,7 @@
 // Uncordon makes a worker schedulable again.
 func (p *Pool) Uncordon(id string) {
 	if w := p.workers[id]; w != nil {
-		w.cordonedUntil = 0
+		w.cordonedUntil, w.reportedEmpty = 0, false
 		p.placementNeeded = true
 	}
 }
--- a/entry/cluster.go
+++ b/entry/cluster.go
@@ -53,18 +53,24 @@
 // reached.
 const recentHeartbeatMaxAge = 1500 * time.Millisecond
 
-// Relay implements filter.Router: any other live member.
+// Relay implements filter.Router: any other live member that is not leaving.
 func (r router) Relay(target filter.Target, except []string) (filter.Target, bool) {
-	snapshot := r.e.gossip.Members()
-	if m, ok := snapshot.Member(target.ID); !ok || time.Since(m.HeartbeatAt) > recentHeartbeatMaxAge {
-		return filter.Target{}, false
+	id, ok := relay(r.e.gossip.Members(), target.ID, except, time.Now())
+	return filter.Target{ID: id}, ok
+}
+
+// relay returns a member that can forward a request to target, which has a recent heartbeat but cannot be reached from the
+// entry itself. A leaving member is none, since it may reject the request.
+func relay(s *membership.Snapshot, target string, except []string, now time.Time) (string, bool) {
+	if m, ok := s.Member(target); !ok || now.Sub(m.HeartbeatAt) > recentHeartbeatMaxAge {
+		return "", false
 	}
-	for _, m := range snapshot.Alive() {
-		if m.ID != r.e.cfg.ID && m.ID != target.ID && !slices.Contains(except, m.ID) {
-			return filter.Target{ID: m.ID}, true
+	for _, m := range s.Alive() {
+		if !m.Leaving && m.ID != s.Self && m.ID != target && !slices.Contains(except, m.ID) {
+			return m.ID, true
 		}
 	}
-	return filter.Target{}, false
+	return "", false
 }
 
 // Suspect implements filter.Router.
@@ -76,10 +82,22 @@
 	return alive
 }
 
-// Holder implements filter.ClaimHolders.
+// Holder implements filter.ClaimHolders. A process is gone only if it was forgotten or replaced by a later start: a leaving
+// entry completes its requests, and a suspect one may only have been slow to answer a ping.
 func (r router) Holder(owner string) (filter.Target, bool) {
-	id, _ := filter.SplitOwner(owner)
-	return filter.Target{ID: id, Self: owner == r.e.processName()}, cluster(r).Alive(owner)
+	id, started, ok := splitProcessName(owner)
+	if owner == r.e.processName() {
+		return filter.Target{ID: id, Self: true}, true
+	}
+	m, known := r.e.gossip.Members().Member(id)
+	return filter.Target{ID: id}, ok && known && id != r.e.cfg.ID && m.Incarnation <= started
+}
+
+// splitProcessName returns the entry id and the incarnation in a process name, or false if the name is malformed.
+func splitProcessName(name string) (id string, incarnation int64, ok bool) {
+	id, started := filter.SplitOwner(name)
+	at, err := time.Parse(time.RFC3339Nano, started)
+	return id, at.UnixMilli(), err == nil
 }
 
 // cluster implements job.Cluster.
@@ -93,19 +111,15 @@
 	return c.e.gossip.Members().Owned(c.e.cfg.ID)
 }
 
-// Alive implements job.Cluster: it reports whether this incarnation of the process is a member, not suspect and not
-// leaving.
+// Alive implements job.Cluster: it reports whether this process keeps its jobs. A leaving entry does not: their tasks
+// continue on the workers and are adopted by the next owner.
 func (c cluster) Alive(owner string) bool {
 	if owner == c.e.processName() {
 		return true
 	}
-	id, started := filter.SplitOwner(owner)
-	at, err := time.Parse(time.RFC3339Nano, started)
-	if err != nil {
-		return false
-	}
-	m, ok := c.e.gossip.Members().Member(id)
-	return ok && m.Status == membership.Alive && !m.Leaving && m.Incarnation == at.UnixMilli()
+	id, started, ok := splitProcessName(owner)
+	m, known := c.e.gossip.Members().Member(id)
+	return ok && known && m.Status == membership.Alive && !m.Leaving && m.Incarnation == started
 }
 
 // peers implements forward.Peers.
@@ -148,12 +162,7 @@
 
 // serveLocally runs the remaining filters for another pool that this entry owns itself.
 func (e *Entry) serveLocally(c *filter.Context, o filter.ForwardOptions) (*filter.Answer, error) {
-	r := *c.Request
-	r.Pool = o.Pool
-	local := &filter.Context{
-		Ctx: c.Ctx, Principal: c.Principal, Forwarded: true, Document: c.Document, Request: &r, Queue: c.Queue,
-		NoWait: o.NoWait, Attach: o.Attach, Log: c.Log,
-	}
+	local := c.ForPool(o)
 	e.local.Serve(local)
 	c.Sent = c.Sent || local.Sent
 	return local.Answer, local.Err
--- a/filter/filter.go
+++ b/filter/filter.go
@@ -68,12 +68,24 @@
 
 	// inFlight is the request's record in Deduplication, nil for idempotent and attached requests.
 	inFlight *inFlightCall
-	cleanup  []func()
+	// outstanding holds the forwards that were given up but whose answer may still arrive.
+	outstanding []*Outstanding
+	cleanup     []func()
 }
 
 // OnEnd registers f to run after all filters have seen the result. Functions run in reverse order of registration.
 func (c *Context) OnEnd(f func()) { c.cleanup = append(c.cleanup, f) }
 
+// ForPool returns the context of the request's submission to another pool that this entry owns itself.
+func (c *Context) ForPool(o ForwardOptions) *Context {
+	r := *c.Request
+	r.Pool = o.Pool
+	return &Context{
+		Ctx: c.Ctx, Principal: c.Principal, Forwarded: true, Document: c.Document, Request: &r, Queue: c.Queue,
+		NoWait: o.NoWait, Attach: o.Attach, Log: c.Log, inFlight: c.inFlight,
+	}
+}
+
 // Verdict returns the verdict on the execution of the request after the chain has ended.
 func (c *Context) Verdict() verdict.Verdict {
 	if c.Err != nil {
@@ -109,6 +121,7 @@
 	if c.Answer == nil && c.Err == nil {
 		c.Err = verdict.New(verdict.NotRun, http.StatusInternalServerError, "no filter answered the request")
 	}
+	c.settle()
 	c.Err = c.downgradeVerdict(c.Err)
 	for i := reached - 1; i >= 0; i-- {
 		ch[i].Response(c)
--- a/upkeep/store.go
+++ b/upkeep/store.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"samphirepoint/owner"
@@ -32,20 +34,35 @@
 		for _, i := range s.Instances {
 			b[i.Pool]++
 		}
-		value, err := json.Marshal(b)
-		if err != nil {
-			panic(err) // A map of counts always encodes.
-		}
-		key := c.key(keyBaseline)
-		if _, err := c.settings.Store.Transact(ctx, rows.Tx{Expected: []rows.Condition{c.claim(), {Key: key}}, Writes: []rows.Write{{Key: key, Value: value}}}); err != nil {
+		if err := c.storeBaseline(ctx, b); err != nil {
 			return err
 		}
-		c.baseline = b
 	}
 	s.Baseline = c.baseline
 	return nil
 }
 
+// storeBaseline stores the baseline unless there is one, and takes over the one that is in the store: an earlier attempt may have
+// succeeded although its response was lost.
+func (c *Controller) storeBaseline(ctx context.Context, b map[string]int) error {
+	value, err := json.Marshal(b)
+	if err != nil {
+		panic(err) // A map of counts always encodes.
+	}
+	key := c.key(keyBaseline)
+	_, err = c.settings.Store.Transact(ctx, rows.Tx{Expected: []rows.Condition{c.claim(), {Key: key}}, Writes: []rows.Write{{Key: key, Value: value}}})
+	var conflict *rows.Conflict
+	switch {
+	case err == nil:
+		c.baseline = b
+		return nil
+	case errors.As(err, &conflict) && !c.overtaken(err):
+		return json.Unmarshal(conflict.Find(key).Value, &c.baseline)
+	}
+	c.fenced = c.fenced || c.overtaken(err)
+	return err
+}
+
 func (c *Controller) claim() rows.Condition {
 	return owner.ClaimCondition(c.settings.Role, c.settings.ClaimVer)
 }
@@ -76,6 +93,7 @@
 		var rec OrderRecord
 		if json.Unmarshal(r.Value, &rec) == nil {
 			c.orders[r.Name] = rec
+			c.recordVers[r.Name] = r.Ver
 		}
 	}
 	return nil
@@ -97,32 +115,69 @@
 	return out, nil
 }
 
-// storeOrders writes the order records of the orders' instances on the condition that the claim stands. If it returns
-// false, none of the orders may be sent.
-func (c *Controller) storeOrders(orders []order) bool {
-	claim := c.claim()
-	for len(orders) > 0 {
-		n := min(len(orders), rows.MaxEntries/2)
-		tx := rows.Tx{Expected: []rows.Condition{claim}}
-		for _, o := range orders[:n] {
-			value, err := json.Marshal(c.orders[o.instance.ID])
+// conditions returns the condition that the owner's claim is still current.
+func (k consent) conditions() []rows.Condition {
+	if k.ver == 0 {
+		return nil
+	}
+	return []rows.Condition{owner.ClaimCondition(k.pool, k.ver)}
+}
+
+// storeRecords writes order records on the condition that the controller's claim is current, the given conditions hold and the
+// records are as they were last known, as the store may execute an earlier attempt late. After an error, some of the records may be
+// stored.
+func (c *Controller) storeRecords(records map[string]OrderRecord, conditions ...rows.Condition) error {
+	for chunk := range slices.Chunk(slices.Sorted(maps.Keys(records)), maxBatch) {
+		tx := rows.Tx{Expected: append([]rows.Condition{c.claim()}, conditions...), Across: len(conditions) > 0}
+		for _, id := range chunk {
+			value, err := json.Marshal(records[id])
 			if err != nil {
 				panic(err) // An OrderRecord always encodes.
 			}
-			tx.Writes = append(tx.Writes, rows.Write{Key: c.key(o.instance.ID), Value: value})
+			tx.Expected = append(tx.Expected, rows.Condition{Key: c.key(id), Ver: c.recordVer(id)})
+			tx.Writes = append(tx.Writes, rows.Write{Key: c.key(id), Value: value})
 		}
 		ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
-		_, err := c.settings.Store.Transact(ctx, tx)
+		ver, err := c.settings.Store.Transact(ctx, tx)
 		cancel()
-		var conflict *rows.Conflict
-		if errors.As(err, &conflict) {
-			c.fenced = true
-		}
+		c.learnVersions(chunk, ver, err)
 		if err != nil {
-			c.settings.Log.Warn().Err(err).Msg("cannot store the order records")
-			return false
+			return err
+		}
+	}
+	return nil
+}
+
+// recordVer returns the last known version of an instance's order record, or 0 if it has none.
+func (c *Controller) recordVer(id string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.recordVers[id]
+}
+
+// learnVersions updates the versions of order records from the outcome of a transaction. After one without a response they are
+// out of date if it was executed; the conflict of the next one returns them.
+func (c *Controller) learnVersions(ids []string, ver int64, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var conflict *rows.Conflict
+	for _, id := range ids {
+		switch {
+		case err == nil:
+			c.recordVers[id] = ver
+		case errors.As(err, &conflict):
+			c.recordVers[id] = conflict.Find(c.key(id)).Ver
 		}
-		orders = orders[n:]
 	}
-	return true
+}
+
+func isConflict(err error) bool {
+	var conflict *rows.Conflict
+	return errors.As(err, &conflict)
+}
+
+// overtaken reports whether the error shows that another controller has claimed the role.
+func (c *Controller) overtaken(err error) bool {
+	var conflict *rows.Conflict
+	return errors.As(err, &conflict) && conflict.Find(c.claim().Key).Ver != c.settings.ClaimVer
 }
