Renew leases before unanswered starts are sent again, also while backed up

A backed-up owner delayed the next renewal by up to 400 ms, but sends a start without an answer again after 250 ms, before it knows of the end. A worker rejects such a start, as its run number is not above that of an ended run.

Change: the delay is at most 150 ms, which a test compares with the engine's OrderRetryDelay.

--- a/owner/pace.go
+++ b/owner/pace.go
@@ -17,7 +17,9 @@
 	maxTimeoutFactor = 3
 	// maxRenewalDelay bounds the delay between an answer and the next renewal of a backed-up owner. With the wait of a renewal at
 	// the worker, the worker is still asked more often than the engine's SuspectAfter and its lease requires.
-	maxRenewalDelay = 400 * time.Millisecond
+	// It is also below the engine's OrderRetryDelay, after which a start without an answer is sent again although its run may have
+	// ended meanwhile.
+	maxRenewalDelay = 150 * time.Millisecond
 	// renewalDelayFactor times the delay of the event loop is the delay between an answer and the next renewal.
 	renewalDelayFactor = 4
 	// placeCostFactor times the duration of a placement is the least time until the next one, so that placements take at most a
--- a/owner/pace_test.go
+++ b/owner/pace_test.go
@@ -175,8 +175,9 @@
 func TestRenewalsSlowDownWhileBackedUp(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(renewalDelay(0)).To(Equal(endBatchDelay))
-	g.Expect(renewalDelay(50 * time.Millisecond)).To(Equal(200 * time.Millisecond))
+	g.Expect(renewalDelay(25 * time.Millisecond)).To(Equal(100 * time.Millisecond))
 	g.Expect(renewalDelay(time.Minute)).To(Equal(maxRenewalDelay))
+	g.Expect(maxRenewalDelay).To(BeNumerically("<", engine.DefaultOptions().OrderRetryDelay), "an end is known before its start is sent again")
 	g.Expect(renewalWait + maxRenewalDelay + renewalResponseTimeout).To(BeNumerically("<", engine.DefaultOptions().SuspectAfter))
 }
 
