--- a/engine/job.go
+++ b/engine/job.go
@@ -38,9 +38,7 @@
 	index    int
 	steps    []*stepState
 	finished bool
-	// begun is set once a task of the occurrence has been started.
-	begun bool
-	dueMS int64
+	dueMS    int64
 }
 
 type stepState struct {
--- a/engine/place.go
+++ b/engine/place.go
@@ -18,11 +18,8 @@
 	step        *stepState
 	longRunning bool
 	priority    int
-	urgency     urgency
+	late        bool
 	deadline    time.Duration
-	// slack is the time by which the job can still be delayed, whole what that was when the job was due.
-	slack, whole time.Duration
-	begun        bool
 }
 
 // Place decides which tasks start where, and records the decisions in the jobs.
@@ -88,7 +85,7 @@
 }
 
 // candidates returns the steps with tasks to start in scheduling order: long-running tasks, then jobs that can still
-// meet their objective, then the others; each group is ordered by priority, urgency, deadline and arrival.
+// meet their objective, then the others; each group is ordered by priority, deadline and arrival.
 func (p *Pool) candidates(c Clock) []candidate {
 	out := p.candidateBuffer[:0]
 	for _, j := range p.openJobs {
@@ -96,7 +93,6 @@
 			out = p.addCandidates(out, o, c)
 		}
 	}
-	p.rankCandidates(out)
 	slices.SortStableFunc(out, compareCandidates)
 	p.candidateBuffer = out
 	return out
@@ -105,45 +101,38 @@
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(rankTrueFirst(a.longRunning), rankTrueFirst(b.longRunning)),
-		cmp.Compare(rankTrueFirst(a.urgency != urgencyLate), rankTrueFirst(b.urgency != urgencyLate)),
+		cmp.Compare(rankTrueFirst(!a.late), rankTrueFirst(!b.late)),
 		cmp.Compare(a.priority, b.priority),
-		cmp.Compare(a.urgency, b.urgency),
 		cmp.Compare(a.deadline, b.deadline),
 	)
 }
 
 func (p *Pool) addCandidates(out []candidate, o *occurrence, c Clock) []candidate {
+	var deadline time.Duration
 	q := p.queues[o.job.Spec.Queue]
-	first := len(out)
+	known := false
 	for _, st := range o.steps {
-		if !st.complete() && st.dependenciesDone() && st.hasPending(c.Now) {
-			out = append(out, candidate{step: st, longRunning: st.spec.LongRunning && !st.spec.BestEffort, priority: q.Priority, begun: o.begun})
+		if st.complete() || !st.dependenciesDone() || !st.hasPending(c.Now) {
+			continue
 		}
-	}
-	if len(out) == first {
-		return out
-	}
-	deadline := p.deadline(o, q, c)
-	slack, whole := deadline-c.Now-p.remainingCriticalPath(o), p.objective(o, q)-o.job.criticalPath
-	for i := range out[first:] {
-		cd := &out[first+i]
-		cd.deadline, cd.slack, cd.whole = deadline, slack, whole
+		if !known {
+			known = true
+			deadline = p.deadline(o, q, c)
+		}
+		late := !st.spec.LongRunning && c.Now+p.remainingCriticalPath(o) > deadline
+		out = append(out, candidate{step: st, longRunning: st.spec.LongRunning && !st.spec.BestEffort, priority: q.Priority, late: late, deadline: deadline})
 	}
 	return out
 }
 
 // deadline returns when the occurrence's objective expires, on the monotonic clock.
 func (p *Pool) deadline(o *occurrence, q Queue, c Clock) time.Duration {
-	age := time.Duration(c.Wall-o.dueMS) * time.Millisecond
-	return c.Now - age + p.objective(o, q)
-}
-
-// objective returns the time in which the occurrence should end.
-func (p *Pool) objective(o *occurrence, q Queue) time.Duration {
 	if o.job.criticalPath == 0 {
 		o.job.criticalPath = p.remainingCriticalPath(o)
 	}
-	return time.Duration(q.Stretch*float64(o.job.criticalPath)) + time.Duration(q.TargetMS)*time.Millisecond
+	age := time.Duration(c.Wall-o.dueMS) * time.Millisecond
+	whole := time.Duration(q.Stretch*float64(o.job.criticalPath)) + time.Duration(q.TargetMS)*time.Millisecond
+	return c.Now - age + whole
 }
 
 func (t *Task) pending(now time.Duration) bool {
@@ -217,7 +206,6 @@
 // start creates a run; its order is sent once the job is in the store.
 func (p *Pool) start(t *Task, w *Worker, run int64, c Clock) {
 	t.lastRun = run
-	t.step.occ.begun = true
 	r := &Run{Task: t, Num: run, Worker: w, incarnation: w.incarnation, phase: phaseDecided, throttlePercent: 100, throttleConfirmed: true, startedAt: c.Now}
 	if tk, ok := t.step.tickets[w.ID]; ok {
 		r.ticket = tk.code
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -158,7 +158,6 @@
 		return
 	}
 	t.lastRun, t.failures, t.checkpoint = tr.LastRun, tr.Failures, tr.Checkpoint
-	t.step.occ.begun = t.step.occ.begun || t.lastRun > 0
 	if tr.Done {
 		t.markDone()
 	}
