Divide large pools into shards with owners of their own

Cause: one daemon owned a whole pool, whatever its size. On the large deployment pools of 195 to 266 workers were each served by one machine of 0.8 cores, while 140 others did next to nothing: 95 of 100 jobs started within 3,960 ms of their submission with processor time counted and 304 ms without.

Change: package shard. A pool has a number of shards, chosen once by the fleet controller from the number of its workers and the cores of the members, and stored. Each shard is a part of the store with a claim, an owner and an engine. A job belongs to the shard that its ID determines; a worker is assigned to the shard with the fewest workers of its kind when it joins the pool, by a row that never changes. Calls for a job go to its shard, counts and reports are added up. A pool that was owned as a whole stays whole. The mover releases instances of the fullest shard first.

--- a/cluster/claim.go
+++ b/cluster/claim.go
@@ -20,7 +20,7 @@
 		return
 	}
 	alive := WithoutIsolated(n.Alive())
-	for pool, node := range Assign(alive, append(cat.NonSparePools(), FleetControllerRole), false) {
+	for pool, node := range Assign(alive, append(n.layout.Load().Names(cat.NonSparePools()...), FleetControllerRole), false) {
 		if node == n.settings.Name && n.mayClaim(pool) {
 			n.claimPool(ctx, pool)
 		}
@@ -130,13 +130,10 @@
 		WorkersWithOpenOrders: n.settings.WorkersWithOpenOrders, Options: n.settings.Options, Log: n.settings.Log, Now: n.settings.Now,
 	})
 	n.runTerm(pool, o, o)
-	n.mu.Lock()
-	list := n.roster[pool]
-	n.mu.Unlock()
 	if cat := n.catalog.Load(); cat != nil {
-		o.SetQueues(cat.QueuesOf(pool))
+		o.SetQueues(cat.QueuesOf(n.layout.Load().PoolOf(pool)))
 	}
-	if list != nil {
+	if list, ok := n.workersOf(pool); ok && list != nil {
 		o.SetRoster(list)
 	}
 	n.announce(ctx, pool, token)
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -2,37 +2,55 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"samphirepoint/engine"
 	"samphirepoint/owner"
+	"samphirepoint/shard"
 	"samphirepoint/verdict"
 )
 
-// Report requests a pool's state from its owner.
+// Report requests the state of a pool, or of one of its shards, from the owners. It fails if any of them doesn't answer.
 func (n *Node) Report(ctx context.Context, pool string) (engine.PoolReport, error) {
-	res, err := n.attempt(ctx, Call{Op: OpReport, Pool: pool})
+	results, err := n.attemptAll(ctx, Call{Op: OpReport, Pool: pool})
 	if err != nil {
 		return engine.PoolReport{}, err
 	}
-	if res.Report == nil {
-		return engine.PoolReport{}, verdict.New(verdict.NotRun, 502, "pool %s: the owner's response has no report", pool)
+	var out engine.PoolReport
+	for _, res := range results {
+		if res.Report == nil {
+			return engine.PoolReport{}, verdict.New(verdict.NotRun, http.StatusBadGateway, "pool %s: an owner's response has no report", pool)
+		}
+		out.Add(*res.Report)
 	}
-	return *res.Report, nil
+	return out, nil
 }
 
-// Cordon asks a pool's owner to keep new work off a worker for the given duration; 0 removes the cordon.
+// Cordon asks a worker's owner to keep new work off a worker for the given duration; 0 removes the cordon.
 func (n *Node) Cordon(ctx context.Context, pool, worker string, length time.Duration) (owner.CordonAnswer, error) {
-	res, err := n.attempt(ctx, Call{Op: OpCordon, Pool: pool, Worker: worker, DurationMS: length.Milliseconds()})
-	return owner.CordonAnswer{Empty: res.Empty, Known: res.Known, ClaimVer: res.ClaimVer}, err
+	res, err := n.attemptAtShard(ctx, Call{Op: OpCordon, Pool: pool, Worker: worker, DurationMS: length.Milliseconds()})
+	return owner.CordonAnswer{Empty: res.Empty, Known: res.Known, ClaimVer: res.ClaimVer, Part: res.ClaimPart}, err
 }
 
-// WorkerTerminated notifies a pool's owner that a worker has terminated.
+// WorkerTerminated notifies a worker's owner that the worker has terminated.
 func (n *Node) WorkerTerminated(ctx context.Context, pool, worker string) error {
-	_, err := n.attempt(ctx, Call{Op: OpWorkerTerminated, Pool: pool, Worker: worker})
+	layout := n.layout.Load()
+	if _, assigned := n.assignments.Of(layout, pool, worker); !assigned && n.assignments.Known(layout, pool) {
+		return nil // No owner has heard of it.
+	}
+	_, err := n.attemptAtShard(ctx, Call{Op: OpWorkerTerminated, Pool: pool, Worker: worker})
 	return err
 }
 
+// Layout returns the shards of the pools, as far as this daemon knows them.
+func (n *Node) Layout() *shard.Layout { return n.layout.Load() }
+
+// ShardOf returns the shard of a worker, and false if that isn't known.
+func (n *Node) ShardOf(pool, worker string) (string, bool) {
+	return n.assignments.Of(n.layout.Load(), pool, worker)
+}
+
 // Pools returns the pools of the configuration in force, with the value true for spare pools.
 func (n *Node) Pools() map[string]bool {
 	out := map[string]bool{}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -18,6 +18,7 @@
 	"samphirepoint/network"
 	"samphirepoint/owner"
 	"samphirepoint/rows"
+	"samphirepoint/shard"
 )
 
 // TableMembers holds one row per daemon, distributed over memberParts parts: a slow store executes the writes of a part one at
@@ -108,15 +109,23 @@
 type Node struct {
 	settings Settings
 	catalog  atomic.Pointer[catalog.Catalog]
-	leaving  atomic.Bool
-	peers    *peerClient
+	// layout has the shards of the pools, as far as this daemon has read them; assignments has those of the workers.
+	layout      atomic.Pointer[shard.Layout]
+	assignments *shard.Assignments
+	// rosterMu is held while a list of workers is passed to the owners.
+	rosterMu sync.Mutex
+	// unassignedSince is when this daemon first found each worker that has no shard, unlistedSince when it first missed each worker
+	// that has one. Only FollowRoster uses them.
+	unassignedSince, unlistedSince map[string]time.Duration
+	leaving                        atomic.Bool
+	peers                          *peerClient
 
 	// claims makes concurrent requests to claim a pool share one attempt.
 	claims singleflight.Group
 
 	mu   sync.Mutex
 	view *View
-	// owned holds all terms of this daemon, by name; pools holds those of pools only.
+	// owned holds all terms of this daemon, by name; pools holds those of shards of pools only.
 	owned         map[string]Term
 	pools         map[string]*owner.Owner
 	claimAttempts map[string]time.Duration
@@ -126,12 +135,14 @@
 	// heartbeatLatency is the latency of the last heartbeat write.
 	heartbeatLatency time.Duration
 	// excessSince is when this daemon began to own too many pools, or 0. Only the goroutine of Run uses it.
-	excessSince      time.Duration
-	lastStoreContact time.Duration
-	roster           map[string][]engine.WorkerInfo
-	wakeHeartbeat    chan struct{}
-	wakeReconcile    chan struct{}
-	createdAt        time.Duration
+	excessSince time.Duration
+	// layoutMissingSince is when this daemon first found each pool that has no shards yet. Only the goroutine of Run uses it.
+	layoutMissingSince map[string]time.Duration
+	lastStoreContact   time.Duration
+	roster             map[string][]engine.WorkerInfo
+	wakeHeartbeat      chan struct{}
+	wakeReconcile      chan struct{}
+	createdAt          time.Duration
 	// declined holds when each daemon last failed to claim a pool that was transferred to it; transferring is set while pools
 	// are being transferred because the store does not serve this daemon.
 	declined     map[string]time.Duration
@@ -147,6 +158,7 @@
 	return &Node{
 		settings: s, view: NewView(s.Name, deadAfter), owned: map[string]Term{}, pools: map[string]*owner.Owner{}, claimAttempts: map[string]time.Duration{},
 		wakeHeartbeat: make(chan struct{}, 1), wakeReconcile: make(chan struct{}, 1), peers: newPeerClient(s.Network), createdAt: s.Now(), unreachable: map[string]time.Duration{}, declined: map[string]time.Duration{},
+		layoutMissingSince: map[string]time.Duration{}, assignments: &shard.Assignments{Store: s.Store}, unassignedSince: map[string]time.Duration{}, unlistedSince: map[string]time.Duration{},
 	}
 }
 
@@ -161,8 +173,8 @@
 	n.mu.Lock()
 	pools := maps.Clone(n.pools)
 	n.mu.Unlock()
-	for pool, o := range pools {
-		o.SetQueues(c.QueuesOf(pool))
+	for name, o := range pools {
+		o.SetQueues(c.QueuesOf(n.layout.Load().PoolOf(name)))
 	}
 	n.Wake()
 }
@@ -246,6 +258,7 @@
 		return
 	}
 	n.confirmStale(ctx)
+	n.readLayout(ctx)
 	n.claimPools(ctx)
 	n.rebalance(ctx)
 	n.removeDeadMembers(ctx)
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -22,7 +22,8 @@
 	noOwnerRetryAfter = time.Second
 )
 
-// Call is a request concerning a pool, in the form in which daemons forward it to each other.
+// Call is a request concerning a pool, in the form in which daemons forward it to each other. Pool is the name of the pool in a call
+// from outside the cluster, and that of the shard between daemons.
 type Call struct {
 	Op         string       `json:"op"`
 	Pool       string       `json:"pool"`
@@ -44,8 +45,9 @@
 	State   engine.State `json:"state,omitempty"`
 	Waiting int          `json:"waiting,omitempty"`
 	Empty   bool         `json:"empty,omitempty"`
-	// ClaimVer is the version of the claim of the owner that answers a cordon.
-	ClaimVer int64 `json:"claimVer,omitempty"`
+	// ClaimVer is the version of the claim of the owner that answers a cordon, ClaimPart the shard that it owns.
+	ClaimVer  int64  `json:"claimVer,omitempty"`
+	ClaimPart string `json:"claimPart,omitempty"`
 
 	Report *engine.PoolReport `json:"report,omitempty"`
 	Job    *engine.JobReport  `json:"job,omitempty"`
@@ -77,7 +79,7 @@
 	uncertain := false
 	for {
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		res, err := n.attempt(attempt, call)
+		res, err := n.attemptAtShard(attempt, call)
 		cancel()
 		if err == nil {
 			return res, nil
@@ -104,7 +106,7 @@
 	return verdict.Is(err, verdict.NotRun) && verdict.Status(err) == http.StatusMisdirectedRequest
 }
 
-// attempt makes one attempt to execute a call at the pool's owner.
+// attempt makes one attempt to execute a call at the owner of a shard.
 func (n *Node) attempt(ctx context.Context, call Call) (Result, error) {
 	n.mu.Lock()
 	local := n.pools[call.Pool]
@@ -205,7 +207,7 @@
 	case OpCordon:
 		var a owner.CordonAnswer
 		a, err = o.Cordon(ctx, call.Worker, time.Duration(call.DurationMS)*time.Millisecond)
-		res.Empty, res.Known, res.ClaimVer = a.Empty, a.Known, a.ClaimVer
+		res.Empty, res.Known, res.ClaimVer, res.ClaimPart = a.Empty, a.Known, a.ClaimVer, a.Part
 	case OpWorkerTerminated:
 		err = o.WorkerTerminated(ctx, call.Worker)
 	case OpReport:
--- a/cluster/requests_test.go
+++ b/cluster/requests_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"samphirepoint/shard"
 	"samphirepoint/verdict"
 )
 
@@ -37,6 +38,7 @@
 	b := member("b", 1, "pumps")
 	b.Address = strings.TrimPrefix(owner.URL, "http://")
 	n.view.Observe([]Member{member("a", 1), b}, true, now)
+	n.layout.Store(shard.NewLayout(map[string]int{"pumps": 1}))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	res, err := n.Execute(ctx, Call{Op: OpSubmit, Pool: "pumps"})
--- a/cluster/simulation_test.go
+++ b/cluster/simulation_test.go
@@ -14,6 +14,7 @@
 
 	"samphirepoint/catalog"
 	"samphirepoint/engine"
+	"samphirepoint/shard"
 	"samphirepoint/standin/memnet"
 	"samphirepoint/upkeep"
 )
@@ -21,6 +22,8 @@
 const (
 	simSeeds   = 12
 	simDaemons = 4
+	// simMaxShards is the greatest number of shards of a pool; the seeds have 1 up to this number.
+	simMaxShards = 3
 	// simFaultTime is the time with jobs and faults, simCalmTime the time after it in which all jobs must end.
 	simFaultTime = 30 * time.Second
 	simCalmTime  = 14 * time.Second
@@ -46,6 +49,9 @@
 	c := &catalog.Catalog{Version: 1}
 	for _, pool := range simPools {
 		c.Pools = append(c.Pools, catalog.Pool{Name: pool})
+		if err := shard.Create(ctx, x.store, pool, 1+int(seed%simMaxShards)); err != nil {
+			t.Fatal(err)
+		}
 		c.Queues = append(c.Queues, catalog.Queue{Queue: engine.Queue{Name: "q-" + pool, Attempts: 9, Stretch: 2, TargetMS: 600}, Pool: pool})
 	}
 	c.Index()
@@ -138,7 +144,8 @@
 func (x *clusterSimulation) injectFaults() {
 	for time.Since(x.began) < simFaultTime {
 		time.Sleep(time.Duration(x.intN(int(2 * simFaultInterval))))
-		pool := append([]string{FleetControllerRole}, simPools...)[x.intN(1+len(simPools))]
+		parts := append([]string{FleetControllerRole}, x.nodes[0].Layout().Names(simPools...)...)
+		pool := parts[x.intN(len(parts))]
 		from, ok := Owner(x.nodes[0].Alive(), pool)
 		to := x.nodes[x.intN(len(x.nodes))]
 		if !ok {
--- a/cluster/status.go
+++ b/cluster/status.go
@@ -10,19 +10,19 @@
 	"samphirepoint/engine"
 )
 
-// Ownership is a pool, or the fleet controller role, with the daemon that owns it.
+// Ownership is a shard of a pool, or the fleet controller role, with the daemon that owns it.
 type Ownership struct {
 	Pool  string `json:"pool"`
 	Node  string `json:"node,omitempty"`
 	Token int64  `json:"token,omitempty"`
 }
 
-// Owners returns the pools of the configuration and the fleet controller role, with their owners as this daemon sees them.
+// Owners returns the shards of the pools of the configuration and the fleet controller role, with their owners as this daemon sees them.
 func (n *Node) Owners() []Ownership {
 	alive := n.Alive()
 	names := []string{FleetControllerRole}
 	if c := n.catalog.Load(); c != nil {
-		names = append(names, c.NonSparePools()...)
+		names = append(names, n.layout.Load().Names(c.NonSparePools()...)...)
 	}
 	slices.Sort(names)
 	var out []Ownership
@@ -36,7 +36,7 @@
 	return out
 }
 
-// Explain asks the owners of all pools about a job, as its ID doesn't identify its pool. It returns the pool that has the job.
+// Explain asks the owners of all shards about a job, as its ID doesn't identify its pool. It returns the pool that has the job.
 func (n *Node) Explain(ctx context.Context, id string) (pool string, job engine.JobReport, known bool, err error) {
 	c := n.catalog.Load()
 	if c == nil {
@@ -44,12 +44,13 @@
 	}
 	var mu sync.Mutex
 	var g errgroup.Group
-	for _, name := range c.NonSparePools() {
+	layout := n.layout.Load()
+	for _, name := range layout.Names(c.NonSparePools()...) {
 		g.Go(func() error {
 			res, err := n.attempt(ctx, Call{Op: OpExplain, Pool: name, ID: id})
 			if err == nil && res.Known && res.Job != nil {
 				mu.Lock()
-				pool, job, known = name, *res.Job, true
+				pool, job, known = layout.PoolOf(name), *res.Job, true
 				mu.Unlock()
 			}
 			return err
--- a/engine/report.go
+++ b/engine/report.go
@@ -65,6 +65,29 @@
 	return r
 }
 
+// Add adds the report of another shard of the pool.
+func (r *PoolReport) Add(other PoolReport) {
+	r.Workers = append(r.Workers, other.Workers...)
+	r.CapacityCPU += other.CapacityCPU
+	r.UsedCPU += other.UsedCPU
+	r.LongRunningCPU += other.LongRunningCPU
+	r.PendingCPU += other.PendingCPU
+	r.ArrivalCPU += other.ArrivalCPU
+	r.LongRunningPending = r.LongRunningPending || other.LongRunningPending
+	r.Kinds = addCPU(r.Kinds, other.Kinds)
+	r.UnschedulableKinds = addCPU(r.UnschedulableKinds, other.UnschedulableKinds)
+}
+
+func addCPU(to, from map[string]int64) map[string]int64 {
+	if to == nil {
+		to = map[string]int64{}
+	}
+	for kind, cpu := range from {
+		to[kind] += cpu
+	}
+	return to
+}
+
 func (p *Pool) reportPending(r *PoolReport, c Clock) {
 	workers := p.usableWorkers(c)
 	for _, cd := range p.candidates(c) {
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -178,11 +178,23 @@
 }
 
 // rack returns the worker's rack, which is its last label.
-func (w *Worker) rack() string {
-	if len(w.info.Labels) == 0 {
+func (w *Worker) rack() string { return w.info.Rack() }
+
+// Rack returns the rack of the worker: its last label.
+func (w *WorkerInfo) Rack() string {
+	if len(w.Labels) == 0 {
 		return ""
 	}
-	return w.info.Labels[len(w.info.Labels)-1]
+	return w.Labels[len(w.Labels)-1]
+}
+
+// Kind identifies the workers that may run the same tasks: the worker's labels without its rack, and whether it has GPUs.
+func (w *WorkerInfo) Kind() string {
+	kind := strings.Join(w.Labels[:max(len(w.Labels)-1, 0)], ",")
+	if w.Capacity.GPU > 0 {
+		kind += "," + KindGPU
+	}
+	return kind
 }
 
 // hasLabel reports whether the worker has the label; "" stands for no requirement.
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -176,12 +176,14 @@
 	// ClaimVer is the version of the claim under which the owner answers. Once that claim is not current, the answer says nothing:
 	// a successor doesn't know of the cordon, and may have started work on the worker.
 	ClaimVer int64
+	// Part is the part of the store that the claim is for.
+	Part string
 }
 
 // Cordon keeps new work off a worker for the given duration. A duration of 0 or less removes the cordon. Once ctx has ended, the
 // request has no effect: the caller may rely on a later one.
 func (o *Owner) Cordon(ctx context.Context, worker string, length time.Duration) (CordonAnswer, error) {
-	a := CordonAnswer{ClaimVer: o.settings.ClaimVer}
+	a := CordonAnswer{ClaimVer: o.settings.ClaimVer, Part: o.settings.Pool}
 	err := o.WithState(ctx, func(p *engine.Pool, c engine.Clock) {
 		if ctx.Err() != nil {
 			return
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -12,6 +12,7 @@
 	"samphirepoint/engine"
 	"samphirepoint/owner"
 	"samphirepoint/rows"
+	"samphirepoint/shard"
 	"samphirepoint/sleep"
 )
 
@@ -43,6 +44,12 @@
 	WorkerTerminated(ctx context.Context, pool, worker string) error
 	// Pools returns all pools by name; the value is true for spare pools.
 	Pools() map[string]bool
+	// CreateShards chooses the number of shards of the pools that have none yet.
+	CreateShards(ctx context.Context, sizes map[string]shard.Size)
+	// Layout returns the shards of the pools.
+	Layout() *shard.Layout
+	// ShardOf returns the shard of a worker, and false if that isn't known.
+	ShardOf(pool, worker string) (string, bool)
 }
 
 // Waves provides the waves that operators have requested.
@@ -200,6 +207,8 @@
 	if err := c.initBaseline(ctx, s); err != nil {
 		return nil, err
 	}
+	c.settings.Pools.CreateShards(ctx, s.sizes())
+	s.layout, s.shardOf = c.settings.Pools.Layout(), c.settings.Pools.ShardOf
 	var mu sync.Mutex
 	var g errgroup.Group
 	for pool, spare := range c.settings.Pools.Pools() {
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -25,7 +25,7 @@
 	// minObservation is how long a pool is observed before its instances are moved.
 	minObservation = time.Second
 	// offPeakMargin is the ratio of capacity to use that an off-peak pool keeps, and offPeakExtra the number of instances
-	// that it keeps in addition.
+	// that each of its shards keeps in addition.
 	offPeakMargin = 1.5
 	offPeakExtra  = 1
 	// scaleDownDelay is how long a pool must have had surplus instances before it is scaled down.
@@ -189,7 +189,8 @@
 		if !peak {
 			n.minimum = min(n.desired, ceilDiv(donorShare*float64(n.desired), 1))
 		}
-		n.empty, n.busy = s.releasable(pool, r)
+		empty, busy := s.releasable(pool, r)
+		n.empty, n.busy = s.byFullestShard(pool, empty), s.byFullestShard(pool, busy)
 		out = append(out, n)
 	}
 	slices.SortFunc(out, func(a, b poolSize) int {
@@ -232,7 +233,7 @@
 		}
 		return max(s.Baseline[pool], ceilDiv(load+float64(r.LongRunningCPU), instanceCPU))
 	case f.OffPeak(pool, s.Now):
-		return max(countLongRunningHosts(r), min(s.Baseline[pool], ceilDiv(max(d.rate, used)*offPeakMargin+float64(r.LongRunningCPU), instanceCPU)+offPeakExtra))
+		return max(countLongRunningHosts(r), min(s.Baseline[pool], ceilDiv(max(d.rate, used)*offPeakMargin+float64(r.LongRunningCPU), instanceCPU)+offPeakExtra*max(s.layout.Count(pool), 1)))
 	case used > float64(r.CapacityCPU):
 		return max(s.Baseline[pool], ceilDiv(used+float64(r.LongRunningCPU), instanceCPU))
 	}
--- a/upkeep/orders.go
+++ b/upkeep/orders.go
@@ -19,16 +19,18 @@
 	instance   Instance
 	wave       int64
 	targetPool string
-	// claimVer is the version of the claim under which the pool's owner has reported the worker as empty, cordonedAt the time
-	// at which it was asked. Both are 0 for an instance that needs no owner's consent.
+	// claimVer is the version of the claim under which the worker's owner has reported it as empty, claimPart the part of the store
+	// that the claim is for, cordonedAt the time at which the owner was asked. All are empty for an instance that needs no owner's
+	// consent.
 	claimVer   int64
+	claimPart  string
 	cordonedAt time.Duration
 }
 
-// consent identifies the claim of a pool's owner under which a worker was reported as empty. It is zero for orders that need no
+// consent identifies the claim of an owner under which a worker was reported as empty. It is zero for orders that need no
 // owner's consent.
 type consent struct {
-	pool string
+	part string
 	ver  int64
 }
 
@@ -36,7 +38,7 @@
 	if o.claimVer == 0 {
 		return consent{}
 	}
-	return consent{pool: o.instance.Pool, ver: o.claimVer}
+	return consent{part: o.claimPart, ver: o.claimVer}
 }
 
 // uncordon ends the cordons of instances for which no order is due any more.
@@ -74,7 +76,7 @@
 		g.Go(func() error {
 			o.cordonedAt = c.settings.Now()
 			a, err := c.settings.Pools.Cordon(ctx, o.instance.Pool, o.instance.Worker, cordonTTL)
-			o.claimVer = a.ClaimVer
+			o.claimVer, o.claimPart = a.ClaimVer, a.Part
 			if err == nil && a.Known && a.Empty && a.ClaimVer != 0 {
 				mu.Lock()
 				out = append(out, o)
@@ -194,7 +196,7 @@
 // order that may be stored counts as open, so that it is stored again until the outcome is known.
 func (c *Controller) recordOpen(b *batch) []order {
 	if b.err != nil {
-		c.settings.Log.Warn().Str("pool", b.consent.pool).Int64("claimVer", b.consent.ver).Int("orders", len(b.orders)).Err(b.err).Msg("cannot store orders for instances; not sent")
+		c.settings.Log.Warn().Str("pool", b.consent.part).Int64("claimVer", b.consent.ver).Int("orders", len(b.orders)).Err(b.err).Msg("cannot store orders for instances; not sent")
 		c.fenced = c.fenced || c.overtaken(b.err)
 		if isConflict(b.err) || verdict.Is(b.err, verdict.NotRun) {
 			return nil
--- a/upkeep/orders_test.go
+++ b/upkeep/orders_test.go
@@ -15,6 +15,7 @@
 	"samphirepoint/owner"
 	"samphirepoint/rows"
 	"samphirepoint/rows/memrows"
+	"samphirepoint/shard"
 	"samphirepoint/verdict"
 )
 
@@ -28,7 +29,7 @@
 }
 
 func (p *testPools) Cordon(_ context.Context, pool, _ string, _ time.Duration) (owner.CordonAnswer, error) {
-	a := owner.CordonAnswer{Empty: true, Known: true, ClaimVer: p.claims[pool]}
+	a := owner.CordonAnswer{Empty: true, Known: true, ClaimVer: p.claims[pool], Part: pool}
 	if p.afterCordon != nil {
 		p.afterCordon(pool)
 	}
@@ -38,6 +39,9 @@
 func (p *testPools) Report(context.Context, string) (engine.PoolReport, error) {
 	return engine.PoolReport{}, nil
 }
+func (p *testPools) CreateShards(context.Context, map[string]shard.Size)    {}
+func (p *testPools) Layout() *shard.Layout                                  { return nil }
+func (p *testPools) ShardOf(pool, _ string) (string, bool)                  { return pool, true }
 func (p *testPools) WorkerTerminated(context.Context, string, string) error { return nil }
 func (p *testPools) Pools() map[string]bool                                 { return map[string]bool{"pumps": false, "routes": false} }
 
--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"samphirepoint/engine"
+	"samphirepoint/shard"
 )
 
 // States of an instance in the platform's list.
@@ -69,6 +70,9 @@
 	// Baseline is how many instances each pool had before any was moved.
 	Baseline map[string]int
 
+	// layout has the shards of the pools, shardOf that of a pool's worker.
+	layout  *shard.Layout
+	shardOf func(pool, worker string) (string, bool)
 	// coolingDown holds the instances that did not drain in time and take work again for a while.
 	coolingDown map[string]bool
 	// starting holds the instances that are down and are expected to be up soon without an order.
--- a/upkeep/store.go
+++ b/upkeep/store.go
@@ -120,7 +120,7 @@
 	if k.ver == 0 {
 		return nil
 	}
-	return []rows.Condition{owner.ClaimCondition(k.pool, k.ver)}
+	return []rows.Condition{owner.ClaimCondition(k.part, k.ver)}
 }
 
 // storeRecords writes order records on the condition that the controller's claim is current, the given conditions hold and the
