Answer at the deadline without waiting for the record of the outcome

Cause: the filter that records the outcome of a claim delayed each reply by up to RecordTimeout, one second, also when the deadline had passed. With a table that doesn't answer, the reply leaves a second after the deadline, when the caller has gone.

Change: the wait ends at the request's deadline. The record is written in the background as before.

Evidence: TestAnswerAtTheDeadlineDoesNotWaitForTheTable failed before (answer after 1.30 s at a deadline of 0.3 s) and passes now; filter and claim pass.

--- a/claim/store.go
+++ b/claim/store.go
@@ -221,6 +221,14 @@
 	return s.recordOutcome(c, Done, o, RecordTimeout)
 }
 
+// FinishBy records the outcome of a claim as Finish does, but returns at the given deadline of the reply at the latest.
+func (s *Store) FinishBy(c *Claim, o Outcome, deadline time.Time) (recorded bool) {
+	return s.recordOutcome(c, Done, o, waitUntil(deadline))
+}
+
+// waitUntil returns how long a reply with the given deadline may wait for its outcome to be recorded.
+func waitUntil(deadline time.Time) time.Duration { return min(time.Until(deadline), RecordTimeout) }
+
 // Flush waits until no record or release is in progress, or ctx ends.
 func (s *Store) Flush(ctx context.Context) {
 	for len(s.background) > 0 && sleep.Context(ctx, flushPollInterval) == nil {
@@ -236,6 +244,11 @@
 	return s.recordOutcome(c, Released, Outcome{}, RecordTimeout)
 }
 
+// ReleaseBy makes the key available again as Release does, but returns at the given deadline of the reply at the latest.
+func (s *Store) ReleaseBy(c *Claim, deadline time.Time) (recorded bool) {
+	return s.recordOutcome(c, Released, Outcome{}, waitUntil(deadline))
+}
+
 // releaseInBackground releases a claim whose write may have taken effect, without waiting for the release.
 func (s *Store) releaseInBackground(c *Claim) { s.recordOutcome(c, Released, Outcome{}, 0) }
 
--- a/filter/claims.go
+++ b/filter/claims.go
@@ -122,12 +122,12 @@
 	}
 	defer c.inFlight.setClaims(false)
 	if !c.Sent {
-		if !f.Store.Release(c.Claim) {
+		if !f.Store.ReleaseBy(c.Claim, c.Request.Deadline) {
 			c.Log.Warn().Str("reason", "table does not answer").Msg("claim not released yet; release is retried")
 		}
 		return
 	}
-	if !f.Store.Finish(c.Claim, outcomeOf(c)) {
+	if !f.Store.FinishBy(c.Claim, outcomeOf(c), c.Request.Deadline) {
 		c.Log.Warn().Str("reason", "table does not answer").Msg("outcome not recorded yet; write is retried")
 	}
 }
--- a/filter/claims_test.go
+++ b/filter/claims_test.go
@@ -130,3 +130,20 @@
 	g.Expect((<-waiting).Err).NotTo(HaveOccurred())
 	g.Expect(w.starts()).To(Equal(1))
 }
+
+// Guards against a caller that gets no answer because the reply at its deadline waits for a table that doesn't answer.
+func TestAnswerAtTheDeadlineDoesNotWaitForTheTable(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	w := newHarness(t, 1, 1)
+	const deadline = 300 * time.Millisecond
+	done := w.begin(testRequest{key: "k", body: `{"runMs":5000}`, headers: map[string]string{request.HeaderDeadline: deadline.String()}})
+	began := time.Now()
+	g.Eventually(w.starts, testTimeout).Should(Equal(1))
+	w.table.SetHook(func(memtable.Call) memtable.Fault { return memtable.Fault{ErrBefore: verdict.Unavailable(0, "down")} })
+	c := <-done
+	g.Expect(time.Since(began)).To(BeNumerically("<", deadline+claim.RecordTimeout/2))
+	g.Expect(c.Verdict()).To(Equal(verdict.MayHaveRun))
+	w.table.SetHook(nil)
+	g.Eventually(w.inUse, testTimeout).Should(BeZero())
+}
