Drain long-running tasks of a wave by shard, not by pool

Change: two instances a shard. Pools that are not divided drain as before.

Evidence: TestShardsDrainLongRunningTasksSideBySide failed before (two instances in the whole pool) and passes now.

--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -145,12 +145,12 @@
 		if i.State != StateUp || cordoned[id] || s.mayBeDown(id) || s.coolingDown[id] || s.Reports[i.Pool].LongRunningPending {
 			continue // A long-running task waits for capacity in that pool.
 		}
-		early := s.longRunningOn(id) > 0 && longRunning[i.Pool] < maxLongRunningDrains && len(s.Reports[i.Pool].Workers) > 2
+		early := s.longRunningOn(id) > 0 && longRunning[s.shardOfInstance(i)] < maxLongRunningDrains && len(s.Reports[i.Pool].Workers) > 2
 		if !urgent && !early && !s.canSpare(i, released[i.Pool], taken[i.Pool]) {
 			continue
 		}
 		if s.longRunningOn(id) > 0 {
-			longRunning[i.Pool]++
+			longRunning[s.shardOfInstance(i)]++
 		}
 		released[i.Pool] += i.CapacityCPU
 		taken[i.Pool]++
@@ -194,9 +194,9 @@
 	return float64(r.CapacityCPU-released-i.CapacityCPU) >= need
 }
 
-// maxLongRunningDrains is how many instances of a pool with long-running tasks drain at the same time from the start of a
-// wave, whatever the demand: their tasks leave one after the other, each once the one before it is ready again. Pools don't
-// wait for each other, or the last one would begin when the wave is nearly over.
+// maxLongRunningDrains is how many instances of a shard with long-running tasks drain at the same time from the start of a
+// wave, whatever the demand: the tasks of a job leave one after the other, each once the one before it is ready again. Shards, which
+// have different jobs, don't wait for each other, or the last one would begin when the wave is nearly over.
 const maxLongRunningDrains = 2
 
 // longRunningOn counts the long-running tasks on an instance.
@@ -214,18 +214,18 @@
 	return engine.WorkerReport{}, false
 }
 
-// countLongRunning counts the instances with long-running tasks by pool.
+// countLongRunning counts the instances with long-running tasks by shard.
 func (s *State) countLongRunning(ids []string) map[string]int {
 	n := map[string]int{}
 	for _, id := range ids {
 		if s.longRunningOn(id) > 0 {
-			n[s.Instances[id].Pool]++
+			n[s.shardOfInstance(s.Instances[id])]++
 		}
 	}
 	return n
 }
 
-// sortByDisruption sorts instances by their present disruption cost, after at most maxLongRunningDrains instances of each pool
+// sortByDisruption sorts instances by their present disruption cost, after at most maxLongRunningDrains instances of each shard
 // with long-running tasks.
 func (s *State) sortByDisruption(ids []string) []string {
 	out := slices.Clone(ids)
@@ -233,8 +233,8 @@
 	var first, rest []string
 	drains := map[string]int{}
 	for _, id := range out {
-		if pool := s.Instances[id].Pool; s.longRunningOn(id) > 0 && drains[pool] < maxLongRunningDrains {
-			drains[pool]++
+		if name := s.shardOfInstance(s.Instances[id]); s.longRunningOn(id) > 0 && drains[name] < maxLongRunningDrains {
+			drains[name]++
 			first = append(first, id)
 			continue
 		}
--- a/upkeep/shards.go
+++ b/upkeep/shards.go
@@ -72,7 +72,11 @@
 // noShard stands for the shard of an instance whose worker has none yet.
 const noShard = ""
 
+// shardOfInstance returns the shard of an instance, which is its pool unless that is divided.
 func (s *State) shardOfInstance(i Instance) string {
+	if s.layout.Count(i.Pool) <= 1 {
+		return i.Pool
+	}
 	if name, ok := s.shardOf(i.Pool, i.Worker); ok {
 		return name
 	}
--- a/upkeep/shards_test.go
+++ b/upkeep/shards_test.go
@@ -15,7 +15,7 @@
 	g := NewWithT(t)
 	s := fleet(time.Minute, map[string]int{"pumps": 40, "common": 1})
 	s.layout = shard.NewLayout(map[string]int{"pumps": 4})
-	s.shardOf = func(_, worker string) (string, bool) { return s.layout.OfJob("pumps", worker) }
+	s.shardOf = s.layout.OfJob // a hash stands for the assignments
 	empty, _ := s.releasable("pumps", s.Reports["pumps"])
 	release := s.byFullestShard("pumps", empty)
 	g.Expect(release).To(ConsistOf(empty))
@@ -27,3 +27,28 @@
 		g.Expect(left[name]).To(Equal(3), "instances of %s after 28 of 40 were released", name)
 	}
 }
+
+// Load pattern: a wave in a large pool with long-running tasks on every instance. Guards against instances that are still not drained at
+// the end of the wave because the whole pool drains as few at a time as a small pool.
+func TestShardsDrainLongRunningTasksSideBySide(t *testing.T) {
+	g := NewWithT(t)
+	s := fleet(time.Minute, map[string]int{"pumps": 80, "common": 1})
+	s.layout = shard.NewLayout(map[string]int{"pumps": 4})
+	s.shardOf = s.layout.OfJob
+	r := s.Reports["pumps"]
+	w := Wave{ID: 1, Cap: 40, Duration: time.Hour, SeenAt: time.Minute}
+	for k := range r.Workers {
+		r.Workers[k].LongRunning = 1
+		r.Workers[k].UsedCPU = testCapacity
+		w.Instances = append(w.Instances, r.Workers[k].ID[len("w-"):])
+	}
+	r.UsedCPU = 80 * testCapacity
+	s.Reports["pumps"] = r
+	drains := map[string]int{}
+	for _, id := range s.PlanWave(w, map[string]bool{}) {
+		drains[s.shardOfInstance(s.Instances[id])]++
+	}
+	for _, name := range s.layout.Names("pumps") {
+		g.Expect(drains[name]).To(Equal(maxLongRunningDrains), "instances of %s", name)
+	}
+}
