Don't take other daemons for unreachable while this one runs late

A call that timed out marked the other daemon as unreachable even if this process was late itself. For two seconds it then rejected callers' requests for that daemon's pools, and with half of the others marked it left the rotation.

Change: while this process is late, a timeout marks nothing; a refused connection still does.

Evidence: TestLateDaemonDoesNotTakeOthersForUnreachable failed before and passes now.

--- a/cluster/isolation.go
+++ b/cluster/isolation.go
@@ -69,9 +69,10 @@
 	_, err := n.peers.call(ctx, m.Address, Call{Op: OpPing, From: n.settings.Name})
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if err == nil {
+	switch {
+	case err == nil:
 		delete(n.unreachable, m.Node)
-		return
+	case !n.late():
+		n.unreachable[m.Node] = n.settings.Now()
 	}
-	n.unreachable[m.Node] = n.settings.Now()
 }
--- a/cluster/isolation_test.go
+++ b/cluster/isolation_test.go
@@ -43,3 +43,22 @@
 	loseContact("c", "d")
 	g.Expect(n.Isolated()).To(BeFalse(), "the unreachable daemons are dead")
 }
+
+// Guards against a daemon that takes its own lateness for a failure of the others, rejects its callers' requests for them and takes
+// itself out of rotation.
+func TestLateDaemonDoesNotTakeOthersForUnreachable(t *testing.T) {
+	g := NewWithT(t)
+	now, late := time.Minute, true
+	n := NewNode(Settings{Name: "a", Log: zerolog.Nop(), Now: func() time.Duration { return now }, Late: func() bool { return late }})
+	n.view.Observe([]Member{member("a", 1), member("b", 1), member("c", 1)}, true, now)
+	for _, node := range []string{"b", "c"} {
+		n.recordReachability(node, maxAnswerTime, context.DeadlineExceeded)
+	}
+	g.Expect(n.Isolated()).To(BeFalse())
+	g.Expect(n.recentlyUnreachable("b")).To(BeFalse())
+	late = false
+	for _, node := range []string{"b", "c"} {
+		n.recordReachability(node, maxAnswerTime, context.DeadlineExceeded)
+	}
+	g.Expect(n.Isolated()).To(BeTrue())
+}
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -144,20 +144,25 @@
 // maxAnswerTime is the time within which a reachable daemon always responds to a call, whatever the state of the store.
 const maxAnswerTime = attemptTimeout - 50*time.Millisecond
 
-// recordReachability records whether a call, which took the given time, reached its daemon.
+// recordReachability records whether a call, which took the given time, reached its daemon. A call that timed out while this process
+// ran late says nothing about the other one.
 func (n *Node) recordReachability(node string, took time.Duration, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		n.view.Refused(node)
-	case verdict.NeverSent(err), errors.Is(err, context.DeadlineExceeded) && took >= maxAnswerTime:
-		n.unreachable[node] = n.settings.Now()
 	case err == nil:
 		delete(n.unreachable, node)
+	case n.late():
+	case verdict.NeverSent(err), errors.Is(err, context.DeadlineExceeded) && took >= maxAnswerTime:
+		n.unreachable[node] = n.settings.Now()
 	}
 }
 
+// late reports whether this process runs late.
+func (n *Node) late() bool { return n.settings.Late != nil && n.settings.Late() }
+
 func noOwner(pool string) error {
 	return verdict.WithRetryAfter(verdict.New(verdict.NotRun, http.StatusMisdirectedRequest, "pool %s currently has no owner", pool), noOwnerRetryAfter)
 }
--- a/cluster/store_failure.go
+++ b/cluster/store_failure.go
@@ -26,7 +26,7 @@
 // need not wait until the others miss its heartbeats. It reports whether it started an attempt. While the store is unavailable
 // to all daemons, none of them claims a pool.
 func (n *Node) transferWithoutStore(ctx context.Context) bool {
-	if n.settings.Late != nil && n.settings.Late() {
+	if n.late() {
 		return false // The calls may have timed out here although the store answered. Others would run no better with the pools.
 	}
 	n.mu.Lock()
