Replace the assignments of workers at once when they are read again

Cause: after a gap in the history the assignments were cleared before the rows that had been read were applied. A list of workers that was passed to the owners in between had no workers, and a worker that is missing from the list counts as gone.

Change: the new assignments replace the old ones in one step.

Evidence: TestAssignmentsAreKnownWhileTheyAreReadAgain failed before and passes now.

--- a/shard/assignments.go
+++ b/shard/assignments.go
@@ -61,23 +61,28 @@
 		}
 		all = append(all, list...)
 	}
-	a.mu.Lock()
-	a.of = map[string]map[string]int{}
+	of := map[string]map[string]int{}
 	for _, pool := range l.Divided() {
-		a.of[pool] = map[string]int{}
+		of[pool] = map[string]int{}
 	}
+	applyRows(of, all)
+	a.mu.Lock()
+	a.of = of // at once: a worker that is missing here counts as gone
 	a.mu.Unlock()
-	a.apply(all)
 	a.after = first
 	return nil
 }
 
-// apply applies rows of the table. Rows that can't be decoded are skipped.
 func (a *Assignments) apply(list []rows.Row) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	applyRows(a.of, list)
+}
+
+// applyRows applies rows of the table to the assignments by pool. Rows that can't be decoded are skipped.
+func applyRows(to map[string]map[string]int, list []rows.Row) {
 	for _, r := range list {
-		of := a.of[r.Part]
+		of := to[r.Part]
 		if of == nil {
 			continue
 		}
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -1,8 +1,10 @@
 package shard
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -123,3 +125,36 @@
 	g.Expect(l.Count("pumps")).To(Equal(4))
 	g.Expect(l.Names("broken", "none")).To(BeEmpty())
 }
+
+// forgetfulStore has no history, so that each refresh reads all rows.
+type forgetfulStore struct{ *memrows.Store }
+
+func (forgetfulStore) Watch(context.Context, string, int64, time.Duration) ([]rows.Row, int64, error) {
+	return nil, 0, rows.ErrHistoryGone
+}
+
+// Guards against an owner that takes all its workers for gone while the assignments are read again after a gap in the history.
+func TestAssignmentsAreKnownWhileTheyAreReadAgain(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLayout(map[string]int{"pumps": 2})
+	a := &Assignments{Store: forgetfulStore{memrows.New()}}
+	g.Expect(a.Assign(t.Context(), "pumps", map[string]int{"i-1": 1})).To(Succeed())
+	_, err := a.Refresh(t.Context(), l, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 20000 {
+			_, _ = a.Refresh(t.Context(), l, 0)
+		}
+	}()
+	for {
+		_, ok := a.Of(l, "pumps", "i-1")
+		g.Expect(ok).To(BeTrue())
+		select {
+		case <-done:
+			return
+		default:
+		}
+	}
+}
