Drain more instances with long-running tasks at a time in large shards

Change: two, or a twelfth of the shard's instances. Shards and pools of fewer than 36 instances drain as before.

--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -136,7 +136,7 @@
 		released[i.Pool] += i.CapacityCPU
 		taken[i.Pool]++
 	}
-	longRunning := s.countLongRunning(out)
+	longRunning, limit := s.countLongRunning(out), s.longRunningDrains()
 	for _, id := range s.sortByDisruption(remaining) {
 		if len(out) >= slots {
 			break
@@ -145,7 +145,7 @@
 		if i.State != StateUp || cordoned[id] || s.mayBeDown(id) || s.coolingDown[id] || s.Reports[i.Pool].LongRunningPending {
 			continue // A long-running task waits for capacity in that pool.
 		}
-		early := s.longRunningOn(id) > 0 && longRunning[s.shardOfInstance(i)] < maxLongRunningDrains && len(s.Reports[i.Pool].Workers) > 2
+		early := s.longRunningOn(id) > 0 && longRunning[s.shardOfInstance(i)] < limit[s.shardOfInstance(i)] && len(s.Reports[i.Pool].Workers) > 2
 		if !urgent && !early && !s.canSpare(i, released[i.Pool], taken[i.Pool]) {
 			continue
 		}
@@ -194,10 +194,26 @@
 	return float64(r.CapacityCPU-released-i.CapacityCPU) >= need
 }
 
-// maxLongRunningDrains is how many instances of a shard with long-running tasks drain at the same time from the start of a
-// wave, whatever the demand: the tasks of a job leave one after the other, each once the one before it is ready again. Shards, which
-// have different jobs, don't wait for each other, or the last one would begin when the wave is nearly over.
-const maxLongRunningDrains = 2
+// As many instances of a shard with long-running tasks drain at the same time from the start of a wave, whatever the demand:
+// minLongRunningDrains, or one of longRunningDrainShare instances if that is more. The tasks of a job leave one after the other, each once the
+// one before it is ready again, and a larger shard has more jobs. Shards, which have different jobs, don't wait for each other, or the
+// last one would begin when the wave is nearly over.
+const (
+	minLongRunningDrains  = 2
+	longRunningDrainShare = 12
+)
+
+// longRunningDrains returns how many instances with long-running tasks may drain at the same time, by shard.
+func (s *State) longRunningDrains() map[string]int {
+	out := map[string]int{}
+	for _, i := range s.Instances {
+		out[s.shardOfInstance(i)]++
+	}
+	for name, n := range out {
+		out[name] = max(minLongRunningDrains, n/longRunningDrainShare)
+	}
+	return out
+}
 
 // longRunningOn counts the long-running tasks on an instance.
 func (s *State) longRunningOn(id string) int {
@@ -225,15 +241,15 @@
 	return n
 }
 
-// sortByDisruption sorts instances by their present disruption cost, after at most maxLongRunningDrains instances of each shard
-// with long-running tasks.
+// sortByDisruption sorts instances by their present disruption cost, after those instances of each shard with long-running tasks
+// that may drain at the same time.
 func (s *State) sortByDisruption(ids []string) []string {
 	out := slices.Clone(ids)
 	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(s.disruptionCost(a), s.disruptionCost(b)) })
 	var first, rest []string
-	drains := map[string]int{}
+	drains, limit := map[string]int{}, s.longRunningDrains()
 	for _, id := range out {
-		if name := s.shardOfInstance(s.Instances[id]); s.longRunningOn(id) > 0 && drains[name] < maxLongRunningDrains {
+		if name := s.shardOfInstance(s.Instances[id]); s.longRunningOn(id) > 0 && drains[name] < limit[name] {
 			drains[name]++
 			first = append(first, id)
 			continue
