--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -79,6 +79,24 @@
 	g.Expect(to).To(Equal("c"))
 }
 
+// Load pattern: daemons return from an outage and find one of them without pools. Guards against all of them transferring a pool to
+// that one at the same time.
+func TestExcessPoolsDoNotAllGoToOneMember(t *testing.T) {
+	g := NewWithT(t)
+	members := []Member{member("idle", 1)}
+	for k := range 8 {
+		members = append(members, member(fmt.Sprintf("busy-%d", k), 1, fmt.Sprintf("x-%d", k), fmt.Sprintf("y-%d", k), fmt.Sprintf("z-%d", k)))
+	}
+	received := 0
+	for _, m := range members {
+		if _, to, ok := ExcessPool(members, m.Node); ok {
+			g.Expect(to).To(Equal("idle"))
+			received++
+		}
+	}
+	g.Expect(received).To(Equal(2), "with two pools of the others' 24 the receiver is as busy as they are")
+}
+
 // Guards against the heartbeats of a large cluster overloading the store, and against false failure detection at the longer
 // interval.
 func TestHeartbeatIntervalGrowsWithCluster(t *testing.T) {
--- a/cluster/leave.go
+++ b/cluster/leave.go
@@ -45,31 +45,6 @@
 	}
 }
 
-// rebalanceDelay is how long a daemon must own too many pools before it transfers one.
-const rebalanceDelay = 3 * time.Second
-
-// rebalance transfers a pool to the daemon with the fewest pools, once this daemon has owned at least two more than that one
-// for rebalanceDelay.
-func (n *Node) rebalance(ctx context.Context) {
-	members := WithoutIsolated(n.Alive())
-	pool, to, ok := ExcessPool(members, n.settings.Name)
-	now := n.settings.Now()
-	if !ok || n.leaving.Load() {
-		n.excessSince = 0
-		return
-	}
-	if n.excessSince == 0 {
-		n.excessSince = now
-	}
-	if now-n.excessSince < rebalanceDelay {
-		return
-	}
-	n.excessSince = 0
-	if m, ok := memberNamed(members, to); ok {
-		_ = n.transferPool(ctx, pool, m, false) // retried while this daemon owns too many
-	}
-}
-
 // memberNamed returns the member with the given name.
 func memberNamed(members []Member, node string) (Member, bool) {
 	if k := slices.IndexFunc(members, func(m Member) bool { return m.Node == node }); k >= 0 {
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -190,32 +189,5 @@
 	return out
 }
 
-// minTransferGain is how many times the pools per core of the giving daemon must exceed those of the receiving one after the
-// transfer. Smaller gains don't pay for the handover, during which the pool is not served.
-const minTransferGain = 1.25
-
-// ExcessPool returns a pool that the daemon self should transfer and the daemon to receive it, the one that has the fewest
-// pools per core with it. It reports false if the gain is less than minTransferGain.
-func ExcessPool(members []Member, self string) (pool, to string, ok bool) {
-	var mine, least Member
-	for _, m := range members {
-		switch {
-		case m.Node == self:
-			mine = m
-		case !m.Leaving && (least.Node == "" || m.loadWith(len(m.Pools)+1) < least.loadWith(len(least.Pools)+1)):
-			least = m
-		}
-	}
-	if least.Node == "" || mine.loadWith(len(mine.Pools)) < minTransferGain*least.loadWith(len(least.Pools)+1) {
-		return "", "", false
-	}
-	for _, name := range slices.Sorted(maps.Keys(mine.Pools)) {
-		if name != FleetControllerRole {
-			return name, least.Node, true
-		}
-	}
-	return "", "", false
-}
-
 // hashRank orders the members for a pool, as in rendezvous hashing.
 func hashRank(node, pool string) uint64 { return xxhash.Sum64String(node + "\x00" + pool) }
