End one term by a panic, not the whole daemon

Cause: looked for because of the operators' warning of processes that one unexpected error took down.

Change: the goroutine of a term recovers, logs the stack, counts terms.panicked and ends the term. Its state is in the store, so the next owner, possibly this daemon, goes on from there.

Evidence: TestPanicEndsOneTermOnly ended the test process before and passes now.

--- a/cluster/claim.go
+++ b/cluster/claim.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"runtime/debug"
 	"time"
 
+	"samphirepoint/observe"
 	"samphirepoint/owner"
 	"samphirepoint/rows"
 	"samphirepoint/sleep"
@@ -153,7 +155,7 @@
 	n.mu.Unlock()
 	n.Wake()
 	go func() {
-		_ = t.Run()
+		n.runUntilEnd(pool, t)
 		n.mu.Lock()
 		if n.owned[pool] == t {
 			delete(n.owned, pool)
@@ -164,6 +166,19 @@
 	}()
 }
 
+// runUntilEnd runs a term until it ends. A panic ends the term, not the process with its other terms: all that a term has done is in the
+// store, so that its successor goes on from there.
+func (n *Node) runUntilEnd(pool string, t Term) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			observe.Count("terms.panicked")
+			n.settings.Log.Error().Str("pool", pool).Int64("token", t.Token()).Any("cause", cause).Bytes("stack", debug.Stack()).Msg("term ended by a panic")
+			t.Stop()
+		}
+	}()
+	_ = t.Run()
+}
+
 // claimRepeatDelay is the delay before the outcome of an unanswered write is read.
 const claimRepeatDelay = 40 * time.Millisecond
 
--- a/cluster/terms_test.go
+++ b/cluster/terms_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,3 +72,29 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(term.Done(), "10s").Should(BeClosed())
 }
+
+// panickingTerm panics while it serves.
+type panickingTerm struct{ stopped atomic.Bool }
+
+func (*panickingTerm) Token() int64 { return 1 }
+func (*panickingTerm) Run() error   { panic("an unexpected state") }
+func (t *panickingTerm) Stop()      { t.stopped.Store(true) }
+
+// Guards against an unexpected state of one pool that takes down the process with all its pools and callers.
+func TestPanicEndsOneTermOnly(t *testing.T) {
+	g := NewWithT(t)
+	p := newPair(t)
+	a := p.nodes[0]
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.Expect(a.claimPool(ctx, "routes")).To(Succeed())
+	term := &panickingTerm{}
+	a.runTerm("pumps", term, nil)
+	owned := func() map[string]Term {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return maps.Clone(a.owned)
+	}
+	g.Eventually(owned).Should(And(HaveLen(1), HaveKey("routes")))
+	g.Expect(term.stopped.Load()).To(BeTrue())
+}
