Keep workers cordoned while their instance has an open order

The fleet controller checks that its cordon still holds, then sends the order. A pause in between for longer than the cordon lasts let the owner start work on a worker whose instance then went down.

Change: a second before a cordon ends, the owner reads the open orders, and extends the cordon of a worker that has one. The controller extends its cordons far more often, so this happens only when it is gone or paused.

Evidence: TestWorkerStaysCordonedWhileItsInstanceHasAnOpenOrder failed before (three starts as the cordon ended) and passes now; owner, engine and cluster pass.

--- a/engine/worker.go
+++ b/engine/worker.go
@@ -410,36 +410,5 @@
 	}
 }
 
-// Cordon keeps new work off a worker until the given time, and reports whether the worker is empty: it has no runs, and the
-// store has all ends that it has listed. The instance of an empty worker may be moved or go down, and the worker's list of
-// ends with it.
-func (p *Pool) Cordon(id string, until time.Duration, c Clock) (empty, known bool) {
-	w := p.workers[id]
-	if w == nil || !w.contacted {
-		return false, false
-	}
-	empty = w.occupancy() == 0
-	if empty && (!w.reportedEmpty || w.cordonedUntil <= c.Now) {
-		p.recordDecision("cordon-empty", "", 0, id, "ends stored up to "+itoa(w.ackedUpTo))
-	}
-	w.reportedEmpty = empty
-	w.cordonedUntil = max(w.cordonedUntil, until)
-	return empty, true
-}
-
 // occupancy counts the worker's runs, and its ends that are not stored yet.
 func (w *Worker) occupancy() int { return len(w.runs) + len(w.pendingAcks) }
-
-// ForceCordon cordons a worker even if it was not contacted or listed yet.
-func (p *Pool) ForceCordon(id string, until time.Duration) {
-	w := p.ensureWorker(id)
-	w.cordonedUntil = max(w.cordonedUntil, until)
-}
-
-// Uncordon makes a worker schedulable again.
-func (p *Pool) Uncordon(id string) {
-	if w := p.workers[id]; w != nil {
-		w.cordonedUntil, w.reportedEmpty = 0, false
-		p.placementNeeded = true
-	}
-}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -130,6 +130,7 @@
 	storeFailingSince                    time.Duration // when the store began to fail or time out; 0 while it is available
 	probing                              bool
 	lastProbe                            time.Duration
+	checkingCordons                      bool
 	loaded                               chan struct{}
 	ctx                                  context.Context
 	cancel                               context.CancelFunc
@@ -243,22 +244,6 @@
 	return o.cordonOpenOrders(ctx)
 }
 
-// openOrderCordon is how long a new owner cordons the workers of instances with open orders. The fleet controller extends the
-// cordon.
-const openOrderCordon = 5 * time.Second
-
-// cordonOpenOrders cordons the workers whose instances have an open order.
-func (o *Owner) cordonOpenOrders(ctx context.Context) error {
-	if o.settings.WorkersWithOpenOrders == nil {
-		return nil
-	}
-	workers, err := o.settings.WorkersWithOpenOrders(ctx)
-	for _, id := range workers {
-		o.pool.ForceCordon(id, o.settings.Now()+openOrderCordon)
-	}
-	return err
-}
-
 // serve runs the event loop that holds the state.
 func (o *Owner) serve() {
 	tick := time.NewTicker(tickInterval)
@@ -276,6 +261,7 @@
 			o.pool.Tick(o.clock())
 			o.startRenewers()
 			o.probe()
+			o.checkExpiringCordons()
 		}
 		c := o.clock()
 		if c.Now >= mayPlaceAt {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -136,11 +136,14 @@
 }
 
 func serveOn(t *testing.T, s rows.Store, claimVer int64, w *fakeWorkers, token int64) *Owner {
+	return serveWith(t, Settings{Token: token, ClaimVer: claimVer, Store: s, Workers: w})
+}
+
+// serveWith runs an owner with the given settings, to which it adds the others.
+func serveWith(t *testing.T, s Settings) *Owner {
 	began := time.Now()
-	o := New(context.Background(), Settings{
-		Pool: "pumps", Token: token, ClaimVer: claimVer, Store: s, Workers: w, Options: engine.DefaultOptions(),
-		Log: zerolog.Nop(), Now: func() time.Duration { return time.Since(began) },
-	})
+	s.Pool, s.Options, s.Log, s.Now = "pumps", engine.DefaultOptions(), zerolog.Nop(), func() time.Duration { return time.Since(began) }
+	o := New(context.Background(), s)
 	go func() { _ = o.Run() }()
 	o.SetQueues([]engine.Queue{{Name: "q", Attempts: 3, Stretch: 2, TargetMS: 500}})
 	o.SetRoster([]engine.WorkerInfo{{ID: "i-1", Address: "x", Capacity: engine.Resources{CPU: 64000, Mem: 64000}, Labels: []string{"a", "r-1"}}})
