Size divided pools by shard, so that none is left without instances

What callers saw: LOST.

The mover sized the pool as a whole: 70 instances with long-running tasks were more than it needed outside its peak. All of them were in other shards, so shard bole25c#0 released its last three instances at 30 s; jobs that its ID hash gives it were accepted and never started.

Change: the size of a divided pool outside its peak is the sum of what its shards need, each for an equal part of the work and for its own long-running tasks. A shard below that gets instances, and only shards above it release some, the fullest first. A wave leaves half of each shard's workers, not of each pool's. Pools that are not divided are sized as before.

Evidence: TestShardWithoutWorkersGetsInstances and the extended TestShrinkingPoolKeepsInstancesInEachShard describe the two sides; both need the new code to compile in this form.

--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -189,8 +189,8 @@
 		if !peak {
 			n.minimum = min(n.desired, ceilDiv(donorShare*float64(n.desired), 1))
 		}
-		empty, busy := s.releasable(pool, r)
-		n.empty, n.busy = s.byFullestShard(pool, empty), s.byFullestShard(pool, busy)
+		n.empty, n.busy = s.releasable(pool, r)
+		s.keepShards(&n, s.shardSizes(pool, r, f))
 		out = append(out, n)
 	}
 	slices.SortFunc(out, func(a, b poolSize) int {
@@ -233,7 +233,11 @@
 		}
 		return max(s.Baseline[pool], ceilDiv(load+float64(r.LongRunningCPU), instanceCPU))
 	case f.OffPeak(pool, s.Now):
-		return max(countLongRunningHosts(r), min(s.Baseline[pool], ceilDiv(max(d.rate, used)*offPeakMargin+float64(r.LongRunningCPU), instanceCPU)+offPeakExtra*max(s.layout.Count(pool), 1)))
+		total := 0
+		for _, size := range s.shardSizes(pool, r, f) {
+			total += size.offPeak
+		}
+		return total
 	case used > float64(r.CapacityCPU):
 		return max(s.Baseline[pool], ceilDiv(used+float64(r.LongRunningCPU), instanceCPU))
 	}
@@ -248,17 +252,6 @@
 	return n
 }
 
-// countLongRunningHosts counts the workers with long-running tasks.
-func countLongRunningHosts(r engine.PoolReport) int {
-	n := 0
-	for _, w := range r.Workers {
-		if w.LongRunning > 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // instanceCPU returns the CPU capacity of one of the pool's instances, or else of any instance.
 func (s *State) instanceCPU(pool string) float64 {
 	for _, i := range s.Instances {
--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -134,9 +134,9 @@
 	for _, id := range out {
 		i := s.Instances[id]
 		released[i.Pool] += i.CapacityCPU
-		taken[i.Pool]++
+		taken[s.shardOfInstance(i)]++
 	}
-	longRunning, limit := s.countLongRunning(out), s.longRunningDrains()
+	longRunning, limit, available := s.countLongRunning(out), s.longRunningDrains(), s.availabilities()
 	for _, id := range s.sortByDisruption(remaining) {
 		if len(out) >= slots {
 			break
@@ -146,14 +146,14 @@
 			continue // A long-running task waits for capacity in that pool.
 		}
 		early := s.longRunningOn(id) > 0 && longRunning[s.shardOfInstance(i)] < limit[s.shardOfInstance(i)] && len(s.Reports[i.Pool].Workers) > 2
-		if !urgent && !early && !s.canSpare(i, released[i.Pool], taken[i.Pool]) {
+		if !urgent && !early && !s.canSpare(i, released[i.Pool], taken[s.shardOfInstance(i)], available[s.shardOfInstance(i)]) {
 			continue
 		}
 		if s.longRunningOn(id) > 0 {
 			longRunning[s.shardOfInstance(i)]++
 		}
 		released[i.Pool] += i.CapacityCPU
-		taken[i.Pool]++
+		taken[s.shardOfInstance(i)]++
 		out = append(out, id)
 	}
 	return out[:min(len(out), max(slots, 0))]
@@ -175,19 +175,34 @@
 	return s.Now-w.SeenAt+time.Duration(rounds+1)*instanceTime > w.Duration
 }
 
-// canSpare reports whether a pool has enough capacity without one more instance.
-func (s *State) canSpare(i Instance, released int64, taken int) bool {
+// availability is the number of a shard's workers, and of those that take work.
+type availability struct{ workers, usable int }
+
+// availabilities returns the availability of each shard.
+func (s *State) availabilities() map[string]availability {
+	out := map[string]availability{}
+	for pool, r := range s.Reports {
+		for _, w := range r.Workers {
+			name := s.shardOfInstance(Instance{Pool: pool, Worker: w.ID})
+			a := out[name]
+			a.workers++
+			if w.Usable && !w.Cordoned {
+				a.usable++
+			}
+			out[name] = a
+		}
+	}
+	return out
+}
+
+// canSpare reports whether a pool, and the instance's shard of it with the given availability, have enough capacity without one more
+// instance. released is the capacity that the pool releases already, taken the number of instances that the shard does.
+func (s *State) canSpare(i Instance, released int64, taken int, a availability) bool {
 	r, ok := s.Reports[i.Pool]
 	if !ok {
 		return s.Spare[i.Pool]
 	}
-	usable := 0
-	for _, w := range r.Workers {
-		if w.Usable && !w.Cordoned {
-			usable++
-		}
-	}
-	if float64(usable-taken-1) < minAvailableShare*float64(len(r.Workers)) {
+	if float64(a.usable-taken-1) < minAvailableShare*float64(a.workers) {
 		return false
 	}
 	need := float64(r.UsedCPU+r.PendingCPU) * demandMargin
--- a/upkeep/shards.go
+++ b/upkeep/shards.go
@@ -1,7 +1,7 @@
 package upkeep
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 
 	"samphirepoint/engine"
@@ -39,34 +39,89 @@
 	return out
 }
 
-// byFullestShard orders a pool's instances for their release, so that the instances that remain are spread evenly over the shards: jobs
-// are. Instances of the same shard keep their order.
-func (s *State) byFullestShard(pool string, list []Instance) []Instance {
-	if s.layout.Count(pool) <= 1 {
-		return list
+// shardSize is the present and the least number of instances of a shard.
+type shardSize struct {
+	current int
+	// offPeak is the number that the shard needs outside the pool's peak period.
+	offPeak int
+}
+
+// shardSizes returns the sizes of a pool's shards. An equal part of the pool's work without long-running tasks goes to each.
+func (s *State) shardSizes(pool string, r engine.PoolReport, f *Forecast) map[string]*shardSize {
+	out := map[string]*shardSize{}
+	names := s.layout.Names(pool)
+	if len(names) == 0 {
+		names = []string{pool}
+	}
+	for _, name := range names {
+		out[name] = &shardSize{}
+	}
+	hosts, allHosts := map[string]int{}, 0
+	for _, w := range r.Workers {
+		if w.LongRunning > 0 {
+			hosts[s.shardOfInstance(Instance{Pool: pool, Worker: w.ID})]++
+			allHosts++
+		}
+	}
+	rate := 0.0
+	if d := f.pools[pool]; d != nil {
+		rate = d.rate
+	}
+	work := max(rate, float64(r.UsedCPU-r.LongRunningCPU+r.PendingCPU)) * offPeakMargin / float64(len(names))
+	for name, size := range out {
+		longRunning := float64(r.LongRunningCPU) * float64(hosts[name]) / float64(max(allHosts, 1))
+		baseline := (s.Baseline[pool] + len(names) - 1) / len(names)
+		size.offPeak = max(hosts[name], min(baseline, ceilDiv(work+longRunning, s.instanceCPU(pool))+offPeakExtra))
 	}
-	remaining := map[string]int{}
 	for _, i := range s.Instances {
-		if i.Pool == pool && i.State == StateUp {
-			remaining[s.shardOfInstance(i)]++
+		if size := out[s.shardOfInstance(i)]; size != nil && i.Pool == pool && i.State == StateUp {
+			size.current++
 		}
 	}
+	return out
+}
+
+// keepShards adapts the desired size of a divided pool, and the order in which its instances are released, to its shards: an equal part of
+// the jobs goes to each, whatever instances it has. A shard below its least size gets more instances, which are assigned to the smallest
+// shard, and only larger ones release some, the fullest first.
+func (s *State) keepShards(n *poolSize, sizes map[string]*shardSize) {
+	if len(sizes) <= 1 {
+		return
+	}
+	missing := 0
+	for _, size := range sizes {
+		missing += max(0, size.offPeak-size.current)
+	}
+	if missing > 0 {
+		n.desired = max(n.desired, n.current+missing)
+	}
+	n.empty = s.byFullestShard(n.empty, sizes)
+	n.busy = s.byFullestShard(n.busy, sizes) // those that are left once the empty ones are released
+}
+
+// byFullestShard orders instances for their release, the fullest shard first, without those that their shard needs, and takes them off
+// sizes. Instances of the same shard keep their order.
+func (s *State) byFullestShard(list []Instance, sizes map[string]*shardSize) []Instance {
 	queues := map[string][]Instance{}
 	for _, i := range list {
 		name := s.shardOfInstance(i)
 		queues[name] = append(queues[name], i)
 	}
-	names := append(s.layout.Names(pool), noShard)
-	out := make([]Instance, 0, len(list))
-	for range list {
-		fullest := slices.MaxFunc(names, func(a, b string) int {
-			return cmp.Or(cmp.Compare(min(len(queues[a]), 1), min(len(queues[b]), 1)), cmp.Compare(remaining[a], remaining[b]))
-		})
+	out := queues[noShard]
+	for {
+		fullest := noShard
+		for _, name := range slices.Sorted(maps.Keys(sizes)) {
+			if len(queues[name]) > 0 && sizes[name].current > sizes[name].offPeak && (fullest == noShard || sizes[name].current > sizes[fullest].current) {
+				fullest = name
+			}
+		}
+		if fullest == noShard {
+			return out
+		}
 		out = append(out, queues[fullest][0])
 		queues[fullest] = queues[fullest][1:]
-		remaining[fullest]--
+		sizes[fullest].current--
 	}
-	return out
 }
 
 // noShard stands for the shard of an instance whose worker has none yet.
--- a/upkeep/shards_test.go
+++ b/upkeep/shards_test.go
@@ -9,23 +9,68 @@
 	"samphirepoint/shard"
 )
 
-// Load pattern: a pool of several shards shrinks after its peak period. Guards against a shard that is left without instances, while
-// an equal part of the jobs goes to it.
-func TestShrinkingPoolKeepsInstancesInEachShard(t *testing.T) {
-	g := NewWithT(t)
-	s := fleet(time.Minute, map[string]int{"pumps": 40, "common": 1})
+// dividedPool is a pool of 40 instances in four shards, after its peak period.
+func dividedPool() (*State, *Forecast) {
+	s := fleet(0, map[string]int{"pumps": 40, "common": 1})
 	s.layout = shard.NewLayout(map[string]int{"pumps": 4})
 	s.shardOf = s.layout.OfJob // a hash stands for the assignments
-	empty, _ := s.releasable("pumps", s.Reports["pumps"])
-	release := s.byFullestShard("pumps", empty)
-	g.Expect(release).To(ConsistOf(empty))
-	left := map[string]int{}
-	for _, i := range release[28:] {
-		left[s.shardOfInstance(i)]++
+	f := NewForecast()
+	feed(f, "slips", 1, 0, 16*time.Second, 40*testCapacity)
+	over := feed(f, "pumps", 4000, 0, 8*time.Second, 40*testCapacity)
+	feed(f, "routes", 4000, over, 4*time.Second, 40*testCapacity)
+	s.Now = feed(f, "pumps", 1, over, 4*time.Second, 40*testCapacity)
+	return s, f
+}
+
+// remaining returns the number of the pool's instances in each shard once the moves are made.
+func (s *State) remaining(pool string, moves map[string]string) map[string]int {
+	out := map[string]int{}
+	for id, i := range s.Instances {
+		if i.Pool == pool && moves[id] == "" {
+			out[s.shardOfInstance(i)]++
+		}
 	}
-	for _, name := range s.layout.Names("pumps") {
-		g.Expect(left[name]).To(Equal(3), "instances of %s after 28 of 40 were released", name)
+	return out
+}
+
+// Load pattern: a pool of several shards shrinks after its peak period, with long-running tasks in one shard only. Guards against
+// shards that are left without instances, as those with long-running tasks suffice for the pool, while an equal part of the jobs goes to
+// each shard.
+func TestShrinkingPoolKeepsInstancesInEachShard(t *testing.T) {
+	g := NewWithT(t)
+	s, f := dividedPool()
+	r := s.Reports["pumps"]
+	hosts := 0
+	for k := range r.Workers {
+		if s.shardOfInstance(Instance{Pool: "pumps", Worker: r.Workers[k].ID}) == "pumps#0" {
+			r.Workers[k].LongRunning = 1
+			hosts++
+		}
+	}
+	g.Expect(hosts).To(BeNumerically(">", 4), "more than the whole pool needs besides")
+	since := map[string]time.Duration{}
+	s.PlanMoves(f, since)
+	s.Now += 2 * scaleDownDelay
+	left := s.remaining("pumps", s.PlanMoves(f, since))
+	for _, name := range s.layout.Names("pumps")[1:] {
+		g.Expect(left[name]).To(Equal(2), "one for the work and one more in %s", name)
+	}
+	g.Expect(left["pumps#0"]).To(Equal(hosts))
+}
+
+// Load pattern: a shard has lost its workers, while the others have more than enough for the whole pool. Guards against jobs of that
+// shard that wait beside idle workers of the pool.
+func TestShardWithoutWorkersGetsInstances(t *testing.T) {
+	g := NewWithT(t)
+	s, f := dividedPool()
+	for id, i := range s.Instances {
+		if i.Pool == "pumps" && s.shardOfInstance(i) == "pumps#1" {
+			i.State = StateDown
+			s.Instances[id] = i
+		}
 	}
+	moves := s.PlanMoves(f, map[string]time.Duration{})
+	g.Expect(moves).To(HaveKeyWithValue("common-00", "pumps"))
 }
 
 // Load pattern: a wave in a large pool with long-running tasks on every instance. Guards against instances that are still not drained at
