Show the shards of large pools in the status

Cause: the status listed the shards of a divided pool under names that no page explains, and gave the number of jobs waiting in the whole pool as if it were that of each shard.

Change: an ownership names its pool and, in a divided pool, its shard.

--- a/cluster/shards_test.go
+++ b/cluster/shards_test.go
@@ -39,6 +39,7 @@
 	n.CreateShards(t.Context(), sizes)
 	n.readLayout(t.Context())
 	g.Expect(n.Layout().Names("pumps", "routes", "later")).To(Equal([]string{"pumps#0", "pumps#1", "pumps#2", "routes"}))
+	g.Expect(n.Owners()).To(ContainElement(Ownership{Pool: "pumps", Shard: "pumps#1"}), "the status names the pool of a shard")
 
 	now = layoutTimeout + time.Second
 	n.readLayout(t.Context())
--- a/cluster/status.go
+++ b/cluster/status.go
@@ -12,11 +12,21 @@
 
 // Ownership is a shard of a pool, or the fleet controller role, with the daemon that owns it.
 type Ownership struct {
-	Pool  string `json:"pool"`
+	Pool string `json:"pool"`
+	// Shard is the name of the shard, if the pool has several.
+	Shard string `json:"shard,omitempty"`
 	Node  string `json:"node,omitempty"`
 	Token int64  `json:"token,omitempty"`
 }
 
+// Name returns the name of the shard, or that of the pool if it is whole.
+func (o *Ownership) Name() string {
+	if o.Shard != "" {
+		return o.Shard
+	}
+	return o.Pool
+}
+
 // Owners returns the shards of the pools of the configuration and the fleet controller role, with their owners as this daemon sees them.
 func (n *Node) Owners() []Ownership {
 	alive := n.Alive()
@@ -26,10 +36,13 @@
 	}
 	slices.Sort(names)
 	var out []Ownership
-	for _, pool := range names {
-		o := Ownership{Pool: pool}
-		if m, ok := Owner(alive, pool); ok {
-			o.Node, o.Token = m.Node, m.Pools[pool]
+	for _, name := range names {
+		o := Ownership{Pool: n.layout.Load().PoolOf(name)}
+		if o.Pool != name {
+			o.Shard = name
+		}
+		if m, ok := Owner(alive, name); ok {
+			o.Node, o.Token = m.Node, m.Pools[name]
 		}
 		out = append(out, o)
 	}
--- a/command/status.go
+++ b/command/status.go
@@ -142,9 +142,9 @@
 }
 
 func poolRows(o *status.Overview) [][]string {
-	rows := [][]string{{"POOL", "workers", "usable", "cordoned", "cores", "used", "pending", "jobs waiting", "error"}}
+	rows := [][]string{{"POOL", "workers", "usable", "cordoned", "cores", "used", "pending", "jobs waiting in the pool", "error"}}
 	for _, p := range o.Pools {
-		rows = append(rows, tableRow(p.Pool, p.Workers, p.Usable, p.Cordoned, formatCores(p.CapacityCPU), formatCores(p.UsedCPU), formatCores(p.PendingCPU), o.Waiting(p.Pool), p.Error))
+		rows = append(rows, tableRow(p.Name(), p.Workers, p.Usable, p.Cordoned, formatCores(p.CapacityCPU), formatCores(p.UsedCPU), formatCores(p.PendingCPU), o.Waiting(p.Pool), p.Error))
 	}
 	return rows
 }
@@ -163,7 +163,7 @@
 func ownerRows(o *status.Overview) [][]string {
 	rows := [][]string{{"POOL", "owner", "token"}, tableRow("(fleet controller)", o.FleetController, "")}
 	for _, p := range o.Pools {
-		rows = append(rows, tableRow(p.Pool, p.Node, p.Token))
+		rows = append(rows, tableRow(p.Name(), p.Node, p.Token))
 	}
 	return rows
 }
--- a/status/status.go
+++ b/status/status.go
@@ -39,7 +39,7 @@
 	Waves() []upkeep.Wave
 }
 
-// Pool is the status of a pool. CPU is in thousandths of a core. Error is the reason if its owner did not respond.
+// Pool is the status of a pool, or of one shard of a large pool. CPU is in thousandths of a core. Error is the reason if its owner did not respond.
 type Pool struct {
 	cluster.Ownership
 	Workers     int    `json:"workers"`
@@ -122,7 +122,7 @@
 }
 
 func (p *Pool) fill(ctx context.Context, f Fleet) error {
-	r, err := f.Report(ctx, p.Pool)
+	r, err := f.Report(ctx, p.Name())
 	if err != nil {
 		p.Error = err.Error()
 		return nil
