Keep evacuated long-running tasks off instances that are due for upkeep

Cause: on the large deployment each wave of 451 to 484 instances ends late, by 2 to 18 instances. A long-running task that leaves an instance started on whatever worker hosts others of its kind, most likely one that is due as well, and had to leave again. Besides, a task that waited for capacity in one shard ended the cordons, and paused the drains, in all shards of its pool.

Change: the fleet controller names the workers that are due to the owners of their shards, once a second; placement takes such a worker for long-running tasks only if there is no other. Reports name the shards in which a long-running task waits, and only those pause.

--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -33,6 +33,12 @@
 	return owner.CordonAnswer{Empty: res.Empty, Known: res.Known, ClaimVer: res.ClaimVer, Part: res.ClaimPart}, err
 }
 
+// AnnounceUpkeep names the workers of a shard whose instances are due for upkeep to the shard's owner.
+func (n *Node) AnnounceUpkeep(ctx context.Context, shard string, workers []string, length time.Duration) error {
+	_, err := n.attempt(ctx, Call{Op: OpUpkeepDue, Pool: shard, Workers: workers, DurationMS: length.Milliseconds()})
+	return err
+}
+
 // WorkerTerminated notifies a worker's owner that the worker has terminated.
 func (n *Node) WorkerTerminated(ctx context.Context, pool, worker string) error {
 	layout := n.layout.Load()
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -31,6 +31,7 @@
 	ID         string       `json:"id,omitempty"`
 	Queue      string       `json:"queue,omitempty"`
 	Worker     string       `json:"worker,omitempty"`
+	Workers    []string     `json:"workers,omitempty"`
 	DurationMS int64        `json:"forMS,omitempty"`
 	// Token is the token of a pool's new owner (OpOwner), or of the one that transfers it (OpClaim).
 	Token int64  `json:"token,omitempty"`
@@ -60,6 +61,7 @@
 	OpCancel           = "cancel"
 	OpWaiting          = "waiting"
 	OpCordon           = "cordon"
+	OpUpkeepDue        = "due"
 	OpClaim            = "take"
 	OpOwner            = "owner"
 	OpReport           = "report"
@@ -213,6 +215,8 @@
 		var a owner.CordonAnswer
 		a, err = o.Cordon(ctx, call.Worker, time.Duration(call.DurationMS)*time.Millisecond)
 		res.Empty, res.Known, res.ClaimVer, res.ClaimPart = a.Empty, a.Known, a.ClaimVer, a.Part
+	case OpUpkeepDue:
+		err = o.SetUpkeepDue(ctx, call.Workers, time.Duration(call.DurationMS)*time.Millisecond)
 	case OpWorkerTerminated:
 		err = o.WorkerTerminated(ctx, call.Worker)
 	case OpReport:
--- a/engine/cordon.go
+++ b/engine/cordon.go
@@ -25,6 +25,16 @@
 	w.cordonedUntil = max(w.cordonedUntil, until)
 }
 
+// SetUpkeepDue names the workers whose instances are due for upkeep but not cordoned yet. Until the given time, a long-running task
+// starts on one of them only if it fits on no other worker, as it would have to leave again. Unknown workers are ignored.
+func (p *Pool) SetUpkeepDue(ids []string, until time.Duration) {
+	for _, id := range ids {
+		if w := p.workers[id]; w != nil {
+			w.upkeepDueUntil = until
+		}
+	}
+}
+
 // ExpiringCordons returns the workers whose cordon ends within the given time.
 func (p *Pool) ExpiringCordons(c Clock, within time.Duration) []string {
 	var out []string
--- a/engine/cost.go
+++ b/engine/cost.go
@@ -10,6 +10,8 @@
 	costOtherRack         = 4.0
 	costInterference      = 2.0
 	costScarceWorker      = 1.5
+	// costUpkeepDue exceeds the gain from placing long-running tasks together.
+	costUpkeepDue = 12.0
 	// longRunningFreeShare is the share of its CPU that a worker keeps free for other work before it gets more
 	// long-running tasks.
 	longRunningFreeShare = 0.4
@@ -52,6 +54,9 @@
 		if free < longRunningFreeShare {
 			cost = 1 - free
 		}
+		if w.upkeepDueUntil > c.Now {
+			cost += costUpkeepDue
+		}
 	}
 	cost += costFailedOnWorker * float64(t.failedOn[w.ID])
 	if w.avoidUntil > c.Now {
--- a/engine/report.go
+++ b/engine/report.go
@@ -33,10 +33,13 @@
 	// UnschedulableKinds has the CPU of those that wait and fit on no worker of the kind.
 	Kinds              map[string]int64 `json:"ki,omitempty"`
 	UnschedulableKinds map[string]int64 `json:"kl,omitempty"`
-	// LongRunningPending is set while a long-running task has waited too long for capacity.
-	LongRunningPending bool `json:"m,omitempty"`
+	// LongRunningPendingIn names the shards in which a long-running task has waited too long for capacity.
+	LongRunningPendingIn []string `json:"mi,omitempty"`
 }
 
+// LongRunningPending reports whether a long-running task has waited too long for capacity in any shard.
+func (r *PoolReport) LongRunningPending() bool { return len(r.LongRunningPendingIn) > 0 }
+
 // Report returns the current state of the pool.
 func (p *Pool) Report(c Clock) PoolReport {
 	r := PoolReport{ArrivalCPU: p.arrivalRate(c), Kinds: map[string]int64{}, UnschedulableKinds: map[string]int64{}}
@@ -73,7 +76,7 @@
 	r.LongRunningCPU += other.LongRunningCPU
 	r.PendingCPU += other.PendingCPU
 	r.ArrivalCPU += other.ArrivalCPU
-	r.LongRunningPending = r.LongRunningPending || other.LongRunningPending
+	r.LongRunningPendingIn = append(r.LongRunningPendingIn, other.LongRunningPendingIn...)
 	r.Kinds = addCPU(r.Kinds, other.Kinds)
 	r.UnschedulableKinds = addCPU(r.UnschedulableKinds, other.UnschedulableKinds)
 }
@@ -90,6 +93,7 @@
 
 func (p *Pool) reportPending(r *PoolReport, c Clock) {
 	workers := p.usableWorkers(c)
+	longRunningPending := false
 	for _, cd := range p.candidates(c) {
 		st := cd.step.spec
 		cpu := int64(0)
@@ -99,7 +103,7 @@
 			}
 		}
 		r.PendingCPU += cpu
-		r.LongRunningPending = r.LongRunningPending || (st.LongRunning && cd.step.waitsTooLong(c))
+		longRunningPending = longRunningPending || (st.LongRunning && cd.step.waitsTooLong(c))
 		for _, k := range st.Kinds() {
 			r.Kinds[k] += cpu
 			if cd.step.unschedulable(p, workers, c) {
@@ -107,6 +111,9 @@
 			}
 		}
 	}
+	if longRunningPending {
+		r.LongRunningPendingIn = []string{p.Name}
+	}
 }
 
 // longRunningPendingAfter is how long a long-running task may wait before its pool counts as short of capacity.
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -51,6 +51,8 @@
 	pendingAcks   []pendingAck
 	ackedUpTo     int64
 	cordonedUntil time.Duration
+	// upkeepDueUntil is until when the worker's instance counts as due for upkeep.
+	upkeepDueUntil time.Duration
 	// reportedEmpty is set if the last answer to a cordon was that the worker is empty.
 	reportedEmpty bool
 	// reservedAt is the time of the placement that reserved the worker for a long-running task.
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -197,6 +197,11 @@
 	return a, err
 }
 
+// SetUpkeepDue names the workers whose instances are due for upkeep, for the given time.
+func (o *Owner) SetUpkeepDue(ctx context.Context, workers []string, length time.Duration) error {
+	return o.WithState(ctx, func(p *engine.Pool, c engine.Clock) { p.SetUpkeepDue(workers, c.Now+length) })
+}
+
 // Report returns the state of the pool, for the planning of maintenance and of moves between pools.
 func (o *Owner) Report(ctx context.Context) (engine.PoolReport, error) {
 	var r engine.PoolReport
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -40,6 +40,8 @@
 	Report(ctx context.Context, pool string) (engine.PoolReport, error)
 	// Cordon keeps new work off a worker for the given time; length 0 uncordons it.
 	Cordon(ctx context.Context, pool, worker string, length time.Duration) (owner.CordonAnswer, error)
+	// AnnounceUpkeep names the workers of a shard whose instances are due for upkeep, for the given time.
+	AnnounceUpkeep(ctx context.Context, shard string, workers []string, length time.Duration) error
 	// WorkerTerminated notifies the owner that a worker has terminated.
 	WorkerTerminated(ctx context.Context, pool, worker string) error
 	// Pools returns all pools by name; the value is true for spare pools.
@@ -124,6 +126,8 @@
 	lastSeen     map[string]Instance
 	terminated   map[string]string
 	surplusSince map[string]time.Duration
+	// announcedAt is when the workers that are due for upkeep were last named to their owners.
+	announcedAt time.Duration
 	// startingUntil holds the instances that were down when they were first listed and have not been up since.
 	startingUntil map[string]time.Duration
 }
@@ -170,6 +174,7 @@
 		c.settings.Log.Warn().Err(err).Msg("cannot read the state of the fleet; retrying")
 		return
 	}
+	c.announceUpkeep(s, waves)
 	due := c.plan(s)
 	c.uncordon(due)
 	orders := c.cordon(s, due)
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -185,7 +185,7 @@
 		n.desired = s.desiredSize(pool, r, f, n.current)
 		n.minimum = n.desired
 		peak := f.PeakExpected(pool, s.Now)
-		n.urgent = peak || r.LongRunningPending || r.UsedCPU+r.PendingCPU > r.CapacityCPU
+		n.urgent = peak || r.LongRunningPending() || r.UsedCPU+r.PendingCPU > r.CapacityCPU
 		if !peak {
 			n.minimum = min(n.desired, ceilDiv(donorShare*float64(n.desired), 1))
 		}
@@ -222,7 +222,7 @@
 	}
 	instanceCPU := s.instanceCPU(pool)
 	used := float64(r.UsedCPU - r.LongRunningCPU + r.PendingCPU)
-	if r.LongRunningPending {
+	if r.LongRunningPending() {
 		return current + 1
 	}
 	switch {
--- a/upkeep/orders_test.go
+++ b/upkeep/orders_test.go
@@ -39,6 +39,9 @@
 func (p *testPools) Report(context.Context, string) (engine.PoolReport, error) {
 	return engine.PoolReport{}, nil
 }
+func (p *testPools) AnnounceUpkeep(context.Context, string, []string, time.Duration) error {
+	return nil
+}
 func (p *testPools) CreateShards(context.Context, map[string]shard.Size)    {}
 func (p *testPools) Layout() *shard.Layout                                  { return nil }
 func (p *testPools) ShardOf(pool, _ string) (string, bool)                  { return pool, true }
--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -142,8 +142,8 @@
 			break
 		}
 		i := s.Instances[id]
-		if i.State != StateUp || cordoned[id] || s.mayBeDown(id) || s.coolingDown[id] || s.Reports[i.Pool].LongRunningPending {
-			continue // A long-running task waits for capacity in that pool.
+		if i.State != StateUp || cordoned[id] || s.mayBeDown(id) || s.coolingDown[id] || s.longRunningPending(i) {
+			continue
 		}
 		early := s.longRunningOn(id) > 0 && longRunning[s.shardOfInstance(i)] < limit[s.shardOfInstance(i)] && len(s.Reports[i.Pool].Workers) > 2
 		if !urgent && !early && !s.canSpare(i, released[i.Pool], taken[s.shardOfInstance(i)], available[s.shardOfInstance(i)]) {
@@ -162,13 +162,34 @@
 func (s *State) keepCordoned(remaining []string, cordoned map[string]bool) []string {
 	var out []string
 	for _, id := range remaining {
-		if i := s.Instances[id]; cordoned[id] && i.State == StateUp && !s.coolingDown[id] && !s.Reports[i.Pool].LongRunningPending {
+		if i := s.Instances[id]; cordoned[id] && i.State == StateUp && !s.coolingDown[id] && !s.longRunningPending(i) {
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
+// longRunningPending reports whether a long-running task waits for capacity in the instance's shard.
+func (s *State) longRunningPending(i Instance) bool {
+	pending := s.Reports[i.Pool].LongRunningPendingIn
+	return len(pending) > 0 && slices.Contains(pending, s.shardOfInstance(i))
+}
+
+// upkeepDue returns the workers whose instances wait for their upkeep in the given waves, by shard.
+func (s *State) upkeepDue(waves []Wave) map[string][]string {
+	out := map[string][]string{}
+	for _, w := range waves {
+		for _, id := range s.Remaining(w) {
+			if i := s.Instances[id]; i.Worker != "" && !s.Spare[i.Pool] && !s.mayBeDown(id) {
+				name := s.shardOfInstance(i)
+				out[name] = append(out[name], i.Worker)
+			}
+		}
+	}
+	delete(out, noShard)
+	return out
+}
+
 // urgent reports whether the remaining instances need all the time that the wave has left.
 func (s *State) urgent(w Wave, remaining int) bool {
 	rounds := (remaining + max(w.Cap, 1) - 1) / max(w.Cap, 1)
--- a/upkeep/shards_test.go
+++ b/upkeep/shards_test.go
@@ -102,3 +102,34 @@
 	}
 	g.Expect(total).To(BeNumerically(">", 4*minLongRunningDrains), "a shard of 40 instances drains more than a small pool")
 }
+
+// Load pattern: a wave in a divided pool, one shard of which lacks capacity for a long-running task. Guards against a wave that stands
+// still in the other shards meanwhile, and against due workers that are named to the owner of another shard.
+func TestPendingLongRunningTaskPausesItsShardOnly(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := dividedPool()
+	r := s.Reports["pumps"]
+	r.LongRunningPendingIn = []string{"pumps#2"}
+	s.Reports["pumps"] = r
+	w := Wave{ID: 1, Cap: 40, Duration: time.Second}
+	for id := range s.Instances {
+		w.Instances = append(w.Instances, id)
+	}
+	s.Orders["pumps-00"] = OrderRecord{Started: []int64{1}}
+	taken := map[string]int{}
+	for _, id := range s.PlanWave(w, nil) {
+		taken[s.shardOfInstance(s.Instances[id])]++
+	}
+	due := s.upkeepDue([]Wave{w})
+	for _, name := range s.layout.Names("pumps") {
+		g.Expect(taken[name] > 0).To(Equal(name != "pumps#2"), name)
+		for _, worker := range due[name] {
+			g.Expect(s.shardOfInstance(Instance{Pool: "pumps", Worker: worker})).To(Equal(name))
+		}
+	}
+	all := 0
+	for _, workers := range due {
+		all += len(workers)
+	}
+	g.Expect(all).To(Equal(39), "neither the instance that has had its upkeep nor the spare one")
+}
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -256,7 +256,7 @@
 	w := Wave{ID: 1, Cap: 4, Duration: 25 * time.Second, Instances: []string{"pumps-00", "pumps-01", "pumps-02"}}
 	g.Expect(s.PlanWave(w, nil)).To(HaveLen(3))
 	r := s.Reports["pumps"]
-	r.LongRunningPending = true
+	r.LongRunningPendingIn = []string{"pumps"}
 	s.Reports["pumps"] = r
 	g.Expect(s.PlanWave(w, map[string]bool{"pumps-00": true})).To(BeEmpty())
 	feed(f, "pumps", 10, 20*time.Second, 4*time.Second, 4*testCapacity)
