Consider no owner dead because its part of the store can't be read

Cause: owners without recent heartbeats are confirmed by a read of the part with their rows. The parts were read one after the other, each for up to 0.8 s, and the result of one part counted as a view of all members at its end, so that everybody seemed to have been silent for 3.6 s. Besides, an owner whose part is away can't write heartbeats, and was to be considered dead for that.

Change: the parts are read side by side; their rows say nothing of other members; members whose part can't be read are not considered dead for missing heartbeats.

Evidence: TestNoMemberDiesWhileItsPartIsUnreadable: before, the reading daemon alone was left alive.

--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -1,11 +1,17 @@
 package cluster
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"samphirepoint/rows"
+	"samphirepoint/rows/memrows"
 )
 
 func member(node string, heartbeat int64, pools ...string) Member {
@@ -30,6 +36,59 @@
 	g.Expect(v.Alive()).To(HaveLen(1), "b wrote no heartbeat while a could")
 }
 
+// partlyReadableStore is a store of which one part gives no response.
+type partlyReadableStore struct {
+	*memrows.Store
+	silent string
+}
+
+func (s *partlyReadableStore) Read(ctx context.Context, table, part string) ([]rows.Row, int64, error) {
+	if part == s.silent {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return s.Store.Read(ctx, table, part)
+}
+
+// Guards against owners that are considered dead because the part of the store with their heartbeats is away, and against all other
+// members being considered dead because the read of that part took long.
+func TestNoMemberDiesWhileItsPartIsUnreadable(t *testing.T) {
+	g := NewWithT(t)
+	store := &partlyReadableStore{Store: memrows.New()}
+	began := time.Now()
+	n := NewNode(Settings{Name: "a", Store: store, Log: zerolog.Nop(), Now: func() time.Duration { return time.Since(began) }})
+	beat := func(heartbeat int64, nodes ...string) {
+		for _, node := range nodes {
+			value, err := json.Marshal(member(node, heartbeat, "pool-"+node))
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = store.Transact(t.Context(), rows.Tx{Writes: []rows.Write{{Key: rows.Key{Table: TableMembers, Part: memberPart(node), Name: node}, Value: value}}})
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	g.Expect(memberPart("b")).NotTo(Equal(memberPart("c")))
+	beat(1, "a", "b", "c", "d")
+	n.view.deadAfter = 300 * time.Millisecond
+	g.Expect(n.observe(t.Context())).To(BeTrue())
+	store.silent = memberPart("b")
+	time.Sleep(250 * time.Millisecond)
+	beat(2, "a", "c") // b can't write, d is dead
+	g.Expect(n.observe(t.Context())).To(BeTrue())
+	n.confirmStale(t.Context()) // takes storeTimeout
+	g.Expect(n.Alive()).To(HaveLen(4))
+	beat(3, "a", "c")
+	g.Expect(n.observe(t.Context())).To(BeTrue())
+	n.confirmStale(t.Context())
+	var alive []string
+	for _, m := range n.Alive() {
+		alive = append(alive, m.Node)
+	}
+	g.Expect(alive).To(Equal([]string{"a", "b", "c"}))
+	store.silent = ""
+	g.Expect(n.observe(t.Context())).To(BeTrue())
+	n.confirmStale(t.Context())
+	g.Expect(n.Alive()).NotTo(ContainElement(HaveField("Node", "b")), "its part is readable and has no new heartbeat")
+}
+
 // Guards against waiting for the failure timeout of a process whose address refuses connections.
 func TestRefusedConnectionsMarkMemberDead(t *testing.T) {
 	g := NewWithT(t)
--- a/cluster/heartbeat.go
+++ b/cluster/heartbeat.go
@@ -6,6 +6,8 @@
 	"errors"
 	"strconv"
 
+	"golang.org/x/sync/errgroup"
+
 	"samphirepoint/rows"
 )
 
@@ -82,26 +84,33 @@
 	return members
 }
 
-// confirmStale reads the rows of owners without recent heartbeats directly, before they are considered dead.
+// confirmStale reads the rows of owners without recent heartbeats directly, before they are considered dead. While a part of the store
+// can't be read, its owners can't write heartbeats either, so they are not considered dead.
 func (n *Node) confirmStale(ctx context.Context) {
 	n.mu.Lock()
 	stale := n.view.Stale(n.view.deadAfter * 6 / 10)
 	n.mu.Unlock()
-	parts := map[string]bool{}
+	byPart := map[string][]string{}
 	for _, node := range stale {
-		parts[memberPart(node)] = true
+		part := memberPart(node)
+		byPart[part] = append(byPart[part], node)
 	}
-	for part := range parts {
-		c, cancel := context.WithTimeout(ctx, storeTimeout)
-		list, _, err := n.settings.Store.Read(c, TableMembers, part)
-		cancel()
-		if err != nil {
-			continue
-		}
-		n.mu.Lock()
-		n.view.Observe(parseMembers(list), false, n.settings.Now())
-		n.mu.Unlock()
+	c, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	var g errgroup.Group
+	for part, nodes := range byPart {
+		g.Go(func() error {
+			list, _, err := n.settings.Store.Read(c, TableMembers, part)
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.view.Readable(nodes, err == nil)
+			if err == nil {
+				n.view.Refresh(parseMembers(list), n.settings.Now())
+			}
+			return nil
+		})
 	}
+	_ = g.Wait()
 }
 
 // readMembers returns the rows that changed, or all rows on the first call and after a gap in the history.
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -32,6 +32,8 @@
 	Member
 	changedAt time.Duration
 	refusals  int
+	// unreadable is set while the part of the store with the member's row can't be read.
+	unreadable bool
 }
 
 // View is a daemon's view of the cluster's members. It is not safe for concurrent use.
@@ -51,10 +53,22 @@
 
 // Observe updates the view with rows that were read at now: all of them, or only those that changed.
 func (v *View) Observe(list []Member, all bool, now time.Duration) {
-	seen := map[string]bool{}
 	v.observedAt = now
+	v.Refresh(list, now)
+	seen := map[string]bool{}
 	for _, m := range list {
 		seen[m.Node] = true
+	}
+	for n := range v.members {
+		if all && !seen[n] {
+			delete(v.members, n)
+		}
+	}
+}
+
+// Refresh updates the view with the rows of some members that were read at now. It says nothing of the others.
+func (v *View) Refresh(list []Member, now time.Duration) {
+	for _, m := range list {
 		o := v.members[m.Node]
 		if o == nil || o.Incarnation != m.Incarnation || o.Heartbeat != m.Heartbeat {
 			v.members[m.Node] = &observed{Member: m, changedAt: now}
@@ -62,9 +76,14 @@
 		}
 		o.Member = m
 	}
-	for n := range v.members {
-		if all && !seen[n] {
-			delete(v.members, n)
+}
+
+// Readable records whether the rows of some members can be read. Members whose rows can't be read are not considered dead for the lack of
+// heartbeats.
+func (v *View) Readable(nodes []string, readable bool) {
+	for _, node := range nodes {
+		if o := v.members[node]; o != nil {
+			o.unreadable = !readable
 		}
 	}
 }
@@ -92,7 +111,7 @@
 func (v *View) Alive() []Member {
 	var out []Member
 	for _, o := range v.members {
-		if o.Node == v.self || (v.observedAt-o.changedAt <= v.deadAfter && o.refusals < refusedLimit) {
+		if o.Node == v.self || (o.refusals < refusedLimit && (o.unreadable || v.observedAt-o.changedAt <= v.deadAfter)) {
 			out = append(out, o.Member)
 		}
 	}
@@ -105,7 +124,8 @@
 func (v *View) Stale(age time.Duration) []string {
 	var out []string
 	for _, o := range v.members {
-		if o.Node != v.self && len(o.Pools) > 0 && v.observedAt-o.changedAt > age && v.observedAt-o.changedAt < 10*age {
+		silence := v.observedAt - o.changedAt
+		if o.Node != v.self && len(o.Pools) > 0 && silence > age && (o.unreadable || silence < 10*age) {
 			out = append(out, o.Node)
 		}
 	}
