Write a pool's changes to a standby part while its own part of the store is away

What callers saw: SHORT, and refusals beside free workers.

Cause: all rows of a pool (or shard) were in one part, and each run is recorded before its order. The rest of the store, which answered, was of no use to it.

Change: each pool has a standby part. Records carry the number of the job's last change, so that the newer copy is known, whichever transaction is executed late. An owner claims both parts under its token before it reads either, so that a former one can write to neither. Loading has a file of its own.

Weighed: going on from the owner's memory without any record needs a successor that asks every worker first; kept for outages of the whole store, if at all. Limit: a takeover waits for both parts.

--- a/cluster/simplatform_test.go
+++ b/cluster/simplatform_test.go
@@ -32,6 +32,14 @@
 	// faultFree ends lost responses; slowUntil is when each slow daemon's calls are fast again.
 	faultFree bool
 	slowUntil map[string]time.Time
+	// away holds the outages of parts of the store.
+	away map[string]simOutage
+}
+
+// simOutage is the outage of a part of the store. A silent part gives no response, and executes some of the calls at the end.
+type simOutage struct {
+	until  time.Time
+	silent bool
 }
 
 type simInstance struct {
@@ -82,7 +90,7 @@
 func newSimPlatform(seed uint64) *simPlatform {
 	p := &simPlatform{
 		store: memrows.New(), rnd: rand.New(rand.NewPCG(seed, 7)), workers: map[string]*simWorker{}, instances: map[string]*simInstance{},
-		tasks: map[string]*simTask{}, began: time.Now(), slowUntil: map[string]time.Time{},
+		tasks: map[string]*simTask{}, began: time.Now(), slowUntil: map[string]time.Time{}, away: map[string]simOutage{},
 	}
 	for _, pool := range simPools {
 		for k := range simInstancesPerPool {
@@ -153,7 +161,32 @@
 	return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "no response")
 }
 
+// partAway returns the error of a call to a part of the store that is away. Of the transactions that get no response, half are executed
+// at the end of the outage.
+func (a *simAccess) partAway(ctx context.Context, part string, tx *rows.Tx) error {
+	a.mu.Lock()
+	o := a.away[part]
+	late := a.rnd.IntN(2) == 0
+	a.mu.Unlock()
+	rest := time.Until(o.until)
+	switch {
+	case rest <= 0:
+		return nil
+	case !o.silent:
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "part %s is away", part)
+	case tx != nil && late:
+		time.AfterFunc(rest, func() { _, _ = a.store.Transact(context.Background(), *tx) })
+	}
+	<-ctx.Done()
+	return errNoResponse()
+}
+
 func (a *simAccess) Transact(ctx context.Context, tx rows.Tx) (int64, error) {
+	for _, part := range tx.Parts() {
+		if err := a.partAway(ctx, part, &tx); err != nil {
+			return 0, err
+		}
+	}
 	var ver int64
 	var err error
 	if !a.remote(ctx, func() { ver, err = a.store.Transact(context.Background(), tx) }) {
@@ -163,6 +196,9 @@
 }
 
 func (a *simAccess) Read(ctx context.Context, table, part string) ([]rows.Row, int64, error) {
+	if err := a.partAway(ctx, part, nil); err != nil {
+		return nil, 0, err
+	}
 	var list []rows.Row
 	var ver int64
 	var err error
--- a/cluster/simulation_test.go
+++ b/cluster/simulation_test.go
@@ -14,6 +14,7 @@
 
 	"samphirepoint/catalog"
 	"samphirepoint/engine"
+	"samphirepoint/owner"
 	"samphirepoint/shard"
 	"samphirepoint/standin/memnet"
 	"samphirepoint/upkeep"
@@ -151,7 +152,7 @@
 		if !ok {
 			continue
 		}
-		switch x.intN(3) {
+		switch x.intN(4) {
 		case 0: // the owner's calls are slow, while its workers finish what they run
 			x.slowDown(from.Node)
 		case 1: // the request to claim a pool is repeated before it was answered
@@ -164,10 +165,25 @@
 			}
 		case 2: // a daemon with another view of the members claims the pool
 			x.spawn(func() { _ = to.claimPool(x.ctx, pool) })
+		case 3: // parts of the store are away
+			x.takeAway(pool, memberPart(from.Node))
+			if x.intN(4) == 0 {
+				x.takeAway(owner.StandbyPart(pool))
+			}
 		}
 	}
 }
 
+// takeAway begins an outage of parts of the store.
+func (x *clusterSimulation) takeAway(parts ...string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	o := simOutage{until: time.Now().Add(time.Duration(500+x.rnd.IntN(4000)) * time.Millisecond), silent: x.rnd.IntN(2) == 0}
+	for _, part := range parts {
+		x.away[part] = o
+	}
+}
+
 // slowDown makes the calls of a daemon slow for a while.
 func (x *clusterSimulation) slowDown(daemon string) {
 	x.mu.Lock()
@@ -196,6 +212,7 @@
 	x.mu.Lock()
 	x.faultFree = true
 	clear(x.slowUntil)
+	clear(x.away)
 	x.mu.Unlock()
 	time.Sleep(simCalmTime)
 	x.checkJobs()
--- a/engine/commit.go
+++ b/engine/commit.go
@@ -5,15 +5,16 @@
 	"slices"
 )
 
-// Change is a state of a job to be written to the store.
+// Change is a state of a job to be written to a part of the store.
 type Change struct {
 	Job *Job
 	// Record is nil if the job's rows are to be deleted.
 	Record []byte
-	// Spec is set if the spec isn't stored yet; DropSpec is set if its row is no longer needed.
+	// Spec is set if the part has no spec of the job yet; DropSpec is set if its row is no longer needed.
 	Spec     []byte
 	DropSpec bool
 
+	part  Part
 	rev   int64
 	state State
 }
@@ -26,29 +27,37 @@
 	return 1
 }
 
-// NextBatch returns changed jobs, up to the given number of entries and about maxBytes. Jobs that are not stored yet go
-// first, because their callers wait with short deadlines, which matters while the store is slow.
-func (p *Pool) NextBatch(entries, maxBytes int) []Change {
+// NextBatch returns changed jobs to be written to a part, up to the given number of entries and about maxBytes. Jobs that are not
+// stored yet go first, because their callers wait with short deadlines, which matters while the store is slow. Rows are deleted from
+// the primary part only.
+func (p *Pool) NextBatch(part Part, entries, maxBytes int) []Change {
 	var out []Change
+	var later []*Job
 	slices.SortStableFunc(p.dirty, func(a, b *Job) int { return cmp.Compare(rankTrueFirst(!a.Committed()), rankTrueFirst(!b.Committed())) })
 	bytes := 0
 	for len(p.dirty) > 0 && bytes < maxBytes {
-		ch := p.change(p.dirty[0])
+		j := p.dirty[0]
+		if j.expired && part == Standby {
+			later, p.dirty = append(later, j), p.dirty[1:]
+			continue
+		}
+		ch := p.change(j, part)
 		if entries < ch.Entries() {
 			break
 		}
 		entries -= ch.Entries()
 		bytes += len(ch.Record) + len(ch.Spec)
-		p.dirty[0].dirty = false
-		p.dirty[0].batched = true
+		j.dirty = false
+		j.batched = true
 		p.dirty = p.dirty[1:]
 		out = append(out, ch)
 	}
+	p.dirty = append(p.dirty, later...)
 	return out
 }
 
-func (p *Pool) change(j *Job) Change {
-	ch := Change{Job: j, rev: j.rev, state: j.state}
+func (p *Pool) change(j *Job, part Part) Change {
+	ch := Change{Job: j, part: part, rev: j.rev, state: j.state}
 	if j.expired {
 		ch.DropSpec = true
 		return ch
@@ -56,9 +65,9 @@
 	ch.Record = j.EncodeRecord()
 	spent := j.state.Terminal() && j.liveRuns() == 0
 	switch {
-	case !j.Stored && !spent:
+	case !j.Stored && !spent && (part == Primary || !j.specInStandby):
 		ch.Spec = j.EncodeSpec()
-	case j.Stored && spent:
+	case j.Stored && spent && part == Primary:
 		ch.DropSpec = true
 	}
 	return ch
@@ -78,17 +87,14 @@
 func (p *Pool) committed(ch *Change, c Clock) {
 	j := ch.Job
 	if ch.Record == nil {
-		j.committed = ch.rev
+		j.committed = max(j.committed, ch.rev)
 		delete(p.jobs, j.Spec.ID)
 		return
 	}
-	if ch.Spec != nil {
-		j.Stored = true
+	p.noteStored(ch)
+	if ch.rev >= j.committed {
+		j.committed, j.committedState = ch.rev, ch.state
 	}
-	if ch.DropSpec {
-		j.Stored = false
-	}
-	j.committed, j.committedState = ch.rev, ch.state
 	p.sendStoredStarts(j, ch.rev, c)
 	remaining := j.waiters[:0]
 	for _, w := range j.waiters {
@@ -153,13 +159,18 @@
 func (p *Pool) Requeue(batch []Change) {
 	for i := range batch {
 		j := batch[i].Job
-		if j.committed == 0 {
+		if j.committed == 0 && !j.uncertain {
 			j.batched = false
 		}
-		if !j.dirty {
-			j.dirty = true
-			p.dirty = append(p.dirty, j)
-		}
+		p.writeAgain(j)
+	}
+}
+
+// writeAgain makes the next batch hold the job even if it has not changed.
+func (p *Pool) writeAgain(j *Job) {
+	if !j.dirty && p.jobs[j.Spec.ID] == j {
+		j.dirty = true
+		p.dirty = append(p.dirty, j)
 	}
 }
 
--- a/engine/cost_benchmark_test.go
+++ b/engine/cost_benchmark_test.go
@@ -43,6 +43,6 @@
 	c := w.clock()
 	for b.Loop() {
 		w.pool.markDirty(j)
-		w.pool.Committed(w.pool.NextBatch(97, 400<<10), c)
+		w.pool.Committed(w.pool.NextBatch(Primary, 97, 400<<10), c)
 	}
 }
--- a/engine/doc.go
+++ b/engine/doc.go
@@ -8,7 +8,7 @@
 //	pool.SetRoster(workers, clock)
 //	job := pool.Submit(spec, clock)
 //	for {
-//		batch := pool.NextBatch(entries, maxBytes) // write it to the store, then
+//		batch := pool.NextBatch(engine.Primary, entries, maxBytes) // write it to the store, then
 //		pool.Committed(batch, clock)               // its effects may now leave the process
 //		pool.Place(clock)
 //		for _, order := range pool.TakeOrders() { ... } // send, then pool.StartAnswered(...)
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -364,7 +364,7 @@
 	w.endAll(EndDone)
 	w.renewLeases()
 	w.pool.Submit(oneStep("00000000000000ff", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
-	batch := w.pool.NextBatch(10, 1<<20)
+	batch := w.pool.NextBatch(Primary, 10, 1<<20)
 	ids := []string{}
 	for _, ch := range batch {
 		ids = append(ids, ch.Job.Spec.ID)
--- a/engine/job.go
+++ b/engine/job.go
@@ -9,7 +9,7 @@
 // Job is a job with the state of its tasks. The exported fields belong to the caller that writes the job to the store.
 type Job struct {
 	Spec Spec
-	// Stored is set while the job's spec is in the store.
+	// Stored is set while the job's spec is in the primary part of the store.
 	Stored bool
 
 	state          State
@@ -20,12 +20,17 @@
 	occurrences    []*occurrence
 	expired        bool
 
+	// rev counts the changes of the job. committed is the newest one that is in the store, in either part.
 	rev, committed int64
 	dirty          bool
-	// batched is set once any state of the job may be in the store.
-	batched      bool
-	waiters      []waiter
-	criticalPath time.Duration
+	// batched is set once any state of the job may be in the store, uncertain once it may be there whatever becomes of later batches.
+	batched, uncertain bool
+	// inPrimary and inStandby are the newest changes in each part, 0 if the part has no record of the job. specInStandby is set while
+	// the standby part has the job's spec.
+	inPrimary, inStandby int64
+	specInStandby        bool
+	waiters              []waiter
+	criticalPath         time.Duration
 }
 
 type waiter struct {
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -62,6 +62,8 @@
 	backlog         backlog
 	// pendingStarts is the number of runs for which Run.awaitsOutcome holds.
 	pendingStarts int
+	// misplaced holds the jobs with a record in the standby part.
+	misplaced map[string]*Job
 	// noRoom holds needs that fit on no worker for the rest of the placement.
 	noRoom []Resources
 	// candidateBuffer and usableBuffer are reused by successive placements.
@@ -84,6 +86,7 @@
 	return &Pool{
 		Name: name, Token: token, options: opt, acquiredAt: now,
 		queues: map[string]Queue{}, jobs: map[string]*Job{}, workers: map[string]*Worker{}, durationEstimates: map[string]*durationEstimate{}, kinds: map[string]float64{},
+		misplaced: map[string]*Job{},
 	}
 }
 
@@ -127,14 +130,19 @@
 	return j
 }
 
-// Load restores a job from its stored record.
+// Load restores a job from its record in the primary part.
 func (p *Pool) Load(spec *Spec, id string, rec Record, c Clock) {
+	p.LoadCopies(id, Copies{Primary: &rec, PrimarySpec: spec}, c)
+}
+
+func (p *Pool) load(spec *Spec, id string, rec Record, c Clock) *Job {
 	if spec == nil {
 		spec = &Spec{ID: id, Queue: rec.Queue}
 	}
 	j := newJob(*spec, rec.SubmittedMS)
 	j.state, j.committedState, j.started, j.endedMS = rec.State, rec.State, rec.Started, rec.EndedMS
-	j.Stored, j.committed, j.rev = true, 1, 1
+	j.rev = max(rec.Rev, 1)
+	j.committed = j.rev
 	p.jobs[id] = j
 	if len(spec.Steps) > 0 {
 		for _, tr := range rec.Tasks {
@@ -150,6 +158,7 @@
 		p.instantiateDue(j, c)
 	}
 	p.placementNeeded = true
+	return j
 }
 
 func (p *Pool) loadTask(j *Job, tr TaskRecord) {
@@ -286,7 +295,7 @@
 	}
 	p.nextExpiry = c.Now + expireInterval
 	for _, j := range p.jobs {
-		if j.state.Terminal() && !j.expired && c.Wall-j.endedMS > p.options.Retention.Milliseconds() && j.liveRuns() == 0 {
+		if j.state.Terminal() && !j.expired && j.inStandby == 0 && c.Wall-j.endedMS > p.options.Retention.Milliseconds() && j.liveRuns() == 0 {
 			j.expired = true
 			p.markDirty(j)
 		}
--- a/engine/record.go
+++ b/engine/record.go
@@ -8,13 +8,15 @@
 
 // Record is the durable state of a job. The spec has a row of its own, which is written once.
 type Record struct {
-	Queue       string       `json:"q"`
-	State       State        `json:"s"`
-	SubmittedMS int64        `json:"t"`
-	EndedMS     int64        `json:"e,omitempty"`
-	Started     bool         `json:"b,omitempty"`
-	Finished    []int        `json:"f,omitempty"`
-	Tasks       []TaskRecord `json:"k,omitempty"`
+	Queue       string `json:"q"`
+	State       State  `json:"s"`
+	SubmittedMS int64  `json:"t"`
+	EndedMS     int64  `json:"e,omitempty"`
+	Started     bool   `json:"b,omitempty"`
+	Finished    []int  `json:"f,omitempty"`
+	// Rev grows with each change of the job: of two copies, the one with the higher value is the newer.
+	Rev   int64        `json:"v,omitempty"`
+	Tasks []TaskRecord `json:"k,omitempty"`
 }
 
 // TaskRecord is the state of a task that has been started at least once. A run is recorded before its start order is
@@ -39,7 +41,7 @@
 }
 
 func (j *Job) record() Record {
-	r := Record{Queue: j.Spec.Queue, State: j.state, SubmittedMS: j.submittedMS, EndedMS: j.endedMS, Started: j.started}
+	r := Record{Queue: j.Spec.Queue, State: j.state, SubmittedMS: j.submittedMS, EndedMS: j.endedMS, Started: j.started, Rev: j.rev}
 	for k, o := range j.occurrences {
 		if o != nil && o.finished {
 			r.Finished = append(r.Finished, k)
@@ -90,6 +92,7 @@
 		b = jsonenc.Int(append(b, separator(i, `,"f":[`)...), int64(k))
 	}
 	b = closeList(b, len(r.Finished))
+	b = appendNonZero(b, `,"v":`, r.Rev)
 	for i := range r.Tasks {
 		b = r.Tasks[i].append(append(b, separator(i, `,"k":[`)...))
 	}
--- a/engine/simulation_calls_test.go
+++ b/engine/simulation_calls_test.go
@@ -45,7 +45,7 @@
 }
 
 func (x *simulation) write() {
-	for batch := x.pool.NextBatch(99, 1<<20); len(batch) > 0; batch = x.pool.NextBatch(99, 1<<20) {
+	for batch := x.pool.NextBatch(Primary, 99, 1<<20); len(batch) > 0; batch = x.pool.NextBatch(Primary, 99, 1<<20) {
 		for _, ch := range batch {
 			x.store(ch)
 		}
--- a/engine/testpool_test.go
+++ b/engine/testpool_test.go
@@ -134,7 +134,7 @@
 
 func (w *testPool) write() {
 	for {
-		batch := w.pool.NextBatch(99, 1<<20)
+		batch := w.pool.NextBatch(Primary, 99, 1<<20)
 		if len(batch) == 0 {
 			return
 		}
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -25,70 +25,100 @@
 // last transaction, and the row that identifies this transaction.
 const reservedEntries = 3
 
-func (o *Owner) lastTransactionRow() rows.Key {
-	return rows.Key{Table: TableCommits, Part: o.settings.Pool, Name: lastTransactionKey}
-}
-
-// readLastVersion returns the version of the last transaction's row, or 0 if there was no transaction.
-func (o *Owner) readLastVersion(ctx context.Context) (int64, error) {
-	list, _, err := o.settings.Store.Read(ctx, TableCommits, o.settings.Pool)
-	for _, r := range list {
-		if r.Key == o.lastTransactionRow() {
-			return r.Ver, err
-		}
+// commit starts writing the next batch unless a write to the same part is in flight.
+func (o *Owner) commit(c engine.Clock) {
+	if c.Now-o.lastWrite < commitInterval {
+		return
+	}
+	part := o.writablePart(c.Now)
+	if part == nil {
+		return
 	}
-	return 0, err
+	if part == o.primary {
+		o.pool.ReturnToPrimary()
+	}
+	if batch := o.pool.NextBatch(part.id, rows.MaxEntries-reservedEntries, batchBytes); len(batch) > 0 {
+		o.lastWrite = c.Now
+		o.startWrite(part, batch, o.transaction(part, batch))
+		return
+	}
+	o.clearStandby(c)
 }
 
-// commit starts writing the next batch unless a write is in flight.
-func (o *Owner) commit(c engine.Clock) {
-	if o.writeInFlight || c.Now-o.lastWrite < commitInterval {
+// clearStandby removes the rows of the standby part that are no longer needed.
+func (o *Owner) clearStandby(c engine.Clock) {
+	if o.writing != o.primary || o.standby.inFlight || o.standby.failingSince != 0 || c.Now < o.standby.retryAt {
 		return
 	}
-	batch := o.pool.NextBatch(rows.MaxEntries-reservedEntries, batchBytes)
-	if len(batch) == 0 {
+	jobs := o.pool.Superfluous(maxCleared)
+	if len(jobs) == 0 {
 		return
 	}
-	o.writeInFlight = true
 	o.lastWrite = c.Now
-	go o.write(batch, o.transaction(batch))
+	o.startWrite(o.standby, nil, o.removal(o.standby, jobs), jobs...)
+}
+
+// startWrite starts writing a transaction with a batch, or one that removes the rows of cleared jobs from the standby part.
+func (o *Owner) startWrite(part *storePart, batch []engine.Change, tx rows.Tx, cleared ...*engine.Job) {
+	part.inFlight, part.batch, part.rewritten, part.sentAt = true, batch, false, o.pace.onTime()
+	go o.write(part, batch, tx, cleared)
+}
+
+func jobKey(part *storePart, id string) rows.Key {
+	return rows.Key{Table: TableJobs, Part: part.name, Name: id}
 }
 
-func (o *Owner) jobKey(id string) rows.Key {
-	return rows.Key{Table: TableJobs, Part: o.settings.Pool, Name: id}
+func specKey(part *storePart, id string) rows.Key {
+	return rows.Key{Table: TableSpecs, Part: part.name, Name: id}
 }
 
-// transaction builds the transaction for a batch. It is conditional on the claim and on the version of the last transaction,
-// so an attempt that the store executes late has no effect. Its name occurs only once, so that resolveConflict recognizes it.
-func (o *Owner) transaction(batch []engine.Change) rows.Tx {
+// newTransaction returns a transaction without changes. It is conditional on the claim and on the version of the last transaction of the
+// part, so an attempt that the store executes late has no effect. Its name occurs only once, so that resolveConflict recognizes it.
+func (o *Owner) newTransaction(part *storePart) rows.Tx {
 	o.transactionCount++
 	name := fmt.Appendf(nil, "%d.%s.%d", o.settings.Token, o.term, o.transactionCount)
-	tx := rows.Tx{
-		Expected: []rows.Condition{ClaimCondition(o.settings.Pool, o.settings.ClaimVer), {Key: o.lastTransactionRow(), Ver: o.lastTransactionVer}},
-		Writes:   []rows.Write{{Key: o.lastTransactionRow(), Value: name}},
+	return rows.Tx{
+		Expected: []rows.Condition{ClaimCondition(part.name, part.claimVer), {Key: part.lastTransactionRow(), Ver: part.lastVer}},
+		Writes:   []rows.Write{{Key: part.lastTransactionRow(), Value: name}},
 	}
+}
+
+// transaction builds the transaction for a batch.
+func (o *Owner) transaction(part *storePart, batch []engine.Change) rows.Tx {
+	tx := o.newTransaction(part)
 	for i := range batch {
 		ch := &batch[i]
 		id := ch.Job.Spec.ID
-		spec := rows.Key{Table: TableSpecs, Part: o.settings.Pool, Name: id}
 		if ch.Record == nil {
-			tx.Remove = append(tx.Remove, o.jobKey(id))
+			tx.Remove = append(tx.Remove, jobKey(part, id))
 		} else {
-			tx.Writes = append(tx.Writes, rows.Write{Key: o.jobKey(id), Value: ch.Record})
+			tx.Writes = append(tx.Writes, rows.Write{Key: jobKey(part, id), Value: ch.Record})
 		}
 		if ch.Spec != nil {
-			tx.Writes = append(tx.Writes, rows.Write{Key: spec, Value: ch.Spec})
+			tx.Writes = append(tx.Writes, rows.Write{Key: specKey(part, id), Value: ch.Spec})
 		}
 		if ch.DropSpec && ch.Job.Stored {
-			tx.Remove = append(tx.Remove, spec)
+			tx.Remove = append(tx.Remove, specKey(part, id))
 		}
 	}
 	return tx
 }
 
+// maxCleared is the number of jobs whose rows one transaction removes.
+const maxCleared = (rows.MaxEntries - reservedEntries) / 2
+
+// removal builds the transaction that removes the rows of jobs.
+func (o *Owner) removal(part *storePart, jobs []*engine.Job) rows.Tx {
+	tx := o.newTransaction(part)
+	for _, j := range jobs {
+		tx.Remove = append(tx.Remove, jobKey(part, j.Spec.ID), specKey(part, j.Spec.ID))
+	}
+	return tx
+}
+
 // write retries one transaction until its outcome is known. The store may execute an attempt after its response was lost, so
 // each retry sends the identical transaction: the expected versions allow only one of the attempts to succeed.
-func (o *Owner) write(batch []engine.Change, tx rows.Tx) {
+func (o *Owner) write(part *storePart, batch []engine.Change, tx rows.Tx, cleared []*engine.Job) {
 	unknown := false
 	began := o.settings.Now()
 	for o.ctx.Err() == nil {
@@ -99,7 +129,7 @@
 		switch {
 		case err == nil:
 			observe.RecordDuration("store.commit", o.settings.Now()-began)
-			o.post(func() { o.handleCommitted(batch, ver) })
+			o.post(func() { o.handleCommitted(part, batch, cleared, ver) })
 			return
 		case errors.As(err, &conflict):
 			ver, err := o.resolveConflict(tx, conflict, unknown)
@@ -107,16 +137,16 @@
 				o.post(func() { o.fail(err) })
 				return
 			}
-			o.post(func() { o.handleCommitted(batch, ver) })
+			o.post(func() { o.handleCommitted(part, batch, cleared, ver) })
 			return
 		case !verdict.Is(err, verdict.NotRun):
 			unknown = true
 		}
 		observe.Count("store.faults")
-		o.post(o.recordStoreFault)
-		o.settings.Log.Warn().Str("pool", o.settings.Pool).Err(err).Bool("mayHaveRun", unknown).Msg("failed to write rows; retrying")
+		o.post(func() { o.recordStoreFault(part) })
+		o.settings.Log.Warn().Str("pool", o.settings.Pool).Str("part", part.name).Err(err).Bool("mayHaveRun", unknown).Msg("failed to write rows; retrying")
 		if !unknown {
-			o.post(func() { o.requeue(batch) })
+			o.post(func() { o.requeue(part, batch) })
 			return
 		}
 		_ = sleep.Context(o.ctx, commitRetryDelay)
@@ -141,47 +171,27 @@
 	return last.Ver, err
 }
 
-func (o *Owner) handleCommitted(batch []engine.Change, ver int64) {
-	o.writeInFlight = false
-	o.storeFailingSince = 0
-	o.lastTransactionVer = ver
+func (o *Owner) handleCommitted(part *storePart, batch []engine.Change, cleared []*engine.Job, ver int64) {
+	part.inFlight, part.batch = false, nil
+	part.failingSince = 0
+	part.lastVer = ver
 	o.pool.Committed(batch, o.clock())
+	o.pool.RemovedFromStandby(cleared)
 	o.offerRenewals()
 }
 
-// requeue returns to the engine a batch that was certainly not written, so that waiting jobs in it can still be rejected.
-func (o *Owner) requeue(batch []engine.Change) {
-	o.writeInFlight = false
-	o.lastWrite = o.settings.Now() + commitRetryDelay
-	o.pool.Requeue(batch)
-}
-
-// probeInterval is the least time between two probes of a store that has failed.
-const probeInterval = 150 * time.Millisecond
-
-// probe checks whether the store has recovered. New work is rejected until then, so there may be no other write that would
-// show it.
-func (o *Owner) probe() {
-	now := o.settings.Now()
-	if o.storeFailingSince == 0 || o.writeInFlight || o.probing || now-o.lastProbe < probeInterval {
-		return
+// requeue returns to the engine a batch that was certainly not written, so that waiting jobs in it can still be rejected. If the batch
+// was given to the other part meanwhile, that one has it.
+func (o *Owner) requeue(part *storePart, batch []engine.Change) {
+	part.inFlight, part.batch = false, nil
+	part.retryAt = o.settings.Now() + commitRetryDelay
+	if !part.rewritten {
+		o.pool.Requeue(batch)
 	}
-	o.probing, o.lastProbe = true, now
-	go func() {
-		ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
-		defer cancel()
-		_, _, err := o.settings.Store.Read(ctx, TableOwners, o.settings.Pool)
-		o.post(func() {
-			o.probing = false
-			if err == nil {
-				o.storeFailingSince = 0
-			}
-		})
-	}()
 }
 
-func (o *Owner) recordStoreFault() {
-	if o.storeFailingSince == 0 {
-		o.storeFailingSince = o.settings.Now()
+func (o *Owner) recordStoreFault(part *storePart) {
+	if part.failingSince == 0 {
+		part.failingSince = o.settings.Now()
 	}
 }
--- a/owner/concurrent_terms_test.go
+++ b/owner/concurrent_terms_test.go
@@ -29,9 +29,9 @@
 	s := memrows.New()
 	ver := claim(t, s, 1)
 	first, second := newTerm(t, s, ver), newTerm(t, s, ver)
-	_, err := s.Transact(t.Context(), first.transaction(nil))
+	_, err := s.Transact(t.Context(), first.transaction(first.primary, nil))
 	g.Expect(err).NotTo(HaveOccurred())
-	tx := second.transaction(nil)
+	tx := second.transaction(second.primary, nil)
 	_, err = s.Transact(t.Context(), tx)
 	var conflict *rows.Conflict
 	g.Expect(errors.As(err, &conflict)).To(BeTrue(), "%v", err)
@@ -47,7 +47,7 @@
 
 func (s *interveningStore) Read(ctx context.Context, table, part string) ([]rows.Row, int64, error) {
 	list, ver, err := s.Store.Read(ctx, table, part)
-	if table == TableJobs && s.tx != nil {
+	if part == "pumps" && table == TableJobs && s.tx != nil {
 		if _, err := s.Store.Transact(ctx, *s.tx); err != nil {
 			return nil, 0, err
 		}
@@ -61,7 +61,8 @@
 	g := NewWithT(t)
 	shared := memrows.New()
 	ver := claim(t, shared, 1)
-	tx := newTerm(t, shared, ver).transaction(nil)
+	other := newTerm(t, shared, ver)
+	tx := other.transaction(other.primary, nil)
 	o := serveOn(t, &interveningStore{Store: shared, tx: &tx}, ver, newFakeWorkers(t), 1)
 	g.Expect(o.Submit(context.Background(), job(1))).NotTo(Succeed())
 	g.Eventually(o.Done(), time.Minute).Should(BeClosed())
--- a/owner/delayed_transaction_test.go
+++ b/owner/delayed_transaction_test.go
@@ -14,7 +14,7 @@
 	"samphirepoint/verdict"
 )
 
-// delayingStore withholds the first transaction that depends on a claim: it returns an unknown outcome and keeps the transaction.
+// delayingStore withholds the first transaction with changes of jobs: it returns an unknown outcome and keeps the transaction.
 type delayingStore struct {
 	*memrows.Store
 	mu       sync.Mutex
@@ -23,7 +23,7 @@
 
 func (s *delayingStore) Transact(ctx context.Context, tx rows.Tx) (int64, error) {
 	s.mu.Lock()
-	first := s.withheld == nil && tx.Expected[0].Table == TableOwners
+	first := s.withheld == nil && tx.Expected[0].Table == TableOwners && len(tx.Expected) > 1
 	if first {
 		s.withheld = &tx
 	}
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -36,7 +36,7 @@
 
 // admit returns the reason why a job that isn't known yet can't be accepted now, or nil.
 func (o *Owner) admit(p *engine.Pool, spec *engine.Spec, c engine.Clock) error {
-	if o.storeFailingSince != 0 && c.Now-o.storeFailingSince > storeFailureGrace {
+	if o.storeUnavailable(c.Now) {
 		return errStoreUnavailable()
 	}
 	if retryAfter, ok := p.Admit(spec); !ok {
@@ -113,8 +113,7 @@
 func (o *Owner) withdraw(job *engine.Job, last bool) bool {
 	withdrawn := false
 	_ = o.WithState(context.Background(), func(p *engine.Pool, c engine.Clock) {
-		unavailable := o.storeFailingSince != 0 && c.Now-o.storeFailingSince > storeFailureGrace
-		withdrawn = (unavailable || last) && p.Withdraw(job)
+		withdrawn = (last || o.storeUnavailable(c.Now)) && p.Withdraw(job)
 	})
 	return withdrawn
 }
@@ -135,20 +134,23 @@
 }
 
 // confirmClaim checks that the claim is still current, before the owner answers that a job isn't known: a successor may have
-// accepted it. Such answers are rare, so that one read for each is acceptable.
+// accepted it. Such answers are rare, so that one read for each is acceptable. While the primary part is not available, the claim of
+// the standby part says the same: a successor accepts nothing before it has claimed both.
 func (o *Owner) confirmClaim(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	list, _, err := o.settings.Store.Read(ctx, TableOwners, o.settings.Pool)
-	if err != nil {
-		return errStoreUnavailable()
-	}
-	current := slices.ContainsFunc(list, func(r rows.Row) bool { return r.Key == ClaimKey(o.settings.Pool) && r.Ver == o.settings.ClaimVer })
-	if !current {
-		o.post(func() { o.fail(ErrOwnershipLost) })
-		return notOwner(o.settings.Pool)
+	for _, part := range []*storePart{o.primary, o.standby} {
+		c, cancel := context.WithTimeout(ctx, commitTimeout/2)
+		list, _, err := o.settings.Store.Read(c, TableOwners, part.name)
+		cancel()
+		if err != nil {
+			continue
+		}
+		if !slices.ContainsFunc(list, func(r rows.Row) bool { return r.Key == ClaimKey(part.name) && r.Ver == part.claimVer }) {
+			o.post(func() { o.fail(ErrOwnershipLost) })
+			return notOwner(o.settings.Pool)
+		}
+		return nil
 	}
-	return nil
+	return errStoreUnavailable()
 }
 
 // Waiting returns the number of a queue's jobs that have not started.
--- /dev/null
+++ b/owner/load.go
@@ -0,0 +1,152 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"samphirepoint/engine"
+	"samphirepoint/rows"
+	"samphirepoint/sleep"
+)
+
+const (
+	// loadTimeout bounds one attempt to load the pool.
+	loadTimeout = 3 * time.Second
+	// loadRetryDelay is the delay after a failed attempt to load the pool.
+	loadRetryDelay = 100 * time.Millisecond
+)
+
+// load reads the pool's rows, retrying until it succeeds, the owner is stopped or the pool has another owner.
+func (o *Owner) load() error {
+	for {
+		err := o.loadOnce()
+		if err == nil || o.ctx.Err() != nil || errors.Is(err, ErrOwnershipLost) {
+			return err
+		}
+		o.settings.Log.Warn().Str("pool", o.settings.Pool).Err(err).Msg("failed to read rows; retrying")
+		if err := sleep.Context(o.ctx, loadRetryDelay); err != nil {
+			return err
+		}
+	}
+}
+
+// loadOnce claims the standby part and reads the rows of both parts. The primary part was claimed before, so that from then on a former
+// owner can write to neither.
+func (o *Owner) loadOnce() error {
+	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
+	defer cancel()
+	var primary, standby map[string]partRows
+	g, both := errgroup.WithContext(ctx)
+	g.Go(func() (err error) {
+		primary, err = o.readPart(both, o.primary)
+		return err
+	})
+	g.Go(func() (err error) {
+		if err := o.claimStandby(both); err != nil {
+			return err
+		}
+		standby, err = o.readPart(both, o.standby)
+		return err
+	})
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	o.pool = engine.NewPool(o.settings.Pool, o.settings.Token, o.settings.Options, o.settings.Now())
+	for id, r := range primary {
+		if err := o.loadJob(id, r, standby[id]); err != nil {
+			return err
+		}
+		delete(standby, id)
+	}
+	for id, r := range standby {
+		if err := o.loadJob(id, partRows{}, r); err != nil {
+			return err
+		}
+	}
+	return o.cordonOpenOrders(ctx)
+}
+
+// claimStandby claims the standby part under the token of the pool's claim. It repeats the attempt if the claim has changed meanwhile.
+func (o *Owner) claimStandby(ctx context.Context) error {
+	key := ClaimKey(o.standby.name)
+	self := Claim{Token: o.settings.Token, Attempt: o.term}
+	value, err := json.Marshal(self)
+	if err != nil {
+		panic(err) // A Claim has no values that fail to encode.
+	}
+	list, _, err := o.settings.Store.Read(ctx, TableOwners, o.standby.name)
+	if err != nil {
+		return err
+	}
+	present, ver := Claim{}, int64(0)
+	for _, r := range list {
+		if r.Key == key {
+			_ = json.Unmarshal(r.Value, &present) // A value that can't be decoded counts as a claim with token 0.
+			ver = r.Ver
+		}
+	}
+	switch {
+	case present.Token > self.Token:
+		return ErrOwnershipLost
+	case present == self:
+		o.standby.claimVer = ver
+		return nil
+	}
+	o.standby.claimVer, err = o.settings.Store.Transact(ctx, rows.Tx{Expected: []rows.Condition{ClaimCondition(o.standby.name, ver)}, Writes: []rows.Write{{Key: key, Value: value}}})
+	return err
+}
+
+// partRows are the rows of a job in one part.
+type partRows struct {
+	record *engine.Record
+	spec   *engine.Spec
+}
+
+// readPart reads the jobs of a part by ID.
+func (o *Owner) readPart(ctx context.Context, part *storePart) (map[string]partRows, error) {
+	// The version is read first, so that a transaction during the reads that follow makes this owner's first one conflict.
+	if err := part.readLastVersion(ctx, o.settings.Store); err != nil {
+		return nil, err
+	}
+	specs, _, err := o.settings.Store.Read(ctx, TableSpecs, part.name)
+	if err != nil {
+		return nil, err
+	}
+	records, _, err := o.settings.Store.Read(ctx, TableJobs, part.name)
+	if err != nil {
+		return nil, err
+	}
+	out := map[string]partRows{}
+	for _, r := range specs {
+		var s engine.Spec
+		if err := json.Unmarshal(r.Value, &s); err != nil {
+			return nil, fmt.Errorf("spec %s: %w", r.Name, err)
+		}
+		out[r.Name] = partRows{spec: &s}
+	}
+	for _, r := range records {
+		var rec engine.Record
+		if err := json.Unmarshal(r.Value, &rec); err != nil {
+			return nil, fmt.Errorf("job %s: %w", r.Name, err)
+		}
+		out[r.Name] = partRows{record: &rec, spec: out[r.Name].spec}
+	}
+	return out, nil
+}
+
+// loadJob restores a job from its rows in both parts.
+func (o *Owner) loadJob(id string, primary, standby partRows) error {
+	copies := engine.Copies{Primary: primary.record, PrimarySpec: primary.spec, Standby: standby.record, StandbySpec: standby.spec}
+	rec, spec := copies.Newest()
+	if rec != nil && spec == nil && !rec.State.Terminal() {
+		// Both rows are written and removed in one transaction, but are read by two calls.
+		return fmt.Errorf("job %s: spec is missing; both rows must be read again", id)
+	}
+	o.pool.LoadCopies(id, copies, o.clock())
+	return nil
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -1,16 +1,17 @@
 // Package owner runs the engine of one pool: it loads the pool's rows, writes changes, renews the leases of the pool's workers
 // and sends them orders. One goroutine holds the state; other goroutines make calls and post the results to it.
 //
-// Every transaction is conditional on the owner's row, so an owner that has lost the pool can write nothing more. It stops as
+// The rows of a pool are in two parts of the store: the primary part, and the standby part that gets the changes while the primary part
+// is not available. An owner claims both before it reads either.
+//
+// Every transaction is conditional on the owner's row in its part, so an owner that has lost the pool can write nothing more. It stops as
 // soon as it learns of this, from the store or from a worker that has seen a higher token.
 package owner
 
 import (
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,6 @@
 	"samphirepoint/engine"
 	"samphirepoint/observe"
 	"samphirepoint/rows"
-	"samphirepoint/sleep"
 	"samphirepoint/verdict"
 )
 
@@ -58,12 +58,12 @@
 	Advise(ctx context.Context, step string, workers []string) ([]engine.AdviceRow, time.Duration, error)
 }
 
-// Tables of the store. Each pool is a part.
+// Tables of the store. Each pool has two parts.
 const (
 	TableOwners = "owners"
 	TableJobs   = "jobs"
 	TableSpecs  = "specs"
-	// TableCommits holds one row per pool, which each transaction of the owner replaces.
+	// TableCommits holds one row per part, which each transaction of the owner replaces.
 	TableCommits = "commits"
 	// OwnerKey is the name of the row that identifies a part's owner, lastTransactionKey that of the row that identifies its last
 	// transaction.
@@ -123,17 +123,15 @@
 	toSend  chan queuedOrder
 	senders int
 	pace    pace
-	// lastTransactionVer is the version of the last transaction's row; transactionCount counts the transactions of this owner.
-	lastTransactionVer, transactionCount int64
-	writeInFlight                        bool
-	lastWrite                            time.Duration
-	storeFailingSince                    time.Duration // when the store began to fail or time out; 0 while it is available
-	probing                              bool
-	lastProbe                            time.Duration
-	checkingCordons                      bool
-	loaded                               chan struct{}
-	ctx                                  context.Context
-	cancel                               context.CancelFunc
+	// primary and standby are the parts that hold the pool's rows; writing is the one that the last changes went to.
+	primary, standby, writing *storePart
+	// transactionCount counts the transactions of this owner.
+	transactionCount int64
+	lastWrite        time.Duration
+	checkingCordons  bool
+	loaded           chan struct{}
+	ctx              context.Context
+	cancel           context.CancelFunc
 }
 
 const (
@@ -150,8 +148,10 @@
 // New returns an owner for the claim with version s.ClaimVer. Call Run to serve the pool.
 func New(ctx context.Context, s Settings) *Owner {
 	c, cancel := context.WithCancel(ctx)
+	primary := &storePart{id: engine.Primary, name: s.Pool, claimVer: s.ClaimVer}
 	return &Owner{
 		settings: s, ctx: c, cancel: cancel, term: rand.Text(),
+		primary: primary, writing: primary, standby: &storePart{id: engine.Standby, name: StandbyPart(s.Pool)},
 		pool:  engine.NewPool(s.Pool, s.Token, s.Options, s.Now()),
 		inbox: make(chan func(), 256), done: make(chan struct{}), loaded: make(chan struct{}),
 		renewers: map[string]*renewer{}, orders: newOrderQueue(), toSend: make(chan queuedOrder, maxOrdersInFlight),
@@ -188,62 +188,6 @@
 	return o.err
 }
 
-// loadRetryDelay is the delay after a failed attempt to load the pool.
-const loadRetryDelay = 100 * time.Millisecond
-
-// load reads the pool's rows, retrying until it succeeds or the owner is stopped.
-func (o *Owner) load() error {
-	for {
-		err := o.loadOnce()
-		if err == nil || o.ctx.Err() != nil {
-			return err
-		}
-		o.settings.Log.Warn().Str("pool", o.settings.Pool).Err(err).Msg("failed to read rows; retrying")
-		if err := sleep.Context(o.ctx, loadRetryDelay); err != nil {
-			return err
-		}
-	}
-}
-
-func (o *Owner) loadOnce() error {
-	ctx, cancel := context.WithTimeout(o.ctx, 3*time.Second)
-	defer cancel()
-	// The version is read first, so that a transaction during the reads that follow makes this owner's first one conflict.
-	var err error
-	if o.lastTransactionVer, err = o.readLastVersion(ctx); err != nil {
-		return err
-	}
-	specs, _, err := o.settings.Store.Read(ctx, TableSpecs, o.settings.Pool)
-	if err != nil {
-		return err
-	}
-	records, _, err := o.settings.Store.Read(ctx, TableJobs, o.settings.Pool)
-	if err != nil {
-		return err
-	}
-	byID := map[string]*engine.Spec{}
-	for _, r := range specs {
-		var s engine.Spec
-		if err := json.Unmarshal(r.Value, &s); err != nil {
-			return fmt.Errorf("spec %s: %w", r.Name, err)
-		}
-		byID[r.Name] = &s
-	}
-	o.pool = engine.NewPool(o.settings.Pool, o.settings.Token, o.settings.Options, o.settings.Now())
-	for _, r := range records {
-		var rec engine.Record
-		if err := json.Unmarshal(r.Value, &rec); err != nil {
-			return fmt.Errorf("job %s: %w", r.Name, err)
-		}
-		if byID[r.Name] == nil && !rec.State.Terminal() {
-			// Both rows are written and removed in one transaction, but are read by two calls.
-			return fmt.Errorf("job %s: spec is missing; both rows must be read again", r.Name)
-		}
-		o.pool.Load(byID[r.Name], r.Name, rec, o.clock())
-	}
-	return o.cordonOpenOrders(ctx)
-}
-
 // serve runs the event loop that holds the state.
 func (o *Owner) serve() {
 	tick := time.NewTicker(tickInterval)
@@ -260,7 +204,7 @@
 			o.pool.RequestPlacement()
 			o.pool.Tick(o.clock())
 			o.startRenewers()
-			o.probe()
+			o.probeParts()
 			o.checkExpiringCordons()
 		}
 		c := o.clock()
--- a/rows/memrows/memrows.go
+++ b/rows/memrows/memrows.go
@@ -60,7 +60,7 @@
 
 // Transact implements rows.Store.
 func (s *Store) Transact(_ context.Context, tx rows.Tx) (int64, error) {
-	if !tx.Across && tx.SpansParts() {
+	if !tx.Across && len(tx.Parts()) > 1 {
 		return 0, verdict.New(verdict.NotRun, http.StatusBadRequest, "memrows: the transaction spans several parts")
 	}
 	f := s.fault("transact")
--- a/rows/rows.go
+++ b/rows/rows.go
@@ -52,17 +52,24 @@
 	Across bool
 }
 
-// SpansParts reports whether the transaction has rows of more than one part.
-func (tx *Tx) SpansParts() bool {
-	var keys []Key
+// Parts returns the parts that the transaction has rows of.
+func (tx *Tx) Parts() []string {
+	var out []string
+	add := func(k Key) {
+		if !slices.Contains(out, k.Part) {
+			out = append(out, k.Part)
+		}
+	}
 	for _, e := range tx.Expected {
-		keys = append(keys, e.Key)
+		add(e.Key)
 	}
 	for _, w := range tx.Writes {
-		keys = append(keys, w.Key)
+		add(w.Key)
+	}
+	for _, k := range tx.Remove {
+		add(k)
 	}
-	keys = append(keys, tx.Remove...)
-	return slices.ContainsFunc(keys, func(k Key) bool { return k.Part != keys[0].Part })
+	return out
 }
 
 // MaxEntries is the maximum number of conditions, writes and removals in one transaction, all counted together.
