Give a pool back its instances only near the end of the last peak of a rotation

Change: while the interval of the rotation is not known, the next peak is near once the present one has nearly lasted as long as the shortest so far.

Evidence: TestNextPeakIsNotNearWhenTheLastOneBegins failed before.

--- a/upkeep/forecast.go
+++ b/upkeep/forecast.go
@@ -178,7 +178,7 @@
 }
 
 // OffPeak reports whether the pool's last peak period is over and the next one is not near. While the interval is unknown,
-// the next one counts as near once all other pools have had a peak, unless all pools are off-peak.
+// the next one counts as near once all other pools have had a peak and the present one is about to end, unless all pools are off-peak.
 func (f *Forecast) OffPeak(pool string, now time.Duration) bool {
 	d := f.pools[pool]
 	if d == nil || d.spiking || len(d.ends) == 0 || f.PeakExpected(pool, now) {
@@ -187,7 +187,21 @@
 	if next, ok := f.NextPeak(pool); ok {
 		return next-now > moveLeadTime && next > now
 	}
-	return !f.allOthersPeakedSince(pool, d.starts[len(d.starts)-1]) || f.allOffPeak(now)
+	return !f.allOthersPeakedSince(pool, d.starts[len(d.starts)-1]) || now < f.presentPeakEnd()-moveLeadTime || f.allOffPeak(now)
+}
+
+// presentPeakEnd returns the expected end of the peak period that began last: after the shortest length of those that have ended.
+func (f *Forecast) presentPeakEnd() time.Duration {
+	var began, length time.Duration
+	for _, d := range f.pools {
+		if n := len(d.starts); n > 0 {
+			began = max(began, d.starts[n-1])
+		}
+		if n := min(len(d.ends), len(d.starts)); n > 0 && (length == 0 || f.peakLength(d) < length) {
+			length = f.peakLength(d)
+		}
+	}
+	return began + length
 }
 
 // offPeakAfter is the time without a spike in any pool after which the rotation of peak periods is taken to be over.
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -173,6 +173,22 @@
 	g.Expect(next.PeakExpected("routes", 1300*time.Millisecond)).To(BeTrue())
 }
 
+// Load pattern: peaks that rotate, the last pool's first one begins. Guards against the first pool getting back all its instances for the
+// whole of that peak, when it needs them at its end at the earliest.
+func TestNextPeakIsNotNearWhenTheLastOneBegins(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	now := feed(f, "pumps", 700, 0, 8*time.Second, 9*testCapacity)
+	feed(f, "pumps", 10, now, 16*time.Second, 9*testCapacity)
+	now = feed(f, "slips", 700, now, 8*time.Second, 9*testCapacity)
+	feed(f, "slips", 10, now, 16*time.Second, 9*testCapacity)
+	began := now
+	now = feed(f, "routes", 700, now, 2*time.Second, 9*testCapacity)
+	g.Expect(f.OffPeak("pumps", now)).To(BeTrue())
+	now = feed(f, "routes", 700, now, 5*time.Second, 9*testCapacity)
+	g.Expect(f.OffPeak("pumps", now)).To(BeFalse(), "the present peak is about to end, %s after its start", now-began)
+}
+
 // Load pattern: the end of all demand. Guards against unused pools that keep all their instances.
 func TestPoolsAreOffPeakOnceDemandEnds(t *testing.T) {
 	g := NewWithT(t)
