Skip ends that can't be decoded, with their numbers

An end with an unreadable task and a number far above the others made the owner skip all ends that followed until the worker or the owner restarted.

Change: such a row is logged and skipped; its number isn't acknowledged.

--- a/engine/ends.go
+++ b/engine/ends.go
@@ -62,17 +62,18 @@
 func (p *Pool) applyEnds(w *Worker, rows []EndedRow, c Clock) {
 	for _, e := range rows {
 		id, err := ParseTaskID(e.Task)
-		if r := w.runs[runID{task: id, run: e.Run}]; err == nil && r != nil {
+		if err != nil {
+			p.recordDecision("malformed-end", e.Task, e.Run, w.ID, itoa(e.Seq))
+			continue // Its number may be malformed as well: acknowledging it could skip ends of tasks.
+		}
+		if r := w.runs[runID{task: id, run: e.Run}]; r != nil {
 			r.listedIn = p.renewals
 		}
 		if e.Seq <= w.lastEnd {
 			continue
 		}
 		w.lastEnd = e.Seq
-		var j *Job
-		if err == nil {
-			j = p.applyListedEnd(w, id, e, c)
-		}
+		j := p.applyListedEnd(w, id, e, c)
 		ack := pendingAck{end: e.Seq, job: j}
 		if j != nil {
 			ack.rev = j.rev
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -400,3 +400,18 @@
 	g.Expect(w.pool.TakeDecisions()).To(ConsistOf(Decision{Event: "cordon-empty", Worker: "i-00", Detail: "ends stored up to 1"}), "one line when the answer becomes empty")
 	g.Expect(w.pool.Report(w.clock()).Workers[0].Runs).To(BeZero())
 }
+
+// Guards against a malformed end in a worker's answer, with a number far above the others, after which the owner takes no note of any end.
+func TestMalformedEndHidesNoOthers(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(1)
+	w.pool.Submit(oneStep("00000000000000b2", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	w.run(100 * time.Millisecond)
+	f := w.workers["i-00"]
+	f.ended = append(f.ended, EndedRow{Seq: 1 << 40, Task: "\x00"})
+	w.renewLeases()
+	w.endAll(EndDone)
+	w.run(100 * time.Millisecond)
+	g.Expect(w.pool.Job("00000000000000b2").State()).To(Equal(Completed))
+	g.Expect(f.ackedUpTo).To(Equal(int64(1)))
+}
