Give owners time to write a heartbeat after an outage of their part of the store

Cause: once the part of an owner's row could be read again, its old heartbeat made it dead at once, while the owner waited up to 3.2 s before its next attempt, as the time of the last attempt, which timed out, counted as the store's latency.

Change: a member that could not be read has the usual time for its next heartbeat, and a daemon that owns something waits at most 1.4 s between two.

Evidence: TestNoMemberDiesWhileItsPartIsUnreadable, extended; it fails without the change.

Beside it, the least time between two transactions of a pool is 20 ms in place of 8 ms: they are the largest part of the calls to the store by estimate.

--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -84,6 +84,10 @@
 	}
 	g.Expect(alive).To(Equal([]string{"a", "b", "c"}))
 	store.silent = ""
+	n.confirmStale(t.Context())
+	g.Expect(n.observe(t.Context())).To(BeTrue())
+	g.Expect(n.Alive()).To(ContainElement(HaveField("Node", "b")), "it has not had time to write a heartbeat yet")
+	time.Sleep(350 * time.Millisecond)
 	g.Expect(n.observe(t.Context())).To(BeTrue())
 	n.confirmStale(t.Context())
 	g.Expect(n.Alive()).NotTo(ContainElement(HaveField("Node", "b")), "its part is readable and has no new heartbeat")
--- a/cluster/heartbeat.go
+++ b/cluster/heartbeat.go
@@ -103,9 +103,10 @@
 			list, _, err := n.settings.Store.Read(c, TableMembers, part)
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			n.view.Readable(nodes, err == nil)
+			now := n.settings.Now()
+			n.view.Readable(nodes, err == nil, now)
 			if err == nil {
-				n.view.Refresh(parseMembers(list), n.settings.Now())
+				n.view.Refresh(parseMembers(list), now)
 			}
 			return nil
 		})
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -78,13 +78,18 @@
 	}
 }
 
-// Readable records whether the rows of some members can be read. Members whose rows can't be read are not considered dead for the lack of
-// heartbeats.
-func (v *View) Readable(nodes []string, readable bool) {
+// Readable records whether the rows of some members could be read at now. Members whose rows can't be read are not considered dead for the
+// lack of heartbeats; once they can be read again, these members have the usual time to write one.
+func (v *View) Readable(nodes []string, readable bool, now time.Duration) {
 	for _, node := range nodes {
-		if o := v.members[node]; o != nil {
-			o.unreadable = !readable
+		o := v.members[node]
+		if o == nil {
+			continue
+		}
+		if o.unreadable && readable {
+			o.changedAt = now
 		}
+		o.unreadable = !readable
 	}
 }
 
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -47,8 +47,11 @@
 	// heartbeat, as a store sustains more reads than writes.
 	pollInterval      = 400 * time.Millisecond
 	pollsPerHeartbeat = 4
-	// heartbeatIntervalPerLatency times the latency of the last heartbeat write is the least interval, for a slow store.
+	// heartbeatIntervalPerLatency times the latency of the last heartbeat write is the least interval, for a slow store. For daemons that
+	// own something, of which there are few, the latency counts up to maxOwnerLatency: after an outage the others wait for their
+	// heartbeats.
 	heartbeatIntervalPerLatency = 4
+	maxOwnerLatency             = 350 * time.Millisecond
 	// deadAfter is how long a member's row may have no new heartbeat before the member is considered dead, or deadHeartbeats
 	// heartbeat intervals if that is longer.
 	deadAfter      = 1700 * time.Millisecond
@@ -243,7 +246,11 @@
 func (n *Node) interval() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	d := max(heartbeatInterval, time.Duration(len(n.view.members))*heartbeatIntervalPerMember, heartbeatIntervalPerLatency*n.heartbeatLatency)
+	latency := n.heartbeatLatency
+	if len(n.owned) > 0 {
+		latency = min(latency, maxOwnerLatency)
+	}
+	d := max(heartbeatInterval, time.Duration(len(n.view.members))*heartbeatIntervalPerMember, heartbeatIntervalPerLatency*latency)
 	n.view.deadAfter = max(deadAfter, time.Duration(deadHeartbeats*float64(d)))
 	return d
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -138,7 +138,7 @@
 	// tickInterval is how often the engine's timers are checked when there are no events.
 	tickInterval = 50 * time.Millisecond
 	// commitInterval is the least time between two transactions of a pool; changes made in between share one transaction.
-	commitInterval = 8 * time.Millisecond
+	commitInterval = 20 * time.Millisecond
 	// placeInterval is the least time between two placement passes.
 	placeInterval = 6 * time.Millisecond
 	// batchBytes bounds the size of a batch, to keep a transaction below the store's limit of 1 MB.
