Add a soak of real processes under random faults

Change: samphirepoint soak runs daemons against the stand-in platform, each behind its own proxies to the store and the instance service: killed, paused, restarted, cut off, silenced, with parts of the store away, silent and crashed workers, waves and configuration changes, in series and overlapping. It checks LOST, REFUSED, TWICE, UNASKED, MIXED, CONFIG, cut answers and exits. The stand-in has faults of its own now, and rejects starts that are late or not higher than one that ended there, as the platform's workers do.

--- a/command/all.go
+++ b/command/all.go
@@ -15,6 +15,7 @@
 		versionCommand{},
 		standinCommand{},
 		&loadCommand{},
+		&soakCommand{},
 		newTableCommand(),
 		newPoolCommand(),
 		newMaintenanceCommand(),
--- /dev/null
+++ b/soak/callers.go
@@ -0,0 +1,152 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"samphirepoint/sleep"
+)
+
+// outcome is what the callers know of a job.
+type outcome int
+
+const (
+	uncertain outcome = iota // no attempt was accepted, and one has no certain answer
+	accepted
+	refused // each attempt was answered by 429 or 503
+	cancelled
+)
+
+// job is a job that callers have submitted.
+type job struct {
+	id, path string
+	tasks    int
+	outcome  outcome
+	at       time.Time
+}
+
+const (
+	// attempts is the number of times that a caller submits a job, each time to another daemon.
+	attempts = 4
+	// thinkTime bounds the pause of a caller between two jobs.
+	thinkTime = 700 * time.Millisecond
+	// cancelShare is the share of jobs that are cancelled, one of so many; askShare that of jobs whose state is asked for.
+	cancelShare = 10
+	askShare    = 2
+)
+
+func copyBody(w io.Writer, r io.Reader) (int64, error) { return io.Copy(w, io.LimitReader(r, 1<<20)) }
+
+// stateOf returns the state in the answer to a request for a job.
+func stateOf(body string) string {
+	var answer struct {
+		State string `json:"state"`
+	}
+	_ = json.Unmarshal([]byte(body), &answer) // An answer that can't be decoded has no state.
+	return answer.State
+}
+
+// call submits jobs until ctx ends, on connections that stay open as long as their daemon's process.
+func (r *run) call(ctx context.Context) {
+	clients := make([]*http.Client, len(r.daemons))
+	for i := range clients {
+		clients[i] = &http.Client{Transport: &http.Transport{}}
+	}
+	for ctx.Err() == nil {
+		r.submit(clients)
+		_ = sleep.Context(ctx, r.between(0, thinkTime))
+	}
+}
+
+// submit submits one job, to several daemons if needed, and follows it for a while.
+func (r *run) submit(clients []*http.Client) {
+	j := r.newJob()
+	width := 1 + r.intN(4)
+	j.tasks = width + 1
+	body := fmt.Sprintf(`{"task_spec":"x","steps":[{"count":%d,"cpu":4000,"mem_mb":100,"estimate_ms":300},{"count":1,"cpu":4000,"mem_mb":100,"estimate_ms":300,"after":[0]}]}`, width)
+	certain := true
+	for range attempts {
+		k := r.intN(len(r.daemons))
+		status, _, err := r.request(k, "POST", j.path, body, clients[k])
+		switch {
+		case err == nil && status/100 == 2:
+			r.setOutcome(j, accepted)
+			r.follow(j, clients)
+			return
+		case err != nil || (status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable):
+			certain = certain && neverSent(err)
+		}
+		time.Sleep(r.between(50*time.Millisecond, 400*time.Millisecond))
+	}
+	if certain {
+		r.setOutcome(j, refused)
+	}
+}
+
+// neverSent reports whether the error shows that no request has reached the daemon.
+func neverSent(err error) bool {
+	return err != nil && strings.Contains(err.Error(), "connection refused")
+}
+
+// newJob registers a job with a new ID. Its outcome is uncertain.
+func (r *run) newJob() *job {
+	pool := pools[r.intN(len(pools))]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := fmt.Sprintf("%08x%08x", uint32(r.options.Seed), len(r.jobs)+1)
+	j := &job{id: id, path: "/" + pool + "/" + id, at: time.Now()}
+	r.jobs = append(r.jobs, j)
+	r.result.Uncertain++
+	return j
+}
+
+func (r *run) setOutcome(j *job, o outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := map[outcome]*int{uncertain: &r.result.Uncertain, accepted: &r.result.Accepted, refused: &r.result.Refused, cancelled: &r.result.Cancelled}
+	*counts[j.outcome]--
+	*counts[o]++
+	j.outcome = o
+}
+
+// follow cancels some of the accepted jobs and asks for the state of others.
+func (r *run) follow(j *job, clients []*http.Client) {
+	time.Sleep(r.between(0, 900*time.Millisecond))
+	k := r.intN(len(r.daemons))
+	switch {
+	case r.intN(cancelShare) == 0:
+		if status, _, err := r.request(k, "DELETE", j.path, "", clients[k]); err != nil || status/100 != 2 {
+			r.setOutcome(j, uncertain) // It may be cancelled later.
+			return
+		}
+		r.setOutcome(j, cancelled)
+	case r.intN(askShare) == 0:
+		calm := r.daemons[k].serving() && r.storeCalm()
+		status, body, err := r.request(k, "GET", j.path, "", clients[k])
+		_, done, _ := r.fleet.Job(j.id)
+		switch {
+		case err == nil && status == http.StatusGone && calm:
+			r.violate("LOST: %s answers 410 for job %s, which was accepted", r.daemons[k].name, j.id)
+		case err == nil && stateOf(body) == "completed" && done < j.tasks:
+			r.violate("MIXED: job %s is reported as completed, %d of %d tasks are done", j.id, done, j.tasks)
+		}
+	}
+}
+
+// request sends a request to a daemon. A request on a new connection that gets no complete answer is a violation if nothing but a
+// request to leave has disturbed the daemon.
+func (r *run) request(k int, method, path, body string, client *http.Client) (int, string, error) {
+	p := r.daemons[k]
+	calm := p.undisturbed()
+	status, answer, err := p.ask(method, path, body, client)
+	if errors.Is(err, errCut) && calm && p.undisturbed() {
+		r.violate("LOST: %s read %s %s and cut the connection: %v", p.name, method, path, err)
+	}
+	return status, answer, err
+}
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,206 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+
+	"samphirepoint/sleep"
+	"samphirepoint/standin"
+	"samphirepoint/standin/faultproxy"
+)
+
+const (
+	// faultInterval bounds the time between the starts of two faults, which overlap.
+	faultInterval = 2500 * time.Millisecond
+	// configInterval bounds the time between two changes of the configuration, and applyBound the time until one is in force.
+	configInterval = 6 * time.Second
+	applyBound     = 2 * time.Second
+	// settleTime is how long a daemon counts as disturbed after a fault has ended.
+	settleTime = time.Second
+)
+
+// fault is a kind of disturbance. It returns once the disturbance has ended.
+type fault struct {
+	name string
+	play func(r *run, ctx context.Context)
+}
+
+var faults = []fault{
+	{"kill", func(r *run, ctx context.Context) { r.restart(ctx, syscall.SIGKILL) }},
+	{"leave", func(r *run, ctx context.Context) { r.restart(ctx, syscall.SIGTERM) }},
+	{"pause", (*run).pause},
+	{"reload", func(r *run, _ context.Context) { r.anyDaemon().signal(syscall.SIGHUP) }},
+	{"cut from the store", func(r *run, ctx context.Context) {
+		r.disturbStore(ctx, faultproxy.Faults{Up: faultproxy.Direction{Cut: true}, Down: faultproxy.Direction{Cut: true}})
+	}},
+	{"cut one way", func(r *run, ctx context.Context) {
+		r.disturbStore(ctx, faultproxy.Faults{Down: faultproxy.Direction{Cut: true}})
+	}},
+	{"slow store", func(r *run, ctx context.Context) {
+		r.disturbStore(ctx, faultproxy.Faults{Down: faultproxy.Direction{Delay: standin.Duration(150 * time.Millisecond)}})
+	}},
+	{"rejected by the store", func(r *run, ctx context.Context) { r.disturbStore(ctx, faultproxy.Faults{Refuse: true}) }},
+	{"silent connections", func(r *run, _ context.Context) {
+		p := r.anyDaemon()
+		p.disturb(settleTime)
+		p.store.BlackHole()
+	}},
+	{"reset connections", func(r *run, _ context.Context) {
+		p := r.anyDaemon()
+		p.disturb(settleTime)
+		p.store.Reset()
+		p.instances.Reset()
+	}},
+	{"parts of the store away", func(r *run, ctx context.Context) { r.takeAway(ctx, 3) }},
+	{"store away", func(r *run, ctx context.Context) { r.takeAway(ctx, 1) }},
+	{"silent worker", func(r *run, _ context.Context) {
+		r.fleet.Silence(r.anyInstance(), r.between(time.Second, 8*time.Second))
+	}},
+	{"crashed worker", func(r *run, _ context.Context) {
+		r.fleet.Crash(r.anyInstance(), r.between(500*time.Millisecond, 5*time.Second))
+	}},
+	{"wave", (*run).wave},
+}
+
+// injectFaults begins faults until ctx ends, and waits for their ends.
+func (r *run) injectFaults(ctx context.Context) {
+	var g errgroup.Group
+	for sleep.Context(ctx, r.between(0, faultInterval)) == nil {
+		f := faults[r.intN(len(faults))]
+		r.mu.Lock()
+		r.result.Faults[f.name]++
+		r.mu.Unlock()
+		g.Go(func() error { f.play(r, ctx); return nil })
+	}
+	_ = g.Wait()
+}
+
+func (r *run) anyDaemon() *process { return r.daemons[r.intN(len(r.daemons))] }
+
+func (r *run) anyInstance() string {
+	list := r.fleet.Instances(pools[r.intN(len(pools))])
+	if len(list) == 0 {
+		return ""
+	}
+	return list[r.intN(len(list))]
+}
+
+// restart ends a daemon by a signal and starts it again.
+func (r *run) restart(_ context.Context, s syscall.Signal) {
+	p := r.anyDaemon()
+	if !p.beginRestart() {
+		return
+	}
+	if s != syscall.SIGTERM {
+		p.disturb(graceTime)
+	}
+	p.signal(s)
+	if !p.hasExited(graceTime + killReserve) {
+		p.disturb(graceTime)
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		p.hasExited(graceTime)
+	}
+	p.disturb(settleTime)
+	time.Sleep(r.between(100*time.Millisecond, 2*time.Second))
+	p.disturb(settleTime)
+	if err := p.start(); err != nil {
+		r.violate("%s: %v", p.name, err)
+	}
+}
+
+// pause stops a daemon for some seconds.
+func (r *run) pause(context.Context) {
+	p := r.anyDaemon()
+	d := r.between(200*time.Millisecond, 6*time.Second)
+	p.disturb(d + settleTime)
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	p.signal(syscall.SIGCONT)
+}
+
+// disturbStore puts faults between a daemon and the store for some seconds.
+func (r *run) disturbStore(ctx context.Context, f faultproxy.Faults) {
+	p := r.anyDaemon()
+	d := r.between(300*time.Millisecond, 6*time.Second)
+	p.disturb(d + settleTime)
+	p.store.Set(f)
+	_ = sleep.Context(ctx, d)
+	p.store.Set(faultproxy.Faults{})
+}
+
+// takeAway takes about one of so many parts of the store away for some seconds.
+func (r *run) takeAway(ctx context.Context, oneOf int) {
+	salt := r.intN(1 << 20)
+	d := r.between(300*time.Millisecond, 5*time.Second)
+	r.mu.Lock()
+	r.storeDisturbed = time.Now().Add(d)
+	r.mu.Unlock()
+	r.fleet.TakeAway(func(part string) bool {
+		return int((xxhash.Sum64String(part)+uint64(salt))%uint64(oneOf)) == 0
+	})
+	_ = sleep.Context(ctx, d)
+	r.fleet.TakeAway(nil)
+}
+
+// storeCalm reports whether the store has not been disturbed for stableTime.
+func (r *run) storeCalm() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.storeDisturbed) > stableTime
+}
+
+// wave requests the upkeep of half of a pool's instances.
+func (r *run) wave(context.Context) {
+	list := r.fleet.Instances(pools[r.intN(len(pools))])
+	r.mu.Lock()
+	id := 100 + r.result.Faults["wave"]
+	r.mu.Unlock()
+	if err := r.fleet.Wave(id, list[:len(list)/2], 2); err != nil {
+		r.violate("wave: %v", err)
+	}
+}
+
+// endFaults ends all faults that last.
+func (r *run) endFaults() {
+	r.fleet.TakeAway(nil)
+	for _, p := range r.daemons {
+		p.store.Set(faultproxy.Faults{})
+		p.signal(syscall.SIGCONT)
+	}
+}
+
+// changeConfiguration adds and removes a route until ctx ends. After the bound, undisturbed daemons must answer as the newest version
+// says, and keep doing so.
+func (r *run) changeConfiguration(ctx context.Context) {
+	for extra := true; sleep.Context(ctx, r.between(configInterval/2, configInterval)) == nil; extra = !extra {
+		if err := r.configure(extra); err != nil {
+			r.violate("configuration: %v", err)
+		}
+		began := time.Now()
+		_ = sleep.Context(ctx, applyBound)
+		for time.Since(began) < configInterval/2 && ctx.Err() == nil {
+			for _, p := range r.daemons {
+				r.checkRoute(p, extra)
+			}
+			_ = sleep.Context(ctx, 200*time.Millisecond)
+		}
+	}
+}
+
+func (r *run) checkRoute(p *process, extra bool) {
+	calm := p.serving() && r.storeCalm()
+	status, _, err := p.ask("GET", "/extra/"+strings.Repeat("0", 16), "", nil)
+	if err != nil || !calm || !p.serving() || !r.storeCalm() {
+		return
+	}
+	if known := status != http.StatusNotFound; known != extra {
+		r.violate("CONFIG: %s answers %d for a route whose presence is %t", p.name, status, extra)
+	}
+}
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,283 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"samphirepoint/platform"
+	"samphirepoint/standin/faultproxy"
+)
+
+const (
+	// graceTime is the grace period of the settings; killReserve is what a process may take beyond it.
+	graceTime   = 6 * time.Second
+	killReserve = time.Second
+	// requestTimeout is the deadline of a caller.
+	requestTimeout = 3 * time.Second
+	// stableTime is how long a daemon or the store must be undisturbed before bounds apply.
+	stableTime = 3 * time.Second
+	// portsPerDaemon is the number of ports of a daemon: for callers, health checks, other daemons and metrics.
+	portsPerDaemon = 4
+)
+
+// process is a daemon: one process at a time, with its own proxies to the store and to the instance service.
+type process struct {
+	name, settings, dir, program string
+	env                          []string
+	port                         int
+	store, instances             *faultproxy.Proxy
+
+	mu             sync.Mutex
+	cmd            *exec.Cmd
+	exited         chan struct{}
+	starts         int
+	leaving        bool
+	restarting     bool
+	paused         bool
+	disturbedUntil time.Time
+}
+
+// startDaemons starts all daemons and waits until they serve.
+func (r *run) startDaemons(ctx context.Context) error {
+	for k := range r.options.Daemons {
+		p := &process{name: fmt.Sprintf("edge-%d", k), dir: r.options.Dir, program: r.options.Program, env: r.options.Env}
+		r.daemons = append(r.daemons, p)
+		if err := p.prepare(r.fleet.StoreAddress(), r.fleet.CloudAddress()); err != nil {
+			return err
+		}
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	for _, p := range r.daemons {
+		for {
+			if status, _, err := p.ask("GET", "/"+pools[0]+"/", "", nil); err == nil && status == http.StatusOK {
+				break
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("soak: %s does not serve after %s", p.name, startTime)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// prepare chooses ports, starts the proxies and writes the settings file.
+func (p *process) prepare(store, instances string) (err error) {
+	if p.port, err = freePorts(portsPerDaemon); err != nil {
+		return err
+	}
+	if p.store, err = faultproxy.New("127.0.0.1:0", store); err != nil {
+		return err
+	}
+	if p.instances, err = faultproxy.New("127.0.0.1:0", instances); err != nil {
+		return err
+	}
+	p.settings = filepath.Join(p.dir, p.name+".yaml")
+	text := fmt.Sprintf("node: %s\nzone: z\nip: 127.0.0.1\nlisten: {front: \"127.0.0.1:%d\", ready: \"127.0.0.1:%d\"}\nport_range: [%d, %d]\n"+
+		"platform: {address: %q}\ncloud: {address: %q}\nbounds: {grace_s: %d, hold_max_ms: 10000, status_s: 120, lease_ms: 3000, finish_s: 14}\n",
+		p.name, p.port, p.port+1, p.port+2, p.port+3, p.store.Address(), p.instances.Address(), int(graceTime.Seconds()))
+	return os.WriteFile(p.settings, []byte(text), 0o600)
+}
+
+// freePorts returns the first of n consecutive ports that are free now.
+func freePorts(n int) (int, error) {
+	for range 100 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return 0, err
+		}
+		first := l.Addr().(*net.TCPAddr).Port
+		_ = l.Close()
+		free := first+n < 65536
+		for k := range n {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+k))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = l.Close()
+		}
+		if free {
+			return first, nil
+		}
+	}
+	return 0, errors.New("soak: no free ports")
+}
+
+// start starts the process, with a log file of its own.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.starts++
+	log, err := os.Create(filepath.Join(p.dir, fmt.Sprintf("%s.%d.log", p.name, p.starts)))
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(p.program, "daemon")
+	cmd.Env = append(append(os.Environ(), platform.SettingsVariable+"="+p.settings), p.env...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	p.cmd, p.exited, p.leaving, p.paused, p.restarting = cmd, exited, false, false, false
+	go func() {
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+	return nil
+}
+
+// beginRestart reserves the daemon for a restart, which start ends. It reports false while the daemon is being restarted or paused.
+func (p *process) beginRestart() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.restarting || p.paused {
+		return false
+	}
+	p.restarting = true
+	return true
+}
+
+// signal sends a signal to the process, if it runs.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	select {
+	case <-p.exited:
+		return
+	default:
+	}
+	switch s {
+	case syscall.SIGTERM:
+		p.leaving = true
+	case syscall.SIGSTOP:
+		p.paused = true
+	case syscall.SIGCONT:
+		p.paused = false
+	}
+	_ = p.cmd.Process.Signal(s)
+}
+
+// disturb records that the daemon is disturbed for the given time.
+func (p *process) disturb(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if until := time.Now().Add(d); until.After(p.disturbedUntil) {
+		p.disturbedUntil = until
+	}
+}
+
+// undisturbed reports whether nothing has disturbed the daemon for stableTime, beside a request to leave.
+func (p *process) undisturbed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.disturbedUntil) > stableTime
+}
+
+// serving reports whether the daemon is undisturbed and not leaving.
+func (p *process) serving() bool {
+	p.mu.Lock()
+	leaving := p.leaving
+	p.mu.Unlock()
+	return !leaving && p.undisturbed()
+}
+
+// hasExited waits for the end of the process.
+func (p *process) hasExited(within time.Duration) bool {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+// errCut is the error of a request whose new connection ended without a complete answer.
+var errCut = errors.New("soak: the connection ended without an answer")
+
+// ask sends a request on a connection of the client, or on a new one if that is nil.
+func (p *process) ask(method, path, body string, client *http.Client) (int, string, error) {
+	if client == nil {
+		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	written, reused := false, false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(i httptrace.GotConnInfo) { reused = i.Reused },
+		WroteRequest: func(i httptrace.WroteRequestInfo) { written = i.Err == nil },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://127.0.0.1:%d%s", p.port, path), strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = "jobs.example"
+	req.Header.Set("Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
+	resp, err := client.Do(req)
+	if err != nil {
+		if written && !reused && ctx.Err() == nil && !errors.Is(err, syscall.ECONNREFUSED) {
+			return 0, "", fmt.Errorf("%w: %w", errCut, err)
+		}
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	var out strings.Builder
+	if _, err := copyBody(&out, resp.Body); err != nil {
+		return 0, "", fmt.Errorf("%w: %w", errCut, err)
+	}
+	return resp.StatusCode, out.String(), nil
+}
+
+// stopDaemons ends all processes by SIGTERM and checks that they exit within their grace period.
+func (r *run) stopDaemons() {
+	var g errgroup.Group
+	for _, p := range r.daemons {
+		p.signal(syscall.SIGTERM)
+		g.Go(func() error {
+			if !p.hasExited(graceTime + killReserve) {
+				r.violate("%s has not exited %s after SIGTERM", p.name, graceTime+killReserve)
+			} else if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+				r.violate("%s exited with status %d after SIGTERM", p.name, code)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// killAll ends all processes that still run.
+func (r *run) killAll() {
+	for _, p := range r.daemons {
+		if p.cmd != nil {
+			p.signal(syscall.SIGKILL)
+			p.hasExited(killReserve)
+		}
+		p.store.Close()
+		p.instances.Close()
+	}
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,203 @@
+// Package soak runs daemons as separate processes against a stand-in platform, injects random faults from outside them and checks the
+// promises of the platform's pages from what callers and workers see. Faults are drawn from a seed; the interleaving of the processes
+// is not, so a seed that failed may need several runs to fail again.
+//
+//	result, err := soak.Run(ctx, soak.Options{Seed: 1, Duration: time.Minute, Program: "/usr/bin/samphirepoint", Dir: dir})
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"samphirepoint/sleep"
+	"samphirepoint/standin/jobfleet"
+)
+
+const (
+	// defaultDaemons and defaultCallers are the usual size of a run.
+	defaultDaemons = 5
+	defaultCallers = 8
+	// calmTime is the time without faults at the end, after which all accepted jobs must have ended.
+	calmTime = 14 * time.Second
+	// startTime is how long the daemons may take until they serve.
+	startTime = 20 * time.Second
+	// workersPerPool is the number of workers of each pool.
+	workersPerPool = 6
+	// taskDuration is the run time of a task.
+	taskDuration = 300 * time.Millisecond
+)
+
+// Options configures a run. Zero values select the defaults.
+type Options struct {
+	Seed uint64
+	// Duration is the time with faults.
+	Duration time.Duration
+	// Program is the path of the binary; Env is added to the environment of its processes.
+	Program string
+	Env     []string
+	// Dir gets the settings and logs of the processes.
+	Dir              string
+	Daemons, Callers int
+}
+
+// Result is what a run has seen.
+type Result struct {
+	Accepted, Refused, Uncertain, Cancelled, Completed int
+	// Faults counts the injected faults by name.
+	Faults     map[string]int
+	Violations []string
+}
+
+// run is the state of a run.
+type run struct {
+	options Options
+	fleet   *jobfleet.Fleet
+	daemons []*process
+
+	mu     sync.Mutex
+	rnd    *rand.Rand
+	result Result
+	jobs   []*job
+	// extra is set while the configuration has the route /extra/; version is the configuration's.
+	extra   bool
+	version int
+	// storeDisturbed is until when the store counts as disturbed.
+	storeDisturbed time.Time
+}
+
+var pools = []string{"pumps", "routes"}
+
+// Run runs the soak and returns what it has seen. An error means that the run itself failed.
+func Run(ctx context.Context, o Options) (Result, error) {
+	if o.Daemons == 0 {
+		o.Daemons = defaultDaemons
+	}
+	if o.Callers == 0 {
+		o.Callers = defaultCallers
+	}
+	sizes := map[string]int{jobfleet.SparePool: 3}
+	for _, p := range pools {
+		sizes[p] = workersPerPool
+	}
+	fleet, err := jobfleet.New(sizes)
+	if err != nil {
+		return Result{}, err
+	}
+	defer fleet.Close()
+	fleet.TaskDuration = taskDuration
+	r := &run{options: o, fleet: fleet, rnd: rand.New(rand.NewPCG(o.Seed, 1)), result: Result{Faults: map[string]int{}}}
+	if err := r.configure(false); err != nil {
+		return r.result, err
+	}
+	defer r.killAll()
+	if err := r.startDaemons(ctx); err != nil {
+		return r.result, err
+	}
+	r.play(ctx)
+	r.checkJobs()
+	r.stopDaemons()
+	broken, _ := fleet.Violations()
+	for _, v := range broken {
+		r.violate("workers: %s", v)
+	}
+	return r.result, ctx.Err()
+}
+
+// play submits jobs and injects faults, and then waits until the accepted work must have ended.
+func (r *run) play(ctx context.Context) {
+	faulty, cancel := context.WithTimeout(ctx, r.options.Duration)
+	defer cancel()
+	var g errgroup.Group
+	for range r.options.Callers {
+		g.Go(func() error { r.call(faulty); return nil })
+	}
+	g.Go(func() error { r.injectFaults(faulty); return nil })
+	g.Go(func() error { r.changeConfiguration(faulty); return nil })
+	_ = g.Wait()
+	r.endFaults()
+	_ = sleep.Context(ctx, calmTime)
+}
+
+// configure writes a version of the configuration, with or without the extra route.
+func (r *run) configure(extra bool) error {
+	routes := []map[string]any{}
+	add := func(name, pool string) {
+		routes = append(routes, map[string]any{"name": name, "host": "jobs.example", "path_prefix": "/" + name + "/", "timeout_ms": 3000,
+			"target_latency_ms": 600, "service": pool, "attempts": 3, "stretch": 1.6})
+	}
+	services := []map[string]any{{"name": jobfleet.SparePool, "spare": true}}
+	for _, p := range pools {
+		add(p, p)
+		services = append(services, map[string]any{"name": p})
+	}
+	if extra {
+		add("extra", pools[0])
+	}
+	r.mu.Lock()
+	r.version += 3
+	r.extra = extra
+	config := map[string]any{"version": r.version, "routes": routes, "services": services, "limits": map[string]int{"max_body_bytes": 262144}}
+	r.mu.Unlock()
+	data, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	return r.fleet.Configure(json.RawMessage(data))
+}
+
+func (r *run) violate(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Violations = append(r.result.Violations, fmt.Sprintf(format, args...))
+}
+
+// intN returns a number from the seed's sequence.
+func (r *run) intN(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rnd.IntN(n)
+}
+
+// between returns a duration from the seed's sequence.
+func (r *run) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(r.intN(int(most-least)))
+}
+
+// checkJobs checks every job after the time without faults.
+func (r *run) checkJobs() {
+	r.mu.Lock()
+	jobs := slices.Clone(r.jobs)
+	r.mu.Unlock()
+	for _, j := range jobs {
+		starts, done, running := r.fleet.Job(j.id)
+		switch {
+		case j.outcome == refused && starts > 0:
+			r.violate("REFUSED: job %s was refused by every answer and has run %d times", j.id, starts)
+		case j.outcome == cancelled && running > 0:
+			r.violate("UNASKED: %d tasks of job %s run although it was cancelled", running, j.id)
+		case j.outcome == accepted && done < j.tasks:
+			r.violate("LOST: job %s was accepted at %s, %d of %d tasks are done", j.id, j.at.Format(time.TimeOnly), done, j.tasks)
+		case j.outcome == accepted:
+			r.checkState(j)
+		}
+	}
+}
+
+// checkState checks that a completed job is reported as such.
+func (r *run) checkState(j *job) {
+	for range 20 {
+		if status, body, err := r.daemons[r.intN(len(r.daemons))].ask("GET", j.path, "", nil); err == nil && status == 200 && stateOf(body) == "completed" {
+			r.result.Completed++
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	r.violate("MIXED: the tasks of job %s are done, and it isn't reported as completed", j.id)
+}
--- /dev/null
+++ b/standin/jobfleet/faults.go
@@ -0,0 +1,104 @@
+package jobfleet
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"samphirepoint/rows"
+)
+
+// TakeAway makes calls to the parts of the store that away selects fail with 503, until it is called again. Nil ends the outage. Calls
+// without a part, those of watchers, are answered.
+func (f *Fleet) TakeAway(away func(part string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away = away
+}
+
+func (f *Fleet) isAway(parts ...string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, part := range parts {
+		if f.away != nil && f.away(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// silenced delays calls to a worker that is silent until the silence ends.
+func (w *worker) silenced(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.fleet.mu.Lock()
+		until := w.silentUntil
+		w.fleet.mu.Unlock()
+		time.Sleep(time.Until(until))
+		h.ServeHTTP(rw, r)
+	})
+}
+
+// Silence leaves calls to the worker of an instance unanswered for the given time. They are executed at its end; the worker's tasks run on.
+func (f *Fleet) Silence(instance string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if in := f.instances[instance]; in != nil && in.worker != nil {
+		in.worker.silentUntil = time.Now().Add(d)
+	}
+}
+
+// Crash ends the worker of an instance with all that it runs. Its entry in the list of workers stays until the next worker starts, after
+// the given time.
+func (f *Fleet) Crash(instance string, down time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	in := f.instances[instance]
+	if in == nil || in.worker == nil || in.worker.terminated {
+		return
+	}
+	old := in.worker
+	old.endDueRuns()
+	old.terminated = true
+	for _, e := range old.ended {
+		if task := e[1].(string); e[0].(int64) > old.ackedSeq && e[3] == "done" {
+			delete(f.completed, task) // Nobody will learn of this end: the task may run again.
+		}
+	}
+	time.AfterFunc(down, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if in.worker != old {
+			return // An order for the instance came first.
+		}
+		_, _ = f.Store.Transact(context.Background(), rows.Tx{Remove: []rows.Key{{Table: "servers", Name: old.id}}})
+		if err := f.startWorker(in); err != nil {
+			f.violations = append(f.violations, err.Error())
+		}
+	})
+}
+
+// Job returns the number of starts of a job's tasks, how many tasks have ended as done at least once, and how many run now.
+func (f *Fleet) Job(id string) (starts, done, running int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for task, n := range f.starts {
+		if strings.HasPrefix(task, id+".") {
+			starts += n
+		}
+	}
+	for task := range f.completed {
+		if strings.HasPrefix(task, id+".") {
+			done++
+		}
+	}
+	for _, w := range f.workers {
+		w.endDueRuns()
+		for task := range w.running {
+			if !w.terminated && strings.HasPrefix(task, id+".") {
+				running++
+			}
+		}
+	}
+	return starts, done, running
+}
--- a/standin/jobfleet/jobfleet.go
+++ b/standin/jobfleet/jobfleet.go
@@ -39,6 +39,8 @@
 	completed  map[string]int
 	starts     map[string]int
 	violations []string
+	// away selects the parts of the store that are not available, if set.
+	away func(part string) bool
 	// maintenanceStarted is keyed by "wave/instance".
 	maintenanceStarted map[string]bool
 
@@ -109,8 +111,8 @@
 		return nil
 	}
 	f.incarnations++
-	w := &worker{fleet: f, id: fmt.Sprintf("i-%04d", f.incarnations), startedAt: time.Now(), running: map[string]*run{}}
-	addr, err := f.serve(w.handler())
+	w := &worker{fleet: f, id: fmt.Sprintf("i-%04d", f.incarnations), startedAt: time.Now(), running: map[string]*run{}, lastRun: map[string]int64{}}
+	addr, err := f.serve(w.silenced(w.handler()))
 	if err != nil {
 		return err
 	}
@@ -260,6 +262,10 @@
 	mux.HandleFunc("POST /api/rows-tx", f.transact)
 	mux.HandleFunc("GET /api/rows-get", func(w http.ResponseWriter, r *http.Request) {
 		q := r.URL.Query()
+		if f.isAway(q.Get("part")) {
+			writeJSON(w, 503, map[string]any{})
+			return
+		}
 		list, ver, err := f.Store.Read(r.Context(), q.Get("table"), q.Get("part"))
 		f.writePage(w, q, list, ver, err)
 	})
@@ -319,6 +325,10 @@
 	for _, e := range m.Remove {
 		tx.Remove = append(tx.Remove, e.key())
 	}
+	if f.isAway(tx.Parts()...) {
+		writeJSON(w, 503, map[string]any{})
+		return
+	}
 	ver, err := f.Store.Transact(r.Context(), tx)
 	var conflict *rows.Conflict
 	switch {
--- a/standin/jobfleet/worker.go
+++ b/standin/jobfleet/worker.go
@@ -22,11 +22,15 @@
 	startedAt  time.Time
 	token      int64
 	terminated bool
-	leaseEndMS int64
-	running    map[string]*run
-	ended      [][]any
-	endSeq     int64
-	ackedSeq   int64
+	// silentUntil is the end of the time in which calls are not answered.
+	silentUntil time.Time
+	leaseEndMS  int64
+	running     map[string]*run
+	// lastRun is the highest run of each task that has ended here.
+	lastRun  map[string]int64
+	ended    [][]any
+	endSeq   int64
+	ackedSeq int64
 }
 
 type run struct {
@@ -111,6 +115,7 @@
 
 func (w *worker) end(task string, r *run, reason string) {
 	delete(w.running, task)
+	w.lastRun[task] = max(w.lastRun[task], r.number)
 	w.endSeq++
 	w.ended = append(w.ended, []any{w.endSeq, task, r.number, reason, ""})
 }
@@ -119,6 +124,11 @@
 	if r := w.running[c.Task]; r != nil && r.number == c.Run {
 		return 200, w.status()
 	}
+	if reason := w.rejection(c); reason != "" {
+		body := w.status()
+		body["reason"] = reason
+		return 409, body
+	}
 	if w.fleet.completed[c.Task] > 0 {
 		w.fleet.violations = append(w.fleet.violations, fmt.Sprintf("%s run %d starts after the task was done", c.Task, c.Run))
 	}
@@ -133,10 +143,22 @@
 	return 200, w.status()
 }
 
+// rejection returns why a start has no effect, or "".
+func (w *worker) rejection(c callRequest) string {
+	switch {
+	case c.Run <= w.lastRun[c.Task]:
+		return "old"
+	case c.DeadlineMS > 0 && w.clockMS() > c.DeadlineMS:
+		return "late"
+	}
+	return ""
+}
+
 func (w *worker) stop(c callRequest) (int, map[string]any) {
 	if r := w.running[c.Task]; r != nil && r.number == c.Run {
 		w.end(c.Task, r, "stopped")
 	}
+	w.lastRun[c.Task] = max(w.lastRun[c.Task], c.Run)
 	return 200, w.status()
 }
 
