--- a/standin/jobfleet/faults.go
+++ b/standin/jobfleet/faults.go
@@ -62,7 +62,7 @@
 	old.terminated = true
 	for _, e := range old.ended {
 		if task := e[1].(string); e[0].(int64) > old.ackedSeq && e[3] == "done" {
-			delete(f.completed, task) // Nobody will learn of this end: the task may run again.
+			f.unnoticed[task] = true
 		}
 	}
 	time.AfterFunc(down, func() {
--- a/standin/jobfleet/jobfleet.go
+++ b/standin/jobfleet/jobfleet.go
@@ -39,6 +39,8 @@
 	completed  map[string]int
 	starts     map[string]int
 	violations []string
+	// unnoticed holds the tasks with an end that was not acknowledged when its worker crashed. They may run again.
+	unnoticed map[string]bool
 	// away selects the parts of the store that are not available, if set.
 	away func(part string) bool
 	// maintenanceStarted is keyed by "wave/instance".
@@ -58,7 +60,7 @@
 func New(pools map[string]int) (*Fleet, error) {
 	f := &Fleet{
 		Store: memrows.New(), TaskDuration: defaultTaskDuration, workers: map[string]*worker{}, instances: map[string]*instance{},
-		completed: map[string]int{}, starts: map[string]int{}, maintenanceStarted: map[string]bool{},
+		completed: map[string]int{}, starts: map[string]int{}, maintenanceStarted: map[string]bool{}, unnoticed: map[string]bool{},
 	}
 	var err error
 	if f.storeAddr, err = f.serve(f.storeHandler()); err != nil {
--- a/standin/jobfleet/worker.go
+++ b/standin/jobfleet/worker.go
@@ -129,7 +129,7 @@
 		body["reason"] = reason
 		return 409, body
 	}
-	if w.fleet.completed[c.Task] > 0 {
+	if w.fleet.completed[c.Task] > 0 && !w.fleet.unnoticed[c.Task] {
 		w.fleet.violations = append(w.fleet.violations, fmt.Sprintf("%s run %d starts after the task was done", c.Task, c.Run))
 	}
 	for _, other := range w.fleet.workers {
