Read the parts with the members side by side

Cause: a starting daemon read 16 parts one after the other before it could claim anything, with a processor that all its tasks share: when all daemons start again after a loss of power, all pools wait for that.

Change: one round of reads; the earliest version counts.

Evidence: package cluster passes; the time was not measured by itself.

--- a/cluster/heartbeat.go
+++ b/cluster/heartbeat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"strconv"
+	"sync"
 
 	"golang.org/x/sync/errgroup"
 
@@ -136,19 +137,27 @@
 	return list, true, err
 }
 
-// readAllMembers reads every part. It returns the version as of which the first part was read.
+// readAllMembers reads every part. It returns the earliest version as of which one was read. The parts are read side by side: when all
+// daemons start at once, those that read one part after the other find their pools later.
 func (n *Node) readAllMembers(ctx context.Context) (list []rows.Row, first int64, err error) {
+	c, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	g, c := errgroup.WithContext(c)
 	for k := range uint64(memberParts) {
-		c, cancel := context.WithTimeout(ctx, storeTimeout)
-		part, ver, err := n.settings.Store.Read(c, TableMembers, strconv.FormatUint(k, 16))
-		cancel()
-		if err != nil {
-			return nil, 0, err
-		}
-		if k == 0 {
-			first = ver
-		}
-		list = append(list, part...)
+		g.Go(func() error {
+			part, ver, err := n.settings.Store.Read(c, TableMembers, strconv.FormatUint(k, 16))
+			mu.Lock()
+			defer mu.Unlock()
+			if first == 0 || ver < first {
+				first = ver
+			}
+			list = append(list, part...)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, 0, err
 	}
 	return list, first, nil
 }
