Don't read the open orders for each worker that has left

Change: a cordon of an unlisted worker goes on for up to 30 s without a check, and has 2 s left when the worker is listed again, which is then checked as before.

Evidence: TestCordonsOfUnlistedWorkersNeedNoCheck failed before; TestCordonSurvivesRelisting and TestWorkerStaysCordonedWhileItsInstanceHasAnOpenOrder pass.

--- a/engine/cordon.go
+++ b/engine/cordon.go
@@ -35,11 +35,26 @@
 	}
 }
 
-// ExpiringCordons returns the workers whose cordon ends within the given time.
+const (
+	// unlistedCordon is for how long the cordon of an unlisted worker goes on, if the worker isn't known to have terminated, and
+	// relistedCordon the least time that is then left of it. Until the worker is listed again, nobody needs to know whether an order for
+	// its instance is still open.
+	unlistedCordon = 30 * time.Second
+	relistedCordon = 2 * time.Second
+)
+
+// keepCordon extends the cordon of an unlisted worker.
+func (w *Worker) keepCordon(c Clock) {
+	if w.cordonedUntil > c.Now && c.Now-w.unlistedAt < unlistedCordon {
+		w.cordonedUntil = max(w.cordonedUntil, c.Now+relistedCordon)
+	}
+}
+
+// ExpiringCordons returns the listed workers whose cordon ends within the given time.
 func (p *Pool) ExpiringCordons(c Clock, within time.Duration) []string {
 	var out []string
 	for id, w := range p.workers {
-		if w.cordonedUntil > c.Now && w.cordonedUntil <= c.Now+within {
+		if w.listed && w.cordonedUntil > c.Now && w.cordonedUntil <= c.Now+within {
 			out = append(out, id)
 		}
 	}
--- a/engine/relisted_test.go
+++ b/engine/relisted_test.go
@@ -51,3 +51,22 @@
 	w.run(2 * time.Second)
 	g.Expect(w.workers["i-00"].running).To(HaveLen(1))
 }
+
+// Guards against owners that read all orders for instances for each worker that has left after an order, which is most of what a large
+// deployment read from its store, and against a cordon that ends while its worker is missing from the list.
+func TestCordonsOfUnlistedWorkersNeedNoCheck(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(2)
+	for _, id := range []string{"i-00", "i-01"} {
+		empty, known := w.pool.Cordon(id, w.now+time.Second, w.clock())
+		g.Expect(empty && known).To(BeTrue())
+	}
+	w.pool.SetRoster([]WorkerInfo{w.workers["i-01"].info}, w.clock())
+	w.now += 500 * time.Millisecond
+	w.pool.SetRoster([]WorkerInfo{w.workers["i-01"].info}, w.clock())
+	g.Expect(w.pool.ExpiringCordons(w.clock(), time.Second)).To(Equal([]string{"i-01"}))
+	w.now += time.Second
+	w.updateRoster()
+	w.now += 600 * time.Millisecond
+	g.Expect(w.pool.ExpiringCordons(w.clock(), time.Second)).To(Equal([]string{"i-00"}), "listed again, its cordon is checked before it ends")
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -27,8 +27,9 @@
 type Worker struct {
 	ID   string
 	info WorkerInfo
-	// listed is false for workers that are not, or no longer, in the platform's list.
-	listed bool
+	// listed is false for workers that are not, or no longer, in the platform's list. unlistedAt is when it last became false.
+	listed     bool
+	unlistedAt time.Duration
 
 	incarnation int64
 	clockMS     int64
@@ -256,8 +257,10 @@
 		}
 		if w.listed {
 			p.recordDecision("worker-unlisted", "", 0, id, "")
+			w.unlistedAt = c.Now
 		}
 		w.listed = false
+		w.keepCordon(c)
 		if w.occupancy() == 0 && w.cordonedUntil <= c.Now {
 			p.removeWorker(id)
 		}
