Prepare the pool whose turn is next, and don't shrink one for a waiting task

And each peak was a surprise, although the pools take turns and only one of them can be next.

Change: a waiting task raises the size by demand, it doesn't replace it. Once all other pools have had their turn, the remaining one gets instances for its expected peak shortly before the present one is over, with its length taken from the shortest so far. This replaces the rule of today that only restored its baseline.

Evidence: TestOnlyPoolWithoutTurnIsPreparedForItsPeak and TestPendingLongRunningTaskDoesNotReplaceDemand, both failed before. The first takes the place of TestNextPeakIsNotNearWhenTheLastOneBegins, with contiguous peaks, and expects what that one did and more.

--- a/upkeep/forecast.go
+++ b/upkeep/forecast.go
@@ -150,14 +150,45 @@
 	return sum / max(n, 1) * d.baselineCPU
 }
 
-// NextPeak returns the expected start of a pool's next peak period, and false if it is not known.
+// NextPeak returns the expected start of a pool's next peak period, and false if it is not known. While the interval is unknown, the
+// only pool that has not had its turn yet comes next, at the expected end of the present peak period.
 func (f *Forecast) NextPeak(pool string) (time.Duration, bool) {
 	d := f.pools[pool]
-	p := f.interval()
-	if d == nil || p == 0 || len(d.starts) == 0 {
+	if d == nil {
+		return 0, false
+	}
+	if p := f.interval(); p != 0 && len(d.starts) > 0 {
+		return d.starts[len(d.starts)-1] + p, true
+	}
+	if !f.hasTurnNext(pool) {
 		return 0, false
 	}
-	return d.starts[len(d.starts)-1] + p, true
+	return f.presentPeakEnd()
+}
+
+// hasTurnNext reports whether all other pools have had a peak period since the pool's last one, or ever if it has had none. It takes two
+// others to make a rotation.
+func (f *Forecast) hasTurnNext(pool string) bool {
+	since := time.Duration(0)
+	if n := len(f.pools[pool].starts); n > 0 {
+		since = f.pools[pool].starts[n-1]
+	}
+	return len(f.pools) > 2 && f.allOthersPeakedSince(pool, since)
+}
+
+// presentPeakEnd returns the expected end of the peak period that began last: after the shortest length of those that have ended. It
+// reports false if none has.
+func (f *Forecast) presentPeakEnd() (time.Duration, bool) {
+	var began, length time.Duration
+	for _, d := range f.pools {
+		if n := len(d.starts); n > 0 {
+			began = max(began, d.starts[n-1])
+		}
+		if n := min(len(d.ends), len(d.starts)); n > 0 && (length == 0 || f.peakLength(d) < length) {
+			length = f.peakLength(d)
+		}
+	}
+	return began + length, length > 0
 }
 
 // moveLeadTime is the time from the decision to move an instance until it serves in its new pool: the move itself, and the
@@ -185,23 +216,9 @@
 		return false
 	}
 	if next, ok := f.NextPeak(pool); ok {
-		return next-now > moveLeadTime && next > now
-	}
-	return !f.allOthersPeakedSince(pool, d.starts[len(d.starts)-1]) || now < f.presentPeakEnd()-moveLeadTime || f.allOffPeak(now)
-}
-
-// presentPeakEnd returns the expected end of the peak period that began last: after the shortest length of those that have ended.
-func (f *Forecast) presentPeakEnd() time.Duration {
-	var began, length time.Duration
-	for _, d := range f.pools {
-		if n := len(d.starts); n > 0 {
-			began = max(began, d.starts[n-1])
-		}
-		if n := min(len(d.ends), len(d.starts)); n > 0 && (length == 0 || f.peakLength(d) < length) {
-			length = f.peakLength(d)
-		}
+		return next-now > moveLeadTime || (f.interval() == 0 && f.allOffPeak(now))
 	}
-	return began + length
+	return !f.allOthersPeakedSince(pool, d.starts[len(d.starts)-1]) || f.allOffPeak(now)
 }
 
 // offPeakAfter is the time without a spike in any pool after which the rotation of peak periods is taken to be over.
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -214,16 +214,23 @@
 	return n
 }
 
+// desiredSize returns the number of instances that a pool is to have: by its demand, and more than now while a long-running task waits.
 func (s *State) desiredSize(pool string, r engine.PoolReport, f *Forecast, current int) int {
 	d := f.pools[pool]
 	if d == nil || s.Now-d.firstObserved < minObservation {
 		return current
 	}
-	instanceCPU := s.instanceCPU(pool)
-	used := float64(r.UsedCPU - r.LongRunningCPU + r.PendingCPU)
+	size := s.sizeByDemand(pool, r, f)
 	if r.LongRunningPending() {
-		return current + 1
+		return max(size, current+1)
 	}
+	return size
+}
+
+func (s *State) sizeByDemand(pool string, r engine.PoolReport, f *Forecast) int {
+	d := f.pools[pool]
+	instanceCPU := s.instanceCPU(pool)
+	used := float64(r.UsedCPU - r.LongRunningCPU + r.PendingCPU)
 	switch {
 	case f.PeakExpected(pool, s.Now):
 		load := max(d.rate*spikeMargin, used*backlogMargin)
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -173,20 +173,52 @@
 	g.Expect(next.PeakExpected("routes", 1300*time.Millisecond)).To(BeTrue())
 }
 
+// rotation observes peaks of 8 s, one in each of the given pools in turn, and returns the end of the last one.
+func rotation(f *Forecast, pools []string, turns int) time.Duration {
+	now := time.Duration(0)
+	for k := range turns {
+		for _, p := range pools {
+			cores := 10.0
+			if p == pools[k] {
+				cores = 700
+			}
+			feed(f, p, cores, now, 8*time.Second, 9*testCapacity)
+		}
+		now += 8 * time.Second
+	}
+	return now
+}
+
 // Load pattern: peaks that rotate, the last pool's first one begins. Guards against the first pool getting back all its instances for the
-// whole of that peak, when it needs them at its end at the earliest.
-func TestNextPeakIsNotNearWhenTheLastOneBegins(t *testing.T) {
+// whole of that peak, and against a pool that gets the instances for its peak only once that has begun, although no other can be next.
+func TestOnlyPoolWithoutTurnIsPreparedForItsPeak(t *testing.T) {
 	g := NewWithT(t)
 	f := NewForecast()
-	now := feed(f, "pumps", 700, 0, 8*time.Second, 9*testCapacity)
-	feed(f, "pumps", 10, now, 16*time.Second, 9*testCapacity)
-	now = feed(f, "slips", 700, now, 8*time.Second, 9*testCapacity)
-	feed(f, "slips", 10, now, 16*time.Second, 9*testCapacity)
-	began := now
-	now = feed(f, "routes", 700, now, 2*time.Second, 9*testCapacity)
-	g.Expect(f.OffPeak("pumps", now)).To(BeTrue())
-	now = feed(f, "routes", 700, now, 5*time.Second, 9*testCapacity)
-	g.Expect(f.OffPeak("pumps", now)).To(BeFalse(), "the present peak is about to end, %s after its start", now-began)
+	pools := []string{"pumps", "slips", "routes"}
+	now := rotation(f, pools, 2)
+	g.Expect(f.PeakExpected("routes", now)).To(BeTrue(), "both others have had their turn, the last of 8 s")
+	g.Expect(f.PeakExpected("pumps", now)).To(BeFalse())
+
+	f = NewForecast()
+	now = rotation(f, pools, 3)
+	g.Expect(f.PeakExpected("pumps", now-5*time.Second)).To(BeFalse())
+	g.Expect(f.OffPeak("pumps", now-5*time.Second)).To(BeTrue())
+	g.Expect(f.PeakExpected("pumps", now-time.Second)).To(BeTrue())
+	g.Expect(f.PeakExpected("slips", now-time.Second)).To(BeFalse(), "pumps has not had its second turn yet")
+}
+
+// Load pattern: a long-running task waits for capacity during its pool's peak. Guards against a pool that gets one more instance instead of
+// those for its peak.
+func TestPendingLongRunningTaskDoesNotReplaceDemand(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	s := fleet(0, map[string]int{"pumps": 9, "routes": 12, "common": 8})
+	feed(f, "routes", 30, 0, 4*time.Second, 12*testCapacity)
+	s.Now = feed(f, "pumps", 800, 0, 4*time.Second, 9*testCapacity)
+	r := s.Reports["pumps"]
+	r.LongRunningPendingIn = []string{"pumps"}
+	s.Reports["pumps"] = r
+	g.Expect(len(s.PlanMoves(f, map[string]time.Duration{}))).To(BeNumerically(">=", 6))
 }
 
 // Load pattern: the end of all demand. Guards against unused pools that keep all their instances.
