Forget a terminated worker once it is unlisted

Cause: since the cordons of unlisted workers go on without a check, a worker that left after an order was kept for up to 30 s if the news of its end came before the list without it.

Change: the end of a worker ends its cordon.

Evidence: TestTerminatedWorkerIsForgottenOnceItIsUnlisted failed before.

--- a/engine/relisted_test.go
+++ b/engine/relisted_test.go
@@ -70,3 +70,14 @@
 	w.now += 600 * time.Millisecond
 	g.Expect(w.pool.ExpiringCordons(w.clock(), time.Second)).To(Equal([]string{"i-00"}), "listed again, its cordon is checked before it ends")
 }
+
+// Guards against owners that keep every worker that has left for the time of its cordon.
+func TestTerminatedWorkerIsForgottenOnceItIsUnlisted(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(2)
+	_, known := w.pool.Cordon("i-00", w.now+time.Minute, w.clock())
+	g.Expect(known).To(BeTrue())
+	w.pool.WorkerTerminated("i-00", w.clock())
+	w.pool.SetRoster([]WorkerInfo{w.workers["i-01"].info}, w.clock())
+	g.Expect(w.pool.workers).To(HaveLen(1))
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -367,6 +367,7 @@
 	w.contacted = false
 	w.orphans = 0
 	w.pendingAcks = nil
+	w.cordonedUntil = 0 // It gets no work any more: once it is unlisted, it needs no cordon.
 	if !w.listed {
 		p.removeWorker(id)
 	}
