Let long runs with a checkpoint leave instances that are due, and move these last

Change: a run of more than 3 s leaves a cordoned or draining worker if its task has a checkpoint and fits elsewhere. Spare instances that wait for their upkeep are moved after the others.

--- a/engine/evacuate.go
+++ b/engine/evacuate.go
@@ -2,8 +2,12 @@
 
 import "time"
 
+// minCheckpointedRun is the age from which a run that has a checkpoint leaves its worker. Most runs end sooner by themselves.
+const minCheckpointedRun = 3 * time.Second
+
 // evacuate stops long-running tasks on draining workers, and on cordoned workers as far as the step's limit of
-// unavailable tasks allows.
+// unavailable tasks allows. Other tasks leave both if they resume elsewhere from a checkpoint: one of them may hold up the upkeep of an
+// instance for as long as it runs.
 func (p *Pool) evacuate(c Clock) {
 	for _, w := range p.workers {
 		draining := w.info.Draining
@@ -22,8 +26,11 @@
 
 func (p *Pool) mayEvict(r *Run, draining bool, c Clock) bool {
 	st := r.Task.step
-	if !st.spec.LongRunning || st.spec.Gang {
+	switch {
+	case st.spec.Gang:
 		return false
+	case !st.spec.LongRunning:
+		return st.spec.Checkpointed && r.Task.checkpoint != "" && c.Now-r.startedAt > minCheckpointedRun && p.canRunElsewhere(r.Task, c)
 	}
 	if draining || (st.spec.BestEffort && st.spec.MaxUnavailable == 0) {
 		return true
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -72,7 +72,7 @@
 		return nil
 	}
 	sizes := s.poolSizes(f)
-	donors := s.inPool(spare)
+	donors := s.dueFirst(s.inPool(spare))
 	moves := map[string]string{}
 	s.moveKinds(spare, moves)
 	donors = slices.DeleteFunc(donors, func(i Instance) bool { return moves[i.ID] != "" })
@@ -112,6 +112,19 @@
 	return out
 }
 
+// dueFirst orders instances so that those that wait for their upkeep come first, as the last to be taken by donor: on an instance that is
+// moved before its upkeep, work starts that delays it.
+func (s *State) dueFirst(list []Instance) []Instance {
+	due := map[string]bool{}
+	for _, w := range s.Waves {
+		for _, id := range s.Remaining(w) {
+			due[id] = true
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Instance) int { return cmp.Compare(rankTrueFirst(due[a.ID]), rankTrueFirst(due[b.ID])) })
+	return list
+}
+
 // donor takes an instance for a pool from the spare pool, or else one from the pool with the largest surplus, empty ones
 // first. Only an urgent pool gets one that the donor may miss later: pools that merely restore their size would otherwise take
 // instances from each other in a circle.
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -83,6 +83,21 @@
 	}
 }
 
+// Load pattern: a peak begins while instances of the spare pool wait for their upkeep. Guards against moving these before others.
+func TestInstancesDueForUpkeepMoveLast(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	s := fleet(0, map[string]int{"pumps": 9, "routes": 12, "common": 20})
+	s.Waves = []Wave{{ID: 1, Cap: 1, Instances: []string{"common-17", "common-18", "common-19"}}}
+	feed(f, "routes", 30, 0, 4*time.Second, 12*testCapacity)
+	s.Now = feed(f, "pumps", 800, 0, 4*time.Second, 9*testCapacity)
+	moves := s.PlanMoves(f, map[string]time.Duration{})
+	g.Expect(len(moves)).To(BeNumerically(">=", 6))
+	for _, id := range s.Waves[0].Instances {
+		g.Expect(moves).NotTo(HaveKey(id))
+	}
+}
+
 // Load pattern: a peak period that is over. Guards against paying for idle instances until the end of the day, and against
 // moving an instance on which something runs, here a long-running task.
 func TestOffPeakPoolScalesDown(t *testing.T) {
