--- a/cluster/claim.go
+++ b/cluster/claim.go
@@ -75,8 +75,8 @@
 		return "assigned: no member owns it"
 	case last.refusals >= refusedLimit:
 		return "assigned: " + last.Node + " refuses connections"
-	case v.silence(last) > v.patience(last):
-		return "assigned: no heartbeat of " + last.Node + " for " + v.silence(last).String()
+	case v.heartbeatAge(last) > v.heartbeatTimeout(last):
+		return "assigned: no heartbeat of " + last.Node + " for " + v.heartbeatAge(last).String()
 	}
 	return "assigned: " + last.Node + " is isolated"
 }
--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -171,7 +171,7 @@
 	}
 	g.Expect(float64(300) / n.interval().Seconds()).To(BeNumerically("<=", 130))
 	idle := &observed{Member: n.selfMember()}
-	g.Expect(n.view.patience(idle)).To(BeNumerically(">", 3*n.interval()))
+	g.Expect(n.view.heartbeatTimeout(idle)).To(BeNumerically(">", 3*n.interval()))
 }
 
 // Guards against pools that stay without an owner for several seconds in a large cluster, as its members write heartbeats seldom.
@@ -190,7 +190,7 @@
 	g.Expect(n.interval()).To(Equal(heartbeatInterval))
 	self := n.selfMember()
 	g.Expect(self.IntervalMS).To(Equal(heartbeatInterval.Milliseconds()))
-	g.Expect(n.view.patience(&observed{Member: self})).To(Equal(deadAfter))
+	g.Expect(n.view.heartbeatTimeout(&observed{Member: self})).To(Equal(deadAfter))
 }
 
 // Guards against pools that nobody claims because they are assigned to a daemon that is dead, which is noticed late as it owned nothing.
--- a/cluster/dead_members.go
+++ b/cluster/dead_members.go
@@ -18,7 +18,7 @@
 func (v *View) expiredMembers() []*observed {
 	var out []*observed
 	for _, o := range v.members {
-		if o.Node != v.self && v.silence(o) > v.patience(o)+removeAfter {
+		if o.Node != v.self && v.heartbeatAge(o) > v.heartbeatTimeout(o)+removeAfter {
 			out = append(out, o)
 		}
 	}
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -102,11 +102,11 @@
 	}
 }
 
-// silence returns how long no new heartbeat of a member has been read.
-func (v *View) silence(o *observed) time.Duration { return v.observedAt - o.changedAt }
+// heartbeatAge returns how long no new heartbeat of a member has been read.
+func (v *View) heartbeatAge(o *observed) time.Duration { return v.observedAt - o.changedAt }
 
-// patience returns the time without a heartbeat after which a member counts as dead. It covers several of its own intervals.
-func (v *View) patience(o *observed) time.Duration {
+// heartbeatTimeout returns the time without a heartbeat after which a member counts as dead. It covers several of its own intervals.
+func (v *View) heartbeatTimeout(o *observed) time.Duration {
 	own := time.Duration(o.IntervalMS) * time.Millisecond
 	return max(v.deadAfter, time.Duration(deadHeartbeats*float64(own)))
 }
@@ -127,7 +127,7 @@
 func (v *View) Alive() []Member {
 	var out []Member
 	for _, o := range v.members {
-		if o.Node == v.self || (o.refusals < refusedLimit && (o.unreadable || v.silence(o) <= v.patience(o))) {
+		if o.Node == v.self || (o.refusals < refusedLimit && (o.unreadable || v.heartbeatAge(o) <= v.heartbeatTimeout(o))) {
 			out = append(out, o.Member)
 		}
 	}
@@ -135,7 +135,7 @@
 	return out
 }
 
-// staleShare is the share of its patience after which a member's row is read directly: notifications of changes may be delayed.
+// staleShare is the share of its heartbeat timeout after which a member's row is read directly: notifications of changes may be delayed.
 // Members that have been dead for long are not read any more.
 const (
 	staleShare    = 0.6
@@ -146,8 +146,8 @@
 func (v *View) Stale() []string {
 	var out []string
 	for _, o := range v.members {
-		silence := float64(v.silence(o)) / float64(v.patience(o))
-		if o.Node != v.self && len(o.Pools) > 0 && silence > staleShare && (o.unreadable || silence < maxStaleShare) {
+		age := float64(v.heartbeatAge(o)) / float64(v.heartbeatTimeout(o))
+		if o.Node != v.self && len(o.Pools) > 0 && age > staleShare && (o.unreadable || age < maxStaleShare) {
 			out = append(out, o.Node)
 		}
 	}
