--- a/command/soak.go
+++ b/command/soak.go
@@ -25,8 +25,10 @@
 	dir              string
 }
 
-func (*soakCommand) Name() string     { return "soak" }
-func (*soakCommand) Synopsis() string { return "run daemons under random faults and check their promises" }
+func (*soakCommand) Name() string { return "soak" }
+func (*soakCommand) Synopsis() string {
+	return "run daemons under random faults and check their promises"
+}
 func (*soakCommand) Usage() string {
 	return "samphirepoint soak [flags]\n" +
 		"  Runs daemons as separate processes on loopback against a stand-in platform, injects faults from outside them by signals and\n" +
