--- a/command/main.go
+++ b/command/main.go
@@ -89,7 +89,7 @@
 		{"Run", []string{"daemon", "entry", "settings", "token", "version"}},
 		{"Inspect, through any daemon on the users' platform", []string{"status"}},
 		{"Operate, through the admin API of any entry", []string{"table", "pool", "maintenance"}},
-		{"Test and benchmark on loopback", []string{"dev", "load", "compare", "standin"}},
+		{"Test and benchmark on loopback", []string{"dev", "load", "compare", "soak", "standin"}},
 	} {
 		fmt.Fprintf(w, "\n%s:\n", group.title)
 		for _, name := range group.names {
