Check cordons early enough for a check that has to wait for another

Read from the code: a check for an open order begins a second before the cordon ends and takes up to half a second, but waits for one that has just begun, so that its result may come after the end.

Change: the check begins two seconds before the end. Violations of LOST in the simulation name what the job waits for and the pool's workers.

Whether this was the cause is not certain.

--- a/cluster/simulation_test.go
+++ b/cluster/simulation_test.go
@@ -200,7 +200,11 @@
 		res, err := x.nodes[0].Execute(x.ctx, Call{Op: OpState, Pool: pool, ID: id})
 		x.mu.Lock()
 		if err != nil || res.State != engine.Completed {
-			x.violate("LOST: job %s of %s is %q (known %t): %v", id, pool, res.State, res.Known, err)
+			x.mu.Unlock()
+			why, _ := x.nodes[0].Execute(x.ctx, Call{Op: OpExplain, Pool: pool, ID: id})
+			report, reportErr := x.nodes[0].Report(x.ctx, pool)
+			x.mu.Lock()
+			x.violate("LOST: job %s of %s is %q (known %t): %v; %+v; pool %+v (%v)", id, pool, res.State, res.Known, err, why.Job, report.Workers, reportErr)
 		}
 	}
 }
--- a/owner/cordons.go
+++ b/owner/cordons.go
@@ -11,8 +11,10 @@
 	// openOrderCordon is how long a worker whose instance has an open order is cordoned. The fleet controller extends the cordon.
 	openOrderCordon = 5 * time.Second
 	// cordonCheckLead is how long before the end of a cordon the owner checks for an open order. The fleet controller extends its
-	// cordons far more often, unless it is gone or paused.
-	cordonCheckLead = time.Second
+	// cordons far more often, unless it is gone or paused. A check takes up to cordonCheckTimeout, and may have to wait for another one
+	// that has just begun.
+	cordonCheckLead    = 2 * time.Second
+	cordonCheckTimeout = 500 * time.Millisecond
 )
 
 // cordonOpenOrders cordons the workers whose instances have an open order.
@@ -36,7 +38,7 @@
 	}
 	o.checkingCordons = true
 	go func() {
-		ctx, cancel := context.WithTimeout(o.ctx, cordonCheckLead/2)
+		ctx, cancel := context.WithTimeout(o.ctx, cordonCheckTimeout)
 		defer cancel()
 		open, err := o.settings.WorkersWithOpenOrders(ctx)
 		o.post(func() {
