Store the outcomes of orders again until the store has them

Change: outcomes that are not stored are stored with the next ones, at each reconciliation.

Evidence: TestOutcomeIsStoredOnceTheStoreIsBack failed before.

--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -112,6 +112,8 @@
 	// recordVers holds the last known version of each order record. Batches are stored concurrently, so mu protects it.
 	mu         sync.Mutex
 	recordVers map[string]int64
+	// unstored holds the instances whose order has an outcome that is not in the store.
+	unstored map[string]bool
 	// cordonedSince is the time at which each cordon began, coolDownUntil the end of each instance's last cool-down.
 	cordonedSince map[string]time.Duration
 	coolDownUntil map[string]time.Duration
@@ -137,7 +139,7 @@
 	c, cancel := context.WithCancel(ctx)
 	return &Controller{
 		settings: s, ctx: c, cancel: cancel,
-		orders: map[string]OrderRecord{}, recordVers: map[string]int64{}, cordoned: map[string]string{}, cordonedSince: map[string]time.Duration{}, coolDownUntil: map[string]time.Duration{},
+		orders: map[string]OrderRecord{}, unstored: map[string]bool{}, recordVers: map[string]int64{}, cordoned: map[string]string{}, cordonedSince: map[string]time.Duration{}, coolDownUntil: map[string]time.Duration{},
 		reported: map[int64]string{}, lastSeen: map[string]Instance{}, terminated: map[string]string{},
 		forecast: NewForecast(), surplusSince: map[string]time.Duration{}, startingUntil: map[string]time.Duration{},
 	}
--- a/upkeep/due_orders.go
+++ b/upkeep/due_orders.go
@@ -105,6 +105,7 @@
 		if ok && rec.Open && rec.TargetPool != "" && i.Pool == rec.TargetPool {
 			rec.Open = false
 			c.orders[id] = rec
+			c.unstored[id] = true
 		}
 	}
 }
--- a/upkeep/orders.go
+++ b/upkeep/orders.go
@@ -100,6 +100,7 @@
 
 // execute stores the orders as open, sends them, and stores their outcomes.
 func (c *Controller) execute(orders []order) {
+	c.storeOutcomes()
 	orders = slices.DeleteFunc(c.storeOpen(orders), func(o order) bool { return !c.cordonHolds(&o) })
 	if len(orders) == 0 {
 		return
@@ -113,15 +114,29 @@
 		})
 	}
 	_ = g.Wait()
-	closed := map[string]OrderRecord{}
 	for i, o := range orders {
 		c.recordOutcome(o, results[i])
-		closed[o.instance.ID] = c.orders[o.instance.ID]
+		c.unstored[o.instance.ID] = true
 	}
-	if err := c.storeRecords(closed); err != nil {
-		c.settings.Log.Warn().Err(err).Msg("cannot store the outcomes of orders")
+	c.storeOutcomes()
+}
+
+// storeOutcomes stores the outcomes of orders, those that could not be stored before included: while the store says that an order is
+// open, the owner of its worker keeps the worker cordoned.
+func (c *Controller) storeOutcomes() {
+	if len(c.unstored) == 0 {
+		return
+	}
+	records := map[string]OrderRecord{}
+	for id := range c.unstored {
+		records[id] = c.orders[id]
+	}
+	if err := c.storeRecords(records); err != nil {
+		c.settings.Log.Warn().Err(err).Int("orders", len(records)).Msg("cannot store the outcomes of orders; retrying")
 		c.fenced = c.fenced || c.overtaken(err)
+		return
 	}
+	clear(c.unstored)
 }
 
 // cordonHolds reports whether the cordon of the order's worker lasts until the order has had a response. An order that is not sent
--- a/upkeep/orders_test.go
+++ b/upkeep/orders_test.go
@@ -121,6 +121,24 @@
 	return out
 }
 
+// Guards against a worker that stays cordoned by its owner because the store still says that an order for its instance is open: the
+// outcome could not be stored, and nobody tried again.
+func TestOutcomeIsStoredOnceTheStoreIsBack(t *testing.T) {
+	g := NewWithT(t)
+	x := newTestController(t)
+	away := true
+	x.store.Fault = func(call string) memrows.Fault {
+		x.instances.mu.Lock()
+		defer x.instances.mu.Unlock()
+		return memrows.Fault{Refuse: away && call == "transact" && len(x.instances.moved) > 0}
+	}
+	x.reconcileMoves()
+	g.Expect(x.openOrders(g)).To(HaveLen(2))
+	away = false
+	x.execute(nil)
+	g.Expect(x.openOrders(g)).To(BeEmpty())
+}
+
 // Guards against moving an instance on which a new owner of its pool has started work: the former owner had reported the worker
 // as empty, and the new one knew neither of the cordon nor of the order. The orders of other pools are not affected.
 func TestOrderIsDroppedOncePoolHasAnotherOwner(t *testing.T) {
