Say exactly when an owner may read a part of the store

Cause: read as a newcomer: the comments said that both parts are claimed before either is read, but the primary part is read while the standby part is claimed.

--- a/owner/load.go
+++ b/owner/load.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// loadOnce claims the standby part and reads the rows of both parts. The primary part was claimed before, so that from then on a former
-// owner can write to neither.
+// loadOnce claims the standby part and reads the rows of both parts. The primary part was claimed before, so it may be read at once; what a
+// former owner still writes to the standby part is there before that part is read.
 func (o *Owner) loadOnce() error {
 	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
 	defer cancel()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -2,7 +2,7 @@
 // and sends them orders. One goroutine holds the state; other goroutines make calls and post the results to it.
 //
 // The rows of a pool are in two parts of the store: the primary part, and the standby part that gets the changes while the primary part
-// is not available. An owner claims both before it reads either.
+// is not available. An owner reads a part only once it has claimed it there: from then on no former owner can write to it.
 //
 // Every transaction is conditional on the owner's row in its part, so an owner that has lost the pool can write nothing more. It stops as
 // soon as it learns of this, from the store or from a worker that has seen a higher token.
