--- a/soak/process.go
+++ b/soak/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -96,29 +97,34 @@
 	return os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
+// Ports are chosen below those that the system gives to outgoing connections.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
 // freePorts returns the first of n consecutive ports that are free now.
 func freePorts(n int) (int, error) {
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	var err error
+	for range 1000 {
+		first := firstPort + rand.IntN(lastPort-firstPort)
+		if err = checkPorts(first, n); err == nil {
+			return first, nil
+		}
+	}
+	return 0, fmt.Errorf("soak: no free ports: %w", err)
+}
+
+// checkPorts returns an error unless n consecutive ports are free now.
+func checkPorts(first, n int) error {
+	for k := range n {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+k))
 		if err != nil {
-			return 0, err
+			return err
 		}
-		first := l.Addr().(*net.TCPAddr).Port
 		_ = l.Close()
-		free := first+n < 65536
-		for k := range n {
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+k))
-			if err != nil {
-				free = false
-				break
-			}
-			_ = l.Close()
-		}
-		if free {
-			return first, nil
-		}
 	}
-	return 0, errors.New("soak: no free ports")
+	return nil
 }
 
 // start starts the process, with a log file of its own.
@@ -277,7 +283,10 @@
 			p.signal(syscall.SIGKILL)
 			p.hasExited(killReserve)
 		}
-		p.store.Close()
-		p.instances.Close()
+		for _, proxy := range []*faultproxy.Proxy{p.store, p.instances} {
+			if proxy != nil {
+				proxy.Close()
+			}
+		}
 	}
 }
