Read a claim from its rows in one place

Cause: the load of the standby part decoded a claim as package cluster already did, and a comment said that it repeats an attempt that its caller repeats.

Change: owner.PresentClaim serves both; behaviour is unchanged.

--- a/cluster/claim.go
+++ b/cluster/claim.go
@@ -211,7 +211,7 @@
 	if err != nil {
 		return 0, verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable)
 	}
-	present, ver := presentClaim(key, list)
+	present, ver := owner.PresentClaim(key, list)
 	if present == *c {
 		return ver, nil
 	}
@@ -228,20 +228,8 @@
 	if !errors.As(err, &conflict) {
 		return written, err
 	}
-	if present, ver = presentClaim(key, conflict.Rows); present == *c {
+	if present, ver = owner.PresentClaim(key, conflict.Rows); present == *c {
 		return ver, nil
 	}
 	return 0, verdict.New(verdict.NotRun, http.StatusConflict, "pool %s was claimed by %s with token %d at the same time", pool, present.Node, present.Token)
 }
-
-// presentClaim returns the claim in the row with the given key, and its version, or 0 if there is none.
-func presentClaim(key rows.Key, list []rows.Row) (owner.Claim, int64) {
-	var c owner.Claim
-	for _, r := range list {
-		if r.Key == key {
-			_ = json.Unmarshal(r.Value, &c) // A value that can't be decoded counts as a claim with token 0.
-			return c, r.Ver
-		}
-	}
-	return c, 0
-}
--- a/owner/load.go
+++ b/owner/load.go
@@ -71,7 +71,7 @@
 	return o.cordonOpenOrders(ctx)
 }
 
-// claimStandby claims the standby part under the token of the pool's claim. It repeats the attempt if the claim has changed meanwhile.
+// claimStandby claims the standby part under the token of the pool's claim. It fails if the claim has changed meanwhile.
 func (o *Owner) claimStandby(ctx context.Context) error {
 	key := ClaimKey(o.standby.name)
 	self := Claim{Token: o.settings.Token, Attempt: o.term}
@@ -83,13 +83,7 @@
 	if err != nil {
 		return err
 	}
-	present, ver := Claim{}, int64(0)
-	for _, r := range list {
-		if r.Key == key {
-			_ = json.Unmarshal(r.Value, &present) // A value that can't be decoded counts as a claim with token 0.
-			ver = r.Ver
-		}
-	}
+	present, ver := PresentClaim(key, list)
 	switch {
 	case present.Token > self.Token:
 		return ErrOwnershipLost
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"sync/atomic"
@@ -86,6 +87,18 @@
 	return rows.Key{Table: TableOwners, Part: part, Name: OwnerKey}
 }
 
+// PresentClaim returns the claim in the row with the given key, and its version, or 0 if there is none.
+func PresentClaim(key rows.Key, list []rows.Row) (Claim, int64) {
+	var c Claim
+	for _, r := range list {
+		if r.Key == key {
+			_ = json.Unmarshal(r.Value, &c) // A value that can't be decoded counts as a claim with token 0.
+			return c, r.Ver
+		}
+	}
+	return c, 0
+}
+
 // ClaimCondition returns the condition that the claim with the given version is still current.
 func ClaimCondition(part string, ver int64) rows.Condition {
 	return rows.Condition{Key: ClaimKey(part), Ver: ver}
