--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -40,7 +40,6 @@
 	steps          []step
 	accepted       bool
 	acceptedAt     time.Time
-	cancelledAt    time.Time
 	// running and done hold the present runs and the tasks that have ended as done, failed the runs of each step that ended as failed.
 	running map[string]int
 	done    map[string]bool
