--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 [ -x target/review-standin ] || { echo "run review/build.sh first" >&2; exit 2; }
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-standin -case gang -trouble=$trouble -dir review/3
+exec target/review-standin -case gang -trouble=$trouble -dir review/4
