--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -84,6 +84,7 @@
 // options derives the engine's durations from the platform's bounds.
 func options(settings *platform.Settings) engine.Options {
 	o := engine.DefaultOptions()
+	o.RowBytes = settings.RowBytes()
 	if ms := settings.Bounds.HoldMaxMS; ms > 0 {
 		o.MaxLease = time.Duration(ms) * time.Millisecond
 		o.Lease = min(o.Lease, o.MaxLease)
@@ -169,7 +170,7 @@
 
 // listen starts the daemon's servers on its addresses.
 func (d *Daemon) listen(g *errgroup.Group) ([]*http.Server, error) {
-	front := &platform.Front{Jobs: d.node, Log: d.log, Leaving: d.notReady}
+	front := &platform.Front{Jobs: d.node, Log: d.log, Leaving: d.notReady, MaxSpecBytes: d.settings.RowBytes()}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /api/ready", d.ready)
 	var out []*http.Server
--- a/engine/commit.go
+++ b/engine/commit.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Change is a state of a job to be written to a part of the store.
@@ -10,26 +11,40 @@
 	Job *Job
 	// Record is nil if the job's rows are to be deleted.
 	Record []byte
+	// Segments are the rows of tasks that have none in Record.
+	Segments []SegmentChange
 	// Spec is set if the part has no spec of the job yet; DropSpec is set if its row is no longer needed.
 	Spec     []byte
 	DropSpec bool
+	// Partial is set if the state has more rows than fit: a later change holds the rest, and nothing waiting for the state may
+	// proceed before that one is stored.
+	Partial bool
 
 	part  Part
 	rev   int64
 	state State
 }
 
-// Entries returns the number of transaction entries that the change takes: one for the record, and one for the spec.
+// Entries returns the number of transaction entries that the change takes: one for the record, one for the spec, and one for each segment.
 func (ch *Change) Entries() int {
 	if ch.Spec != nil || ch.DropSpec {
-		return 2
+		return recordEntries + len(ch.Segments)
 	}
-	return 1
+	return 1 + len(ch.Segments)
+}
+
+// size returns the number of bytes of the rows that the change writes.
+func (ch *Change) size() int {
+	n := len(ch.Record) + len(ch.Spec)
+	for i := range ch.Segments {
+		n += len(ch.Segments[i].Value)
+	}
+	return n
 }
 
 // NextBatch returns changed jobs to be written to a part, up to the given number of entries and about maxBytes. Jobs that are not
 // stored yet go first, because their callers wait with short deadlines, which matters while the store is slow. Rows are deleted from
-// the primary part only.
+// the primary part only. A job whose rows the store has refused is in a batch of its own.
 func (p *Pool) NextBatch(part Part, entries, maxBytes int) []Change {
 	var out []Change
 	var later []*Job
@@ -37,26 +52,33 @@
 	bytes := 0
 	for len(p.dirty) > 0 && bytes < maxBytes {
 		j := p.dirty[0]
-		if j.expired && part == Standby {
+		if (j.expired && part == Standby) || j.refusedUntil > p.now || (j.alone && len(out) > 0) {
 			later, p.dirty = append(later, j), p.dirty[1:]
 			continue
 		}
-		ch := p.change(j, part)
+		ch := p.change(j, part, entries, maxBytes-bytes)
 		if entries < ch.Entries() {
 			break
 		}
 		entries -= ch.Entries()
-		bytes += len(ch.Record) + len(ch.Spec)
-		j.dirty = false
+		bytes += ch.size()
 		j.batched = true
-		p.dirty = p.dirty[1:]
 		out = append(out, ch)
+		if ch.Partial {
+			break // The job stays first in the list.
+		}
+		j.dirty = false
+		p.dirty = p.dirty[1:]
+		if j.alone {
+			break
+		}
 	}
 	p.dirty = append(p.dirty, later...)
 	return out
 }
 
-func (p *Pool) change(j *Job, part Part) Change {
+// change returns what is to be written of a job, with as many segments as the given numbers of entries and bytes allow.
+func (p *Pool) change(j *Job, part Part, entries, maxBytes int) Change {
 	ch := Change{Job: j, part: part, rev: j.rev, state: j.state}
 	if j.expired {
 		ch.DropSpec = true
@@ -66,10 +88,13 @@
 	spent := j.state.Terminal() && j.liveRuns() == 0
 	switch {
 	case !j.Stored && !spent && (part == Primary || !j.specInStandby):
-		ch.Spec = j.EncodeSpec()
+		ch.Spec = j.Spec.Encode()
 	case j.Stored && spent && part == Primary:
 		ch.DropSpec = true
 	}
+	if j.segmentTasks > 0 {
+		j.addSegments(&ch, max(entries-ch.Entries(), 0), maxBytes-ch.size())
+	}
 	return ch
 }
 
@@ -91,7 +116,11 @@
 		delete(p.jobs, j.Spec.ID)
 		return
 	}
+	j.alone, j.refusedUntil = false, 0
 	p.noteStored(ch)
+	if ch.Partial {
+		return
+	}
 	if ch.rev >= j.committed {
 		j.committed, j.committedState = ch.rev, ch.state
 	}
@@ -159,13 +188,33 @@
 func (p *Pool) Requeue(batch []Change) {
 	for i := range batch {
 		j := batch[i].Job
-		if j.committed == 0 && !j.uncertain {
+		if j.committed == 0 && !j.uncertain && j.inPrimary == 0 && j.inStandby == 0 {
 			j.batched = false
 		}
 		p.writeAgain(j)
 	}
 }
 
+// refusedRetryDelay is the delay before rows that the store has refused are written again.
+const refusedRetryDelay = 5 * time.Second
+
+// Refused handles a batch that the store refuses for its content. Each of its jobs is written alone, and the one that is refused then
+// waits, so that the others of the pool go on.
+func (p *Pool) Refused(batch []Change, c Clock) {
+	for i := range batch {
+		j := batch[i].Job
+		j.alone = true
+		if len(batch) == 1 {
+			j.refusedUntil = c.Now + refusedRetryDelay
+			p.recordDecision("rows-refused", j.Spec.ID, 0, "", "record of "+itoa(int64(len(batch[i].Record)))+" bytes, spec of "+itoa(int64(len(batch[i].Spec))))
+		}
+	}
+	p.Requeue(batch)
+}
+
+// Refused reports whether the store has refused the job's rows.
+func (j *Job) Refused() bool { return j.refusedUntil > 0 }
+
 // writeAgain makes the next batch hold the job even if it has not changed.
 func (p *Pool) writeAgain(j *Job) {
 	if !j.dirty && p.jobs[j.Spec.ID] == j {
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -101,9 +101,7 @@
 	t.readySince = 0
 	p.dropRun(r)
 	p.markDirty(j)
-	if e.Checkpoint != "" && !t.done {
-		t.checkpoint = e.Checkpoint
-	}
+	t.keepCheckpoint(e.Checkpoint)
 	if j.state.Terminal() {
 		return j
 	}
@@ -242,9 +240,7 @@
 // applyListedRun handles a run that its worker lists as running.
 func (p *Pool) applyListedRun(r *Run, row RunningRow, c Clock) {
 	t := r.Task
-	if row.Checkpoint != "" && !t.done {
-		t.checkpoint = row.Checkpoint
-	}
+	t.keepCheckpoint(row.Checkpoint)
 	r.percent, r.load = row.Percent, row.Load
 	t.observeReadiness(row.Percent >= 100, c)
 	switch r.phase {
@@ -257,6 +253,13 @@
 	}
 }
 
+// keepCheckpoint records the newest checkpoint of a task, unless it is too long for the task's record.
+func (t *Task) keepCheckpoint(checkpoint string) {
+	if checkpoint != "" && len(checkpoint) <= maxCheckpointBytes && !t.done {
+		t.checkpoint = checkpoint
+	}
+}
+
 // observeReadiness records whether a long-running task is reported as ready.
 func (t *Task) observeReadiness(ready bool, c Clock) {
 	if !ready {
--- a/engine/job.go
+++ b/engine/job.go
@@ -18,19 +18,31 @@
 	endedMS        int64
 	started        bool
 	occurrences    []*occurrence
-	expired        bool
+	// nextOccurrence is the first occurrence that may not have begun, firstOpen the first one that may not be finished.
+	nextOccurrence, firstOpen int
+	// open is the number of occurrences that have begun and are not finished.
+	open    int
+	expired bool
 
 	// rev counts the changes of the job. committed is the newest one that is in the store, in either part.
 	rev, committed int64
 	dirty          bool
 	// batched is set once any state of the job may be in the store, uncertain once it may be there whatever becomes of later batches.
 	batched, uncertain bool
+	// alone is set while the job's rows are to be written without those of others, as the store has refused them. It gets no more before
+	// refusedUntil.
+	alone        bool
+	refusedUntil time.Duration
 	// inPrimary and inStandby are the newest changes in each part, 0 if the part has no record of the job. specInStandby is set while
 	// the standby part has the job's spec.
 	inPrimary, inStandby int64
 	specInStandby        bool
-	waiters              []waiter
-	criticalPath         time.Duration
+	// segmentTasks is the number of tasks in each segment, 0 for a job whose tasks are all in its record. segments holds the segments
+	// that have a row.
+	segmentTasks int
+	segments     map[segmentID]*segment
+	waiters      []waiter
+	criticalPath time.Duration
 }
 
 type waiter struct {
@@ -39,9 +51,11 @@
 }
 
 type occurrence struct {
-	job      *Job
-	index    int
-	steps    []*stepState
+	job   *Job
+	index int
+	steps []*stepState
+	// tasks are the tasks of all steps.
+	tasks    []*Task
 	finished bool
 	dueMS    int64
 }
@@ -122,8 +136,10 @@
 			st.tasks = append(st.tasks, &Task{id: TaskID{Job: j.Spec.ID, Occ: k, Step: i, IndexInStep: n}, step: st})
 		}
 		o.steps = append(o.steps, st)
+		o.tasks = append(o.tasks, st.tasks...)
 	}
 	j.occurrences[k] = o
+	j.open++
 	return o
 }
 
@@ -133,12 +149,20 @@
 		return
 	}
 	if j.occurrences[k] != nil {
-		j.occurrences[k].finished = true
+		j.occurrences[k].finish()
 		return
 	}
 	j.occurrences[k] = &occurrence{job: j, index: k, finished: true}
 }
 
+// finish marks the occurrence as finished.
+func (o *occurrence) finish() {
+	if !o.finished {
+		o.finished = true
+		o.job.open--
+	}
+}
+
 // task returns a task, or nil if there is none. With instantiate set it creates the occurrence's tasks if needed.
 func (j *Job) task(id TaskID, instantiate bool) *Task {
 	if id.Occ >= len(j.occurrences) {
@@ -175,7 +199,7 @@
 // openOccurrences yields the instantiated occurrences that have not finished.
 func (j *Job) openOccurrences() iter.Seq[*occurrence] {
 	return func(yield func(*occurrence) bool) {
-		for _, o := range j.occurrences {
+		for _, o := range j.occurrences[j.firstOpen:] {
 			if o != nil && !o.finished && !yield(o) {
 				return
 			}
@@ -191,20 +215,33 @@
 	return n
 }
 
-// instantiateDue creates the tasks of the occurrences that are due.
+// maxOpenOccurrences bounds the occurrences of a job that are due and not finished. Later ones wait for these: otherwise a job whose
+// tasks can't run fills the memory, and the list of its finished occurrences outgrows a row.
+const maxOpenOccurrences = 2000
+
+// instantiateDue creates the tasks of the occurrences that are due, as far as maxOpenOccurrences and MaxTasks allow.
 func (p *Pool) instantiateDue(j *Job, c Clock) {
-	for k := range j.occurrences {
+	for ; j.nextOccurrence < len(j.occurrences); j.nextOccurrence++ {
+		k := j.nextOccurrence
 		if j.occurrences[k] != nil {
 			continue
 		}
 		if j.Spec.RepeatCount > 0 && c.Wall < j.Spec.FirstDueMS+int64(k)*j.Spec.IntervalMS {
 			return
 		}
+		if !j.mayOpenOccurrence() {
+			return
+		}
 		j.instantiateOccurrence(k)
 		p.placementNeeded = true
 	}
 }
 
+// mayOpenOccurrence reports whether another occurrence may begin beside the open ones.
+func (j *Job) mayOpenOccurrence() bool {
+	return j.open == 0 || (j.open < maxOpenOccurrences && (j.open+1)*j.Spec.tasks() <= MaxTasks)
+}
+
 // dependenciesDone reports whether all steps that st depends on are complete.
 func (st *stepState) dependenciesDone() bool {
 	for _, a := range st.spec.After {
@@ -238,14 +275,17 @@
 			return
 		}
 	}
-	o.finished = true
+	o.finish()
 	j := o.job
-	for _, other := range j.occurrences {
-		if other == nil || !other.finished {
-			return
-		}
-	}
-	if !j.state.Terminal() {
+	if j.allFinished() && !j.state.Terminal() {
 		p.endJob(j, Completed, c)
 	}
 }
+
+// allFinished reports whether all occurrences are finished.
+func (j *Job) allFinished() bool {
+	for j.firstOpen < len(j.occurrences) && j.occurrences[j.firstOpen] != nil && j.occurrences[j.firstOpen].finished {
+		j.firstOpen++
+	}
+	return j.firstOpen == len(j.occurrences)
+}
--- a/engine/model.go
+++ b/engine/model.go
@@ -74,10 +74,22 @@
 // Occurrences returns how many times the steps run.
 func (s *Spec) Occurrences() int { return max(s.RepeatCount, 1) }
 
+// tasks returns the number of tasks of one occurrence.
+func (s *Spec) tasks() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
 // MaxTasks and MaxOccurrences bound a job, so that a single job can't exhaust a daemon's memory.
 const (
 	MaxTasks       = 20_000
 	MaxOccurrences = 100_000
+	// MaxIntervalMS and MaxDueMS, in milliseconds, keep the times of all occurrences far below the largest number.
+	MaxIntervalMS = 10 * 365 * 24 * 3600 * 1000
+	MaxDueMS      = 1 << 50
 )
 
 // Check returns an error that names the first invalid part of the spec.
@@ -88,12 +100,18 @@
 	if s.RepeatCount < 0 || s.RepeatCount > MaxOccurrences {
 		return fmt.Errorf("a job may have up to %d occurrences, found %d", MaxOccurrences, s.RepeatCount)
 	}
+	if s.IntervalMS < 0 || s.IntervalMS > MaxIntervalMS || s.FirstDueMS < 0 || s.FirstDueMS > MaxDueMS {
+		return fmt.Errorf("the times at which occurrences are due are out of range")
+	}
 	total := 0
 	for i := range s.Steps {
 		st := &s.Steps[i]
 		if st.Count < 1 {
 			return fmt.Errorf("step %d: count must be at least 1", i)
 		}
+		if !st.Need.Covers(Resources{}) || st.EstimateMS < 0 {
+			return fmt.Errorf("step %d: resources and estimate must not be negative", i)
+		}
 		if total += min(st.Count, MaxTasks+1); total > MaxTasks {
 			return fmt.Errorf("a job may have up to %d tasks", MaxTasks)
 		}
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -17,6 +17,8 @@
 	OrderRetryDelay time.Duration
 	// SuspectAfter is the time since the last contact after which a worker gets no new starts.
 	SuspectAfter time.Duration
+	// RowBytes is the size up to which the store takes the value of a row.
+	RowBytes int
 	// CompleteWithin is the time within which accepted work must be completed once no more arrives.
 	CompleteWithin time.Duration
 }
@@ -29,6 +31,7 @@
 		Retention:       150 * time.Second,
 		OrderRetryDelay: 250 * time.Millisecond,
 		SuspectAfter:    2200 * time.Millisecond,
+		RowBytes:        64 << 10,
 		CompleteWithin:  14 * time.Second,
 	}
 }
@@ -121,6 +124,9 @@
 		return j
 	}
 	j := newJob(spec, c.Wall)
+	if n := p.options.tasksPerRow(); spec.needsSegments(n) {
+		j.segmentTasks, j.segments = n, map[segmentID]*segment{}
+	}
 	p.jobs[spec.ID] = j
 	p.openJobs = append(p.openJobs, j)
 	p.addKinds(j)
@@ -130,11 +136,6 @@
 	return j
 }
 
-// Load restores a job from its record in the primary part.
-func (p *Pool) Load(spec *Spec, id string, rec Record, c Clock) {
-	p.LoadCopies(id, Copies{Primary: &rec, PrimarySpec: spec}, c)
-}
-
 func (p *Pool) load(spec *Spec, id string, rec Record, c Clock) *Job {
 	if spec == nil {
 		spec = &Spec{ID: id, Queue: rec.Queue}
@@ -148,7 +149,7 @@
 		for _, tr := range rec.Tasks {
 			p.loadTask(j, tr)
 		}
-		for _, k := range rec.Finished {
+		for k := range rec.finished() {
 			j.markFinished(k)
 		}
 	}
@@ -296,7 +297,7 @@
 	p.nextExpiry = c.Now + expireInterval
 	for _, j := range p.jobs {
 		if j.state.Terminal() && !j.expired && j.inStandby == 0 && c.Wall-j.endedMS > p.options.Retention.Milliseconds() && j.liveRuns() == 0 {
-			j.expired = true
+			j.expired = len(j.segments) == 0 // The record goes last.
 			p.markDirty(j)
 		}
 	}
--- a/engine/record.go
+++ b/engine/record.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"iter"
+	"slices"
 
 	"samphirepoint/jsonenc"
 )
@@ -13,7 +15,12 @@
 	SubmittedMS int64  `json:"t"`
 	EndedMS     int64  `json:"e,omitempty"`
 	Started     bool   `json:"b,omitempty"`
-	Finished    []int  `json:"f,omitempty"`
+	// Finished lists the finished occurrences. If there are maxListedOccurrences or more, FinishedRanges has them instead, as pairs of
+	// the first occurrence of a range and the one after its last.
+	Finished       []int `json:"f,omitempty"`
+	FinishedRanges []int `json:"u,omitempty"`
+	// SegmentTasks is the number of tasks in each of the job's segments, 0 if the record holds all of its tasks.
+	SegmentTasks int `json:"g,omitempty"`
 	// Rev grows with each change of the job: of two copies, the one with the higher value is the newer.
 	Rev   int64        `json:"v,omitempty"`
 	Tasks []TaskRecord `json:"k,omitempty"`
@@ -41,16 +48,56 @@
 }
 
 func (j *Job) record() Record {
-	r := Record{Queue: j.Spec.Queue, State: j.state, SubmittedMS: j.submittedMS, EndedMS: j.endedMS, Started: j.started, Rev: j.rev}
+	r := Record{Queue: j.Spec.Queue, State: j.state, SubmittedMS: j.submittedMS, EndedMS: j.endedMS, Started: j.started, Rev: j.rev, SegmentTasks: j.segmentTasks}
+	r.addFinished(j)
+	if j.segmentTasks > 0 {
+		return r
+	}
+	for t := range j.tasks() {
+		r.addTask(t)
+	}
+	return r
+}
+
+// maxListedOccurrences is the number of finished occurrences from which their ranges are stored.
+const maxListedOccurrences = 256
+
+// addFinished adds the finished occurrences. As occurrences begin in order, there are at most as many ranges as open ones, and one more.
+func (r *Record) addFinished(j *Job) {
 	for k, o := range j.occurrences {
 		if o != nil && o.finished {
 			r.Finished = append(r.Finished, k)
 		}
 	}
-	for t := range j.tasks() {
-		r.addTask(t)
+	if len(r.Finished) < maxListedOccurrences {
+		return
+	}
+	for _, k := range r.Finished {
+		if n := len(r.FinishedRanges); n > 0 && r.FinishedRanges[n-1] == k {
+			r.FinishedRanges[n-1]++
+			continue
+		}
+		r.FinishedRanges = append(r.FinishedRanges, k, k+1)
+	}
+	r.Finished = nil
+}
+
+// finished yields the finished occurrences.
+func (r *Record) finished() iter.Seq[int] {
+	return func(yield func(int) bool) {
+		for _, k := range r.Finished {
+			if !yield(k) {
+				return
+			}
+		}
+		for pair := range slices.Chunk(r.FinishedRanges, 2) {
+			for k := pair[0]; k < pair[len(pair)-1]; k++ {
+				if !yield(k) {
+					return
+				}
+			}
+		}
 	}
-	return r
 }
 
 // addTask adds the state of a task. It skips tasks that were never started and, once the occurrence or the job has ended,
@@ -88,10 +135,9 @@
 	if r.Started {
 		b = append(b, `,"b":true`...)
 	}
-	for i, k := range r.Finished {
-		b = jsonenc.Int(append(b, separator(i, `,"f":[`)...), int64(k))
-	}
-	b = closeList(b, len(r.Finished))
+	b = appendList(b, `,"f":[`, r.Finished)
+	b = appendList(b, `,"u":[`, r.FinishedRanges)
+	b = appendNonZero(b, `,"g":`, int64(r.SegmentTasks))
 	b = appendNonZero(b, `,"v":`, r.Rev)
 	for i := range r.Tasks {
 		b = r.Tasks[i].append(append(b, separator(i, `,"k":[`)...))
@@ -131,6 +177,14 @@
 	return jsonenc.Int(append(b, field...), n)
 }
 
+// appendList appends a list that begins with the given text, unless it is empty.
+func appendList(b []byte, begin string, list []int) []byte {
+	for i, k := range list {
+		b = jsonenc.Int(append(b, separator(i, begin)...), int64(k))
+	}
+	return closeList(b, len(list))
+}
+
 // separator returns what precedes the i-th element of a list, which is its beginning before the first one.
 func separator(i int, begin string) string {
 	if i == 0 {
@@ -147,9 +201,9 @@
 	return append(b, ']')
 }
 
-// EncodeSpec returns the spec as it is stored.
-func (j *Job) EncodeSpec() []byte {
-	b, err := json.Marshal(j.Spec)
+// Encode returns the spec as it is stored.
+func (s *Spec) Encode() []byte {
+	b, err := json.Marshal(s)
 	if err != nil {
 		panic(err) // A spec holds plain values only.
 	}
--- a/engine/simulation_calls_test.go
+++ b/engine/simulation_calls_test.go
@@ -45,7 +45,7 @@
 }
 
 func (x *simulation) write() {
-	for batch := x.pool.NextBatch(Primary, 99, 1<<20); len(batch) > 0; batch = x.pool.NextBatch(Primary, 99, 1<<20) {
+	for batch := x.pool.NextBatch(Primary, x.entries, 1<<20); len(batch) > 0; batch = x.pool.NextBatch(Primary, x.entries, 1<<20) {
 		for _, ch := range batch {
 			x.store(ch)
 		}
@@ -62,13 +62,13 @@
 	if _, known := x.records[id]; known && x.injected == lostWrites && x.chance(0.5) {
 		return
 	}
-	rec := ch.Job.record()
+	rows := x.records[id].apply(ch)
 	if x.injected == lostFailureCounts {
-		for i := range rec.Tasks {
-			rec.Tasks[i].Failures = 0
+		for i := range rows.record.Tasks {
+			rows.record.Tasks[i].Failures = 0
 		}
 	}
-	x.records[id] = stored{spec: ch.Job.Spec, record: rec}
+	x.records[id] = rows
 }
 
 // send executes an order, now or later, with or without an answer.
--- a/engine/simulation_test.go
+++ b/engine/simulation_test.go
@@ -41,6 +41,9 @@
 	jobs     []*simJob
 	queues   []Queue
 	records  map[string]stored
+	// options are those of the owners; entries is the number of entries of a transaction.
+	options Options
+	entries int
 	// storeUnavailableUntil is the end of the last store outage.
 	storeUnavailableUntil time.Duration
 	faultFree             bool
@@ -52,7 +55,12 @@
 	x := &simulation{
 		rnd: rand.New(rand.NewPCG(seed, 5)), injected: fault, now: testStart, records: map[string]stored{}, nextIncarnation: 1000,
 		checker: &ruleChecker{tasks: map[string]*simTask{}, onEndAcked: map[string]func(){}, workers: map[string]*simWorker{}},
-		queues:  []Queue{{Name: "q", Attempts: 3, Stretch: 1.6, TargetMS: 600}, {Name: "low", Attempts: 4, Priority: 1, Stretch: 2, TargetMS: 900}, {Name: "advised", Attempts: 3, Stretch: 2, TargetMS: 900, Advised: true}},
+		options: DefaultOptions(), entries: 99,
+		queues: []Queue{{Name: "q", Attempts: 3, Stretch: 1.6, TargetMS: 600}, {Name: "low", Attempts: 4, Priority: 1, Stretch: 2, TargetMS: 900}, {Name: "advised", Attempts: 3, Stretch: 2, TargetMS: 900, Advised: true}},
+	}
+	if seed%2 == 1 && fault == noInjectedFault {
+		// Most jobs take several rows, and some several transactions.
+		x.options.RowBytes, x.entries = 3*maxTaskRecordBytes, 4
 	}
 	for i := range 8 {
 		x.addWorker(i)
@@ -80,11 +88,10 @@
 
 // takeOver replaces the owner by a successor that loads the stored records.
 func (x *simulation) takeOver(token int64) {
-	p := NewPool("pumps", token, DefaultOptions(), x.now)
+	p := NewPool("pumps", token, x.options, x.now)
 	p.SetQueues(x.queues)
 	for id, s := range x.records {
-		spec := s.spec
-		p.Load(&spec, id, s.record, x.clock())
+		s.load(p, id, x.clock())
 	}
 	x.pool = p
 	x.updateRoster()
--- a/engine/standby.go
+++ b/engine/standby.go
@@ -18,8 +18,9 @@
 
 // Copies are the rows of a job in both parts; those that a part doesn't have are nil.
 type Copies struct {
-	Primary, Standby         *Record
-	PrimarySpec, StandbySpec *Spec
+	Primary, Standby                 *Record
+	PrimarySpec, StandbySpec         *Spec
+	PrimarySegments, StandbySegments map[string]SegmentRecord // by the names of their rows
 }
 
 // Newest returns the newer record, and the job's spec. Both are nil if there is none.
@@ -40,7 +41,10 @@
 	if rec == nil {
 		return
 	}
-	j := p.load(spec, id, *rec, c)
+	whole := *rec
+	segments := loadSegments(&whole, &copies)
+	j := p.load(spec, id, whole, c)
+	j.segmentTasks, j.segments = rec.SegmentTasks, segments
 	j.Stored = copies.Primary != nil && (copies.PrimarySpec != nil || spec == nil)
 	j.specInStandby = copies.StandbySpec != nil
 	if copies.Primary != nil {
@@ -55,6 +59,7 @@
 // noteStored records which part has the change.
 func (p *Pool) noteStored(ch *Change) {
 	j := ch.Job
+	j.noteSegments(ch)
 	if ch.part == Standby {
 		j.inStandby = max(j.inStandby, ch.rev)
 		j.specInStandby = j.specInStandby || ch.Spec != nil
@@ -74,6 +79,7 @@
 func (p *Pool) Rewrite(batch []Change) {
 	for i := range batch {
 		batch[i].Job.uncertain = true
+		batch[i].Job.forgetSums(&batch[i])
 		p.writeAgain(batch[i].Job)
 	}
 }
@@ -81,27 +87,43 @@
 // ReturnToPrimary makes the next batches hold the jobs that are newer in the standby part than in the primary one.
 func (p *Pool) ReturnToPrimary() {
 	for _, id := range slices.Sorted(maps.Keys(p.misplaced)) {
-		if j := p.misplaced[id]; j.inStandby > j.inPrimary {
+		if j := p.misplaced[id]; j.newerInStandby() {
 			p.writeAgain(j)
 		}
 	}
 }
 
-// Superfluous returns up to max jobs whose rows in the standby part are no longer needed, as the primary part has newer ones.
-func (p *Pool) Superfluous(max int) []*Job {
-	var out []*Job
+// Superfluous returns rows in the standby part that are no longer needed, as the primary part has newer ones. Their removal takes up to
+// the given number of entries of a transaction.
+func (p *Pool) Superfluous(entries int) []Leftover {
+	var out []Leftover
 	for _, id := range slices.Sorted(maps.Keys(p.misplaced)) {
-		if j := p.misplaced[id]; j.inPrimary >= j.inStandby && len(out) < max {
-			out = append(out, j)
+		j := p.misplaced[id]
+		if j.newerInStandby() {
+			continue
 		}
+		l := j.leftover(entries)
+		if l.Entries() == 0 {
+			break
+		}
+		entries -= l.Entries()
+		out = append(out, l)
 	}
 	return out
 }
 
-// RemovedFromStandby records that the standby part has no rows of the jobs any more.
-func (p *Pool) RemovedFromStandby(jobs []*Job) {
-	for _, j := range jobs {
-		j.inStandby, j.specInStandby = 0, false
-		delete(p.misplaced, j.Spec.ID)
+// RemovedFromStandby records that the standby part has no copies of the rows any more.
+func (p *Pool) RemovedFromStandby(list []Leftover) {
+	for i := range list {
+		j := list[i].Job
+		for _, id := range list[i].ids {
+			if s := j.segments[id]; s != nil {
+				s.revs[Standby] = 0
+			}
+		}
+		if list[i].Record {
+			j.inStandby, j.specInStandby = 0, false
+			delete(p.misplaced, j.Spec.ID)
+		}
 	}
 }
--- a/engine/testpool_test.go
+++ b/engine/testpool_test.go
@@ -1,7 +1,9 @@
 package engine
 
 import (
+	"encoding/json"
 	"fmt"
+	"maps"
 	"time"
 )
 
@@ -17,9 +19,41 @@
 	orders  []Order
 }
 
+// stored holds the rows of a job.
 type stored struct {
-	spec   Spec
-	record Record
+	spec     Spec
+	record   Record
+	segments map[string]SegmentRecord
+}
+
+// apply applies a change to the rows.
+func (s stored) apply(ch Change) stored {
+	s.spec, s.record, s.segments = ch.Job.Spec, Record{}, maps.Clone(s.segments)
+	mustDecode(ch.Record, &s.record)
+	if s.segments == nil {
+		s.segments = map[string]SegmentRecord{}
+	}
+	for _, seg := range ch.Segments {
+		delete(s.segments, seg.Name)
+		if seg.Value != nil {
+			var r SegmentRecord
+			mustDecode(seg.Value, &r)
+			s.segments[seg.Name] = r
+		}
+	}
+	return s
+}
+
+func mustDecode(data []byte, to any) {
+	if err := json.Unmarshal(data, to); err != nil {
+		panic(err)
+	}
+}
+
+// load restores the job in a pool.
+func (s stored) load(p *Pool, id string, c Clock) {
+	spec, record := s.spec, s.record
+	p.LoadCopies(id, Copies{Primary: &record, PrimarySpec: &spec, PrimarySegments: s.segments}, c)
 }
 
 type fakeWorker struct {
@@ -144,7 +178,7 @@
 				delete(w.records, id)
 				continue
 			}
-			w.records[id] = stored{spec: ch.Job.Spec, record: ch.Job.record()}
+			w.records[id] = w.records[id].apply(ch)
 		}
 		w.pool.Committed(batch, w.clock())
 	}
@@ -255,8 +289,7 @@
 	p := NewPool("pumps", w.pool.Token+1, DefaultOptions(), w.now)
 	p.SetQueues([]Queue{{Name: "q", Attempts: 3, Stretch: 1.6, TargetMS: 600}})
 	for id, s := range w.records {
-		spec := s.spec
-		p.Load(&spec, id, s.record, w.clock())
+		s.load(p, id, w.clock())
 	}
 	w.pool = p
 	w.updateRoster()
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -50,16 +50,16 @@
 	if o.writing != o.primary || o.standby.inFlight || o.standby.failingSince != 0 || c.Now < o.standby.retryAt {
 		return
 	}
-	jobs := o.pool.Superfluous(maxCleared)
-	if len(jobs) == 0 {
+	cleared := o.pool.Superfluous(rows.MaxEntries - reservedEntries)
+	if len(cleared) == 0 {
 		return
 	}
 	o.lastWrite = c.Now
-	o.startWrite(o.standby, nil, o.removal(o.standby, jobs), jobs...)
+	o.startWrite(o.standby, nil, o.removal(o.standby, cleared), cleared...)
 }
 
-// startWrite starts writing a transaction with a batch, or one that removes the rows of cleared jobs from the standby part.
-func (o *Owner) startWrite(part *storePart, batch []engine.Change, tx rows.Tx, cleared ...*engine.Job) {
+// startWrite starts writing a transaction with a batch, or one that removes cleared rows from the standby part.
+func (o *Owner) startWrite(part *storePart, batch []engine.Change, tx rows.Tx, cleared ...engine.Leftover) {
 	part.inFlight, part.batch, part.rewritten, part.sentAt = true, batch, false, o.pace.onTime()
 	go o.write(part, batch, tx, cleared)
 }
@@ -94,6 +94,13 @@
 		} else {
 			tx.Writes = append(tx.Writes, rows.Write{Key: jobKey(part, id), Value: ch.Record})
 		}
+		for _, s := range ch.Segments {
+			if s.Value == nil {
+				tx.Remove = append(tx.Remove, jobKey(part, s.Name))
+			} else {
+				tx.Writes = append(tx.Writes, rows.Write{Key: jobKey(part, s.Name), Value: s.Value})
+			}
+		}
 		if ch.Spec != nil {
 			tx.Writes = append(tx.Writes, rows.Write{Key: specKey(part, id), Value: ch.Spec})
 		}
@@ -104,21 +111,23 @@
 	return tx
 }
 
-// maxCleared is the number of jobs whose rows one transaction removes.
-const maxCleared = (rows.MaxEntries - reservedEntries) / 2
-
-// removal builds the transaction that removes the rows of jobs.
-func (o *Owner) removal(part *storePart, jobs []*engine.Job) rows.Tx {
+// removal builds the transaction that removes rows from the standby part.
+func (o *Owner) removal(part *storePart, cleared []engine.Leftover) rows.Tx {
 	tx := o.newTransaction(part)
-	for _, j := range jobs {
-		tx.Remove = append(tx.Remove, jobKey(part, j.Spec.ID), specKey(part, j.Spec.ID))
+	for _, l := range cleared {
+		for _, name := range l.Segments {
+			tx.Remove = append(tx.Remove, jobKey(part, name))
+		}
+		if l.Record {
+			tx.Remove = append(tx.Remove, jobKey(part, l.Job.Spec.ID), specKey(part, l.Job.Spec.ID))
+		}
 	}
 	return tx
 }
 
 // write retries one transaction until its outcome is known. The store may execute an attempt after its response was lost, so
 // each retry sends the identical transaction: the expected versions allow only one of the attempts to succeed.
-func (o *Owner) write(part *storePart, batch []engine.Change, tx rows.Tx, cleared []*engine.Job) {
+func (o *Owner) write(part *storePart, batch []engine.Change, tx rows.Tx, cleared []engine.Leftover) {
 	unknown := false
 	began := o.settings.Now()
 	for o.ctx.Err() == nil {
@@ -139,6 +148,11 @@
 			}
 			o.post(func() { o.handleCommitted(part, batch, cleared, ver) })
 			return
+		case errors.Is(err, rows.ErrInvalid):
+			o.settings.Log.Error().Str("pool", o.settings.Pool).Str("part", part.name).Int("jobs", len(batch)).Err(err).Msg("the store refuses rows")
+			observe.Count("store.refusals")
+			o.post(func() { o.handleRefused(part, batch) })
+			return
 		case !verdict.Is(err, verdict.NotRun):
 			unknown = true
 		}
@@ -171,7 +185,7 @@
 	return last.Ver, err
 }
 
-func (o *Owner) handleCommitted(part *storePart, batch []engine.Change, cleared []*engine.Job, ver int64) {
+func (o *Owner) handleCommitted(part *storePart, batch []engine.Change, cleared []engine.Leftover, ver int64) {
 	part.inFlight, part.batch = false, nil
 	part.failingSince = 0
 	part.lastVer = ver
@@ -190,6 +204,16 @@
 	}
 }
 
+// handleRefused returns to the engine a batch that the store refuses for its content, which is no fault of the part.
+func (o *Owner) handleRefused(part *storePart, batch []engine.Change) {
+	part.inFlight, part.batch = false, nil
+	part.failingSince = 0
+	part.retryAt = o.settings.Now() + commitRetryDelay
+	if !part.rewritten {
+		o.pool.Refused(batch, o.clock())
+	}
+}
+
 func (o *Owner) recordStoreFault(part *storePart) {
 	if part.failingSince == 0 {
 		part.failingSince = o.settings.Now()
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -108,12 +108,12 @@
 	}
 }
 
-// withdraw removes a job that can't be in the store, if the store is unavailable or last is set because the caller's wait has
-// ended. It reports whether the job was removed.
+// withdraw removes a job that can't be in the store, if the store is unavailable or refuses the job's rows, or last is set because the
+// caller's wait has ended. It reports whether the job was removed.
 func (o *Owner) withdraw(job *engine.Job, last bool) bool {
 	withdrawn := false
 	_ = o.WithState(context.Background(), func(p *engine.Pool, c engine.Clock) {
-		withdrawn = (last || o.storeUnavailable(c.Now)) && p.Withdraw(job)
+		withdrawn = (last || job.Refused() || o.storeUnavailable(c.Now)) && p.Withdraw(job)
 	})
 	return withdrawn
 }
--- a/owner/load.go
+++ b/owner/load.go
@@ -97,8 +97,9 @@
 
 // partRows are the rows of a job in one part.
 type partRows struct {
-	record *engine.Record
-	spec   *engine.Spec
+	record   *engine.Record
+	spec     *engine.Spec
+	segments map[string]engine.SegmentRecord
 }
 
 // readPart reads the jobs of a part by ID.
@@ -124,18 +125,37 @@
 		out[r.Name] = partRows{spec: &s}
 	}
 	for _, r := range records {
-		var rec engine.Record
-		if err := json.Unmarshal(r.Value, &rec); err != nil {
+		if err := addRecord(out, r); err != nil {
 			return nil, fmt.Errorf("job %s: %w", r.Name, err)
 		}
-		out[r.Name] = partRows{record: &rec, spec: out[r.Name].spec}
 	}
 	return out, nil
 }
 
+// addRecord adds a row of the table of jobs, which is the record of a job or one of its segments.
+func addRecord(jobs map[string]partRows, row rows.Row) error {
+	id, isSegment := engine.JobOfRow(row.Name)
+	job := jobs[id]
+	defer func() { jobs[id] = job }()
+	if !isSegment {
+		job.record = &engine.Record{}
+		return json.Unmarshal(row.Value, job.record)
+	}
+	if job.segments == nil {
+		job.segments = map[string]engine.SegmentRecord{}
+	}
+	var segment engine.SegmentRecord
+	err := json.Unmarshal(row.Value, &segment)
+	job.segments[row.Name] = segment
+	return err
+}
+
 // loadJob restores a job from its rows in both parts.
 func (o *Owner) loadJob(id string, primary, standby partRows) error {
-	copies := engine.Copies{Primary: primary.record, PrimarySpec: primary.spec, Standby: standby.record, StandbySpec: standby.spec}
+	copies := engine.Copies{
+		Primary: primary.record, PrimarySpec: primary.spec, PrimarySegments: primary.segments,
+		Standby: standby.record, StandbySpec: standby.spec, StandbySegments: standby.segments,
+	}
 	rec, spec := copies.Newest()
 	if rec != nil && spec == nil && !rec.State.Terminal() {
 		// Both rows are written and removed in one transaction, but are read by two calls.
--- a/rows/memrows/memrows.go
+++ b/rows/memrows/memrows.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -63,6 +64,11 @@
 	if !tx.Across && len(tx.Parts()) > 1 {
 		return 0, verdict.New(verdict.NotRun, http.StatusBadRequest, "memrows: the transaction spans several parts")
 	}
+	for _, w := range tx.Writes {
+		if len(w.Value) > rows.MaxValueBytes {
+			return 0, verdict.Wrap(fmt.Errorf("memrows: %d bytes: %w", len(w.Value), rows.ErrInvalid), verdict.NotRun, http.StatusServiceUnavailable)
+		}
+	}
 	f := s.fault("transact")
 	if f.Refuse {
 		return 0, errRejected()
--- a/rows/rows.go
+++ b/rows/rows.go
@@ -17,6 +17,13 @@
 // ErrHistoryGone reports that the changes after the requested version are no longer available. The rows must be read again.
 var ErrHistoryGone = errors.New("rows: the requested history is gone")
 
+// ErrInvalid reports that the store refuses a transaction for what it holds, such as a value that is too long. It has not been executed,
+// and would be refused again.
+var ErrInvalid = errors.New("rows: the store refuses the content of the transaction")
+
+// MaxValueBytes is the usual bound for the value of a row; a store may have another one.
+const MaxValueBytes = 64 << 10
+
 // Key identifies a row. A transaction spans rows of one part only, unless it has Across set.
 type Key struct {
 	Table, Part, Name string
--- a/standin/jobfleet/jobfleet.go
+++ b/standin/jobfleet/jobfleet.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -338,6 +339,8 @@
 		writeJSON(w, 200, map[string]any{"ver": ver, "now_ms": 1})
 	case asConflict(err, &conflict):
 		writeJSON(w, 412, map[string]any{"rows": toWireRows(conflict.Rows), "ver": ver})
+	case errors.Is(err, rows.ErrInvalid):
+		writeJSON(w, 400, map[string]any{})
 	default:
 		writeJSON(w, 503, map[string]any{})
 	}
