--- a/cluster/claim.go
+++ b/cluster/claim.go
@@ -133,7 +133,7 @@
 		Pool: pool, Token: token, ClaimVer: ver, Store: n.settings.Store, Workers: n.settings.Workers, Adviser: n.settings.Adviser,
 		WorkersWithOpenOrders: n.settings.WorkersWithOpenOrders, Options: n.settings.Options, Log: n.settings.Log, Now: n.settings.Now,
 	})
-	n.runTerm(pool, o, o)
+	n.runTerm(pool, o, newOwnerTerm(pool, o))
 	if cat := n.catalog.Load(); cat != nil {
 		o.SetQueues(cat.QueuesOf(n.layout.Load().PoolOf(pool)))
 	}
@@ -145,7 +145,7 @@
 
 // runTerm registers a term, which for a pool is that of an owner, stops any earlier one for the same name, and runs it in the
 // background until it ends.
-func (n *Node) runTerm(pool string, t Term, o *owner.Owner) {
+func (n *Node) runTerm(pool string, t Term, o *ownerTerm) {
 	n.mu.Lock()
 	if old := n.owned[pool]; old != nil {
 		old.Stop()
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -124,6 +124,9 @@
 	leaving                        atomic.Bool
 	peers                          *peerClient
 
+	// histories caches the rows of the queues.
+	histories queueHistories
+
 	// assignees follows the daemons that are to claim pools without an owner. Only the goroutine of Run uses it.
 	assignees assignees
 	// claims makes concurrent requests to claim a pool share one attempt.
@@ -133,7 +136,7 @@
 	view *View
 	// owned holds all terms of this daemon, by name; pools holds those of shards of pools only.
 	owned         map[string]Term
-	pools         map[string]*owner.Owner
+	pools         map[string]*ownerTerm
 	claimAttempts map[string]time.Duration
 	heartbeat     int64
 	// observedVer is the version up to which the members have been read. Only the goroutine of Run uses it.
@@ -162,7 +165,7 @@
 // NewNode returns a node that has not joined the cluster yet; Run joins it.
 func NewNode(s Settings) *Node {
 	return &Node{
-		settings: s, view: NewView(s.Name, deadAfter), owned: map[string]Term{}, pools: map[string]*owner.Owner{}, claimAttempts: map[string]time.Duration{},
+		settings: s, view: NewView(s.Name, deadAfter), owned: map[string]Term{}, pools: map[string]*ownerTerm{}, claimAttempts: map[string]time.Duration{},
 		wakeHeartbeat: make(chan struct{}, 1), wakeReconcile: make(chan struct{}, 1), peers: newPeerClient(s.Network), createdAt: s.Now(), unreachable: map[string]time.Duration{}, declined: map[string]time.Duration{},
 		layoutMissingSince: map[string]time.Duration{}, assignments: &shard.Assignments{Store: s.Store}, unassignedSince: map[string]time.Duration{}, unlistedSince: map[string]time.Duration{},
 	}
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -25,14 +25,16 @@
 // Call is a request concerning a pool, in the form in which daemons forward it to each other. Pool is the name of the pool in a call
 // from outside the cluster, and that of the shard between daemons.
 type Call struct {
-	Op         string       `json:"op"`
-	Pool       string       `json:"pool"`
-	Spec       *engine.Spec `json:"spec,omitempty"`
-	ID         string       `json:"id,omitempty"`
-	Queue      string       `json:"queue,omitempty"`
-	Worker     string       `json:"worker,omitempty"`
-	Workers    []string     `json:"workers,omitempty"`
-	DurationMS int64        `json:"forMS,omitempty"`
+	Op    string       `json:"op"`
+	Pool  string       `json:"pool"`
+	Spec  *engine.Spec `json:"spec,omitempty"`
+	ID    string       `json:"id,omitempty"`
+	Queue string       `json:"queue,omitempty"`
+	// Version is the version of the configuration that sends the queue to another pool (OpReleaseQueue).
+	Version    int64    `json:"version,omitempty"`
+	Worker     string   `json:"worker,omitempty"`
+	Workers    []string `json:"workers,omitempty"`
+	DurationMS int64    `json:"forMS,omitempty"`
 	// Token is the token of a pool's new owner (OpOwner), or of the one that transfers it (OpClaim).
 	Token int64  `json:"token,omitempty"`
 	From  string `json:"from,omitempty"`
@@ -65,6 +67,7 @@
 	OpClaim            = "take"
 	OpOwner            = "owner"
 	OpReport           = "report"
+	OpReleaseQueue     = "release"
 	OpWorkerTerminated = "gone"
 	OpExplain          = "explain"
 	OpPing             = "ping"
@@ -73,10 +76,24 @@
 // attemptTimeout bounds one attempt at one daemon; the next attempt may find another owner.
 const attemptTimeout = 1300 * time.Millisecond
 
-// Execute executes a call at the pool's owner, on this daemon or another. Calls are idempotent, so a call without a response is
+// Execute executes a call for a queue of a pool. A job that the pool doesn't know is looked for in the pools that had the queue before.
+func (n *Node) Execute(ctx context.Context, call Call) (Result, error) {
+	res, err := n.executeAtPool(ctx, call)
+	switch {
+	case err != nil || call.Queue == "":
+		return res, err
+	case call.Op == OpWaiting:
+		return n.waitingAtFormers(ctx, call, res)
+	case !res.Known && (call.Op == OpState || call.Op == OpCancel || call.Op == OpExplain):
+		return n.executeAtFormers(ctx, call)
+	}
+	return res, nil
+}
+
+// executeAtPool executes a call at the pool's owner, on this daemon or another. Calls are idempotent, so a call without a response is
 // retried until ctx ends, even if a later attempt is rejected: otherwise the response could not say whether the first attempt was
 // executed, and some callers can't ask again. An error after such an attempt has verdict may-have-run.
-func (n *Node) Execute(ctx context.Context, call Call) (Result, error) {
+func (n *Node) executeAtPool(ctx context.Context, call Call) (Result, error) {
 	limit := n.settings.Now() + ownerWaitTimeout
 	uncertain := false
 	for {
@@ -187,24 +204,24 @@
 		return Result{}, nil
 	}
 	n.mu.Lock()
-	o := n.pools[call.Pool]
+	t := n.pools[call.Pool]
 	n.mu.Unlock()
-	if o == nil {
+	if t == nil {
 		return Result{}, noOwner(call.Pool)
 	}
-	return n.callOwner(ctx, o, call)
+	return n.callOwner(ctx, t, call)
 }
 
 // callOwner executes a call at an owner on this daemon.
-func (n *Node) callOwner(ctx context.Context, o *owner.Owner, call Call) (Result, error) {
+func (n *Node) callOwner(ctx context.Context, t *ownerTerm, call Call) (Result, error) {
+	o := t.Owner
 	var res Result
 	var err error
 	switch call.Op {
 	case OpSubmit:
-		if call.Spec == nil {
-			return res, verdict.New(verdict.NotRun, http.StatusBadRequest, "submit call has no job spec")
-		}
-		err = o.Submit(ctx, *call.Spec)
+		err = n.submit(ctx, t, call.Spec)
+	case OpReleaseQueue:
+		res, err = n.releaseQueue(ctx, t, call)
 	case OpState:
 		res.State, res.Known, err = o.State(ctx, call.ID)
 	case OpCancel:
--- a/cluster/simplatform_test.go
+++ b/cluster/simplatform_test.go
@@ -32,6 +32,8 @@
 	// faultFree ends lost responses; slowUntil is when each slow daemon's calls are fast again.
 	faultFree bool
 	slowUntil map[string]time.Time
+	// lasting holds the jobs whose tasks run until they are stopped.
+	lasting map[string]bool
 	// away holds the outages of parts of the store.
 	away map[string]simOutage
 }
@@ -90,7 +92,7 @@
 func newSimPlatform(seed uint64) *simPlatform {
 	p := &simPlatform{
 		store: memrows.New(), rnd: rand.New(rand.NewPCG(seed, 7)), workers: map[string]*simWorker{}, instances: map[string]*simInstance{},
-		tasks: map[string]*simTask{}, began: time.Now(), slowUntil: map[string]time.Time{}, away: map[string]simOutage{},
+		tasks: map[string]*simTask{}, began: time.Now(), slowUntil: map[string]time.Time{}, away: map[string]simOutage{}, lasting: map[string]bool{},
 	}
 	for _, pool := range simPools {
 		for k := range simInstancesPerPool {
--- a/cluster/simworkers_test.go
+++ b/cluster/simworkers_test.go
@@ -137,7 +137,9 @@
 	if p.rnd.IntN(12) == 0 {
 		reason = engine.EndFailed
 	}
-	time.AfterFunc(length, func() { p.finish(w, task, o.Run, reason) })
+	if !p.lasting[o.Task.Job] {
+		time.AfterFunc(length, func() { p.finish(w, task, o.Run, reason) })
+	}
 	return engine.StartAccepted, "", nil
 }
 
--- a/engine/model.go
+++ b/engine/model.go
@@ -62,8 +62,10 @@
 
 // Spec is a job as submitted. RepeatCount 0 means one occurrence that is due at once.
 type Spec struct {
-	ID          string `json:"id"`
-	Queue       string `json:"q"`
+	ID    string `json:"id"`
+	Queue string `json:"q"`
+	// Settings are those of the queue when the job was submitted; nil if they aren't known.
+	Settings    *Queue `json:"cf,omitempty"`
 	Payload     string `json:"p,omitempty"`
 	Steps       []Step `json:"s"`
 	RepeatCount int    `json:"x,omitempty"`
@@ -141,16 +143,26 @@
 
 // Queue holds a queue's settings from the operators' configuration.
 type Queue struct {
-	Name string
+	Name string `json:"n"`
+	// Version is the version of the configuration.
+	Version int64 `json:"v,omitempty"`
 	// Priority orders the queues: a lower number goes first.
-	Priority int
+	Priority int `json:"p,omitempty"`
 	// Attempts is the number of failures after which a task fails its job; 0 means no limit.
-	Attempts int
+	Attempts int `json:"a,omitempty"`
 	// A job should end within Stretch times its critical path, plus TargetMS.
-	Stretch  float64
-	TargetMS int64
+	Stretch  float64 `json:"s,omitempty"`
+	TargetMS int64   `json:"t,omitempty"`
 	// Advised queues need a ticket for each worker that runs their tasks.
-	Advised bool
+	Advised bool `json:"d,omitempty"`
+}
+
+// Version returns the version of the configuration under which the job was submitted, or 0 if it isn't known.
+func (s *Spec) Version() int64 {
+	if s.Settings == nil {
+		return 0
+	}
+	return s.Settings.Version
 }
 
 // TaskID identifies a task by job, occurrence, step and index.
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -41,8 +41,10 @@
 	Name  string
 	Token int64
 
-	options  Options
-	queues   map[string]Queue
+	options Options
+	queues  map[string]Queue
+	// released holds, by queue, the version of the configuration up to which new jobs of the queue belong to another pool.
+	released map[string]int64
 	jobs     map[string]*Job
 	openJobs []*Job // jobs that have not ended, in order of arrival
 	workers  map[string]*Worker
@@ -89,7 +91,7 @@
 	return &Pool{
 		Name: name, Token: token, options: opt, acquiredAt: now,
 		queues: map[string]Queue{}, jobs: map[string]*Job{}, workers: map[string]*Worker{}, durationEstimates: map[string]*durationEstimate{}, kinds: map[string]float64{},
-		misplaced: map[string]*Job{},
+		misplaced: map[string]*Job{}, released: map[string]int64{},
 	}
 }
 
@@ -118,6 +120,27 @@
 	return n
 }
 
+// ReleaseQueue makes the pool accept no more jobs of a queue under the given version of the configuration or an earlier one.
+func (p *Pool) ReleaseQueue(queue string, version int64) {
+	p.released[queue] = max(p.released[queue], version)
+}
+
+// Released reports whether new jobs like the given one belong to another pool.
+func (p *Pool) Released(spec *Spec) bool {
+	version, ok := p.released[spec.Queue]
+	return ok && spec.Version() <= version
+}
+
+// HasJobs reports whether the pool has any job of a queue, ended ones included.
+func (p *Pool) HasJobs(queue string) bool {
+	for _, j := range p.jobs {
+		if j.Spec.Queue == queue {
+			return true
+		}
+	}
+	return false
+}
+
 // Submit adds a job, or returns the existing one with the same ID.
 func (p *Pool) Submit(spec Spec, c Clock) *Job {
 	if j := p.jobs[spec.ID]; j != nil {
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -36,6 +36,9 @@
 
 // admit returns the reason why a job that isn't known yet can't be accepted now, or nil.
 func (o *Owner) admit(p *engine.Pool, spec *engine.Spec, c engine.Clock) error {
+	if p.Released(spec) {
+		return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "queue %s was released to another pool, which may have job %s", spec.Queue, spec.ID)
+	}
 	if o.storeUnavailable(c.Now) {
 		return errStoreUnavailable()
 	}
@@ -133,6 +136,31 @@
 	return s, known, err
 }
 
+// Holds reports whether the owner has the job, stored or not.
+func (o *Owner) Holds(ctx context.Context, id string) (bool, error) {
+	held := false
+	err := o.WithState(ctx, func(p *engine.Pool, _ engine.Clock) { held = p.Job(id) != nil })
+	return held, err
+}
+
+// ReleaseQueue makes the owner accept no more jobs of a queue under the given version of the configuration or an earlier one, as another
+// pool accepts them. It reports whether the owner has the job with the given ID, and whether it has no job of the queue at all.
+func (o *Owner) ReleaseQueue(ctx context.Context, queue string, version int64, id string) (held, empty bool, err error) {
+	stored := true
+	err = o.WithState(ctx, func(p *engine.Pool, _ engine.Clock) {
+		p.ReleaseQueue(queue, version)
+		j := p.Job(id)
+		held, stored, empty = j != nil, j == nil || j.Committed(), !p.HasJobs(queue)
+	})
+	switch {
+	case err != nil:
+		return false, false, err
+	case !stored:
+		return false, false, verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "job %s: not stored yet", id)
+	}
+	return held, empty, o.confirmClaim(ctx)
+}
+
 // confirmClaim checks that the claim is still current, before the owner answers that a job isn't known: a successor may have
 // accepted it. Such answers are rare, so that one read for each is acceptable. While the primary part is not available, the claim of
 // the standby part says the same: a successor accepts nothing before it has claimed both.
