--- a/engine/advice_test.go
+++ b/engine/advice_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -36,3 +37,41 @@
 	g.Expect(asked).To(HaveLen(workers))
 	g.Expect(w.workers[eligible].startsTotal).To(Equal(1))
 }
+
+// Guards against long-running tasks that wait for the few workers that their queue's policy allows, and meanwhile keep the work of other
+// queues off all the others (review/3).
+func TestWaitingAdvisedTasksHoldUpNoOtherWork(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(8)
+	w.pool.SetQueues([]Queue{{Name: "advised", Stretch: 1.6, TargetMS: 600, Advised: true}})
+	lasting := Step{Count: 8, Need: Resources{CPU: 7900, Mem: 100}, LongRunning: true}
+	answer := func() {
+		for _, req := range w.pool.TakeAdviceRequests() {
+			var rows []AdviceRow
+			for _, id := range req.Workers {
+				if id == "i-00" || id == "i-01" {
+					rows = append(rows, AdviceRow{Worker: id, Ticket: "t"})
+				}
+			}
+			w.pool.AdviceAnswered(req, rows, 3*time.Second, true, w.clock())
+		}
+	}
+	for n := range 5 {
+		spec := oneStep(fmt.Sprintf("%016x", n), lasting)
+		spec.Queue = "advised"
+		w.pool.Submit(spec, w.clock())
+		for range 14 {
+			w.run(50 * time.Millisecond)
+			answer()
+		}
+	}
+	for n := 100; n < 130; n++ {
+		id := fmt.Sprintf("%016x", n)
+		w.pool.Submit(oneStep(id, Step{Count: 2, Need: Resources{CPU: 5000, Mem: 100}}), w.clock())
+		for range 4 {
+			w.run(50 * time.Millisecond)
+			answer()
+		}
+		g.Expect(w.pool.Job(id).State()).To(Equal(Running), id)
+	}
+}
--- a/engine/place.go
+++ b/engine/place.go
@@ -224,6 +224,11 @@
 	if !w.info.Capacity.Sub(w.used).Covers(st.Footprint()) {
 		return false
 	}
+	return p.mayRun(t, w, c)
+}
+
+// mayRun reports whether the worker may run the task if it has the capacity.
+func (p *Pool) mayRun(t *Task, w *Worker, c Clock) bool {
 	if !t.step.permitsWorker(w) {
 		return false
 	}
--- a/engine/reserve.go
+++ b/engine/reserve.go
@@ -7,11 +7,11 @@
 
 // reserve keeps shorter work off the worker with the most free CPU that could fit a long-running task, and preempts
 // lower-priority runs there. Capacity held by other long-running tasks is excluded, as it does not become free by
-// waiting.
+// waiting, and so are workers that may not run the task, as it gets none of what becomes free there.
 func (p *Pool) reserve(t *Task, workers []*Worker, c Clock) {
 	var best *Worker
 	for _, w := range workers {
-		if !t.step.permitsWorker(w) || !w.info.Capacity.Sub(w.usedBy(isLongRunning)).Covers(t.step.spec.Footprint()) || w.reservedAt == c.Now {
+		if !p.mayRun(t, w, c) || !w.info.Capacity.Sub(w.usedBy(isLongRunning)).Covers(t.step.spec.Footprint()) || w.reservedAt == c.Now {
 			continue
 		}
 		if best == nil || w.info.Capacity.CPU-w.used.CPU > best.info.Capacity.CPU-best.used.CPU {
