--- a/engine/ends.go
+++ b/engine/ends.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"strconv"
 	"time"
 )
@@ -109,14 +110,25 @@
 	return j
 }
 
-// applyLateEnd handles the end of a run that was already considered over. Only a successful end still matters. Any other may be
-// listed a second time and be applied in memory only, so that its acknowledgement waits for the store as well.
+// applyLateEnd handles the end of a run that was already considered over. A successful end still completes the task, and a failed one is
+// still an attempt. Any other may be listed a second time and be applied in memory only, so that its acknowledgement waits for the store
+// as well.
 func (p *Pool) applyLateEnd(t *Task, w *Worker, e EndedRow, c Clock) *Job {
-	if e.Reason != EndDone || t.done || t.step.spec.LongRunning || t.job().state.Terminal() || e.Run > t.lastRun {
+	if t.done || t.step.spec.LongRunning || t.job().state.Terminal() || e.Run > t.lastRun {
+		return t.job()
+	}
+	switch e.Reason {
+	case EndDone:
+		p.completeTask(t, c)
+	case EndFailed:
+		if !t.step.countFailure(t, e.Run) {
+			return t.job()
+		}
+		p.checkAttempts(t, c)
+	default:
 		return t.job()
 	}
 	p.recordDecision("late-end", e.Task, e.Run, w.ID, string(e.Reason))
-	p.completeTask(t, c)
 	p.markDirty(t.job())
 	return t.job()
 }
@@ -179,11 +191,31 @@
 		p.failGang(t.step, r.Num, c)
 		return
 	}
-	t.failures++
+	t.step.countFailure(t, r.Num)
 	t.notBefore = c.Now + failureBackoff
 	p.checkAttempts(t, c)
 }
 
+// maxFailedRuns is the number of failed runs of a task that are remembered.
+const maxFailedRuns = 8
+
+// countFailure counts a failed run as one attempt of the task, or of all tasks of a gang. It reports false if the run was counted before: by
+// another member, or by a former owner whose count was stored before the worker discarded the end.
+func (st *stepState) countFailure(t *Task, run int64) bool {
+	if slices.Contains(t.failedRuns, run) {
+		return false
+	}
+	members := []*Task{t}
+	if st.spec.Gang {
+		members = st.tasks
+	}
+	for _, m := range members {
+		m.failures++
+		m.failedRuns = append(m.failedRuns[max(0, len(m.failedRuns)-maxFailedRuns+1):], run)
+	}
+	return true
+}
+
 // checkAttempts fails the job if the task has used up its attempts.
 func (p *Pool) checkAttempts(t *Task, c Clock) {
 	q := p.queues[t.job().Spec.Queue]
@@ -192,10 +224,12 @@
 	}
 }
 
-// failGang counts one failure for the whole gang and stops its other members.
+// failGang counts one failure for the whole gang, whichever number of its members have failed in the run, and stops the others.
 func (p *Pool) failGang(st *stepState, run int64, c Clock) {
+	if !st.countFailure(st.tasks[0], run) {
+		return
+	}
 	for _, m := range st.tasks {
-		m.failures++
 		m.notBefore = c.Now + failureBackoff
 		p.stopRuns(m, c)
 	}
--- a/engine/job.go
+++ b/engine/job.go
@@ -76,11 +76,13 @@
 
 // Task is one task of a step in one occurrence.
 type Task struct {
-	id         TaskID
-	step       *stepState
-	done       bool
-	lastRun    int64
-	failures   int
+	id       TaskID
+	step     *stepState
+	done     bool
+	lastRun  int64
+	failures int
+	// failedRuns are the last runs that were counted as failures.
+	failedRuns []int64
 	checkpoint string
 	live       []*Run
 	// notBefore is the earliest next start, after a failure or a rejection.
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -190,7 +190,7 @@
 	if t == nil {
 		return
 	}
-	t.lastRun, t.failures, t.checkpoint = tr.LastRun, tr.Failures, tr.Checkpoint
+	t.lastRun, t.failures, t.failedRuns, t.checkpoint = tr.LastRun, tr.Failures, tr.FailedRuns, tr.Checkpoint
 	if tr.Done {
 		t.markDone()
 	}
--- a/engine/record.go
+++ b/engine/record.go
@@ -34,6 +34,7 @@
 	Index      int         `json:"i,omitempty"`
 	LastRun    int64       `json:"r"`
 	Failures   int         `json:"f,omitempty"`
+	FailedRuns []int64     `json:"x,omitempty"`
 	Done       bool        `json:"d,omitempty"`
 	Checkpoint string      `json:"c,omitempty"`
 	Live       []RunRecord `json:"l,omitempty"`
@@ -109,7 +110,7 @@
 	if len(t.live) == 0 && (t.step.occ.finished || r.State.Terminal()) {
 		return
 	}
-	tr := TaskRecord{Occ: t.id.Occ, Step: t.id.Step, Index: t.id.IndexInStep, LastRun: t.lastRun, Failures: t.failures, Done: t.done, Checkpoint: t.checkpoint}
+	tr := TaskRecord{Occ: t.id.Occ, Step: t.id.Step, Index: t.id.IndexInStep, LastRun: t.lastRun, Failures: t.failures, FailedRuns: t.failedRuns, Done: t.done, Checkpoint: t.checkpoint}
 	if t.done {
 		tr.Checkpoint = ""
 	}
@@ -155,6 +156,7 @@
 	b = jsonenc.Int(append(b, `,"r":`...), t.LastRun)
 	b = append(b[:first], b[first+1:]...) // the comma before the first field
 	b = appendNonZero(b, `,"f":`, int64(t.Failures))
+	b = appendList(b, `,"x":[`, t.FailedRuns)
 	if t.Done {
 		b = append(b, `,"d":true`...)
 	}
@@ -178,7 +180,7 @@
 }
 
 // appendList appends a list that begins with the given text, unless it is empty.
-func appendList(b []byte, begin string, list []int) []byte {
+func appendList[T int | int64](b []byte, begin string, list []T) []byte {
 	for i, k := range list {
 		b = jsonenc.Int(append(b, separator(i, begin)...), int64(k))
 	}
--- a/engine/rulechecker_test.go
+++ b/engine/rulechecker_test.go
@@ -26,15 +26,17 @@
 
 // simTask is a task with its observed runs and ends.
 type simTask struct {
-	name        string
-	job         *simJob
-	spec        *Step
-	step        int
-	occ         int
-	running     []*simRun
-	done        bool // some run has ended successfully
-	doneEnds    []*doneEnd
-	failures    int // acknowledged ends by failure
+	name     string
+	job      *simJob
+	spec     *Step
+	step     int
+	occ      int
+	running  []*simRun
+	done     bool // some run has ended successfully
+	doneEnds []*doneEnd
+	failures int // acknowledged ends by failure
+	// failedRuns holds the runs that have ended by failure, with the value true once that is acknowledged.
+	failedRuns  map[int64]bool
 	checkpoints map[string]bool
 	// history lists the events of the task, for the report of a violation.
 	history []string
@@ -83,6 +85,9 @@
 	if !t.spec.LongRunning && !t.spec.Gang && !t.spec.Speculative && t.failures >= t.job.queue.Attempts {
 		g.fail("BUDGET", "%s starts after %d failures: %q", t.name, t.failures, t.history)
 	}
+	if _, acknowledged := t.attempts(); t.spec.Gang && acknowledged >= t.job.queue.Attempts {
+		g.fail("BUDGET", "%s starts after %d failed runs of its gang: %q", t.name, acknowledged, t.history)
+	}
 	if !w.enforcesCapacity && !w.info.Capacity.Covers(w.used()) {
 		g.fail("LIMIT", "%s uses %+v of %+v", w, w.used(), w.info.Capacity)
 	}
@@ -130,8 +135,13 @@
 			}
 		}
 	case EndFailed:
+		if t.failedRuns == nil {
+			t.failedRuns = map[int64]bool{}
+		}
+		t.failedRuns[r.num] = t.failedRuns[r.num]
 		g.onEndAcked[key] = func() {
 			t.failures++
+			t.failedRuns[r.num] = true
 			t.note(now, "the failure at this time is acknowledged")
 		}
 	}
@@ -172,6 +182,23 @@
 	return s
 }
 
+// attempts counts the failed runs of a task, or of its whole gang, and those of them whose end is acknowledged.
+func (t *simTask) attempts() (failed, acknowledged int) {
+	runs := map[int64]bool{}
+	for _, m := range t.job.members(t) {
+		for run, acked := range m.failedRuns {
+			runs[run] = runs[run] || acked
+		}
+	}
+	for _, acked := range runs {
+		failed++
+		if acked {
+			acknowledged++
+		}
+	}
+	return failed, acknowledged
+}
+
 // members returns the tasks that share checkpoints with the task: itself, or its whole gang.
 func (j *simJob) members(t *simTask) []*simTask {
 	if !t.spec.Gang {
@@ -196,20 +223,21 @@
 	return true
 }
 
-// breakGang ends the other members of a gang: as done if the first one is done, as broken otherwise.
+// breakGang ends the other members of a gang: as done if the first one is done, as failed in half of the runs that one of them has failed,
+// as on a worker that fails all that it starts, and as broken otherwise.
 func (g *ruleChecker) breakGang(r *simRun, reason EndReason, now time.Duration) {
 	for _, w := range g.workers {
 		for key, other := range w.runs {
 			if other != r && other.num == r.num && other.task.job == r.task.job && other.task.occ == r.task.occ && other.task.step == r.task.step && w.runs[key] == other {
-				w.end(key, gangEnd(reason), now)
+				w.end(key, gangEnd(reason, other.num), now)
 			}
 		}
 	}
 }
 
-func gangEnd(reason EndReason) EndReason {
-	if reason == EndDone {
-		return EndDone
+func gangEnd(reason EndReason, run int64) EndReason {
+	if reason == EndDone || reason == EndFailed && run%2 == 1 {
+		return reason
 	}
 	return EndGangBroken
 }
@@ -229,7 +257,10 @@
 				}
 			}
 		case Failed:
-			if !slices.ContainsFunc(values(j.tasks), func(t *simTask) bool { return t.failures > 0 || t.spec.Gang }) {
+			if !slices.ContainsFunc(values(j.tasks), func(t *simTask) bool {
+				failed, _ := t.attempts()
+				return failed >= j.queue.Attempts
+			}) {
 				g.fail("LOST", "%s is reported as failed without cause", j.spec.ID)
 			}
 		case Cancelled:
