--- a/cluster/node.go
+++ b/cluster/node.go
@@ -179,13 +179,22 @@
 	}
 	n.catalog.Store(c)
 	n.settings.Log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Msg("configuration in force")
+	n.setQueues()
+	n.Wake()
+}
+
+// setQueues gives the owners of this daemon the settings of their queues.
+func (n *Node) setQueues() {
+	cat := n.catalog.Load()
+	if cat == nil {
+		return
+	}
 	n.mu.Lock()
 	pools := maps.Clone(n.pools)
 	n.mu.Unlock()
 	for name, o := range pools {
-		o.SetQueues(c.QueuesOf(n.layout.Load().PoolOf(name)))
+		o.SetQueues(cat.QueuesOf(n.layout.Load().PoolOf(name)))
 	}
-	n.Wake()
 }
 
 // Catalog returns the configuration in force, or nil before the first one.
--- a/cluster/shards.go
+++ b/cluster/shards.go
@@ -35,6 +35,7 @@
 		return
 	}
 	n.layout.Store(layout)
+	n.setQueues() // An owner may have begun before this daemon knew of which pool it has a shard.
 	now := n.settings.Now()
 	for _, pool := range n.poolsWithoutLayout() {
 		since, ok := n.layoutMissingSince[pool]
--- a/engine/admission.go
+++ b/engine/admission.go
@@ -72,7 +72,7 @@
 func (p *Pool) countRemaining(c Clock) (waiting bool) {
 	p.backlog.remaining = map[int]int{}
 	for _, j := range p.openJobs {
-		q := p.queues[j.Spec.Queue]
+		q := p.queueOf(j)
 		for o := range j.openOccurrences() {
 			for _, st := range o.steps {
 				if st.spec.LongRunning || st.complete() || !p.hasWorkerFor(st, q) {
@@ -128,7 +128,7 @@
 	if spec.RepeatCount > 0 || spec.allLongRunning() {
 		return 0, true
 	}
-	drain, known := p.backlog.drainTime(p.queues[spec.Queue].Priority)
+	drain, known := p.backlog.drainTime(p.queueOfSpec(spec).Priority)
 	limit := time.Duration(maxBacklogShare * float64(p.options.CompleteWithin))
 	if !known || drain <= limit {
 		return 0, true
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -218,7 +218,7 @@
 
 // checkAttempts fails the job if the task has used up its attempts.
 func (p *Pool) checkAttempts(t *Task, c Clock) {
-	q := p.queues[t.job().Spec.Queue]
+	q := p.queueOf(t.job())
 	if q.Attempts > 0 && t.failures >= q.Attempts {
 		p.endJob(t.job(), Failed, c)
 	}
--- a/engine/explain.go
+++ b/engine/explain.go
@@ -91,7 +91,7 @@
 		return "no worker is large enough"
 	case !any(st.permitsWorker):
 		return "every worker is at the step's anti-affinity limit"
-	case p.queues[st.occ.job.Spec.Queue].Advised && !any(func(w *Worker) bool { return st.hasTicket(w, c.Now) }):
+	case p.queueOf(st.occ.job).Advised && !any(func(w *Worker) bool { return st.hasTicket(w, c.Now) }):
 		return "no worker has a valid ticket from the adviser"
 	case st.spec.Gang:
 		return "no capacity for all gang members at once"
--- a/engine/job.go
+++ b/engine/job.go
@@ -12,6 +12,8 @@
 	// Stored is set while the job's spec is in the primary part of the store.
 	Stored bool
 
+	// settings are the last known ones of the job's queue.
+	settings       Queue
 	state          State
 	committedState State
 	submittedMS    int64
--- a/engine/model.go
+++ b/engine/model.go
@@ -157,6 +157,12 @@
 	Advised bool `json:"d,omitempty"`
 }
 
+// sameSettings reports whether two queues have the same settings, whatever version they are from.
+func (q Queue) sameSettings(other Queue) bool {
+	q.Version = other.Version
+	return q == other
+}
+
 // Version returns the version of the configuration under which the job was submitted, or 0 if it isn't known.
 func (s *Spec) Version() int64 {
 	if s.Settings == nil {
--- a/engine/place.go
+++ b/engine/place.go
@@ -109,7 +109,7 @@
 
 func (p *Pool) addCandidates(out []candidate, o *occurrence, c Clock) []candidate {
 	var deadline time.Duration
-	q := p.queues[o.job.Spec.Queue]
+	q := p.queueOf(o.job)
 	known := false
 	for _, st := range o.steps {
 		if st.complete() || !st.dependenciesDone() || !st.hasPending(c.Now) {
@@ -145,7 +145,7 @@
 
 func (p *Pool) placeStep(cd candidate, workers []*Worker, c Clock) {
 	st := cd.step
-	if p.queues[st.occ.job.Spec.Queue].Advised && !p.ensureTickets(st, workers, c) {
+	if p.queueOf(st.occ.job).Advised && !p.ensureTickets(st, workers, c) {
 		return
 	}
 	if st.spec.Gang {
@@ -166,7 +166,7 @@
 				p.reserve(t, workers, c)
 				continue
 			}
-			p.recordFull(st.spec, p.queues[st.occ.job.Spec.Queue])
+			p.recordFull(st.spec, p.queueOf(st.occ.job))
 			return
 		}
 		p.start(t, w, t.lastRun+1, c)
@@ -232,7 +232,7 @@
 	if !t.step.permitsWorker(w) {
 		return false
 	}
-	return !p.queues[t.job().Spec.Queue].Advised || t.step.hasTicket(w, c.Now)
+	return !p.queueOf(t.job()).Advised || t.step.hasTicket(w, c.Now)
 }
 
 // permitsWorker reports whether the worker has the step's label and may take one more of its tasks.
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -95,14 +95,41 @@
 	}
 }
 
-// SetQueues updates the queues; jobs of a queue that was removed keep its last known settings.
+// SetQueues updates the queues. Jobs of a queue that was removed keep its last settings: those that have changed since a job was submitted
+// are stored with the job, for a successor that never saw them.
 func (p *Pool) SetQueues(queues []Queue) {
 	for _, q := range queues {
+		old, known := p.queues[q.Name]
 		p.queues[q.Name] = q
+		if known && old.sameSettings(q) {
+			continue
+		}
+		for _, j := range p.openJobs {
+			if j.Spec.Queue == q.Name && !j.settings.sameSettings(q) {
+				j.settings = q
+				p.markDirty(j)
+			}
+		}
 	}
 	p.placementNeeded = true
 }
 
+// queueOf returns the settings of a job's queue: the present ones, or if the queue was removed the last ones that are known.
+func (p *Pool) queueOf(j *Job) Queue {
+	if q, ok := p.queues[j.Spec.Queue]; ok {
+		return q
+	}
+	return j.settings
+}
+
+// queueOfSpec returns the settings of the queue of a job that is not in the pool yet.
+func (p *Pool) queueOfSpec(spec *Spec) Queue {
+	if q, ok := p.queues[spec.Queue]; ok || spec.Settings == nil {
+		return q
+	}
+	return *spec.Settings
+}
+
 // Job returns the job with the ID, or nil.
 func (p *Pool) Job(id string) *Job { return p.jobs[id] }
 
@@ -147,6 +174,7 @@
 		return j
 	}
 	j := newJob(spec, c.Wall)
+	j.settings = p.queueOfSpec(&spec)
 	if n := p.options.tasksPerRow(); spec.needsSegments(n) {
 		j.segmentTasks, j.segments = n, map[segmentID]*segment{}
 	}
@@ -165,6 +193,12 @@
 	}
 	j := newJob(*spec, rec.SubmittedMS)
 	j.state, j.committedState, j.started, j.endedMS = rec.State, rec.State, rec.Started, rec.EndedMS
+	if spec.Settings != nil {
+		j.settings = *spec.Settings
+	}
+	if rec.Settings != nil {
+		j.settings = *rec.Settings
+	}
 	j.rev = max(rec.Rev, 1)
 	j.committed = j.rev
 	p.jobs[id] = j
--- a/engine/record.go
+++ b/engine/record.go
@@ -19,6 +19,8 @@
 	// the first occurrence of a range and the one after its last.
 	Finished       []int `json:"f,omitempty"`
 	FinishedRanges []int `json:"u,omitempty"`
+	// Settings are those of the job's queue, if they have changed since the job was submitted.
+	Settings *Queue `json:"a,omitempty"`
 	// SegmentTasks is the number of tasks in each of the job's segments, 0 if the record holds all of its tasks.
 	SegmentTasks int `json:"g,omitempty"`
 	// Rev grows with each change of the job: of two copies, the one with the higher value is the newer.
@@ -50,6 +52,9 @@
 
 func (j *Job) record() Record {
 	r := Record{Queue: j.Spec.Queue, State: j.state, SubmittedMS: j.submittedMS, EndedMS: j.endedMS, Started: j.started, Rev: j.rev, SegmentTasks: j.segmentTasks}
+	if j.settings.Name != "" && (j.Spec.Settings == nil || !j.settings.sameSettings(*j.Spec.Settings)) {
+		r.Settings = &j.settings
+	}
 	r.addFinished(j)
 	if j.segmentTasks > 0 {
 		return r
@@ -138,6 +143,9 @@
 	}
 	b = appendList(b, `,"f":[`, r.Finished)
 	b = appendList(b, `,"u":[`, r.FinishedRanges)
+	if r.Settings != nil {
+		b = append(append(b, `,"a":`...), mustEncode(r.Settings)...)
+	}
 	b = appendNonZero(b, `,"g":`, int64(r.SegmentTasks))
 	b = appendNonZero(b, `,"v":`, r.Rev)
 	for i := range r.Tasks {
@@ -205,9 +213,14 @@
 
 // Encode returns the spec as it is stored.
 func (s *Spec) Encode() []byte {
-	b, err := json.Marshal(s)
+	return mustEncode(s)
+}
+
+// mustEncode encodes a struct of plain values, which can't fail.
+func mustEncode(v any) []byte {
+	b, err := json.Marshal(v)
 	if err != nil {
-		panic(err) // A spec holds plain values only.
+		panic(err)
 	}
 	return b
 }
--- a/engine/reserve.go
+++ b/engine/reserve.go
@@ -27,7 +27,7 @@
 
 // preempt stops runs of lower-priority queues until the task fits.
 func (p *Pool) preempt(t *Task, w *Worker, c Clock) {
-	ownPriority := p.queues[t.job().Spec.Queue].Priority
+	ownPriority := p.queueOf(t.job()).Priority
 	free := w.info.Capacity.Sub(w.used).Add(w.usedBy(func(r *Run) bool { return r.phase == phaseStopping }))
 	victims := w.allRuns()
 	slices.SortFunc(victims, func(a, b *Run) int { return cmp.Compare(b.startedAt, a.startedAt) })
@@ -35,7 +35,7 @@
 		if free.Covers(t.step.spec.Footprint()) {
 			return
 		}
-		if r.Task.step.spec.LongRunning || r.phase == phaseStopping || p.queues[r.Task.job().Spec.Queue].Priority <= ownPriority {
+		if r.Task.step.spec.LongRunning || r.phase == phaseStopping || p.queueOf(r.Task.job()).Priority <= ownPriority {
 			continue
 		}
 		free = free.Add(r.Task.step.spec.Footprint())
