Let the leases of a superseded owner expire before its successor starts their tasks again

Cause: an owner that is cut off from the store can't know that the pool has another owner, and went on renewing the leases of the workers that it reached. The one message that tells a former owner of the claim had 300 ms and no repetition. Change: leases end at most 10 s after the owner's claim was last known to be current, by a transaction, by reading it, or by other daemons that read it or that the store doesn't answer either. Time counts by the time of day as well, for a machine that was suspended. A former owner is told of the claim until it answers. Its checker looks at the lease of the worker that listed an end before it counts the end as noted, as the rule has it (void once the lease lapsed before).

--- a/cluster/claim.go
+++ b/cluster/claim.go
@@ -87,6 +87,7 @@
 func (n *Node) claimOnce(ctx context.Context, pool string, token int64, cause string) error {
 	c, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
+	began := n.settings.Now()
 	self := owner.Claim{Node: n.settings.Name, Incarnation: n.settings.Incarnation, Address: n.settings.Address}
 	var former owner.Claim
 	claim, ver, err := Claim(c, n.settings.Store, pool, self, func(present owner.Claim) error {
@@ -109,7 +110,8 @@
 		return err
 	}
 	log.Info().Int64("token", claim.Token).Int64("ver", ver).Msg("pool claimed")
-	n.startTerm(ctx, pool, claim.Token, ver)
+	n.startTerm(ctx, pool, claim.Token, ver, began)
+	n.stopFormer(ctx, pool, former, claim.Token)
 	return nil
 }
 
@@ -121,8 +123,8 @@
 	return t != nil && c.Node == n.settings.Name && c.Incarnation == n.settings.Incarnation && c.Token == t.Token()
 }
 
-// startTerm starts a term for a pool, or for the fleet controller role, under a claim.
-func (n *Node) startTerm(ctx context.Context, pool string, token, ver int64) {
+// startTerm starts a term for a pool, or for the fleet controller role, under a claim that was not written before claimedAt.
+func (n *Node) startTerm(ctx context.Context, pool string, token, ver int64, claimedAt time.Duration) {
 	if pool == FleetControllerRole {
 		if n.settings.NewFleetController != nil {
 			n.runTerm(pool, n.settings.NewFleetController(ctx, token, ver), nil)
@@ -130,7 +132,7 @@
 		return
 	}
 	o := owner.New(ctx, owner.Settings{
-		Pool: pool, Token: token, ClaimVer: ver, Store: n.settings.Store, Workers: n.settings.Workers, Adviser: n.settings.Adviser,
+		Pool: pool, Token: token, ClaimVer: ver, ClaimedAt: claimedAt, ConfirmByPeers: n.confirmByPeers, Store: n.settings.Store, Workers: n.settings.Workers, Adviser: n.settings.Adviser,
 		WorkersWithOpenOrders: n.settings.WorkersWithOpenOrders, Options: n.settings.Options, Log: n.settings.Log, Now: n.settings.Now,
 	})
 	n.runTerm(pool, o, newOwnerTerm(pool, o))
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -52,6 +52,9 @@
 	ClaimVer  int64  `json:"claimVer,omitempty"`
 	ClaimPart string `json:"claimPart,omitempty"`
 
+	// StoreAgeMS is the time since the store last answered the daemon, in milliseconds, in the answer to a ping.
+	StoreAgeMS int64 `json:"storeAge,omitempty"`
+
 	Report *engine.PoolReport `json:"report,omitempty"`
 	Job    *engine.JobReport  `json:"job,omitempty"`
 }
@@ -71,6 +74,7 @@
 	OpWorkerTerminated = "gone"
 	OpExplain          = "explain"
 	OpPing             = "ping"
+	OpReadClaim        = "claim"
 )
 
 // attemptTimeout bounds one attempt at one daemon; the next attempt may find another owner.
@@ -201,7 +205,9 @@
 		n.applyOwner(call)
 		return Result{}, nil
 	case OpPing:
-		return Result{}, nil
+		return Result{StoreAgeMS: n.StoreContactAge().Milliseconds()}, nil
+	case OpReadClaim:
+		return n.readClaim(ctx, call.Pool)
 	}
 	n.mu.Lock()
 	t := n.pools[call.Pool]
--- a/cluster/simplatform_test.go
+++ b/cluster/simplatform_test.go
@@ -32,6 +32,10 @@
 	// faultFree ends lost responses; slowUntil is when each slow daemon's calls are fast again.
 	faultFree bool
 	slowUntil map[string]time.Time
+	// cut reports whether a daemon can't reach a worker, or the store if that is "". It may be nil.
+	cut func(daemon, worker string) bool
+	// cutOff is the daemon that gets no calls of others.
+	cutOff string
 	// lasting holds the jobs whose tasks run until they are stopped.
 	lasting map[string]bool
 	// away holds the outages of parts of the store.
@@ -61,7 +65,8 @@
 // simEnd is a listed end. It is void if the worker's lease expired before it was acknowledged.
 type simEnd struct {
 	engine.EndedRow
-	void bool
+	worker *simWorker
+	void   bool
 }
 
 type simWorker struct {
@@ -136,7 +141,17 @@
 // remote executes a call with the delays of the network. It reports false if the response is lost or ctx ends first; the call
 // may then have been executed, or may be executed later.
 func (a *simAccess) remote(ctx context.Context, exec func()) bool {
+	return a.remoteTo(ctx, "", exec)
+}
+
+// remoteTo executes a call to a worker, or to another part of the platform if that is "".
+func (a *simAccess) remoteTo(ctx context.Context, worker string, exec func()) bool {
 	a.mu.Lock()
+	if a.cut != nil && a.cut(a.daemon, worker) {
+		a.mu.Unlock()
+		<-ctx.Done()
+		return false
+	}
 	there, back := time.Duration(1+a.rnd.IntN(8))*time.Millisecond, time.Duration(1+a.rnd.IntN(8))*time.Millisecond
 	if time.Now().Before(a.slowUntil[a.daemon]) {
 		there += time.Duration(a.rnd.IntN(900)) * time.Millisecond
--- a/cluster/simulation_test.go
+++ b/cluster/simulation_test.go
@@ -103,6 +103,7 @@
 		if time.Now().Before(x.slowUntil[daemon]) {
 			delay += time.Duration(x.rnd.IntN(400)) * time.Millisecond
 		}
+		dropped = dropped || x.cutOff == daemon
 		x.mu.Unlock()
 		time.Sleep(delay)
 		if dropped {
@@ -152,7 +153,7 @@
 		if !ok {
 			continue
 		}
-		switch x.intN(4) {
+		switch x.intN(5) {
 		case 0: // the owner's calls are slow, while its workers finish what they run
 			x.slowDown(from.Node)
 		case 1: // the request to claim a pool is repeated before it was answered
@@ -170,10 +171,33 @@
 			if x.intN(4) == 0 {
 				x.takeAway(owner.StandbyPart(pool))
 			}
+		case 4: // the owner is on one side of a partition with some of the workers, the store and all others on the other side
+			x.partition(from.Node)
 		}
 	}
 }
 
+// partition cuts a daemon off from the store, from calls of the other daemons and from half of the workers, and the other daemons from
+// the other half. It begins only while there is time for the leases behind it to expire before the jobs are checked.
+func (x *clusterSimulation) partition(daemon string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.cut != nil || time.Since(x.began) > simFaultTime/3 {
+		return
+	}
+	side := map[string]bool{}
+	for id := range x.workers {
+		side[id] = x.rnd.IntN(2) == 0
+	}
+	x.cut = func(from, worker string) bool { return (from == daemon) != (worker != "" && side[worker]) }
+	x.cutOff = daemon
+	time.AfterFunc(time.Duration(1+x.rnd.IntN(14))*time.Second, func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.cut, x.cutOff = nil, ""
+	})
+}
+
 // takeAway begins an outage of parts of the store.
 func (x *clusterSimulation) takeAway(parts ...string) {
 	x.mu.Lock()
--- a/cluster/simworkers_test.go
+++ b/cluster/simworkers_test.go
@@ -41,7 +41,7 @@
 	t := p.tasks[task]
 	delete(w.running, task)
 	w.highestRun[task] = max(w.highestRun[task], run)
-	e := &simEnd{EndedRow: engine.EndedRow{Seq: int64(len(w.ended) + 1), Task: task, Run: run, Reason: reason}}
+	e := &simEnd{worker: w, EndedRow: engine.EndedRow{Seq: int64(len(w.ended) + 1), Task: task, Run: run, Reason: reason}}
 	w.ended = append(w.ended, e)
 	t.runningOn = nil
 	if reason == engine.EndDone {
@@ -60,7 +60,7 @@
 func (a *simAccess) RenewLease(ctx context.Context, to engine.Target, renewal owner.LeaseRenewal) (engine.RenewalReply, error) {
 	var reply engine.RenewalReply
 	var err error
-	if !a.remote(ctx, func() { reply, err = a.hold(to.ID, renewal) }) {
+	if !a.remoteTo(ctx, to.ID, func() { reply, err = a.hold(to.ID, renewal) }) {
 		return engine.RenewalReply{}, errNoResponse()
 	}
 	return reply, err
@@ -101,7 +101,7 @@
 	var out engine.StartOutcome
 	var reason string
 	var err error
-	if !a.remote(ctx, func() { out, reason, err = a.start(o, token, a.daemon) }) {
+	if !a.remoteTo(ctx, o.Worker.ID, func() { out, reason, err = a.start(o, token, a.daemon) }) {
 		return engine.StartUnknown, "", nil
 	}
 	return out, reason, err
@@ -134,6 +134,9 @@
 	w.running[task] = o.Run
 	t.runningOn, t.run = w, o.Run
 	length, reason := time.Duration(100+p.rnd.IntN(500))*time.Millisecond, engine.EndDone
+	if p.rnd.IntN(20) == 0 {
+		length *= 6
+	}
 	if p.rnd.IntN(12) == 0 {
 		reason = engine.EndFailed
 	}
@@ -152,6 +155,7 @@
 		p.violate("TWICE: %s starts while it runs: %q", task, t.history)
 	}
 	for _, e := range t.doneEnds {
+		p.expireLease(e.worker)
 		if !e.void {
 			p.violate("TWICE: %s starts although it is done: %q", task, t.history)
 		}
@@ -174,7 +178,7 @@
 // Stop implements owner.Workers.
 func (a *simAccess) Stop(ctx context.Context, o engine.Order, token int64) error {
 	var err error
-	if !a.remote(ctx, func() {
+	if !a.remoteTo(ctx, o.Worker.ID, func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		var w *simWorker
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -57,6 +57,9 @@
 	advice            []AdviceRequest
 	durationEstimates map[string]*durationEstimate
 	acquiredAt        time.Duration
+	// confirmedAt is when the pool was last known to have no other owner; confirmed is false while that is not recorded.
+	confirmedAt Clock
+	confirmed   bool
 	// now is the time of the last Tick.
 	now time.Duration
 	// kinds are the worker kinds that tasks have asked for, with their scarcity at the last placement.
--- a/engine/restart_test.go
+++ b/engine/restart_test.go
@@ -109,3 +109,26 @@
 		g.Expect(w.workers["i-00"].startsTotal + w.workers["i-01"].startsTotal).To(Equal(2))
 	}
 }
+
+// Guards against an owner that grants leases for too long after its claim was last known to be current: by the monotonic clock, or by the
+// time of day on a machine that was suspended, whose monotonic clock stood still.
+func TestLeasesEndSoonAfterTheClaimWasConfirmed(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(1)
+	w.pool.ClaimConfirmed(w.clock())
+	lease := func(suspended time.Duration) time.Duration {
+		c := w.clock()
+		c.Wall += suspended.Milliseconds()
+		return w.pool.grantableLease(c)
+	}
+	g.Expect(lease(0)).To(Equal(5 * time.Second))
+	g.Expect(lease(8 * time.Second)).To(Equal(2 * time.Second))
+	g.Expect(lease(20 * time.Second)).To(BeNumerically("<", 0))
+	w.run(7 * time.Second)
+	g.Expect(lease(0)).To(Equal(3 * time.Second))
+	w.pool.ClaimConfirmed(w.clock())
+	g.Expect(lease(0)).To(Equal(5 * time.Second))
+	w.pool.Submit(oneStep("00000000000000d7", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	w.run(20 * time.Second)
+	g.Expect(w.workers["i-00"].ended).To(ContainElement(HaveField("Reason", EndLeaseExpired)))
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -308,7 +308,7 @@
 
 // lease returns the lease deadline to send now and records it. A worker whose clock isn't known gets none. The lease
 // of an unresponsive worker is not extended: any call may still reach it, so its runs could otherwise never be
-// considered over.
+// considered over. Nor is any lease extended beyond what ClaimConfirmed allows.
 func (p *Pool) lease(w *Worker, c Clock) int64 {
 	if !w.contacted {
 		return 0
@@ -316,11 +316,44 @@
 	if w.unresponsive {
 		return w.deadlineMS
 	}
-	d := w.clockMS + (c.Now - w.clockAt).Milliseconds() + p.options.Lease.Milliseconds()
+	d := w.clockMS + (c.Now - w.clockAt).Milliseconds() + p.grantableLease(c).Milliseconds()
 	w.deadlineMS = max(w.deadlineMS, d)
 	return w.deadlineMS
 }
 
+// ClaimConfirmed records that the pool had no other owner at the given time. Leases end at most Options.MaxLease after the latest such time,
+// whatever this owner learns or fails to learn since: a successor that can't reach a worker waits that long from its claim on, and then
+// starts the worker's tasks again.
+func (p *Pool) ClaimConfirmed(at Clock) {
+	if at.Now >= p.confirmedAt.Now {
+		p.confirmedAt, p.confirmed = at, true
+	}
+}
+
+// ClaimAge returns the time since the pool was last known to have no other owner. A machine that was suspended shows by the time of day
+// only, as its monotonic clock stood still.
+func (p *Pool) ClaimAge(c Clock) time.Duration {
+	return max(c.Now-p.confirmedAt.Now, time.Duration(c.Wall-p.confirmedAt.Wall)*time.Millisecond)
+}
+
+// grantableLease returns the length of a lease that may be granted now, which is negative once none may be.
+func (p *Pool) grantableLease(c Clock) time.Duration {
+	if !p.confirmed {
+		return p.options.Lease
+	}
+	return min(p.options.Lease, p.options.MaxLease-p.ClaimAge(c))
+}
+
+// HasRuns reports whether any run may be on a worker.
+func (p *Pool) HasRuns() bool {
+	for _, w := range p.workers {
+		if len(w.runs) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 const (
 	// maxClockRateRatio bounds how much slower a worker's monotonic clock may run.
 	maxClockRateRatio = 1.022
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -132,13 +132,17 @@
 	began := o.settings.Now()
 	for o.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
+		attempt := o.clock()
 		ver, err := o.settings.Store.Transact(ctx, tx)
 		cancel()
 		var conflict *rows.Conflict
 		switch {
 		case err == nil:
 			observe.RecordDuration("store.commit", o.settings.Now()-began)
-			o.post(func() { o.handleCommitted(part, batch, cleared, ver) })
+			o.post(func() {
+				o.pool.ClaimConfirmed(attempt)
+				o.handleCommitted(part, batch, cleared, ver)
+			})
 			return
 		case errors.As(err, &conflict):
 			ver, err := o.resolveConflict(tx, conflict, unknown)
--- /dev/null
+++ b/owner/confirm.go
@@ -0,0 +1,57 @@
+package owner
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// confirmAfter is the time since a claim was last known to be current after which it is confirmed. Until leases have to be shortened
+	// there is time for several attempts.
+	confirmAfter = 3 * time.Second
+	// confirmInterval is the least time between the beginnings of two attempts.
+	confirmInterval = 700 * time.Millisecond
+	// confirmTimeout bounds an attempt.
+	confirmTimeout = 2 * time.Second
+)
+
+// confirmClaimIfDue confirms the claim if workers run something and no transaction has shown lately that the claim is current. Without it,
+// an owner that is cut off from the store would renew the leases of workers that its successor can't reach, and the successor would
+// start their tasks again meanwhile.
+func (o *Owner) confirmClaimIfDue() {
+	c := o.clock()
+	if o.confirming || o.pool.ClaimAge(c) < confirmAfter || c.Now-o.confirmedAt < confirmInterval || !o.pool.HasRuns() {
+		return
+	}
+	o.confirming, o.confirmedAt = true, c.Now
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, confirmTimeout)
+		defer cancel()
+		err := o.confirmClaim(ctx)
+		if err != nil {
+			err = o.confirmByPeers(ctx, err)
+		}
+		o.post(func() {
+			o.confirming = false
+			if err == nil {
+				o.pool.ClaimConfirmed(c)
+			}
+		})
+	}()
+}
+
+// confirmByPeers asks other daemons, as this one can't read its claim for the given reason.
+func (o *Owner) confirmByPeers(ctx context.Context, reason error) error {
+	if o.settings.ConfirmByPeers == nil || o.ctx.Err() != nil {
+		return reason
+	}
+	current, err := o.settings.ConfirmByPeers(ctx, o.primary.name, o.primary.claimVer)
+	switch {
+	case err != nil:
+		o.settings.Log.Warn().Str("pool", o.settings.Pool).Err(err).Msg("cannot confirm the claim; leases will not be renewed for long")
+	case !current:
+		o.post(func() { o.fail(ErrOwnershipLost) })
+		err = ErrOwnershipLost
+	}
+	return err
+}
--- a/owner/load.go
+++ b/owner/load.go
@@ -57,6 +57,7 @@
 		return err
 	}
 	o.pool = engine.NewPool(o.settings.Pool, o.settings.Token, o.settings.Options, o.settings.Now())
+	o.pool.ClaimConfirmed(o.claimedAt)
 	for id, r := range primary {
 		if err := o.loadJob(id, r, standby[id]); err != nil {
 			return err
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -114,8 +114,13 @@
 	Adviser  Adviser
 	// WorkersWithOpenOrders lists the workers whose instances have an open order, which may be executed at any time. It may be nil.
 	WorkersWithOpenOrders func(ctx context.Context) ([]string, error)
-	Options               engine.Options
-	Log                   zerolog.Logger
+	// ClaimedAt is a time before which the claim was not written, on the monotonic clock; 0 stands for the time of New.
+	ClaimedAt time.Duration
+	// ConfirmByPeers asks other daemons whether the claim of a part with the given version is current, while this daemon can't read it. It
+	// fails if they can't tell. It may be nil.
+	ConfirmByPeers func(ctx context.Context, part string, ver int64) (current bool, err error)
+	Options        engine.Options
+	Log            zerolog.Logger
 	// Now reads the monotonic clock.
 	Now func() time.Duration
 }
@@ -141,10 +146,14 @@
 	// transactionCount counts the transactions of this owner.
 	transactionCount int64
 	lastWrite        time.Duration
-	checkingCordons  bool
-	loaded           chan struct{}
-	ctx              context.Context
-	cancel           context.CancelFunc
+	// claimedAt is a time before which the claim was not written. confirming is set while the claim is being confirmed.
+	claimedAt       engine.Clock
+	confirming      bool
+	confirmedAt     time.Duration // the beginning of the last attempt
+	checkingCordons bool
+	loaded          chan struct{}
+	ctx             context.Context
+	cancel          context.CancelFunc
 }
 
 const (
@@ -162,8 +171,14 @@
 func New(ctx context.Context, s Settings) *Owner {
 	c, cancel := context.WithCancel(ctx)
 	primary := &storePart{id: engine.Primary, name: s.Pool, claimVer: s.ClaimVer}
+	claimedAt := engine.Clock{Now: s.Now(), Wall: time.Now().UnixMilli()}
+	if s.ClaimedAt > 0 {
+		claimedAt.Wall -= (claimedAt.Now - s.ClaimedAt).Milliseconds()
+		claimedAt.Now = s.ClaimedAt
+	}
 	return &Owner{
-		settings: s, ctx: c, cancel: cancel, term: rand.Text(),
+		claimedAt: claimedAt,
+		settings:  s, ctx: c, cancel: cancel, term: rand.Text(),
 		primary: primary, writing: primary, standby: &storePart{id: engine.Standby, name: StandbyPart(s.Pool)},
 		pool:  engine.NewPool(s.Pool, s.Token, s.Options, s.Now()),
 		inbox: make(chan func(), 256), done: make(chan struct{}), loaded: make(chan struct{}),
@@ -219,6 +234,7 @@
 			o.startRenewers()
 			o.probeParts()
 			o.checkExpiringCordons()
+			o.confirmClaimIfDue()
 		}
 		c := o.clock()
 		if c.Now >= mayPlaceAt {
