Don't take a worker for terminated while it answers

Change: an instance must be missing or without a worker in two lists, and a former worker that is listed again says nothing; an owner takes such a report as true once the worker leaves a renewal unanswered; renewals go to the worker's newest address, and a 421 from another address says nothing.

--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -241,7 +241,7 @@
 	case OpUpkeepDue:
 		err = o.SetUpkeepDue(ctx, call.Workers, time.Duration(call.DurationMS)*time.Millisecond)
 	case OpWorkerTerminated:
-		err = o.WorkerTerminated(ctx, call.Worker)
+		err = o.ReportTerminated(ctx, call.Worker)
 	case OpReport:
 		var r engine.PoolReport
 		r, err = o.Report(ctx)
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -29,7 +29,7 @@
 	if !w.contacted {
 		w.foreignDeadlineMS = a.ClockMS + p.maxForeignLease(a.ClockMS).Milliseconds()
 	}
-	w.contacted, w.unresponsive, w.lastContact = true, false, c.Now
+	w.contacted, w.unresponsive, w.reportedGone, w.lastContact = true, false, false, c.Now
 	if a.ClockMS > w.clockMS || w.clockAt == 0 {
 		w.clockMS, w.clockAt = a.ClockMS, c.Now
 	}
--- a/engine/relisted_test.go
+++ b/engine/relisted_test.go
@@ -81,3 +81,35 @@
 	w.pool.SetRoster([]WorkerInfo{w.workers["i-01"].info}, w.clock())
 	g.Expect(w.pool.workers).To(HaveLen(1))
 }
+
+// Guards against work that is started again because a live worker was reported as terminated.
+func TestReportedTerminationNeedsASilentWorker(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(2)
+	const id = "00000000000000b3"
+	w.pool.Submit(oneStep(id, Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	w.run(time.Second)
+	runs := func() (string, int64) {
+		task := w.pool.Job(id).occurrences[0].tasks[0]
+		if len(task.live) != 1 {
+			return "", 0
+		}
+		return task.live[0].Worker.ID, task.lastRun
+	}
+	at, _ := runs()
+	w.pool.ReportTerminated(at, w.clock())
+	w.run(time.Second)
+	_, run := runs()
+	g.Expect(run).To(Equal(int64(1)), "the worker answers")
+	w.pool.AddressReused(Target{ID: at, Address: "former address"}, w.clock())
+	w.run(time.Second)
+	_, run = runs()
+	g.Expect(run).To(Equal(int64(1)), "the worker has another address")
+
+	w.workers[at].unresponsive = true
+	w.pool.ReportTerminated(at, w.clock())
+	w.run(300 * time.Millisecond)
+	elsewhere, run := runs()
+	g.Expect(run).To(Equal(int64(2)), "the worker is reported as terminated, and doesn't answer")
+	g.Expect(elsewhere).NotTo(Equal(at))
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -42,6 +42,8 @@
 	contacted    bool
 	lastContact  time.Duration
 	unresponsive bool
+	// reportedGone is set while the worker is reported as terminated and has neither answered nor failed to answer since.
+	reportedGone bool
 
 	used Resources
 	// orphans is the number of runs in the worker's last list that this owner did not order; the capacity they use is
@@ -283,6 +285,7 @@
 
 // RenewalRequest is the content of a worker's next lease renewal.
 type RenewalRequest struct {
+	To         Target
 	DeadlineMS int64
 	AckedUpTo  int64
 	// Unacknowledged is set while ends of the worker are not stored yet.
@@ -303,7 +306,7 @@
 	if w == nil || !w.needsRenewal() {
 		return RenewalRequest{}, false
 	}
-	return RenewalRequest{DeadlineMS: p.lease(w, c), AckedUpTo: w.ackedUpTo, Unacknowledged: len(w.pendingAcks) > 0, Idle: len(w.runs) == 0}, true
+	return RenewalRequest{To: w.target(), DeadlineMS: p.lease(w, c), AckedUpTo: w.ackedUpTo, Unacknowledged: len(w.pendingAcks) > 0, Idle: len(w.runs) == 0}, true
 }
 
 // lease returns the lease deadline to send now and records it. A worker whose clock isn't known gets none. The lease
@@ -375,7 +378,7 @@
 	return w.contacted && !w.unresponsive && c.Now-w.lastContact < p.options.SuspectAfter
 }
 
-// RenewalFailed marks a worker that did not answer a lease renewal as unresponsive.
+// RenewalFailed marks a worker that did not answer a lease renewal as unresponsive, or as terminated if it is reported to be.
 // It reports whether the worker was responsive before.
 func (p *Pool) RenewalFailed(id string, c Clock) bool {
 	w := p.workers[id]
@@ -384,9 +387,34 @@
 	}
 	w.unresponsive = true
 	p.recordDecision("worker-silent", "", 0, id, "")
+	if w.reportedGone {
+		p.WorkerTerminated(id, c)
+	}
 	return true
 }
 
+// ReportTerminated handles a report that a worker has terminated. The report may be wrong, as it may come from an outdated list of
+// instances: a worker that still answers goes on.
+func (p *Pool) ReportTerminated(id string, c Clock) {
+	w := p.workers[id]
+	switch {
+	case w == nil:
+	case w.contacted && !w.unresponsive:
+		w.reportedGone = true
+		p.recordDecision("worker-reported-gone", "", 0, id, "")
+	default:
+		p.WorkerTerminated(id, c)
+	}
+}
+
+// AddressReused handles the answer of another worker at the address of a call. The worker for which the call was meant has terminated, unless
+// it has another address by now.
+func (p *Pool) AddressReused(to Target, c Clock) {
+	if w := p.workers[to.ID]; w != nil && w.info.Address == to.Address {
+		p.WorkerTerminated(to.ID, c)
+	}
+}
+
 // WorkerTerminated ends all runs of a worker incarnation that has certainly ended.
 func (p *Pool) WorkerTerminated(id string, c Clock) {
 	w := p.workers[id]
@@ -397,7 +425,7 @@
 	for _, r := range w.allRuns() {
 		p.loseRun(r, c)
 	}
-	w.contacted = false
+	w.contacted, w.reportedGone = false, false
 	w.orphans = 0
 	w.pendingAcks = nil
 	w.cordonedUntil = 0 // It gets no work any more: once it is unlisted, it needs no cordon.
--- a/owner/calls.go
+++ b/owner/calls.go
@@ -84,7 +84,7 @@
 	case errors.Is(err, ErrFenced):
 		return answered, func() { o.fail(err) }
 	case errors.Is(err, ErrIncarnationMismatch):
-		return answered, func() { o.pool.WorkerTerminated(order.Worker.ID, o.clock()) }
+		return answered, func() { o.pool.AddressReused(order.Worker, o.clock()) }
 	}
 	return answered, handle
 }
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -247,7 +247,7 @@
 	return r, known, err
 }
 
-// WorkerTerminated records that a worker has terminated.
-func (o *Owner) WorkerTerminated(ctx context.Context, worker string) error {
-	return o.WithState(ctx, func(p *engine.Pool, c engine.Clock) { p.WorkerTerminated(worker, c) })
+// ReportTerminated records a report that a worker has terminated.
+func (o *Owner) ReportTerminated(ctx context.Context, worker string) error {
+	return o.WithState(ctx, func(p *engine.Pool, c engine.Clock) { p.ReportTerminated(worker, c) })
 }
--- a/owner/renewals.go
+++ b/owner/renewals.go
@@ -27,7 +27,7 @@
 
 // renewer renews the lease of one worker.
 type renewer struct {
-	to engine.Target
+	id string
 	// next receives the next renewal; it is closed once the lease is no longer to be renewed.
 	next chan engine.RenewalRequest
 	// awaitsCommit is set while the next renewal waits until the ends that the worker returned are stored. Only the event loop
@@ -39,7 +39,7 @@
 func (o *Owner) startRenewers() {
 	for _, t := range o.pool.Targets() {
 		if o.renewers[t.ID] == nil {
-			r := &renewer{to: t, next: make(chan engine.RenewalRequest, 1)}
+			r := &renewer{id: t.ID, next: make(chan engine.RenewalRequest, 1)}
 			o.renewers[t.ID] = r
 			go o.renewLoop(r)
 		}
@@ -48,7 +48,7 @@
 
 // renewLoop renews the worker's lease and applies what the worker reports, until its lease is no longer to be renewed.
 func (o *Owner) renewLoop(r *renewer) {
-	defer o.post(func() { delete(o.renewers, r.to.ID) })
+	defer o.post(func() { delete(o.renewers, r.id) })
 	for o.ctx.Err() == nil {
 		req, ok := o.nextRenewal(r)
 		if !ok {
@@ -61,7 +61,7 @@
 		if req.DeadlineMS == 0 || req.Unacknowledged {
 			wait = 0
 		}
-		if !o.renewOnce(r.to, LeaseRenewal{Token: o.settings.Token, DeadlineMS: req.DeadlineMS, AckedUpTo: req.AckedUpTo, Wait: wait}) {
+		if !o.renewOnce(req.To, LeaseRenewal{Token: o.settings.Token, DeadlineMS: req.DeadlineMS, AckedUpTo: req.AckedUpTo, Wait: wait}) {
 			_ = sleep.Context(o.ctx, renewalRetryDelay)
 		}
 	}
@@ -95,11 +95,11 @@
 
 // offerRenewal gives a renewer its next renewal, unless that one is to wait for the store. With evenUnstored set it doesn't wait.
 func (o *Owner) offerRenewal(r *renewer, evenUnstored bool) {
-	r.awaitsCommit = !evenUnstored && o.pool.HasUnstoredEnds(r.to.ID)
+	r.awaitsCommit = !evenUnstored && o.pool.HasUnstoredEnds(r.id)
 	if r.awaitsCommit {
 		return
 	}
-	req, ok := o.pool.NextRenewal(r.to.ID, o.clock())
+	req, ok := o.pool.NextRenewal(r.id, o.clock())
 	if !ok {
 		close(r.next)
 		return
@@ -133,7 +133,7 @@
 	case errors.Is(err, ErrFenced):
 		o.post(func() { o.fail(err) })
 	case errors.Is(err, ErrIncarnationMismatch):
-		o.post(func() { o.pool.WorkerTerminated(to.ID, o.clock()) })
+		o.post(func() { o.pool.AddressReused(to, o.clock()) })
 	case o.ctx.Err() == nil:
 		o.renewalFailed(to, o.settings.Now()-sent, err)
 	}
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -125,9 +126,12 @@
 	baseline map[string]int
 	// lastSeen is the previous instance list; terminated maps terminated workers to their pool until its owner has been
 	// notified.
-	lastSeen     map[string]Instance
-	terminated   map[string]string
-	surplusSince map[string]time.Duration
+	lastSeen   map[string]Instance
+	terminated map[string]string
+	// formerWorkers holds the workers that each instance had before, missing the instances that had no worker in the last list.
+	formerWorkers map[string]map[string]bool
+	missing       map[string]bool
+	surplusSince  map[string]time.Duration
 	// announcedAt is when the workers that are due for upkeep were last named to their owners.
 	announcedAt time.Duration
 	// startingUntil holds the instances that were down when they were first listed and have not been up since.
@@ -140,7 +144,7 @@
 	return &Controller{
 		settings: s, ctx: c, cancel: cancel,
 		orders: map[string]OrderRecord{}, unstored: map[string]bool{}, recordVers: map[string]int64{}, cordoned: map[string]string{}, cordonedSince: map[string]time.Duration{}, coolDownUntil: map[string]time.Duration{},
-		reported: map[int64]string{}, lastSeen: map[string]Instance{}, terminated: map[string]string{},
+		reported: map[int64]string{}, lastSeen: map[string]Instance{}, terminated: map[string]string{}, formerWorkers: map[string]map[string]bool{}, missing: map[string]bool{},
 		forecast: NewForecast(), surplusSince: map[string]time.Duration{}, startingUntil: map[string]time.Duration{},
 	}
 }
@@ -261,12 +265,7 @@
 // notifyTerminated notifies the pools' owners of workers that no longer run on their instance, so that the owners need not
 // wait for the workers' leases to expire.
 func (c *Controller) notifyTerminated(ctx context.Context, s *State) {
-	for id, previous := range c.lastSeen {
-		if current, ok := s.Instances[id]; (!ok || current.Worker != previous.Worker) && previous.Worker != "" {
-			c.terminated[previous.Worker] = previous.Pool
-		}
-	}
-	c.lastSeen = s.Instances
+	c.findTerminated(s)
 	for worker, pool := range c.terminated {
 		if s.Spare[pool] || c.settings.Pools.WorkerTerminated(ctx, pool, worker) == nil {
 			delete(c.terminated, worker)
@@ -274,6 +273,34 @@
 	}
 }
 
+// findTerminated compares the list of instances with what was listed before. The list may be outdated: an instance that has a former worker
+// again says nothing, and one that is missing or has no worker has to be so in two lists.
+func (c *Controller) findTerminated(s *State) {
+	seen := maps.Clone(s.Instances)
+	for id, previous := range c.lastSeen {
+		current, listed := s.Instances[id]
+		switch {
+		case previous.Worker == "", current.Worker == previous.Worker:
+			delete(c.missing, id)
+			continue
+		case c.formerWorkers[id][current.Worker], current.Worker == "" && !c.missing[id]:
+			c.missing[id] = current.Worker == ""
+			seen[id] = previous
+			continue
+		}
+		delete(c.missing, id)
+		c.terminated[previous.Worker] = previous.Pool
+		if c.formerWorkers[id] == nil {
+			c.formerWorkers[id] = map[string]bool{}
+		}
+		c.formerWorkers[id][previous.Worker] = true
+		if !listed {
+			delete(seen, id)
+		}
+	}
+	c.lastSeen = seen
+}
+
 // report publishes the state of a wave, once for each state.
 func (c *Controller) report(s *State, w Wave) {
 	state := "running"
