Start no work on a worker by an old list, and repeat no start to one that drains

Causes, each reproduced: a daemon that owns again began with the list of workers of the time when it last did; start orders were repeated, or sent after a wait, whatever had become of the worker; connections to the store that go silent together were tried one after the other, 9 attempts with 8 connections. Change: the list has an age, by both clocks, and nothing starts by an old one; a new owner reads it at once; an order for a worker that accepts no work is withdrawn or stopped; a call without an answer closes the idle connections to its address. Found by the simulation: orders for instances whose worker drains, and runs on absent workers after a takeover. Its platform refuses orders for draining instances now, as the users' does ('busy': not up, leaving).

--- a/cluster/claim.go
+++ b/cluster/claim.go
@@ -139,8 +139,12 @@
 	if cat := n.catalog.Load(); cat != nil {
 		o.SetQueues(cat.QueuesOf(n.layout.Load().PoolOf(pool)))
 	}
-	if list, ok := n.workersOf(pool); ok && list != nil {
-		o.SetRoster(list)
+	n.rosterMu.Lock()
+	n.passRosterTo(pool, o)
+	n.rosterMu.Unlock()
+	select {
+	case n.wakeRoster <- struct{}{}:
+	default:
 	}
 	n.announce(ctx, pool, token)
 }
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -41,11 +41,20 @@
 
 // WorkerTerminated notifies a worker's owner that the worker has terminated.
 func (n *Node) WorkerTerminated(ctx context.Context, pool, worker string) error {
+	return n.notifyOwner(ctx, OpWorkerTerminated, pool, worker)
+}
+
+// WorkerAbsent notifies a worker's owner that the worker has been on no instance for some time.
+func (n *Node) WorkerAbsent(ctx context.Context, pool, worker string) error {
+	return n.notifyOwner(ctx, OpWorkerAbsent, pool, worker)
+}
+
+func (n *Node) notifyOwner(ctx context.Context, op, pool, worker string) error {
 	layout := n.layout.Load()
 	if _, assigned := n.assignments.Of(layout, pool, worker); !assigned && n.assignments.Known(layout, pool) {
 		return nil // No owner has heard of it.
 	}
-	_, err := n.attemptAtShard(ctx, Call{Op: OpWorkerTerminated, Pool: pool, Worker: worker})
+	_, err := n.attemptAtShard(ctx, Call{Op: op, Pool: pool, Worker: worker})
 	return err
 }
 
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -149,9 +149,12 @@
 	layoutMissingSince map[string]time.Duration
 	lastStoreContact   time.Duration
 	roster             map[string][]engine.WorkerInfo
-	wakeHeartbeat      chan struct{}
-	wakeReconcile      chan struct{}
-	createdAt          time.Duration
+	// rosterReadAt is when roster was read, rosterTriedAt when it was last tried to.
+	rosterReadAt, rosterTriedAt engine.Clock
+	wakeRoster                  chan struct{}
+	wakeHeartbeat               chan struct{}
+	wakeReconcile               chan struct{}
+	createdAt                   time.Duration
 	// declined holds when each daemon last failed to claim a pool that was transferred to it; transferring is set while pools
 	// are being transferred because the store does not serve this daemon.
 	declined     map[string]time.Duration
@@ -166,7 +169,7 @@
 func NewNode(s Settings) *Node {
 	return &Node{
 		settings: s, view: NewView(s.Name, deadAfter), owned: map[string]Term{}, pools: map[string]*ownerTerm{}, claimAttempts: map[string]time.Duration{},
-		wakeHeartbeat: make(chan struct{}, 1), wakeReconcile: make(chan struct{}, 1), peers: newPeerClient(s.Network), createdAt: s.Now(), unreachable: map[string]time.Duration{}, declined: map[string]time.Duration{},
+		wakeRoster: make(chan struct{}, 1), wakeHeartbeat: make(chan struct{}, 1), wakeReconcile: make(chan struct{}, 1), peers: newPeerClient(s.Network), createdAt: s.Now(), unreachable: map[string]time.Duration{}, declined: map[string]time.Duration{},
 		layoutMissingSince: map[string]time.Duration{}, assignments: &shard.Assignments{Store: s.Store}, unassignedSince: map[string]time.Duration{}, unlistedSince: map[string]time.Duration{},
 	}
 }
--- a/cluster/peer.go
+++ b/cluster/peer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -19,6 +20,8 @@
 	maxPeerBytes  = 8 << 20
 	// dialTimeout bounds connection setup; a host that is powered off doesn't refuse connections.
 	dialTimeout = 400 * time.Millisecond
+	// silentAfter is the time without an answer after which a connection counts as silent rather than the daemon as slow.
+	silentAfter = time.Second
 	// peerCallTimeout bounds a call whose context has no earlier deadline.
 	peerCallTimeout = 3 * time.Second
 )
@@ -47,8 +50,12 @@
 	if err != nil {
 		return Result{}, err
 	}
+	began := time.Now()
 	resp, err := p.http.Do(req)
 	if err != nil {
+		if errors.Is(err, context.DeadlineExceeded) && time.Since(began) > silentAfter {
+			p.http.CloseIdleConnections() // They may have gone silent together.
+		}
 		return Result{}, verdict.FromTransport(err)
 	}
 	defer resp.Body.Close()
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -72,6 +72,7 @@
 	OpReport           = "report"
 	OpReleaseQueue     = "release"
 	OpWorkerTerminated = "gone"
+	OpWorkerAbsent     = "absent"
 	OpExplain          = "explain"
 	OpPing             = "ping"
 	OpReadClaim        = "claim"
@@ -242,6 +243,8 @@
 		err = o.SetUpkeepDue(ctx, call.Workers, time.Duration(call.DurationMS)*time.Millisecond)
 	case OpWorkerTerminated:
 		err = o.ReportTerminated(ctx, call.Worker)
+	case OpWorkerAbsent:
+		err = o.ReportAbsent(ctx, call.Worker)
 	case OpReport:
 		var r engine.PoolReport
 		r, err = o.Report(ctx)
--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -9,8 +9,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphirepoint/engine"
+	"samphirepoint/owner"
 	"samphirepoint/shard"
-	"samphirepoint/sleep"
 )
 
 const (
@@ -27,15 +27,16 @@
 func (n *Node) FollowRoster(ctx context.Context, every time.Duration) error {
 	var g errgroup.Group
 	g.Go(func() error {
-		n.repeatWhileOwning(ctx, assignmentsInterval, n.readAssignments)
+		n.repeatWhileOwning(ctx, assignmentsInterval, nil, n.readAssignments)
 		return nil
 	})
-	n.repeatWhileOwning(ctx, every, n.readRoster)
+	n.repeatWhileOwning(ctx, every, n.wakeRoster, n.readRoster)
 	return g.Wait()
 }
 
-// repeatWhileOwning calls read until ctx ends, with at least the given time between two calls, and not while this daemon owns nothing.
-func (n *Node) repeatWhileOwning(ctx context.Context, every time.Duration, read func(context.Context)) {
+// repeatWhileOwning calls read until ctx ends, with at least the given time between two calls unless it is woken, and not while this daemon
+// owns nothing.
+func (n *Node) repeatWhileOwning(ctx context.Context, every time.Duration, wake <-chan struct{}, read func(context.Context)) {
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		owning := len(n.owned) > 0
@@ -44,25 +45,33 @@
 		if owning {
 			read(ctx)
 		}
-		_ = sleep.Context(ctx, next-n.settings.Now())
+		waitOrWake(ctx, next-n.settings.Now(), wake)
 	}
 }
 
 func (n *Node) readRoster(ctx context.Context) {
 	c, cancel := context.WithTimeout(ctx, rosterWait+storeTimeout)
 	defer cancel()
+	began := n.clock()
 	list, err := n.settings.Roster.Workers(c, rosterWait)
+	n.mu.Lock()
+	n.rosterTriedAt = began
+	if err == nil {
+		n.roster, n.rosterReadAt = list, began
+	}
+	n.mu.Unlock()
+	n.passRoster()
 	if err != nil {
 		n.settings.Log.Warn().Err(err).Msg("failed to read the list of workers")
 		return
 	}
-	n.mu.Lock()
-	n.roster = list
-	n.mu.Unlock()
-	n.passRoster()
 	n.assignWorkers(ctx, list)
 }
 
+func (n *Node) clock() engine.Clock {
+	return engine.Clock{Now: n.settings.Now(), Wall: time.Now().UnixMilli()}
+}
+
 func (n *Node) readAssignments(ctx context.Context) {
 	layout := n.layout.Load()
 	if len(layout.Divided()) == 0 {
@@ -88,9 +97,19 @@
 	pools := maps.Clone(n.pools)
 	n.mu.Unlock()
 	for name, o := range pools {
-		if list, ok := n.workersOf(name); ok {
-			o.SetRoster(list)
-		}
+		n.passRosterTo(name, o.Owner)
+	}
+}
+
+// passRosterTo passes the newest list of workers to the owner of a shard, with its age: it is old if this daemon has owned nothing for
+// some time.
+func (n *Node) passRosterTo(name string, o *owner.Owner) {
+	n.mu.Lock()
+	readAt, triedAt := n.rosterReadAt, n.rosterTriedAt
+	n.mu.Unlock()
+	o.SetRosterAge(readAt, triedAt)
+	if list, ok := n.workersOf(name); ok && list != nil {
+		o.SetRoster(list)
 	}
 }
 
--- a/cluster/simplatform_test.go
+++ b/cluster/simplatform_test.go
@@ -34,8 +34,9 @@
 	slowUntil map[string]time.Time
 	// cut reports whether a daemon can't reach a worker, or the store if that is "". It may be nil.
 	cut func(daemon, worker string) bool
-	// cutOff is the daemon that gets no calls of others.
-	cutOff string
+	// cutOff is the daemon that gets no calls of others, cutUntil the end of the last partition.
+	cutOff   string
+	cutUntil time.Time
 	// lasting holds the jobs whose tasks run until they are stopped.
 	lasting map[string]bool
 	// away holds the outages of parts of the store.
@@ -70,15 +71,17 @@
 }
 
 type simWorker struct {
-	info       engine.WorkerInfo
-	born       time.Time
-	token      int64
-	leaseMS    int64
-	gone       bool
-	running    map[string]int64
-	highestRun map[string]int64
-	ended      []*simEnd
-	ackedUpTo  int64
+	info engine.WorkerInfo
+	born time.Time
+	// drainingSince is when the worker reported that it drains, or zero.
+	drainingSince time.Time
+	token         int64
+	leaseMS       int64
+	gone          bool
+	running       map[string]int64
+	highestRun    map[string]int64
+	ended         []*simEnd
+	ackedUpTo     int64
 	// changed is closed at the next end.
 	changed chan struct{}
 }
@@ -287,7 +290,7 @@
 	switch {
 	case in.wave >= wave:
 		return nil
-	case in.state != upkeep.StateUp:
+	case in.state != upkeep.StateUp, in.worker.info.Draining:
 		return upkeep.ErrBusy
 	}
 	if len(in.worker.running) > 0 {
@@ -305,6 +308,44 @@
 	return nil
 }
 
+const (
+	// simDrainTime is how long a draining worker goes on, simNoticeTime the time after which it must get no more work.
+	simDrainTime  = 5 * time.Second
+	simNoticeTime = 2 * time.Second
+)
+
+// drain makes a worker drain, and leave after simDrainTime with all that it runs. The instance then has another worker.
+func (p *simPlatform) drain(in *simInstance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := in.worker
+	if w == nil || w.info.Draining || in.state != upkeep.StateUp {
+		return
+	}
+	w.info.Draining, w.drainingSince = true, time.Now()
+	time.AfterFunc(simDrainTime, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if in.worker != w || w.gone {
+			return
+		}
+		for task := range w.running {
+			p.tasks[task].runningOn = nil
+		}
+		for _, e := range w.ended {
+			e.void = e.void || e.Seq > w.ackedUpTo // Nobody can take note of it any more.
+		}
+		w.gone = true
+		p.startWorker(in)
+	})
+}
+
+// inTouch reports whether a daemon has had no disruption lately. The caller must hold mu.
+func (p *simPlatform) inTouch(daemon string) bool {
+	const window = 3 * time.Second
+	return p.cut == nil && time.Since(p.cutUntil) > window && time.Since(p.slowUntil[daemon]) > window
+}
+
 func (a *simAccess) Waves() []upkeep.Wave {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/cluster/simulation_test.go
+++ b/cluster/simulation_test.go
@@ -153,7 +153,7 @@
 		if !ok {
 			continue
 		}
-		switch x.intN(5) {
+		switch x.intN(6) {
 		case 0: // the owner's calls are slow, while its workers finish what they run
 			x.slowDown(from.Node)
 		case 1: // the request to claim a pool is repeated before it was answered
@@ -173,6 +173,8 @@
 			}
 		case 4: // the owner is on one side of a partition with some of the workers, the store and all others on the other side
 			x.partition(from.Node)
+		case 5: // a worker leaves
+			x.drain(x.instances[fmt.Sprintf("m-%s-%d", simPools[x.intN(len(simPools))], x.intN(simInstancesPerPool))])
 		}
 	}
 }
@@ -194,7 +196,7 @@
 	time.AfterFunc(time.Duration(1+x.rnd.IntN(14))*time.Second, func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
-		x.cut, x.cutOff = nil, ""
+		x.cut, x.cutOff, x.cutUntil = nil, "", time.Now()
 	})
 }
 
--- a/cluster/simworkers_test.go
+++ b/cluster/simworkers_test.go
@@ -130,6 +130,9 @@
 	}
 	t.note(p, "run %d starts at %s by %s with token %d", o.Run, w.info.ID, daemon, token)
 	p.checkStart(task, t)
+	if w.info.Draining && time.Since(w.drainingSince) > simNoticeTime && p.inTouch(daemon) {
+		p.violate("DRAIN: %s starts at %s, %s after its report that it drains: %q", task, w.info.ID, time.Since(w.drainingSince), t.history)
+	}
 	w.leaseMS = max(w.leaseMS, o.DeadlineMS)
 	w.running[task] = o.Run
 	t.runningOn, t.run = w, o.Run
--- a/engine/commit.go
+++ b/engine/commit.go
@@ -150,16 +150,21 @@
 // sendOrWithdraw sends the order of a recorded start, or drops the run if its worker no longer accepts new work.
 func (p *Pool) sendOrWithdraw(r *Run, c Clock) {
 	if !p.schedulable(r.Worker, c) {
-		p.recordDecision("start-withdrawn", r.Task.id.String(), r.Num, r.Worker.ID, "worker accepts no new work")
-		p.dropRun(r)
-		p.markDirty(r.Task.job())
-		p.stopGang(r.Task, c)
+		p.withdraw(r, c)
 		return
 	}
 	r.startedAt = c.Now
 	p.sendStart(r, c)
 }
 
+// withdraw drops a run whose order was never sent.
+func (p *Pool) withdraw(r *Run, c Clock) {
+	p.recordDecision("start-withdrawn", r.Task.id.String(), r.Num, r.Worker.ID, "worker accepts no new work")
+	p.dropRun(r)
+	p.markDirty(r.Task.job())
+	p.stopGang(r.Task, c)
+}
+
 func (p *Pool) sendStart(r *Run, c Clock) {
 	r.phase = phaseStarting
 	r.orderedAt = c.Now
--- a/engine/cordon.go
+++ b/engine/cordon.go
@@ -4,13 +4,14 @@
 
 // Cordon keeps new work off a worker until the given time, and reports whether the worker is empty: it has no runs, and the
 // store has all ends that it has listed. The instance of an empty worker may be moved or go down, and the worker's list of
-// ends with it.
+// ends with it. A draining worker is not reported as empty: an order for its instance may be executed only after the worker has left, and
+// would then end what the instance's next worker runs.
 func (p *Pool) Cordon(id string, until time.Duration, c Clock) (empty, known bool) {
 	w := p.workers[id]
 	if w == nil || !w.contacted {
 		return false, false
 	}
-	empty = w.occupancy() == 0
+	empty = w.occupancy() == 0 && !w.info.Draining
 	if empty && (!w.reportedEmpty || w.cordonedUntil <= c.Now) {
 		p.recordDecision("cordon-empty", "", 0, id, "ends stored up to "+itoa(w.ackedUpTo))
 	}
--- a/engine/model.go
+++ b/engine/model.go
@@ -216,6 +216,12 @@
 	Wall int64
 }
 
+// Since returns the time since an earlier event. A machine that was suspended in between shows by the time of day only, as its monotonic
+// clock stood still.
+func (c Clock) Since(at Clock) time.Duration {
+	return max(c.Now-at.Now, time.Duration(c.Wall-at.Wall)*time.Millisecond)
+}
+
 // EndReason is the reason for the end of a run.
 type EndReason string
 
--- a/engine/place.go
+++ b/engine/place.go
@@ -10,7 +10,34 @@
 
 // schedulable reports whether a worker may get new starts.
 func (p *Pool) schedulable(w *Worker, c Clock) bool {
-	return w.listed && !w.info.Draining && w.cordonedUntil <= c.Now && w.orphans == 0 && p.reachable(w, c)
+	return w.acceptsWork(c) && w.orphans == 0 && p.reachable(w, c) && p.rosterCurrent(c)
+}
+
+// acceptsWork reports whether the worker is listed and neither draining nor cordoned.
+func (w *Worker) acceptsWork(c Clock) bool {
+	return w.listed && !w.info.Draining && w.cordonedUntil <= c.Now
+}
+
+const (
+	// maxRosterAge is the age of the list of workers, and maxRosterAttemptAge that of the last attempt to read it, from which on nothing
+	// is started: a worker may have begun to drain since. The first one lets work go on while the part of the store with the list is
+	// away, when no worker can report that it drains. The second one is for a process that was paused, or has only begun to follow the
+	// list.
+	maxRosterAge        = 12 * time.Second
+	maxRosterAttemptAge = 2 * time.Second
+)
+
+// SetRosterAge records when the list of workers was read, and when it was last tried to.
+func (p *Pool) SetRosterAge(readAt, triedAt Clock) {
+	if !p.rosterCurrent(triedAt) {
+		p.placementNeeded = true
+	}
+	p.rosterReadAt, p.rosterTriedAt, p.rosterDated = readAt, triedAt, true
+}
+
+// rosterCurrent reports whether the list of workers is new enough to start work by.
+func (p *Pool) rosterCurrent(c Clock) bool {
+	return !p.rosterDated || c.Since(p.rosterTriedAt) < maxRosterAttemptAge && c.Since(p.rosterReadAt) < maxRosterAge
 }
 
 // candidate is a step with tasks that may start now.
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -57,6 +57,10 @@
 	advice            []AdviceRequest
 	durationEstimates map[string]*durationEstimate
 	acquiredAt        time.Duration
+	// rosterReadAt is when the list of workers was read, rosterTriedAt when it was last tried to; rosterDated is false while neither
+	// is known.
+	rosterReadAt, rosterTriedAt Clock
+	rosterDated                 bool
 	// confirmedAt is when the pool was last known to have no other owner; confirmed is false while that is not recorded.
 	confirmedAt Clock
 	confirmed   bool
--- a/engine/starts.go
+++ b/engine/starts.go
@@ -83,10 +83,21 @@
 	r.stopAckedAt = c.Now
 }
 
-// AwaitsStart reports whether the run of a start order still waits for its worker's answer, so that the order is to be sent.
-func (p *Pool) AwaitsStart(o Order) bool {
+// AwaitsStart reports whether the run of a start order still waits for its worker's answer, so that the order is to be sent. If the
+// worker accepts no new work any more, the run is withdrawn, or stopped if an earlier order for it may be executed.
+func (p *Pool) AwaitsStart(o Order, c Clock) bool {
 	r := p.findRun(o)
-	return r != nil && r.phase == phaseStarting
+	switch {
+	case r == nil || r.phase != phaseStarting:
+		return false
+	case r.Worker.acceptsWork(c) && p.rosterCurrent(c):
+		return true
+	case r.attempts > 1:
+		p.stop(r, c)
+	default:
+		p.withdraw(r, c)
+	}
+	return false
 }
 
 func (p *Pool) findRun(o Order) *Run {
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -333,11 +333,8 @@
 	}
 }
 
-// ClaimAge returns the time since the pool was last known to have no other owner. A machine that was suspended shows by the time of day
-// only, as its monotonic clock stood still.
-func (p *Pool) ClaimAge(c Clock) time.Duration {
-	return max(c.Now-p.confirmedAt.Now, time.Duration(c.Wall-p.confirmedAt.Wall)*time.Millisecond)
-}
+// ClaimAge returns the time since the pool was last known to have no other owner.
+func (p *Pool) ClaimAge(c Clock) time.Duration { return c.Since(p.confirmedAt) }
 
 // grantableLease returns the length of a lease that may be granted now, which is negative once none may be.
 func (p *Pool) grantableLease(c Clock) time.Duration {
@@ -407,6 +404,13 @@
 	}
 }
 
+// ReportAbsent handles a report that a worker has been on no instance for some time: one that has never answered this owner has terminated.
+func (p *Pool) ReportAbsent(id string, c Clock) {
+	if w := p.workers[id]; w != nil && !w.contacted {
+		p.WorkerTerminated(id, c)
+	}
+}
+
 // AddressReused handles the answer of another worker at the address of a call. The worker for which the call was meant has terminated, unless
 // it has another address by now.
 func (p *Pool) AddressReused(to Target, c Clock) {
@@ -466,11 +470,17 @@
 }
 
 // tickRun resends unanswered orders. A start order is resent only once its worker has responded again: a worker that
-// restarted during a network partition would read the deadline on its own new clock.
+// restarted during a network partition would read the deadline on its own new clock. One whose worker accepts no new work
+// any more is stopped instead, as the earlier order may not have been executed.
 func (p *Pool) tickRun(r *Run, c Clock) {
 	switch {
 	case r.phase == phaseStarting && r.outcomeUnknown && p.reachable(r.Worker, c) && c.Now-r.orderedAt > p.options.OrderRetryDelay:
-		p.sendStart(r, c)
+		switch {
+		case !r.Worker.acceptsWork(c):
+			p.stop(r, c)
+		case p.rosterCurrent(c):
+			p.sendStart(r, c)
+		}
 	case r.phase == phaseStopping && !r.stopAcked && c.Now-r.stopSentAt > p.options.OrderRetryDelay:
 		r.stopSentAt = c.Now
 		p.orders = append(p.orders, Order{Kind: OrderStop, Task: r.Task.id, Run: r.Num, Worker: r.Worker.target()})
--- a/owner/calls.go
+++ b/owner/calls.go
@@ -18,7 +18,7 @@
 		o.orders.add(order, now)
 	}
 	for {
-		next, ok := o.orders.next(o.pool.AwaitsStart)
+		next, ok := o.orders.next(func(order engine.Order) bool { return o.pool.AwaitsStart(order, o.clock()) })
 		if !ok {
 			break
 		}
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -199,6 +199,11 @@
 	})
 }
 
+// SetRosterAge records when the list of workers was read, and when it was last tried to.
+func (o *Owner) SetRosterAge(readAt, triedAt engine.Clock) {
+	o.post(func() { o.pool.SetRosterAge(readAt, triedAt) })
+}
+
 // CordonAnswer is an owner's answer to a request to cordon a worker.
 type CordonAnswer struct {
 	// Empty and Known report whether the worker is empty, as Pool.Cordon defines it, and whether the owner has contact with it.
@@ -247,6 +252,11 @@
 	return r, known, err
 }
 
+// ReportAbsent records a report that a worker has been on no instance for some time.
+func (o *Owner) ReportAbsent(ctx context.Context, worker string) error {
+	return o.WithState(ctx, func(p *engine.Pool, c engine.Clock) { p.ReportAbsent(worker, c) })
+}
+
 // ReportTerminated records a report that a worker has terminated.
 func (o *Owner) ReportTerminated(ctx context.Context, worker string) error {
 	return o.WithState(ctx, func(p *engine.Pool, c engine.Clock) { p.ReportTerminated(worker, c) })
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -45,6 +45,8 @@
 	AnnounceUpkeep(ctx context.Context, shard string, workers []string, length time.Duration) error
 	// WorkerTerminated notifies the owner that a worker has terminated.
 	WorkerTerminated(ctx context.Context, pool, worker string) error
+	// WorkerAbsent notifies the owner that a worker has been on no instance for some time.
+	WorkerAbsent(ctx context.Context, pool, worker string) error
 	// Pools returns all pools by name; the value is true for spare pools.
 	Pools() map[string]bool
 	// CreateShards chooses the number of shards of the pools that have none yet.
@@ -131,7 +133,9 @@
 	// formerWorkers holds the workers that each instance had before, missing the instances that had no worker in the last list.
 	formerWorkers map[string]map[string]bool
 	missing       map[string]bool
-	surplusSince  map[string]time.Duration
+	// absentSince is when each worker with runs was first found to be on no instance.
+	absentSince  map[string]time.Duration
+	surplusSince map[string]time.Duration
 	// announcedAt is when the workers that are due for upkeep were last named to their owners.
 	announcedAt time.Duration
 	// startingUntil holds the instances that were down when they were first listed and have not been up since.
@@ -237,9 +241,39 @@
 		})
 	}
 	_ = g.Wait()
+	c.reportAbsent(ctx, s)
 	return s, nil
 }
 
+// absentAfter is how long a worker that its owner has runs on must be on no instance before the owner is told.
+const absentAfter = 2 * time.Second
+
+// reportAbsent tells the owners of workers on which they have runs but which are on no instance. An owner that has only just begun its term
+// missed the report when the worker terminated, and would wait until any lease must have expired.
+func (c *Controller) reportAbsent(ctx context.Context, s *State) {
+	present := map[string]bool{}
+	for _, i := range s.Instances {
+		present[i.Worker] = true
+	}
+	absent := map[string]time.Duration{}
+	for pool, r := range s.Reports {
+		for _, w := range r.Workers {
+			if w.Runs == 0 || present[w.ID] {
+				continue
+			}
+			since, known := c.absentSince[w.ID]
+			if !known {
+				since = s.Now
+			}
+			absent[w.ID] = since
+			if s.Now-since >= absentAfter {
+				_ = c.settings.Pools.WorkerAbsent(ctx, pool, w.ID) // It is repeated while the owner has runs there.
+			}
+		}
+	}
+	c.absentSince = absent
+}
+
 // startTime is how long an instance that is down when it is first listed counts as starting. All instances of a fleet that is
 // switched on are listed as down for up to 3 s.
 const startTime = 6 * time.Second
--- a/upkeep/orders_test.go
+++ b/upkeep/orders_test.go
@@ -46,6 +46,7 @@
 func (p *testPools) Layout() *shard.Layout                                  { return nil }
 func (p *testPools) ShardOf(pool, _ string) (string, bool)                  { return pool, true }
 func (p *testPools) WorkerTerminated(context.Context, string, string) error { return nil }
+func (p *testPools) WorkerAbsent(context.Context, string, string) error     { return nil }
 func (p *testPools) Pools() map[string]bool                                 { return map[string]bool{"pumps": false, "routes": false} }
 
 // testInstances records the moves that it receives.
