--- a/cluster/node.go
+++ b/cluster/node.go
@@ -222,7 +222,7 @@
 	})
 	for ctx.Err() == nil {
 		began := n.settings.Now()
-		n.reconcile(ctx)
+		n.recovered("follow the members", func() { n.reconcile(ctx) })
 		wait := min(max(pollInterval, n.interval()/pollsPerHeartbeat), n.interval()) - (n.settings.Now() - began)
 		waitOrWake(ctx, wait, n.wakeReconcile)
 	}
--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"maps"
+	"runtime/debug"
 	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"samphirepoint/engine"
+	"samphirepoint/observe"
 	"samphirepoint/owner"
 	"samphirepoint/shard"
 )
@@ -43,12 +45,23 @@
 		n.mu.Unlock()
 		next := n.settings.Now() + every
 		if owning {
-			read(ctx)
+			n.recovered("follow the list of workers", func() { read(ctx) })
 		}
 		waitOrWake(ctx, next-n.settings.Now(), wake)
 	}
 }
 
+// recovered calls fn. A panic, which an unforeseen message could cause, is logged and doesn't end the process.
+func (n *Node) recovered(what string, fn func()) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			observe.Count("loops.panicked")
+			n.settings.Log.Error().Str("loop", what).Any("cause", cause).Bytes("stack", debug.Stack()).Msg("panic; the loop goes on")
+		}
+	}()
+	fn()
+}
+
 func (n *Node) readRoster(ctx context.Context) {
 	c, cancel := context.WithTimeout(ctx, rosterWait+storeTimeout)
 	defer cancel()
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -425,7 +425,9 @@
 	if w == nil {
 		return
 	}
-	p.recordDecision("worker-gone", "", 0, id, "")
+	if w.contacted || len(w.runs) > 0 {
+		p.recordDecision("worker-gone", "", 0, id, "") // once: an entry of another writer may name an address again and again
+	}
 	for _, r := range w.allRuns() {
 		p.loseRun(r, c)
 	}
--- a/owner/largejob_test.go
+++ b/owner/largejob_test.go
@@ -52,3 +52,20 @@
 	g.Expect(known).To(BeFalse(), "it was refused, so it never runs")
 	eventuallyCompleted(g, w, o, job(2).ID)
 }
+
+// Guards against one unreadable row that keeps the next owner from loading the pool, so that all its jobs stand still.
+func TestUnreadableRowStopsNoPool(t *testing.T) {
+	g := NewWithT(t)
+	s, w := memrows.New(), newFakeWorkers(t)
+	o := serve(t, s, w, 1)
+	for n := range 3 {
+		g.Expect(o.Submit(context.Background(), job(n))).To(Succeed())
+	}
+	o.Stop()
+	<-o.Done()
+	_, err := s.Transact(context.Background(), rows.Tx{Writes: []rows.Write{{Key: rows.Key{Table: TableJobs, Part: "pumps", Name: job(1).ID}, Value: []byte("{")}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	next := serve(t, s, w, 2)
+	eventuallyCompleted(g, w, next, job(0).ID)
+	eventuallyCompleted(g, w, next, job(2).ID)
+}
--- a/owner/load.go
+++ b/owner/load.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphirepoint/engine"
+	"samphirepoint/observe"
 	"samphirepoint/rows"
 	"samphirepoint/sleep"
 )
@@ -101,6 +102,8 @@
 	record   *engine.Record
 	spec     *engine.Spec
 	segments map[string]engine.SegmentRecord
+	// unreadable is set if some row can't be decoded.
+	unreadable bool
 }
 
 // readPart reads the jobs of a part by ID.
@@ -118,21 +121,33 @@
 		return nil, err
 	}
 	out := map[string]partRows{}
+	unreadable := map[string]bool{}
 	for _, r := range specs {
 		var s engine.Spec
 		if err := json.Unmarshal(r.Value, &s); err != nil {
-			return nil, fmt.Errorf("spec %s: %w", r.Name, err)
+			o.noteUnreadable(unreadable, r, err)
 		}
 		out[r.Name] = partRows{spec: &s}
 	}
 	for _, r := range records {
 		if err := addRecord(out, r); err != nil {
-			return nil, fmt.Errorf("job %s: %w", r.Name, err)
+			o.noteUnreadable(unreadable, r, err)
 		}
 	}
+	for id := range unreadable {
+		out[id] = partRows{unreadable: true}
+	}
 	return out, nil
 }
 
+// noteUnreadable records that a job is left out, as one of its rows can't be decoded. The other jobs of the pool go on.
+func (o *Owner) noteUnreadable(ids map[string]bool, row rows.Row, err error) {
+	id, _ := engine.JobOfRow(row.Name)
+	ids[id] = true
+	observe.Count("rows.unreadable")
+	o.settings.Log.Error().Str("pool", o.settings.Pool).Str("job", id).Str("table", row.Table).Str("part", row.Part).Str("row", row.Name).Err(err).Msg("unreadable row; its job is left out")
+}
+
 // addRecord adds a row of the table of jobs, which is the record of a job or one of its segments.
 func addRecord(jobs map[string]partRows, row rows.Row) error {
 	id, isSegment := engine.JobOfRow(row.Name)
@@ -153,6 +168,9 @@
 
 // loadJob restores a job from its rows in both parts.
 func (o *Owner) loadJob(id string, primary, standby partRows) error {
+	if primary.unreadable || standby.unreadable {
+		return nil // What is readable may be out of date, so that tasks would run again.
+	}
 	copies := engine.Copies{
 		Primary: primary.record, PrimarySpec: primary.spec, PrimarySegments: primary.segments,
 		Standby: standby.record, StandbySpec: standby.spec, StandbySegments: standby.segments,
