--- /dev/null
+++ b/engine/lease.go
@@ -0,0 +1,54 @@
+package engine
+
+import "time"
+
+// lease returns the lease deadline to send now and records it. A worker whose clock isn't known gets none. The lease
+// of an unresponsive worker is not extended: any call may still reach it, so its runs could otherwise never be
+// considered over. Nor is any lease extended beyond what ClaimConfirmed allows.
+func (p *Pool) lease(w *Worker, c Clock) int64 {
+	if !w.contacted {
+		return 0
+	}
+	if w.unresponsive {
+		return w.deadlineMS
+	}
+	d := w.clockMS + (c.Now - w.clockAt).Milliseconds() + p.grantableLease(c).Milliseconds()
+	w.deadlineMS = max(w.deadlineMS, d)
+	return w.deadlineMS
+}
+
+// ClaimConfirmed records that the pool had no other owner at the given time. Leases end at most Options.MaxLease after the latest such time,
+// whatever this owner learns or fails to learn since: a successor that can't reach a worker waits that long from its claim on, and then
+// starts the worker's tasks again.
+func (p *Pool) ClaimConfirmed(at Clock) {
+	if at.Now >= p.confirmedAt.Now {
+		p.confirmedAt, p.confirmed = at, true
+	}
+}
+
+// ClaimAge returns the time since the pool was last known to have no other owner.
+func (p *Pool) ClaimAge(c Clock) time.Duration { return c.Since(p.confirmedAt) }
+
+// grantableLease returns the length of a lease that may be granted now, which is negative once none may be.
+func (p *Pool) grantableLease(c Clock) time.Duration {
+	if !p.confirmed {
+		return p.options.Lease
+	}
+	return min(p.options.Lease, p.options.MaxLease-p.ClaimAge(c))
+}
+
+const (
+	// maxClockRateRatio bounds how much slower a worker's monotonic clock may run.
+	maxClockRateRatio = 1.022
+	// leaseExpiryMargin allows for the transmission of the last answer.
+	leaseExpiryMargin = 100 * time.Millisecond
+)
+
+// leasesExpired reports whether every lease that any owner can have granted to the worker has expired.
+func (p *Pool) leasesExpired(w *Worker, c Clock) bool {
+	if !w.contacted {
+		return c.Now-p.acquiredAt > time.Duration(float64(p.options.MaxLease)*maxClockRateRatio)+time.Second
+	}
+	remaining := time.Duration(float64(max(w.deadlineMS, w.foreignDeadlineMS)-w.clockMS)*maxClockRateRatio) * time.Millisecond
+	return c.Now > w.clockAt+remaining+leaseExpiryMargin
+}
--- /dev/null
+++ b/engine/terminated.go
@@ -0,0 +1,75 @@
+package engine
+
+// RenewalFailed marks a worker that did not answer a lease renewal as unresponsive, or as terminated if it is reported to be.
+// It reports whether the worker was responsive before.
+func (p *Pool) RenewalFailed(id string, c Clock) bool {
+	w := p.workers[id]
+	if w == nil || w.unresponsive {
+		return false
+	}
+	w.unresponsive = true
+	p.recordDecision("worker-silent", "", 0, id, "")
+	if w.reportedGone {
+		p.WorkerTerminated(id, c)
+	}
+	return true
+}
+
+// ReportTerminated handles a report that a worker has terminated. The report may be wrong, as it may come from an outdated list of
+// instances: a worker that still answers goes on.
+func (p *Pool) ReportTerminated(id string, c Clock) {
+	w := p.workers[id]
+	switch {
+	case w == nil:
+	case w.contacted && !w.unresponsive:
+		w.reportedGone = true
+		p.recordDecision("worker-reported-gone", "", 0, id, "")
+	default:
+		p.WorkerTerminated(id, c)
+	}
+}
+
+// ReportAbsent handles a report that a worker has been on no instance for some time: one that has never answered this owner has terminated.
+func (p *Pool) ReportAbsent(id string, c Clock) {
+	if w := p.workers[id]; w != nil && !w.contacted {
+		p.WorkerTerminated(id, c)
+	}
+}
+
+// AddressReused handles the answer of another worker at the address of a call. The worker for which the call was meant has terminated, unless
+// it has another address by now.
+func (p *Pool) AddressReused(to Target, c Clock) {
+	if w := p.workers[to.ID]; w != nil && w.info.Address == to.Address {
+		p.WorkerTerminated(to.ID, c)
+	}
+}
+
+// WorkerTerminated ends all runs of a worker incarnation that has certainly ended.
+func (p *Pool) WorkerTerminated(id string, c Clock) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	if w.contacted || len(w.runs) > 0 {
+		p.recordDecision("worker-gone", "", 0, id, "") // once: an entry of another writer may name an address again and again
+	}
+	for _, r := range w.allRuns() {
+		p.loseRun(r, c)
+	}
+	w.contacted, w.reportedGone = false, false
+	w.orphans = 0
+	w.pendingAcks = nil
+	w.cordonedUntil = 0 // It gets no work any more: once it is unlisted, it needs no cordon.
+	if !w.listed {
+		p.removeWorker(id)
+	}
+}
+
+// loseRun ends a run that is over without an end listed by its worker.
+func (p *Pool) loseRun(r *Run, c Clock) {
+	p.recordDecision("run-lost", r.Task.id.String(), r.Num, r.Worker.ID, "")
+	r.Task.readySince = 0
+	p.dropRun(r)
+	p.markDirty(r.Task.job())
+	p.stopGang(r.Task, c)
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -309,41 +309,6 @@
 	return RenewalRequest{To: w.target(), DeadlineMS: p.lease(w, c), AckedUpTo: w.ackedUpTo, Unacknowledged: len(w.pendingAcks) > 0, Idle: len(w.runs) == 0}, true
 }
 
-// lease returns the lease deadline to send now and records it. A worker whose clock isn't known gets none. The lease
-// of an unresponsive worker is not extended: any call may still reach it, so its runs could otherwise never be
-// considered over. Nor is any lease extended beyond what ClaimConfirmed allows.
-func (p *Pool) lease(w *Worker, c Clock) int64 {
-	if !w.contacted {
-		return 0
-	}
-	if w.unresponsive {
-		return w.deadlineMS
-	}
-	d := w.clockMS + (c.Now - w.clockAt).Milliseconds() + p.grantableLease(c).Milliseconds()
-	w.deadlineMS = max(w.deadlineMS, d)
-	return w.deadlineMS
-}
-
-// ClaimConfirmed records that the pool had no other owner at the given time. Leases end at most Options.MaxLease after the latest such time,
-// whatever this owner learns or fails to learn since: a successor that can't reach a worker waits that long from its claim on, and then
-// starts the worker's tasks again.
-func (p *Pool) ClaimConfirmed(at Clock) {
-	if at.Now >= p.confirmedAt.Now {
-		p.confirmedAt, p.confirmed = at, true
-	}
-}
-
-// ClaimAge returns the time since the pool was last known to have no other owner.
-func (p *Pool) ClaimAge(c Clock) time.Duration { return c.Since(p.confirmedAt) }
-
-// grantableLease returns the length of a lease that may be granted now, which is negative once none may be.
-func (p *Pool) grantableLease(c Clock) time.Duration {
-	if !p.confirmed {
-		return p.options.Lease
-	}
-	return min(p.options.Lease, p.options.MaxLease-p.ClaimAge(c))
-}
-
 // HasRuns reports whether any run may be on a worker.
 func (p *Pool) HasRuns() bool {
 	for _, w := range p.workers {
@@ -354,105 +319,15 @@
 	return false
 }
 
-const (
-	// maxClockRateRatio bounds how much slower a worker's monotonic clock may run.
-	maxClockRateRatio = 1.022
-	// leaseExpiryMargin allows for the transmission of the last answer.
-	leaseExpiryMargin = 100 * time.Millisecond
-)
-
-// leasesExpired reports whether every lease that any owner can have granted to the worker has expired.
-func (p *Pool) leasesExpired(w *Worker, c Clock) bool {
-	if !w.contacted {
-		return c.Now-p.acquiredAt > time.Duration(float64(p.options.MaxLease)*maxClockRateRatio)+time.Second
-	}
-	remaining := time.Duration(float64(max(w.deadlineMS, w.foreignDeadlineMS)-w.clockMS)*maxClockRateRatio) * time.Millisecond
-	return c.Now > w.clockAt+remaining+leaseExpiryMargin
-}
-
 // reachable reports whether the worker has answered recently.
 func (p *Pool) reachable(w *Worker, c Clock) bool {
 	return w.contacted && !w.unresponsive && c.Now-w.lastContact < p.options.SuspectAfter
 }
 
-// RenewalFailed marks a worker that did not answer a lease renewal as unresponsive, or as terminated if it is reported to be.
-// It reports whether the worker was responsive before.
-func (p *Pool) RenewalFailed(id string, c Clock) bool {
-	w := p.workers[id]
-	if w == nil || w.unresponsive {
-		return false
-	}
-	w.unresponsive = true
-	p.recordDecision("worker-silent", "", 0, id, "")
-	if w.reportedGone {
-		p.WorkerTerminated(id, c)
-	}
-	return true
-}
-
-// ReportTerminated handles a report that a worker has terminated. The report may be wrong, as it may come from an outdated list of
-// instances: a worker that still answers goes on.
-func (p *Pool) ReportTerminated(id string, c Clock) {
-	w := p.workers[id]
-	switch {
-	case w == nil:
-	case w.contacted && !w.unresponsive:
-		w.reportedGone = true
-		p.recordDecision("worker-reported-gone", "", 0, id, "")
-	default:
-		p.WorkerTerminated(id, c)
-	}
-}
-
-// ReportAbsent handles a report that a worker has been on no instance for some time: one that has never answered this owner has terminated.
-func (p *Pool) ReportAbsent(id string, c Clock) {
-	if w := p.workers[id]; w != nil && !w.contacted {
-		p.WorkerTerminated(id, c)
-	}
-}
-
-// AddressReused handles the answer of another worker at the address of a call. The worker for which the call was meant has terminated, unless
-// it has another address by now.
-func (p *Pool) AddressReused(to Target, c Clock) {
-	if w := p.workers[to.ID]; w != nil && w.info.Address == to.Address {
-		p.WorkerTerminated(to.ID, c)
-	}
-}
-
-// WorkerTerminated ends all runs of a worker incarnation that has certainly ended.
-func (p *Pool) WorkerTerminated(id string, c Clock) {
-	w := p.workers[id]
-	if w == nil {
-		return
-	}
-	if w.contacted || len(w.runs) > 0 {
-		p.recordDecision("worker-gone", "", 0, id, "") // once: an entry of another writer may name an address again and again
-	}
-	for _, r := range w.allRuns() {
-		p.loseRun(r, c)
-	}
-	w.contacted, w.reportedGone = false, false
-	w.orphans = 0
-	w.pendingAcks = nil
-	w.cordonedUntil = 0 // It gets no work any more: once it is unlisted, it needs no cordon.
-	if !w.listed {
-		p.removeWorker(id)
-	}
-}
-
 func (w *Worker) allRuns() []*Run {
 	return slices.Collect(maps.Values(w.runs))
 }
 
-// loseRun ends a run that is over without an end listed by its worker.
-func (p *Pool) loseRun(r *Run, c Clock) {
-	p.recordDecision("run-lost", r.Task.id.String(), r.Num, r.Worker.ID, "")
-	r.Task.readySince = 0
-	p.dropRun(r)
-	p.markDirty(r.Task.job())
-	p.stopGang(r.Task, c)
-}
-
 func (p *Pool) tickWorker(w *Worker, c Clock) {
 	if len(w.runs) == 0 {
 		return
--- a/owner/confirm.go
+++ b/owner/confirm.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// confirmAfter is the time since a claim was last known to be current after which it is confirmed. Until leases have to be shortened
-	// there is time for several attempts.
-	confirmAfter = 3 * time.Second
+	// confirmShare is the share of the longest lease that may pass since a claim was last known to be current before it is confirmed. Until
+	// leases have to be shortened much, there is time for several attempts.
+	confirmShare = 0.3
 	// confirmInterval is the least time between the beginnings of two attempts.
 	confirmInterval = 700 * time.Millisecond
 	// confirmTimeout bounds an attempt.
@@ -20,7 +20,8 @@
 // start their tasks again meanwhile.
 func (o *Owner) confirmClaimIfDue() {
 	c := o.clock()
-	if o.confirming || o.pool.ClaimAge(c) < confirmAfter || c.Now-o.confirmedAt < confirmInterval || !o.pool.HasRuns() {
+	due := time.Duration(confirmShare * float64(o.settings.Options.MaxLease))
+	if o.confirming || o.pool.ClaimAge(c) < due || c.Now-o.confirmedAt < confirmInterval || !o.pool.HasRuns() {
 		return
 	}
 	o.confirming, o.confirmedAt = true, c.Now
