--- a/engine/rulechecker_test.go
+++ b/engine/rulechecker_test.go
@@ -138,7 +138,9 @@
 		if t.failedRuns == nil {
 			t.failedRuns = map[int64]bool{}
 		}
-		t.failedRuns[r.num] = t.failedRuns[r.num]
+		if !t.failedRuns[r.num] {
+			t.failedRuns[r.num] = false
+		}
 		g.onEndAcked[key] = func() {
 			t.failures++
 			t.failedRuns[r.num] = true
