--- a/cluster/queues_test.go
+++ b/cluster/queues_test.go
@@ -36,6 +36,8 @@
 		x.close()
 		x.tasks.Wait()
 		time.Sleep(time.Minute)
+		x.mu.Lock()
+		defer x.mu.Unlock()
 		x.g.Expect(x.violations).To(BeEmpty())
 	})
 }
@@ -102,6 +104,17 @@
 	return n
 }
 
+// doneEnds counts the successful ends of each task of a job.
+func (x *queueSimulation) doneEnds(id string) map[string]int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := map[string]int{}
+	for task, t := range x.tasksOf(id) {
+		out[task] = len(t.doneEnds)
+	}
+	return out
+}
+
 // awaitCompleted waits until a job is completed, within the time that the platform allows for it after the end of traffic.
 func (x *queueSimulation) awaitCompleted(n *Node, id string) {
 	for end := time.Now().Add(simCalmTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
@@ -127,7 +140,7 @@
 				g, a := x.g, x.nodes[0]
 				x.route(2, "pumps", x.nodes...)
 				lasting := queueJob(50, true)
-				x.lasting[lasting.ID] = true
+				x.setLasting(lasting.ID)
 				for n := range 6 {
 					g.Expect(x.submit(a, queueJob(n, false))).To(Succeed())
 				}
@@ -196,8 +209,8 @@
 				g.Expect(x.submit(behind, queueJob(30, false))).To(Succeed(), "the queue has returned")
 				for n := range 20 {
 					x.awaitCompleted(x.nodes[n%simDaemons], queueJob(n, false).ID)
-					for task, history := range x.tasksOf(queueJob(n, false).ID) {
-						g.Expect(history.doneEnds).To(HaveLen(1), task)
+					for task, ends := range x.doneEnds(queueJob(n, false).ID) {
+						g.Expect(ends).To(Equal(1), task)
 					}
 				}
 			})
--- a/cluster/simplatform_test.go
+++ b/cluster/simplatform_test.go
@@ -308,6 +308,13 @@
 	return nil
 }
 
+// setLasting makes the tasks of a job run until they are stopped.
+func (p *simPlatform) setLasting(job string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lasting[job] = true
+}
+
 const (
 	// simDrainTime is how long a draining worker goes on, simNoticeTime the time after which it must get no more work.
 	simDrainTime  = 5 * time.Second
--- a/cluster/superseded_test.go
+++ b/cluster/superseded_test.go
@@ -42,7 +42,7 @@
 // lastingJob is a job whose runs go on until they are stopped, so that each task is at work all the time.
 func (x *ownersOfOnePool) lastingJob() engine.Spec {
 	spec := engine.Spec{ID: "00000000000000d1", Queue: "q", Steps: []engine.Step{{Count: 3, Need: engine.Resources{CPU: 5000, Mem: 100}}}}
-	x.lasting[spec.ID] = true
+	x.setLasting(spec.ID)
 	return spec
 }
 
@@ -79,6 +79,8 @@
 			time.Sleep(time.Minute)
 		}()
 		fn(g, x)
+		x.mu.Lock()
+		defer x.mu.Unlock()
 		g.Expect(x.violations).To(BeEmpty())
 	})
 }
