Read the clock once for all orders of a round, and check a worker's availability in one place

Found while reading the change again: each order read the clock on the owner's hot path, and the report repeated the check of the placement but for the age of the list. An order is now judged at the time of its round, which is at most one placement old.

--- a/engine/place.go
+++ b/engine/place.go
@@ -10,7 +10,12 @@
 
 // schedulable reports whether a worker may get new starts.
 func (p *Pool) schedulable(w *Worker, c Clock) bool {
-	return w.acceptsWork(c) && w.orphans == 0 && p.reachable(w, c) && p.rosterCurrent(c)
+	return p.available(w, c) && p.rosterCurrent(c)
+}
+
+// available reports whether a worker accepts new starts, as far as the last list of workers says.
+func (p *Pool) available(w *Worker, c Clock) bool {
+	return w.acceptsWork(c) && w.orphans == 0 && p.reachable(w, c)
 }
 
 // acceptsWork reports whether the worker is listed and neither draining nor cordoned.
--- a/engine/report.go
+++ b/engine/report.go
@@ -56,7 +56,7 @@
 				r.Kinds[k] += x.Task.step.spec.Need.CPU
 			}
 		}
-		if w.acceptsWork(c) && w.orphans == 0 && p.reachable(w, c) {
+		if p.available(w, c) {
 			r.CapacityCPU += wr.CapacityCPU
 		}
 		r.UsedCPU += wr.UsedCPU
--- a/owner/calls.go
+++ b/owner/calls.go
@@ -13,16 +13,17 @@
 const orderTimeout = 350 * time.Millisecond
 
 // dispatch queues the engine's new orders and sends those whose turn has come.
-func (o *Owner) dispatch(now time.Duration) {
+func (o *Owner) dispatch(c engine.Clock) {
 	for _, order := range o.pool.TakeOrders() {
-		o.orders.add(order, now)
+		o.orders.add(order, c.Now)
 	}
+	wanted := func(order engine.Order) bool { return o.pool.AwaitsStart(order, c) }
 	for {
-		next, ok := o.orders.next(func(order engine.Order) bool { return o.pool.AwaitsStart(order, o.clock()) })
+		next, ok := o.orders.next(wanted)
 		if !ok {
 			break
 		}
-		observe.RecordDuration("orders.queue-delay", now-next.queuedAt)
+		observe.RecordDuration("orders.queue-delay", c.Now-next.queuedAt)
 		if o.senders < o.orders.inFlight {
 			o.senders++
 			go o.sendLoop()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -260,7 +260,7 @@
 // flush executes the engine's decisions.
 func (o *Owner) flush(c engine.Clock) {
 	o.commit(c)
-	o.dispatch(c.Now)
+	o.dispatch(c)
 	for _, a := range o.pool.TakeAdviceRequests() {
 		go o.advise(a)
 	}
