Identify callers by the keys of their workspace, and bound the age of the configuration by which a key is accepted

Cause: the adapter ignored the workspaces of the configuration, and no call's key was read.

Change: the catalog holds workspaces and their keys, checked as a whole; an invalid version is rejected and logged, and the last good one stays in force. Package access decides on a call: 401 for a missing or unknown key, on every kind of call; 503 (not run) once the configuration was last confirmed longer ago than revoke_ms where revocation is strict, counted from the beginning of the read by a clock that includes suspensions (package boottime). Public queues are served on. A daemon that may accept no keys reports itself as not ready. A job belongs to the workspace that submitted it: others don't see it, and can't use its ID.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -5,6 +5,7 @@
 package catalog
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -17,6 +18,8 @@
 	Host, Prefix string
 	Pool         string
 	Timeout      time.Duration
+	// Public queues take calls without a key.
+	Public bool
 }
 
 // Pool is a named set of instances. Spare pools hold instances that are powered off.
@@ -26,18 +29,39 @@
 	Spare            bool
 }
 
+// Workspace is a tenant of the fleet: its callers identify themselves by its keys, and its jobs share its weight and its cap.
+type Workspace struct {
+	Name string
+	// Keys are the API keys in force. A workspace whose last key was withdrawn has none.
+	Keys []string
+	// Priority orders the workspaces where there is too little capacity for all: a lower number goes first.
+	Priority int
+	// Weight is the workspace's share of a pool relative to the others that wait, and the jobs a second up to which it is entitled to them.
+	Weight float64
+	// Cap bounds what the workspace has running on all workers together; 0 stands for no limit on a resource.
+	Cap engine.Resources
+}
+
 // Catalog is one version of the configuration. It is immutable once it is in use.
 type Catalog struct {
 	Version      int64
 	Queues       []Queue
 	Pools        []Pool
+	Workspaces   []Workspace
 	MaxBodyBytes int64
 
 	byHost map[string][]*Queue
+	byKey  map[string]*Workspace
 }
 
-// Index builds the index that Find uses. It must be called after the queues have been set.
+// Index builds the indexes that Find and WorkspaceOf use. It must be called after the queues and workspaces have been set.
 func (c *Catalog) Index() {
+	c.byKey = map[string]*Workspace{}
+	for i := range c.Workspaces {
+		for _, key := range c.Workspaces[i].Keys {
+			c.byKey[key] = &c.Workspaces[i]
+		}
+	}
 	c.byHost = map[string][]*Queue{}
 	for i := range c.Queues {
 		q := &c.Queues[i]
@@ -94,3 +118,41 @@
 	}
 	return Pool{}, false
 }
+
+// WorkspaceOf returns the workspace that has the API key.
+func (c *Catalog) WorkspaceOf(key string) (*Workspace, bool) {
+	w, ok := c.byKey[key]
+	return w, ok
+}
+
+// HasKeys reports whether callers identify themselves by keys. Without workspaces nobody has one.
+func (c *Catalog) HasKeys() bool { return len(c.Workspaces) > 0 }
+
+// Check returns an error that names the first invalid workspace. A workspace without keys is valid: its last key was withdrawn.
+func (c *Catalog) Check() error {
+	names, keys := map[string]bool{}, map[string]string{}
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		switch {
+		case w.Name == "":
+			return fmt.Errorf("workspace %d has no name", i)
+		case names[w.Name]:
+			return fmt.Errorf("two workspaces are named %q", w.Name)
+		case w.Weight < 0:
+			return fmt.Errorf("workspace %q: weight %v is negative", w.Name, w.Weight)
+		case !w.Cap.Covers(engine.Resources{}):
+			return fmt.Errorf("workspace %q: its cap has a negative resource", w.Name)
+		}
+		names[w.Name] = true
+		for _, key := range w.Keys {
+			if key == "" {
+				return fmt.Errorf("workspace %q has an empty key", w.Name)
+			}
+			if other, taken := keys[key]; taken {
+				return fmt.Errorf("workspaces %q and %q have a key in common", other, w.Name)
+			}
+			keys[key] = w.Name
+		}
+	}
+	return nil
+}
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -30,6 +30,8 @@
 	Spec  *engine.Spec `json:"spec,omitempty"`
 	ID    string       `json:"id,omitempty"`
 	Queue string       `json:"queue,omitempty"`
+	// Workspace is the one whose key the call carried, or "" for a public queue.
+	Workspace string `json:"workspace,omitempty"`
 	// Version is the version of the configuration that sends the queue to another pool (OpReleaseQueue).
 	Version int64  `json:"version,omitempty"`
 	Worker  string `json:"worker,omitempty"`
@@ -237,9 +239,9 @@
 	case OpReleaseQueue:
 		res, err = n.releaseQueue(ctx, t, call)
 	case OpState:
-		res.State, res.Known, err = o.State(ctx, call.ID)
+		res.State, res.Known, err = o.State(ctx, call.ID, call.Workspace)
 	case OpCancel:
-		res.Known, err = o.Cancel(ctx, call.ID)
+		res.Known, err = o.Cancel(ctx, call.ID, call.Workspace)
 	case OpWaiting:
 		res.Waiting, err = o.Waiting(ctx, call.Queue)
 	case OpCordon:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"samphirepoint/boottime"
 	"samphirepoint/cluster"
 	"samphirepoint/engine"
 	"samphirepoint/lateness"
@@ -41,14 +42,16 @@
 
 // Daemon is one entry process.
 type Daemon struct {
-	settings       *platform.Settings
-	log            zerolog.Logger
-	store          *platform.Store
-	node           *cluster.Node
-	waves          *platform.Waves
-	lateness       *lateness.Monitor
-	leaving        atomic.Bool
-	leaveRequested chan struct{}
+	settings *platform.Settings
+	log      zerolog.Logger
+	store    *platform.Store
+	node     *cluster.Node
+	waves    *platform.Waves
+	lateness *lateness.Monitor
+	leaving  atomic.Bool
+	// configConfirmedAt is the beginning of the last read that confirmed the configuration, by the clock of package boottime; 0 before the first.
+	configConfirmedAt atomic.Int64
+	leaveRequested    chan struct{}
 }
 
 // New builds a daemon from its settings.
@@ -122,7 +125,7 @@
 	}
 	d.log.Info().Str("zone", d.settings.Zone).Msg("start")
 	g.Go(func() error { return d.lateness.Run(ctx) })
-	g.Go(func() error { return d.store.FollowOperator(ctx, d.node.SetCatalog, d.waves.Apply) })
+	g.Go(func() error { return d.store.FollowOperator(ctx, d.operator()) })
 	g.Go(func() error { return d.node.Run(ctx) })
 	g.Go(func() error { return d.node.FollowRoster(ctx, workerListInterval) })
 	g.Go(func() error { return watchFile(ctx, os.Getenv(platform.SettingsVariable), watchInterval, r.changed) })
@@ -135,6 +138,25 @@
 	return g.Wait()
 }
 
+// operator returns what is to be done with the rows that the operator writes.
+func (d *Daemon) operator() platform.Operator {
+	return platform.Operator{
+		Apply: d.node.SetCatalog,
+		Rejected: func(err error) {
+			observe.Count("configuration.rejected")
+			d.log.Error().Err(err).Msg("configuration rejected; the last good one stays in force")
+		},
+		Wave:      d.waves.Apply,
+		Confirmed: func(began time.Duration) { d.configConfirmedAt.Store(int64(began)) },
+		Now:       boottime.Now,
+	}
+}
+
+// configAge returns the time since the beginning of the last read that confirmed the configuration, suspensions included.
+func (d *Daemon) configAge() time.Duration {
+	return boottime.Now() - time.Duration(d.configConfirmedAt.Load())
+}
+
 // requests are the ways to ask a running daemon for something from outside.
 type requests struct {
 	term, hup chan os.Signal
@@ -190,7 +212,10 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /api/ready", d.ready)
 	handlers := map[string]http.Handler{
-		d.settings.Listen.Front:     &platform.Front{Jobs: d.node, Log: d.log, Leaving: d.notReady, MaxSpecBytes: d.settings.RowBytes()},
+		d.settings.Listen.Front: &platform.Front{
+			Jobs: d.node, Log: d.log, Leaving: d.notReady, MaxSpecBytes: d.settings.RowBytes(),
+			Access: d.settings.AccessLimits(), ConfigAge: d.configAge,
+		},
 		d.settings.Listen.Ready:     ready,
 		d.settings.PeerAddress():    d.node.PeerHandler(),
 		d.settings.MetricsAddress(): d.diagnosticsHandler(),
@@ -221,8 +246,14 @@
 	return mux
 }
 
-// notReady reports whether callers should be served by another daemon: while this one is leaving or isolated.
-func (d *Daemon) notReady() bool { return d.leaving.Load() || d.node.Isolated() }
+// notReady reports whether callers should be served by another daemon: while this one is leaving or isolated, or may not accept their keys.
+func (d *Daemon) notReady() bool { return d.leaving.Load() || d.node.Isolated() || !d.acceptsKeys() }
+
+// acceptsKeys reports whether the configuration is new enough to accept keys, or needs none.
+func (d *Daemon) acceptsKeys() bool {
+	c := d.node.Catalog()
+	return c == nil || !c.HasKeys() || d.settings.AccessLimits().Current(d.configAge())
+}
 
 // ready is the health check of the load balancer: it reports whether to send new connections.
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
--- a/engine/job.go
+++ b/engine/job.go
@@ -113,6 +113,11 @@
 	return j.committedState
 }
 
+// VisibleTo reports whether a call with a key of the workspace may see the job. Jobs and calls of public queues have no workspace.
+func (j *Job) VisibleTo(workspace string) bool {
+	return workspace == "" || j.Spec.Workspace == "" || j.Spec.Workspace == workspace
+}
+
 // Committed reports whether the job is in the store, and thereby accepted.
 func (j *Job) Committed() bool { return j.committed > 0 }
 
--- a/engine/model.go
+++ b/engine/model.go
@@ -64,6 +64,8 @@
 type Spec struct {
 	ID    string `json:"id"`
 	Queue string `json:"q"`
+	// Workspace is the one whose key the submission carried, or "" for a public queue.
+	Workspace string `json:"ws,omitempty"`
 	// Settings are those of the queue when the job was submitted; nil if they aren't known.
 	Settings    *Queue `json:"cf,omitempty"`
 	Payload     string `json:"p,omitempty"`
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -25,10 +25,13 @@
 // will never run.
 func (o *Owner) Submit(ctx context.Context, spec engine.Spec) error {
 	return o.changeAndCommit(ctx, func(p *engine.Pool, c engine.Clock) (*engine.Job, error) {
-		if p.Job(spec.ID) == nil {
+		switch j := p.Job(spec.ID); {
+		case j == nil:
 			if err := o.admit(p, &spec, c); err != nil {
 				return nil, err
 			}
+		case !j.VisibleTo(spec.Workspace):
+			return nil, verdict.New(verdict.NotRun, http.StatusConflict, "job ID %s is in use by another workspace", spec.ID)
 		}
 		return p.Submit(spec, c), nil
 	})
@@ -49,10 +52,14 @@
 	return nil
 }
 
-// Cancel cancels a job. It reports false if the job is unknown.
-func (o *Owner) Cancel(ctx context.Context, id string) (bool, error) {
+// Cancel cancels a job. It reports false if the job is unknown to the workspace.
+func (o *Owner) Cancel(ctx context.Context, id, workspace string) (bool, error) {
 	known := true
 	err := o.changeAndCommit(ctx, func(p *engine.Pool, c engine.Clock) (*engine.Job, error) {
+		if j := p.Job(id); j != nil && !j.VisibleTo(workspace) {
+			known = false
+			return nil, nil
+		}
 		var j *engine.Job
 		j, known = p.Cancel(id, c)
 		return j, nil
@@ -121,12 +128,12 @@
 	return withdrawn
 }
 
-// State returns a job's state, and false if the job is unknown.
-func (o *Owner) State(ctx context.Context, id string) (engine.State, bool, error) {
+// State returns a job's state, and false if the job is unknown to the workspace.
+func (o *Owner) State(ctx context.Context, id, workspace string) (engine.State, bool, error) {
 	var s engine.State
 	known := false
 	err := o.WithState(ctx, func(p *engine.Pool, _ engine.Clock) {
-		if j := p.Job(id); j != nil && j.Committed() {
+		if j := p.Job(id); j != nil && j.Committed() && j.VisibleTo(workspace) {
 			s, known = j.State(), true
 		}
 	})
--- a/owner/largejob_test.go
+++ b/owner/largejob_test.go
@@ -47,7 +47,7 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	g.Expect(<-refused).NotTo(Succeed())
-	_, known, err := o.State(context.Background(), unstorable.ID)
+	_, known, err := o.State(context.Background(), unstorable.ID, "")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(known).To(BeFalse(), "it was refused, so it never runs")
 	eventuallyCompleted(g, w, o, job(2).ID)
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -159,7 +159,7 @@
 
 func eventuallyInState(g *WithT, o *Owner, id string, want engine.State) {
 	g.Eventually(func() engine.State {
-		s, _, _ := o.State(context.Background(), id)
+		s, _, _ := o.State(context.Background(), id, "")
 		return s
 	}, time.Minute, 5*time.Millisecond).Should(Equal(want))
 }
@@ -168,7 +168,7 @@
 func eventuallyCompleted(g *WithT, w *fakeWorkers, o *Owner, id string) {
 	g.Eventually(func() engine.State {
 		w.finishAll()
-		st, _, _ := o.State(context.Background(), id)
+		st, _, _ := o.State(context.Background(), id, "")
 		return st
 	}, time.Minute, 5*time.Millisecond).Should(Equal(engine.Completed))
 }
@@ -196,7 +196,7 @@
 	g.Expect(list).To(HaveLen(1))
 	// Guards against rejections that continue after the store has recovered, when there is nothing left to write.
 	g.Eventually(func() error { return o.Submit(context.Background(), job(3)) }, time.Minute, 50*time.Millisecond).Should(Succeed())
-	_, known, _ := o.State(context.Background(), job(2).ID)
+	_, known, _ := o.State(context.Background(), job(2).ID, "")
 	g.Expect(known).To(BeFalse())
 }
 
@@ -261,14 +261,14 @@
 	s, w := memrows.New(), newFakeWorkers(t)
 	o := serve(t, s, w, 1)
 	g.Expect(o.Submit(context.Background(), job(1))).To(Succeed())
-	known, err := o.Cancel(context.Background(), job(1).ID)
+	known, err := o.Cancel(context.Background(), job(1).ID, "")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(known).To(BeTrue())
 	list, _, _ := s.Read(context.Background(), TableJobs, "pumps")
 	var rec engine.Record
 	g.Expect(json.Unmarshal(list[0].Value, &rec)).To(Succeed())
 	g.Expect(rec.State).To(Equal(engine.Cancelled))
-	known, err = o.Cancel(context.Background(), "00000000000000ff")
+	known, err = o.Cancel(context.Background(), "00000000000000ff", "")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(known).To(BeFalse())
 	eventuallyInState(g, o, job(1).ID, engine.Cancelled)
--- a/owner/standby_test.go
+++ b/owner/standby_test.go
@@ -93,7 +93,7 @@
 			eventuallyCompleted(g, w, o, job(1).ID)
 			g.Eventually(func() error { return o.Submit(context.Background(), job(3)) }, time.Minute, 50*time.Millisecond).Should(Succeed())
 			g.Expect(o.Submit(context.Background(), job(2))).To(Succeed())
-			_, err := o.Cancel(context.Background(), job(2).ID)
+			_, err := o.Cancel(context.Background(), job(2).ID, "")
 			g.Expect(err).NotTo(HaveOccurred())
 			s.executeLate()
 
