--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -125,6 +125,15 @@
 	return w, ok
 }
 
+// EngineWorkspaces returns what the engine needs to know of the workspaces. The list is never nil, which would stand for an unknown one.
+func (c *Catalog) EngineWorkspaces() []engine.Workspace {
+	out := []engine.Workspace{}
+	for _, w := range c.Workspaces {
+		out = append(out, engine.Workspace{Name: w.Name, Priority: w.Priority, Weight: w.Weight, Capped: w.Cap != (engine.Resources{})})
+	}
+	return out
+}
+
 // HasKeys reports whether callers identify themselves by keys. Without workspaces nobody has one.
 func (c *Catalog) HasKeys() bool { return len(c.Workspaces) > 0 }
 
--- a/cluster/terms.go
+++ b/cluster/terms.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"samphirepoint/engine"
 	"samphirepoint/observe"
 	"samphirepoint/owner"
 )
@@ -55,7 +56,13 @@
 		}
 		return
 	}
+	cat := n.catalog.Load()
+	var workspaces []engine.Workspace
+	if cat != nil {
+		workspaces = cat.EngineWorkspaces()
+	}
 	o := owner.New(ctx, owner.Settings{
+		Workspaces:            workspaces,
 		Pool:                  pool,
 		Token:                 token,
 		ClaimVer:              ver,
@@ -71,7 +78,7 @@
 		Now:                   n.settings.Now,
 	})
 	n.runTerm(pool, o, newOwnerTerm(pool, o))
-	if cat := n.catalog.Load(); cat != nil {
+	if cat != nil {
 		o.SetQueues(cat.QueuesOf(n.layout.Load().PoolOf(pool)))
 	}
 	n.rosterMu.Lock()
--- /dev/null
+++ b/engine/allotment.go
@@ -0,0 +1,125 @@
+package engine
+
+import "math"
+
+// Unlimited is the limit of a resource that isn't limited.
+const Unlimited = math.MaxInt64 / 4
+
+// Allotment is what a workspace may have running in the pool.
+type Allotment struct {
+	Limit Resources
+	// Sole is set while no other shard may run anything of the workspace. A task that exceeds the limit by itself then still runs, alone.
+	Sole bool
+}
+
+// Workspace holds a workspace's settings from the operators' configuration.
+type Workspace struct {
+	Name string
+	// Priority orders the workspaces where there is too little capacity: a lower number goes first.
+	Priority int
+	// Weight is the share of the pool relative to other workspaces, and the jobs a second up to which the workspace is entitled to service.
+	Weight float64
+	// Capped is set if the workspace has a cap.
+	Capped bool
+}
+
+// workspaces holds the workspaces of the configuration and what each has running in the pool.
+type workspaces struct {
+	// settings are those of the configuration, nil before they are known. Until then, no job of a workspace starts.
+	settings map[string]Workspace
+	// allotments are those of capped workspaces; one without an allotment starts nothing.
+	allotments map[string]Allotment
+	used       map[string]Resources
+}
+
+// SetWorkspaces sets the workspaces of the configuration.
+func (p *Pool) SetWorkspaces(list []Workspace) {
+	settings := map[string]Workspace{}
+	for _, w := range list {
+		settings[w.Name] = w
+	}
+	p.workspaces.settings = settings
+	p.placementNeeded = true
+}
+
+// SetAllotments replaces the allotments of some workspaces.
+func (p *Pool) SetAllotments(list map[string]Allotment) {
+	if p.workspaces.allotments == nil {
+		p.workspaces.allotments = map[string]Allotment{}
+	}
+	for name, a := range list {
+		p.workspaces.allotments[name] = a
+	}
+	p.placementNeeded = true
+}
+
+// LowerAllotments lowers the allotments of some workspaces to the given limits, but not below what they have running, and returns the limits
+// that are in force now.
+func (p *Pool) LowerAllotments(limits map[string]Resources) map[string]Resources {
+	out := map[string]Resources{}
+	for name, limit := range limits {
+		limit = limit.Max(p.workspaces.used[name])
+		out[name] = limit
+		p.SetAllotments(map[string]Allotment{name: {Limit: limit.Min(p.workspaces.allotments[name].Limit)}})
+	}
+	return out
+}
+
+// mayStart reports whether a workspace may have more running by the given resources.
+func (u *workspaces) mayStart(name string, need Resources) bool {
+	if name == "" || u.settings != nil && !u.settings[name].Capped {
+		return true
+	}
+	a, used := u.allotments[name], u.used[name]
+	return a.Limit.Covers(used.Add(need)) || a.Sole && used == (Resources{})
+}
+
+func (u *workspaces) add(name string, need Resources) {
+	if name == "" {
+		return
+	}
+	if u.used == nil {
+		u.used = map[string]Resources{}
+	}
+	u.used[name] = u.used[name].Add(need)
+}
+
+func (u *workspaces) remove(name string, need Resources) {
+	if name == "" {
+		return
+	}
+	if u.used[name] = u.used[name].Sub(need); u.used[name] == (Resources{}) {
+		delete(u.used, name)
+	}
+}
+
+// WorkspaceDemand is what a workspace has running, and what it could have running if neither workers nor its allotment were short.
+type WorkspaceDemand struct {
+	Used, Wanted Resources
+}
+
+// WorkspaceDemands returns the demand of the workspaces that have any.
+func (p *Pool) WorkspaceDemands(c Clock) map[string]WorkspaceDemand {
+	out := map[string]WorkspaceDemand{}
+	for name, used := range p.workspaces.used {
+		out[name] = WorkspaceDemand{Used: used, Wanted: used}
+	}
+	for _, j := range p.openJobs {
+		name := j.Spec.Workspace
+		if name == "" {
+			continue
+		}
+		d := out[name]
+		for o := range j.openOccurrences() {
+			for _, st := range o.steps {
+				if !st.complete() && st.dependenciesDone() {
+					d.Wanted = d.Wanted.Add(st.spec.Need.Times(st.countPending(c.Now)))
+				}
+			}
+		}
+		if d != (WorkspaceDemand{}) {
+			out[name] = d
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/engine/allotment_test.go
@@ -0,0 +1,41 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against starts beyond a workspace's allotment, in a pool with idle workers, and against a capped workspace that holds up the others.
+func TestStartsStayWithinTheAllotment(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool("pumps", 1, DefaultOptions(), 0)
+	c := Clock{Now: time.Second, Wall: 1_000_000}
+	p.SetWorkspaces([]Workspace{{Name: "capped", Capped: true}, {Name: "free"}})
+	p.SetRoster([]WorkerInfo{{ID: "w", Address: "a:1", Capacity: Resources{CPU: 64_000, Mem: 64_000}}}, c)
+	p.RenewalAnswered("w", RenewalReply{Incarnation: 1, ClockMS: 1}, c.Now, c)
+	submit := func(id, workspace string) {
+		p.Submit(Spec{ID: id, Queue: "q", Workspace: workspace, Steps: []Step{{Count: 8, Need: Resources{CPU: 1000, Mem: 10}}}}, c)
+	}
+	place := func() Resources {
+		p.RequestPlacement()
+		p.Place(c)
+		return p.WorkspaceDemands(c)["capped"].Used
+	}
+	submit("00000000000000a1", "capped")
+	submit("00000000000000a2", "free")
+	g.Expect(place()).To(Equal(Resources{}), "the allotment isn't known")
+	g.Expect(p.WorkspaceDemands(c)["free"].Used.CPU).To(Equal(int64(8000)))
+	p.SetAllotments(map[string]Allotment{"capped": {Limit: Resources{CPU: 500, Mem: Unlimited, GPU: Unlimited}}})
+	g.Expect(place()).To(Equal(Resources{}))
+	p.SetAllotments(map[string]Allotment{"capped": {Limit: Resources{CPU: 500, Mem: Unlimited, GPU: Unlimited}, Sole: true}})
+	g.Expect(place().CPU).To(Equal(int64(1000)), "one task that exceeds the cap runs alone")
+	p.SetAllotments(map[string]Allotment{"capped": {Limit: Resources{CPU: 5500, Mem: Unlimited, GPU: Unlimited}}})
+	g.Expect(place().CPU).To(Equal(int64(5000)))
+	g.Expect(p.WorkspaceDemands(c)["capped"].Wanted.CPU).To(Equal(int64(8000)))
+	lowered := p.LowerAllotments(map[string]Resources{"capped": {CPU: 2000, Mem: Unlimited, GPU: Unlimited}})
+	g.Expect(lowered["capped"].CPU).To(Equal(int64(5000)), "what runs keeps its allotment")
+	p.Cancel("00000000000000a1", c)
+	g.Expect(p.WorkspaceDemands(c)).NotTo(HaveKey("capped"))
+}
--- a/engine/model.go
+++ b/engine/model.go
@@ -29,6 +29,21 @@
 	return r.CPU >= o.CPU && r.Mem >= o.Mem && r.GPU >= o.GPU
 }
 
+// Times returns r n times.
+func (r Resources) Times(n int) Resources {
+	return Resources{CPU: r.CPU * int64(n), Mem: r.Mem * int64(n), GPU: r.GPU * int64(n)}
+}
+
+// Max returns the larger one of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{CPU: max(r.CPU, o.CPU), Mem: max(r.Mem, o.Mem), GPU: max(r.GPU, o.GPU)}
+}
+
+// Min returns the smaller one of each resource.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{CPU: min(r.CPU, o.CPU), Mem: min(r.Mem, o.Mem), GPU: min(r.GPU, o.GPU)}
+}
+
 // Step is a set of identical tasks of a job.
 type Step struct {
 	Count         int       `json:"n"`
--- a/engine/place.go
+++ b/engine/place.go
@@ -175,6 +175,16 @@
 	return slices.ContainsFunc(st.tasks, func(t *Task) bool { return t.pending(now) })
 }
 
+func (st *stepState) countPending(now time.Duration) int {
+	n := 0
+	for _, t := range st.tasks {
+		if t.pending(now) {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Pool) placeStep(cd candidate, workers []*Worker, c Clock) {
 	st := cd.step
 	if p.queueOf(st.occ.job).Advised && !p.ensureTickets(st, workers, c) {
@@ -192,6 +202,9 @@
 		if !t.pending(c.Now) {
 			continue
 		}
+		if !p.workspaces.mayStart(t.job().Spec.Workspace, st.spec.Need) {
+			return
+		}
 		w := p.chooseWorker(t, workers, rack, c)
 		if w == nil {
 			if cd.longRunning {
@@ -242,8 +255,7 @@
 	if tk, ok := t.step.tickets[w.ID]; ok {
 		r.ticket = tk.code
 	}
-	t.live = append(t.live, r)
-	w.add(r)
+	p.addRun(r)
 	p.countPending(r, false)
 	p.markDirty(t.job())
 	r.rev = t.job().rev
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -84,6 +84,7 @@
 	candidateBuffer []candidate
 	usableBuffer    []*Worker
 	nextExpiry      time.Duration
+	workspaces      workspaces
 }
 
 // Decision is a scheduling decision to be logged.
@@ -249,8 +250,7 @@
 	for _, rr := range tr.Live {
 		w := p.ensureWorker(rr.Worker)
 		r := &Run{Task: t, Num: rr.Run, Worker: w, incarnation: rr.Incarnation, phase: phaseInherited, throttlePercent: inheritedThrottlePercent}
-		t.live = append(t.live, r)
-		w.add(r)
+		p.addRun(r)
 	}
 }
 
@@ -303,11 +303,19 @@
 	}
 }
 
+// addRun adds a run to its task, its worker and the use of its workspace.
+func (p *Pool) addRun(r *Run) {
+	r.Task.live = append(r.Task.live, r)
+	r.Worker.add(r)
+	p.workspaces.add(r.Task.job().Spec.Workspace, r.Task.step.spec.Need)
+}
+
 // dropRun removes a run that is certainly not on its worker.
 func (p *Pool) dropRun(r *Run) {
 	r.Task.waitingSince = p.now
 	r.Worker.remove(r)
 	r.Task.removeRun(r)
+	p.workspaces.remove(r.Task.job().Spec.Workspace, r.Task.step.spec.Need)
 	p.countPending(r, true)
 	p.placementNeeded = true
 	p.noRoom = p.noRoom[:0]
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -198,6 +198,11 @@
 // SetQueues updates the pool's queues from the operators' configuration.
 func (o *Owner) SetQueues(queues []engine.Queue) { o.post(func() { o.pool.SetQueues(queues) }) }
 
+// SetWorkspaces updates the workspaces from the operators' configuration.
+func (o *Owner) SetWorkspaces(list []engine.Workspace) {
+	o.post(func() { o.pool.SetWorkspaces(list) })
+}
+
 // SetRoster updates the pool's workers from the platform's list.
 func (o *Owner) SetRoster(list []engine.WorkerInfo) {
 	o.post(func() {
--- a/owner/load.go
+++ b/owner/load.go
@@ -59,6 +59,9 @@
 	}
 	o.pool = engine.NewPool(o.settings.Pool, o.settings.Token, o.settings.Options, o.settings.Now())
 	o.pool.ClaimConfirmed(o.claimedAt)
+	if o.settings.Workspaces != nil {
+		o.pool.SetWorkspaces(o.settings.Workspaces)
+	}
 	o.awaitKnownToAll()
 	for id, r := range primary {
 		if err := o.loadJob(id, r, standby[id]); err != nil {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -68,6 +68,8 @@
 	Adviser  Adviser
 	// WorkersWithOpenOrders lists the workers whose instances have an open order, which may be executed at any time. It may be nil.
 	WorkersWithOpenOrders func(ctx context.Context) ([]string, error)
+	// Workspaces are those of the configuration when the term begins, nil if they aren't known.
+	Workspaces []engine.Workspace
 	// ClaimedAt is a time before which the claim was not written, on the monotonic clock; 0 stands for the time of New.
 	ClaimedAt time.Duration
 	// KnownToAll returns the time from which former owners can't take their claim for current because they don't know of this daemon. It moves
