Keep the cap of a workspace across all owners by shares in the store

Change: package quota divides a cap among the shards, one row of the store per workspace; each owner changes only its own share, on condition that it has seen the newest row. A share is used after the write that raised it, and lowered before the write that lowers it.

--- a/cluster/heartbeat.go
+++ b/cluster/heartbeat.go
@@ -62,13 +62,7 @@
 func (n *Node) interval() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	owners := 0
-	for _, o := range n.view.members {
-		if len(o.Pools) > 0 {
-			owners++
-		}
-	}
-	base := max(heartbeatInterval, time.Duration(owners)*heartbeatIntervalPerOwner)
+	base := max(heartbeatInterval, time.Duration(n.view.countOwners())*heartbeatIntervalPerOwner)
 	latency := n.heartbeatLatency
 	if len(n.owned) > 0 {
 		latency = min(latency, maxOwnerLatency)
--- a/cluster/members.go
+++ b/cluster/members.go
@@ -111,6 +111,17 @@
 	return max(v.deadAfter, time.Duration(deadHeartbeats*float64(own)))
 }
 
+// countOwners returns the number of members that own something.
+func (v *View) countOwners() int {
+	owners := 0
+	for _, o := range v.members {
+		if len(o.Pools) > 0 {
+			owners++
+		}
+	}
+	return owners
+}
+
 // Refused records that a daemon's address refused a connection, which indicates that its process has ended.
 func (v *View) Refused(node string) {
 	if o := v.members[node]; o != nil {
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -14,6 +14,7 @@
 	"samphirepoint/engine"
 	"samphirepoint/network"
 	"samphirepoint/owner"
+	"samphirepoint/quota"
 	"samphirepoint/rows"
 	"samphirepoint/shard"
 )
@@ -75,6 +76,7 @@
 	// layout has the shards of the pools, as far as this daemon has read them; assignments has those of the workers.
 	layout      atomic.Pointer[shard.Layout]
 	assignments *shard.Assignments
+	quotas      *quota.Keeper
 	// rosterMu is held while a list of workers is passed to the owners.
 	rosterMu sync.Mutex
 	// unassignedSince is when this daemon first found each worker that has no shard, unlistedSince when it first missed each worker
@@ -136,7 +138,7 @@
 
 // NewNode returns a node that has not joined the cluster yet; Run joins it.
 func NewNode(s Settings) *Node {
-	return &Node{
+	n := &Node{
 		settings:           s,
 		assignments:        &shard.Assignments{Store: s.Store},
 		unassignedSince:    map[string]time.Duration{},
@@ -155,6 +157,8 @@
 		declined:           map[string]time.Duration{},
 		unreachable:        map[string]time.Duration{},
 	}
+	n.quotas = n.newQuotaKeeper()
+	return n
 }
 
 // SetCatalog puts a version of the configuration in force, unless it is not newer than the current one.
@@ -166,6 +170,7 @@
 	n.catalog.Store(c)
 	n.settings.Log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Msg("configuration in force")
 	n.setQueues()
+	n.quotas.Wake()
 	n.Wake()
 }
 
--- a/cluster/terms.go
+++ b/cluster/terms.go
@@ -73,6 +73,7 @@
 		Workers:               n.settings.Workers,
 		Adviser:               n.settings.Adviser,
 		WorkersWithOpenOrders: n.settings.WorkersWithOpenOrders,
+		AllotmentShort:        n.quotas.Wake,
 		Options:               n.settings.Options,
 		Log:                   n.settings.Log,
 		Now:                   n.settings.Now,
@@ -85,6 +86,7 @@
 	n.passRosterTo(pool, o)
 	n.rosterMu.Unlock()
 	wake(n.wakeRoster)
+	n.quotas.Wake()
 	n.announce(ctx, pool, token)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -127,6 +127,7 @@
 	g.Go(func() error { return d.lateness.Run(ctx) })
 	g.Go(func() error { return d.store.FollowOperator(ctx, d.operator()) })
 	g.Go(func() error { return d.node.Run(ctx) })
+	g.Go(func() error { return d.node.KeepQuotas(ctx) })
 	g.Go(func() error { return d.node.FollowRoster(ctx, workerListInterval) })
 	g.Go(func() error { return watchFile(ctx, os.Getenv(platform.SettingsVariable), watchInterval, r.changed) })
 	g.Go(func() error {
--- a/engine/allotment.go
+++ b/engine/allotment.go
@@ -30,6 +30,8 @@
 	// allotments are those of capped workspaces; one without an allotment starts nothing.
 	allotments map[string]Allotment
 	used       map[string]Resources
+	// short is set when a start was held up by an allotment.
+	short bool
 }
 
 // SetWorkspaces sets the workspaces of the configuration.
@@ -71,7 +73,18 @@
 		return true
 	}
 	a, used := u.allotments[name], u.used[name]
-	return a.Limit.Covers(used.Add(need)) || a.Sole && used == (Resources{})
+	if a.Limit.Covers(used.Add(need)) || a.Sole && used == (Resources{}) {
+		return true
+	}
+	u.short = true
+	return false
+}
+
+// TakeAllotmentShortage reports whether an allotment has held up a start since the last call.
+func (p *Pool) TakeAllotmentShortage() bool {
+	short := p.workspaces.short
+	p.workspaces.short = false
+	return short
 }
 
 func (u *workspaces) add(name string, need Resources) {
@@ -96,6 +109,8 @@
 // WorkspaceDemand is what a workspace has running, and what it could have running if neither workers nor its allotment were short.
 type WorkspaceDemand struct {
 	Used, Wanted Resources
+	// Unit is the most that a single start needs: that of a task, or of all members of a gang.
+	Unit Resources
 }
 
 // WorkspaceDemands returns the demand of the workspaces that have any.
@@ -112,9 +127,16 @@
 		d := out[name]
 		for o := range j.openOccurrences() {
 			for _, st := range o.steps {
-				if !st.complete() && st.dependenciesDone() {
-					d.Wanted = d.Wanted.Add(st.spec.Need.Times(st.countPending(c.Now)))
+				n := st.countPending(c.Now)
+				if n == 0 || !st.dependenciesDone() {
+					continue
+				}
+				d.Wanted = d.Wanted.Add(st.spec.Need.Times(n))
+				unit := st.spec.Need
+				if st.spec.Gang {
+					unit = unit.Times(n)
 				}
+				d.Unit = d.Unit.Max(unit)
 			}
 		}
 		if d != (WorkspaceDemand{}) {
--- a/engine/gang.go
+++ b/engine/gang.go
@@ -14,6 +14,9 @@
 		}
 		run = max(run, t.lastRun+1)
 	}
+	if !p.workspaces.mayStart(st.occ.job.Spec.Workspace, st.spec.Need.Times(len(st.tasks))) {
+		return
+	}
 	checkpoint := st.gangCheckpoint()
 	plan := p.planGang(st, workers, c)
 	if plan == nil {
--- a/engine/speculate.go
+++ b/engine/speculate.go
@@ -33,6 +33,9 @@
 		if r.phase == phaseDecided || (c.Now-r.startedAt < limit && !stuck) {
 			continue
 		}
+		if !p.workspaces.mayStart(t.job().Spec.Workspace, st.spec.Need) {
+			return
+		}
 		w := p.chooseWorker(t, workers, "", c)
 		if w == nil || w == r.Worker || float64(w.info.Capacity.CPU-w.used.CPU-st.spec.Need.CPU) < minFreeAfterCopy*float64(w.info.Capacity.CPU) {
 			continue
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -78,6 +78,8 @@
 	// ConfirmByPeers asks other daemons whether the claim of a part with the given token and version is current, while this daemon can't read it. It
 	// fails if they can't tell; by says how they know. It may be nil.
 	ConfirmByPeers func(ctx context.Context, part string, token, ver int64) (current bool, by string, err error)
+	// AllotmentShort is called when an allotment holds up a start. It must not block; it may be nil.
+	AllotmentShort func()
 	Options        engine.Options
 	Log            zerolog.Logger
 	// Now reads the monotonic clock.
@@ -238,6 +240,10 @@
 func (o *Owner) flush(c engine.Clock) {
 	o.commit(c)
 	o.dispatch(c)
+	if o.pool.TakeAllotmentShortage() && o.settings.AllotmentShort != nil {
+		observe.Count("quota.shortages")
+		o.settings.AllotmentShort()
+	}
 	for _, a := range o.pool.TakeAdviceRequests() {
 		go o.advise(a)
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,30 +18,28 @@
 	Token int64 `json:"t"`
 	// Granted is what the shard may have running.
 	Granted engine.Resources `json:"g"`
-	// Wanted is what the shard could have running, when that was last of interest to the other shards.
+	// Wanted is what the shard could have running, if that is more than Granted, and Unit the most that a single start needs then. Both are
+	// written only when the others need to know, as each change is a write.
 	Wanted engine.Resources `json:"w,omitzero"`
+	Unit   engine.Resources `json:"u,omitzero"`
 }
 
+// lacks reports whether the shard could use more than it has.
+func (s Share) lacks() bool { return s.Wanted != (engine.Resources{}) }
+
 // Ledger is the division of one workspace's cap.
 type Ledger struct {
 	Shares map[string]Share `json:"s"`
 }
 
-// Demand is what a shard has running of a workspace, and what it would have running with enough capacity and allotment.
-type Demand struct {
-	Used, Wanted engine.Resources
-}
-
 // Limit returns what the shard may have running under the cap. After the cap was lowered, the shards scale their shares down
 // by the same factor until each has written a smaller one.
 func (l Ledger) Limit(shard string, limit engine.Resources) engine.Allotment {
-	granted := l.Shares[shard].Granted
-	sum := l.sum()
-	out := engine.Allotment{
-		Limit: perResource(func(r resource) int64 { return scaled(r(&granted), r(&sum), r(&limit)) }),
+	granted, sum := l.Shares[shard].Granted, l.sum()
+	out := engine.Allotment{Sole: sum == granted}
+	for _, r := range resources {
+		*r(&out.Limit) = scaled(*r(&granted), *r(&sum), *r(&limit))
 	}
-	others := sum.Sub(granted)
-	out.Sole = others == (engine.Resources{})
 	return out
 }
 
@@ -66,83 +64,120 @@
 }
 
 // Plan returns the share that a shard's owner should write now, and whether it differs from the present one. A share that shrinks may be
-// used no more before it is written, and one that grows not before the write has succeeded.
-func (l Ledger) Plan(shard string, token int64, limit engine.Resources, d Demand) (Share, bool) {
+// used no more before it is written, and one that grows not before the write has succeeded. wallMS is the Unix time in milliseconds.
+func (l Ledger) Plan(shard string, token int64, limit engine.Resources, d engine.WorkspaceDemand, wallMS int64) (Share, bool) {
 	present, known := l.Shares[shard]
-	if !known && d == (Demand{}) {
+	if !known && d == (engine.WorkspaceDemand{}) {
 		return present, false
 	}
-	next := Share{
-		Token: token,
-		Granted: perResource(func(r resource) int64 {
-			return l.plan(shard, r, r(&limit), r(&d.Used), r(&d.Wanted))
-		}),
+	next := Share{Token: token}
+	lacking := l.lackingShards(shard, limit, d)
+	for _, r := range resources {
+		*r(&next.Granted) = l.plan(shard, r, limit, d, lacking, wallMS)
 	}
-	next.Wanted = l.published(present, next.Granted, d.Wanted, limit)
+	next.Wanted, next.Unit = published(present, next.Granted, d, limit)
 	return next, next != present
 }
 
-// published returns the demand that a share states. It changes only when others need to know, as each change is a write: when the shard begins or
-// ends to lack something.
-func (l Ledger) published(present Share, granted, wanted, limit engine.Resources) engine.Resources {
-	lacks := perResource(func(r resource) int64 {
-		if r(&limit) == 0 || r(&wanted) <= r(&granted) {
-			return 0
+// lackingShards returns the shards that could use more than they have, ordered by name.
+func (l Ledger) lackingShards(shard string, limit engine.Resources, d engine.WorkspaceDemand) []string {
+	var out []string
+	for name, s := range l.Shares {
+		if name != shard && s.lacks() {
+			out = append(out, name)
 		}
-		return r(&wanted)
-	})
-	if lacks == (engine.Resources{}) {
-		return engine.Resources{}
 	}
-	if present.Wanted != (engine.Resources{}) && lacks.Covers(present.Wanted) && doubled(present.Wanted).Covers(lacks) {
-		return present.Wanted
+	if beyond(d.Wanted, l.Shares[shard].Granted, limit) != (engine.Resources{}) {
+		out = append(out, shard)
 	}
-	return lacks
+	slices.Sort(out)
+	return out
 }
 
-func doubled(r engine.Resources) engine.Resources { return r.Add(r) }
+// beyond returns the wanted amount of each capped resource of which more is wanted than granted.
+func beyond(wanted, granted, limit engine.Resources) engine.Resources {
+	var out engine.Resources
+	for _, r := range resources {
+		if *r(&limit) > 0 && *r(&wanted) > *r(&granted) {
+			*r(&out) = *r(&wanted)
+		}
+	}
+	return out
+}
 
-// idleFactor is how many times its request a shard may hold before it gives back the rest although no other shard lacks anything. Another one
-// then needs no time to ask for it.
-const idleFactor = 2
+// published returns the demand that a share states. It changes when the shard begins or ceases to lack something, or lacks twice as much or half.
+func published(present Share, granted engine.Resources, d engine.WorkspaceDemand, limit engine.Resources) (wanted, unit engine.Resources) {
+	wanted = beyond(d.Wanted, granted, limit)
+	switch {
+	case wanted == (engine.Resources{}):
+		return engine.Resources{}, engine.Resources{}
+	case present.lacks() && wanted.Times(2).Covers(present.Wanted) && present.Wanted.Times(2).Covers(wanted) && present.Unit.Covers(d.Unit):
+		return present.Wanted, present.Unit
+	}
+	return wanted, d.Unit
+}
+
+const (
+	// idleFactor is how many times its request, besides its headroom, a shard may hold before it gives back the rest although no other shard
+	// lacks anything.
+	idleFactor = 2
+	// turnMS is how long one shard goes first, in milliseconds, where an equal part of the cap is too little for a task.
+	turnMS = 1000
+	// minUnitsPerPart is the number of the largest tasks that an equal part of the cap must hold for the cap to be divided equally.
+	minUnitsPerPart = 2
+)
 
 // plan returns the share of one resource.
-func (l Ledger) plan(shard string, r resource, limit, used, wanted int64) int64 {
+func (l Ledger) plan(shard string, r resource, limits engine.Resources, d engine.WorkspaceDemand, lacking []string, wallMS int64) int64 {
+	limit, used, wanted := *r(&limits), *r(&d.Used), *r(&d.Wanted)
 	if limit == 0 {
 		return 0
 	}
 	own := l.Shares[shard]
-	granted := r(&own.Granted)
-	free, lacking := limit-granted, int64(0)
+	granted := *r(&own.Granted)
+	free, missing, unit := limit-granted, int64(0), *r(&d.Unit)
 	wants := []int64{wanted}
 	for name, s := range l.Shares {
 		if name == shard {
 			continue
 		}
-		free -= r(&s.Granted)
-		lacking += max(r(&s.Wanted)-r(&s.Granted), 0)
-		wants = append(wants, max(r(&s.Wanted), min(r(&s.Granted), limit)))
+		free -= *r(&s.Granted)
+		missing += max(*r(&s.Wanted)-*r(&s.Granted), 0)
+		unit = max(unit, *r(&s.Unit))
+		wants = append(wants, max(*r(&s.Wanted), min(*r(&s.Granted), limit)))
 	}
+	headroom := limit / int64(2*len(wants))
 	request := int64(0)
 	if wanted > 0 {
-		request = min(wanted+limit/int64(2*len(wants)), limit)
+		request = min(wanted+headroom, limit)
 	}
-	contended := lacking > max(free, 0)
+	contended := missing > max(free, 0)
 	if contended {
-		wants[0] = wanted
-		request = min(request, max(fairShare(wants, limit), min(used, limit)))
+		request = min(wanted, limit, max(used, fairPart(shard, wants, limit, unit, lacking, wallMS)))
 	}
 	switch {
 	case free < 0: // The cap was lowered.
 		return max(min(granted, request, scaled(granted, limit-free, limit)), used)
 	case request > granted && wanted > granted:
 		return min(request, granted+free)
-	case request < granted && (contended || granted > idleFactor*request):
+	case request < granted && (contended || granted > idleFactor*request+headroom):
 		return max(request, used)
 	}
 	return granted
 }
 
+// fairPart returns the part of the cap that a shard, whose want is the first, may have while some shard lacks. Where an equal part is too little for
+// some task, the lacking shards take turns instead: divided equally, the cap would let nobody start anything.
+func fairPart(shard string, wants []int64, limit, unit int64, lacking []string, wallMS int64) int64 {
+	if limit/int64(len(wants)) >= minUnitsPerPart*unit {
+		return fairShare(wants, limit)
+	}
+	if turn := wallMS / turnMS % int64(max(len(lacking), 1)); len(lacking) > 0 && lacking[turn] == shard {
+		return limit
+	}
+	return 0
+}
+
 // fairShare returns what max-min fairness gives the first of several wants.
 func fairShare(wants []int64, limit int64) int64 {
 	first := wants[0]
@@ -158,13 +193,10 @@
 }
 
 // resource selects one of the resources.
-type resource func(*engine.Resources) int64
+type resource func(*engine.Resources) *int64
 
-// perResource computes each resource by itself.
-func perResource(f func(resource) int64) engine.Resources {
-	return engine.Resources{
-		CPU: f(func(r *engine.Resources) int64 { return r.CPU }),
-		Mem: f(func(r *engine.Resources) int64 { return r.Mem }),
-		GPU: f(func(r *engine.Resources) int64 { return r.GPU }),
-	}
+var resources = []resource{
+	func(r *engine.Resources) *int64 { return &r.CPU },
+	func(r *engine.Resources) *int64 { return &r.Mem },
+	func(r *engine.Resources) *int64 { return &r.GPU },
 }
