Give instances to waiting work before a pool that only expects its peak

Change: pools whose work arrives or waits now come before those that only expect their peak, and may take their instances.

--- a/upkeep/forecast.go
+++ b/upkeep/forecast.go
@@ -217,6 +217,12 @@
 	return ok && now > next-moveLeadTime && now < next+f.peakLength(d)/2
 }
 
+// spiking reports whether a peak period of the pool is in progress.
+func (f *Forecast) spiking(pool string) bool {
+	d := f.pools[pool]
+	return d != nil && d.spiking
+}
+
 // OffPeak reports whether the pool's last peak period is over and the next one is not near. While the interval is unknown,
 // the next one counts as near once all other pools have had a peak and the present one is about to end, unless all pools are off-peak.
 func (f *Forecast) OffPeak(pool string, now time.Duration) bool {
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -71,8 +71,8 @@
 }
 
 // donor takes an instance for a pool from the spare pool, or else one from the pool with the largest surplus, empty ones
-// first. Only an urgent pool gets one that the donor may miss later: pools that merely restore their size would otherwise take
-// instances from each other in a circle.
+// first. Only a pool whose work arrives or waits now gets one that the donor may miss later: pools that merely restore their size would otherwise take
+// instances from each other in a circle. A pool that only expects its peak is such a donor, as the forecast may be wrong.
 func (s *State) donor(spares *[]Instance, sizes []poolSize, to poolSize) string {
 	if n := len(*spares); n > 0 {
 		id := (*spares)[n-1].ID
@@ -89,7 +89,7 @@
 			best = p
 		}
 	}
-	if best == nil && to.urgent {
+	if best == nil && to.urgent && !to.expected {
 		best = largestReserveDonor(sizes, to.pool)
 	}
 	if best == nil {
@@ -99,7 +99,7 @@
 	return i.ID
 }
 
-// largestReserveDonor returns the pool outside its peak period that can best spare an empty instance although it has no surplus,
+// largestReserveDonor returns the pool without a present peak that can best spare an empty instance although it has no surplus,
 // or nil.
 func largestReserveDonor(sizes []poolSize, to string) *poolSize {
 	var best *poolSize
--- a/upkeep/moves_test.go
+++ b/upkeep/moves_test.go
@@ -58,6 +58,39 @@
 	g.Expect(s.PlanMoves(f, map[string]time.Duration{})).To(BeEmpty())
 }
 
+// Load pattern: peaks by turns, of which the last one goes on although another pool's turn was expected. Guards against instances that stand idle in
+// the pool with the wrong forecast while work waits in the other one.
+func TestWaitingWorkGoesBeforeExpectedPeak(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	s := fleet(0, map[string]int{"letters": 10, "pumps": 10, "routes": 40, "common": 0})
+	s.Baseline["routes"] = 10
+	now := time.Duration(0)
+	for _, pool := range []string{"letters", "pumps", "letters", "pumps"} {
+		for _, other := range []string{"letters", "pumps", "routes"} {
+			load := 10.0
+			if other == pool {
+				load = 900
+			}
+			feed(f, other, load, now, 5*time.Second, 10*testCapacity)
+		}
+		now += 5 * time.Second
+	}
+	f.pools["routes"].starts, f.pools["routes"].ends = []time.Duration{0, now - f.interval()}, []time.Duration{4 * time.Second}
+	f.pools["routes"].lastPeak, f.pools["routes"].spiking = 40*testCapacity, false
+	s.Now = feed(f, "pumps", 900, now, 500*time.Millisecond, 10*testCapacity)
+	g.Expect(f.PeakExpected("routes", s.Now)).To(BeTrue())
+	r := s.Reports["pumps"]
+	r.UsedCPU, r.PendingCPU = r.CapacityCPU, 2*r.CapacityCPU
+	s.Reports["pumps"] = r
+	counts := map[string]int{}
+	for _, to := range s.PlanMoves(f, map[string]time.Duration{}) {
+		counts[to]++
+	}
+	g.Expect(counts["pumps"]).To(BeNumerically(">=", 15))
+	g.Expect(counts["routes"]).To(BeZero())
+}
+
 // Load pattern: a fleet that is switched on, whose instances are listed as down at first. Guards against moving the first
 // instances that are up to pools whose own instances are about to be up: 235 moves were once made before the first job.
 func TestStartingInstancesCount(t *testing.T) {
--- a/upkeep/poolsize.go
+++ b/upkeep/poolsize.go
@@ -37,8 +37,9 @@
 	desired int
 	// missing is the number of instances that single shards of the pool lack, whatever the pool has as a whole.
 	missing int
-	// urgent is set while the pool's peak period lasts or is near, and while its tasks wait for capacity.
-	urgent bool
+	// urgent is set while the pool's peak period lasts or is near, and while its tasks wait for capacity. expected is set if nothing but the
+	// forecast makes it urgent.
+	urgent, expected bool
 	// minimum is the number of instances that the pool keeps when it is a donor for another pool.
 	minimum int
 	// empty are the pool's instances that can be released now; busy are others without long-running tasks, cordoned ones
@@ -53,6 +54,17 @@
 // reserve returns by how many instances the pool exceeds what it keeps as a donor.
 func (p *poolSize) reserve() int { return p.current - p.minimum }
 
+// rank orders the pools that lack instances: those whose work arrives or waits now, those that expect their peak, then those that restore their size.
+func (p *poolSize) rank() int {
+	switch {
+	case p.expected:
+		return 1
+	case p.urgent:
+		return 0
+	}
+	return 2
+}
+
 // take removes and returns the best instance to release, if there is one.
 func (p *poolSize) take() (Instance, bool) {
 	list := &p.empty
@@ -68,7 +80,7 @@
 	return i, true
 }
 
-// poolSizes computes the desired size of each pool that is not spare: the urgent ones first, then the largest shortage first.
+// poolSizes computes the desired size of each pool that is not spare, ordered by rank and then the largest shortage first.
 func (s *State) poolSizes(f *Forecast) []poolSize {
 	var out []poolSize
 	for pool, r := range s.Reports {
@@ -79,8 +91,12 @@
 		p.desired = s.desiredSize(pool, r, f, p.current)
 		p.minimum = p.desired
 		peak := f.PeakExpected(pool, s.Now)
-		p.urgent = peak || r.LongRunningPending() || r.UsedCPU+r.PendingCPU > r.CapacityCPU
-		if !peak {
+		lacking := r.LongRunningPending() || r.UsedCPU+r.PendingCPU > r.CapacityCPU
+		p.urgent, p.expected = peak || lacking, peak && !lacking && !f.spiking(pool)
+		switch {
+		case p.expected:
+			p.minimum = min(p.desired, max(s.Baseline[pool], ceilDiv(backlogMargin*float64(r.UsedCPU+r.PendingCPU), s.instanceCPU(pool))))
+		case !peak:
 			p.minimum = min(p.desired, ceilDiv(donorShare*float64(p.desired), 1))
 		}
 		p.empty, p.busy = s.releasable(pool, r)
@@ -88,7 +104,7 @@
 		out = append(out, p)
 	}
 	slices.SortFunc(out, func(a, b poolSize) int {
-		return cmp.Or(cmp.Compare(rankTrueFirst(a.urgent), rankTrueFirst(b.urgent)), cmp.Compare(b.desired-b.current, a.desired-a.current), cmp.Compare(a.pool, b.pool))
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(b.desired-b.current, a.desired-a.current), cmp.Compare(a.pool, b.pool))
 	})
 	return out
 }
