Explain where a job would be placed, without submitting it

Cause: operators could ask only for jobs that were submitted (status jobs ID).

Change: samphirepoint explain asks a daemon at its diagnostics address (POST /status/placement), which asks the owner of the job's shard with the new operation explain-placement. The engine builds the job's first occurrence without adding it, and gives it to the functions that Place uses, so that the explanation follows their changes. The owner adds the refusal by the checks of a submission. The choice of the worker to reserve is now a function of its own, and status jobs ID names an allotment that is in use as the reason why a task waits.

--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -63,6 +63,8 @@
 
 	Report *engine.PoolReport `json:"report,omitempty"`
 	Job    *engine.JobReport  `json:"job,omitempty"`
+	// Placement is the answer to OpExplainPlacement.
+	Placement *engine.PlacementReport `json:"placement,omitempty"`
 }
 
 // The operations of a Call.
@@ -80,6 +82,7 @@
 	OpWorkerTerminated = "gone"
 	OpWorkerAbsent     = "absent"
 	OpExplain          = "explain"
+	OpExplainPlacement = "explain-placement"
 	OpPing             = "ping"
 	OpReadClaim        = "claim"
 	OpLaterTerm        = "later"
@@ -262,6 +265,13 @@
 		var j engine.JobReport
 		j, res.Known, err = o.Explain(ctx, call.ID)
 		res.Job = &j
+	case OpExplainPlacement:
+		if call.Spec == nil {
+			return res, verdict.New(verdict.NotRun, http.StatusBadRequest, "the call has no job")
+		}
+		var r engine.PlacementReport
+		r, err = o.ExplainPlacement(ctx, *call.Spec)
+		res.Placement = &r
 	default:
 		err = verdict.New(verdict.NotRun, http.StatusBadRequest, "unknown operation %q", call.Op)
 	}
--- a/cluster/status.go
+++ b/cluster/status.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
 
 	"samphirepoint/engine"
+	"samphirepoint/verdict"
 )
 
 // Ownership is a shard of a pool, or the fleet controller role, with the daemon that owns it.
@@ -37,18 +39,23 @@
 	slices.Sort(names)
 	var out []Ownership
 	for _, name := range names {
-		o := Ownership{Pool: n.layout.Load().PoolOf(name)}
-		if o.Pool != name {
-			o.Shard = name
-		}
-		if m, ok := Owner(alive, name); ok {
-			o.Node, o.Token = m.Node, m.Pools[name]
-		}
-		out = append(out, o)
+		out = append(out, n.ownership(alive, name))
 	}
 	return out
 }
 
+// ownership returns the owner of a shard or role among the given members.
+func (n *Node) ownership(alive []Member, name string) Ownership {
+	o := Ownership{Pool: n.layout.Load().PoolOf(name)}
+	if o.Pool != name {
+		o.Shard = name
+	}
+	if m, ok := Owner(alive, name); ok {
+		o.Node, o.Token = m.Node, m.Pools[name]
+	}
+	return o
+}
+
 // Explain asks the owners of all shards about a job, as its ID doesn't identify its pool. It returns the pool that has the job.
 func (n *Node) Explain(ctx context.Context, id string) (pool string, job engine.JobReport, known bool, err error) {
 	c := n.catalog.Load()
@@ -74,3 +81,24 @@
 	}
 	return pool, job, known, err
 }
+
+// Shards returns the number of shards of a pool, or 0 if it isn't known.
+func (n *Node) Shards(pool string) int { return n.layout.Load().Count(pool) }
+
+// ExplainPlacement asks the owner of the shard to which a job of the pool would belong how it would treat the job. It returns the shard with
+// its owner also if the owner doesn't answer.
+func (n *Node) ExplainPlacement(ctx context.Context, pool string, spec engine.Spec) (Ownership, engine.PlacementReport, error) {
+	name, ok := n.layout.Load().OfJob(pool, spec.ID)
+	if !ok {
+		return Ownership{Pool: pool}, engine.PlacementReport{}, noOwner(pool)
+	}
+	o := n.ownership(n.Alive(), name)
+	res, err := n.attempt(ctx, Call{Op: OpExplainPlacement, Pool: name, Spec: &spec})
+	switch {
+	case err != nil:
+		return o, engine.PlacementReport{}, err
+	case res.Placement == nil:
+		return o, engine.PlacementReport{}, verdict.New(verdict.NotRun, http.StatusBadGateway, "the owner of %s sent no report", name)
+	}
+	return o, *res.Placement, nil
+}
--- a/command/all.go
+++ b/command/all.go
@@ -11,6 +11,7 @@
 		&compareCommand{},
 		&daemonCommand{},
 		&statusCommand{},
+		&explainCommand{},
 		&entryCommand{},
 		versionCommand{},
 		standinCommand{},
--- a/command/main.go
+++ b/command/main.go
@@ -87,7 +87,7 @@
 		names []string
 	}{
 		{"Run", []string{"daemon", "entry", "settings", "token", "version"}},
-		{"Inspect, through any daemon on the users' platform", []string{"status"}},
+		{"Inspect, through any daemon on the users' platform", []string{"status", "explain"}},
 		{"Operate, through the admin API of any entry", []string{"table", "pool", "maintenance"}},
 		{"Test and benchmark on loopback", []string{"dev", "load", "compare", "soak", "standin"}},
 	} {
--- a/command/status.go
+++ b/command/status.go
@@ -52,7 +52,11 @@
 
 // Execute implements subcommands.Command.
 func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	err := c.run(ctx, f.Args(), os.Stdout)
+	return reportError(c.run(ctx, f.Args(), os.Stdout))
+}
+
+// reportError prints an error of a command that asks a daemon, and returns the exit status.
+func reportError(err error) subcommands.ExitStatus {
 	var usage usageError
 	switch {
 	case err == nil:
@@ -68,7 +72,7 @@
 func (c *statusCommand) run(ctx context.Context, args []string, out io.Writer) error {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	address, err := c.address()
+	address, err := daemonAddress("at", c.at)
 	if err != nil {
 		return err
 	}
@@ -90,14 +94,14 @@
 	return c.print(out, statusViews[args[0]].value(&o), func() { printTable(out, statusViews[args[0]].rows(&o)) })
 }
 
-// address returns the address of -at, or that of the daemon that the settings file configures.
-func (c *statusCommand) address() (string, error) {
-	if c.at != "" {
-		return c.at, nil
+// daemonAddress returns the address that the named flag has, or that of the daemon that the settings file configures.
+func daemonAddress(flagName, value string) (string, error) {
+	if value != "" {
+		return value, nil
 	}
 	file := os.Getenv(platform.SettingsVariable)
 	if file == "" {
-		return "", usageErrorf("expected -at IP:PORT, or a settings file named by %s", platform.SettingsVariable)
+		return "", usageErrorf("expected -%s IP:PORT, or a settings file named by %s", flagName, platform.SettingsVariable)
 	}
 	set, err := platform.LoadSettings(file)
 	if err != nil {
--- a/daemon/status_test.go
+++ b/daemon/status_test.go
@@ -58,6 +58,29 @@
 	}
 }
 
+// Guards against a daemon that explains only the placements in pools that it owns, and against an explanation that submits the job.
+func TestAnyDaemonExplainsPlacements(t *testing.T) {
+	g := NewWithT(t)
+	d := deploy(t, 2)
+	for _, r := range d.daemons {
+		client := status.NewClient(r.settings.MetricsAddress(), http.DefaultClient)
+		for pool, queue := range map[string]string{"pumps": "q1", "routes": "q2"} {
+			spec := engine.Spec{ID: "00000000000000d2", Queue: queue, Steps: []engine.Step{{Count: 1, Need: engine.Resources{CPU: 500}, EstimateMS: 1000}}}
+			g.Eventually(func(g Gomega) {
+				p, err := client.Placement(context.Background(), spec)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(p.Pool).To(Equal(pool))
+				g.Expect(p.Node).NotTo(BeEmpty())
+				g.Expect(p.Unanswered).To(BeNil())
+				g.Expect(p.Report.Steps[0].Worker).NotTo(BeEmpty())
+				g.Expect(p.Report.Refusal).To(BeNil())
+			}, 20*time.Second, 50*time.Millisecond).Should(Succeed())
+			_, err := client.Job(context.Background(), spec.ID)
+			g.Expect(err).To(MatchError(ContainSubstring("no job 00000000000000d2 is known")))
+		}
+	}
+}
+
 // Guards against a job that counts as accepted, or known, since its request reached the diagnostics' address, where each path was answered
 // with 200.
 func TestDiagnosticsAnswerNoOtherPaths(t *testing.T) {
--- a/engine/explain.go
+++ b/engine/explain.go
@@ -75,14 +75,24 @@
 
 // pendingReason returns the first obstacle that keeps the step's waiting tasks from starting.
 func (p *Pool) pendingReason(st *stepState, c Clock) string {
-	workers := p.usableWorkers(c)
-	any := func(is func(*Worker) bool) bool { return slices.ContainsFunc(workers, is) }
-	labelled := func(w *Worker) bool { return w.hasLabel(st.spec.RequiredLabel) }
 	switch {
 	case !st.dependenciesDone():
 		return "earlier steps are not done"
 	case !st.hasPending(c.Now):
 		return "retry delay after a failure or a rejection"
+	}
+	if obstacle := p.workspaces.obstacle(st.occ.job.Spec.Workspace, st.spec.Need); obstacle != "" && !st.spec.Gang {
+		return obstacle
+	}
+	return p.placementObstacle(st, c)
+}
+
+// placementObstacle returns the first obstacle among the workers that keeps the step's tasks from starting.
+func (p *Pool) placementObstacle(st *stepState, c Clock) string {
+	workers := p.usableWorkers(c)
+	any := func(is func(*Worker) bool) bool { return slices.ContainsFunc(workers, is) }
+	labelled := func(w *Worker) bool { return w.hasLabel(st.spec.RequiredLabel) }
+	switch {
 	case len(workers) == 0:
 		return "no worker accepts new work"
 	case !any(labelled):
--- a/engine/reserve.go
+++ b/engine/reserve.go
@@ -5,24 +5,30 @@
 	"slices"
 )
 
-// reserve keeps shorter work off the worker with the most free CPU that could fit a long-running task, and preempts
-// lower-priority runs there. Capacity held by other long-running tasks is excluded, as it does not become free by
-// waiting, and so are workers that may not run the task, as it gets none of what becomes free there.
+// reserve keeps shorter work off the worker that workerToReserve selects, and preempts lower-priority runs there.
 func (p *Pool) reserve(t *Task, workers []*Worker, c Clock) {
+	best := p.workerToReserve(t, workers, func(w *Worker) bool { return w.reservedAt == c.Now }, c)
+	if best == nil {
+		return
+	}
+	best.reservedAt = c.Now
+	p.preempt(t, best, c)
+}
+
+// workerToReserve returns the unreserved worker with the most free CPU that could fit a long-running task, or nil. Capacity held by other
+// long-running tasks is excluded, as it does not become free by waiting, and so are workers that may not run the task, as it gets none of
+// what becomes free there.
+func (p *Pool) workerToReserve(t *Task, workers []*Worker, isReserved func(*Worker) bool, c Clock) *Worker {
 	var best *Worker
 	for _, w := range workers {
-		if !p.mayRun(t, w, c) || !w.info.Capacity.Sub(w.usedBy(isLongRunning)).Covers(t.step.spec.Footprint()) || w.reservedAt == c.Now {
+		if !p.mayRun(t, w, c) || !w.info.Capacity.Sub(w.usedBy(isLongRunning)).Covers(t.step.spec.Footprint()) || isReserved(w) {
 			continue
 		}
 		if best == nil || w.info.Capacity.CPU-w.used.CPU > best.info.Capacity.CPU-best.used.CPU {
 			best = w
 		}
 	}
-	if best == nil {
-		return
-	}
-	best.reservedAt = c.Now
-	p.preempt(t, best, c)
+	return best
 }
 
 // preempt stops runs of lower-priority queues until the task fits.
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -39,17 +39,25 @@
 
 // admit returns the reason why a job that isn't known yet can't be accepted now, or nil.
 func (o *Owner) admit(p *engine.Pool, spec *engine.Spec, c engine.Clock) error {
+	backlog, err := o.refusal(p, spec, c)
+	if backlog {
+		observe.Count("jobs.rejected_backlog")
+	}
+	return err
+}
+
+// refusal returns the reason why a job that isn't known yet can't be accepted now, or nil, and whether it is the backlog.
+func (o *Owner) refusal(p *engine.Pool, spec *engine.Spec, c engine.Clock) (backlog bool, err error) {
 	if p.Released(spec) {
-		return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "queue %s was released to another pool, which may have job %s", spec.Queue, spec.ID)
+		return false, verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "queue %s was released to another pool, which may have job %s", spec.Queue, spec.ID)
 	}
 	if o.storeUnavailable(c.Now) {
-		return errStoreUnavailable()
+		return false, errStoreUnavailable()
 	}
 	if retryAfter, ok := p.Admit(spec); !ok {
-		observe.Count("jobs.rejected_backlog")
-		return verdict.Unavailable(retryAfter, "pool %s has more accepted work than it can complete in time", o.settings.Pool)
+		return true, verdict.Unavailable(retryAfter, "pool %s has more accepted work than it can complete in time", o.settings.Pool)
 	}
-	return nil
+	return false, nil
 }
 
 // Cancel cancels a job. It reports false if the job is unknown to the workspace.
@@ -264,6 +272,21 @@
 	return r, known, err
 }
 
+// ExplainPlacement reports how a job would be treated if it were submitted now. It submits nothing.
+func (o *Owner) ExplainPlacement(ctx context.Context, spec engine.Spec) (engine.PlacementReport, error) {
+	var r engine.PlacementReport
+	err := o.WithState(ctx, func(p *engine.Pool, c engine.Clock) {
+		r = p.ExplainPlacement(spec, c)
+		if r.Exists {
+			return
+		}
+		if _, refusal := o.refusal(p, &spec, c); refusal != nil {
+			r.Refusal = engine.NewRefusalReport(refusal.Error(), verdict.RetryAfter(refusal))
+		}
+	})
+	return r, err
+}
+
 // ReportAbsent records a report that an incarnation of a worker has been on no instance for some time.
 func (o *Owner) ReportAbsent(ctx context.Context, worker string, incarnation int64) error {
 	return o.WithState(ctx, func(p *engine.Pool, c engine.Clock) { p.ReportAbsent(worker, incarnation, c) })
--- a/status/client.go
+++ b/status/client.go
@@ -1,6 +1,7 @@
 package status
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -8,6 +9,8 @@
 	"net/http"
 	"net/url"
 	"strings"
+
+	"samphirepoint/engine"
 )
 
 // Client reads the status of the fleet from a daemon.
@@ -36,8 +39,22 @@
 // maxErrorBytes bounds the part of an error response that is reported.
 const maxErrorBytes = 4 << 10
 
+// Placement asks where a job would be placed. The job's ID may be empty: the daemon then chooses one at random.
+func (c *Client) Placement(ctx context.Context, spec engine.Spec) (Placement, error) {
+	var p Placement
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return p, err
+	}
+	return p, c.request(ctx, http.MethodPost, pathPlacement, bytes.NewReader(body), &p)
+}
+
 func (c *Client) get(ctx context.Context, path string, out any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	return c.request(ctx, http.MethodGet, path, nil, out)
+}
+
+func (c *Client) request(ctx context.Context, method, path string, body io.Reader, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
 		return err
 	}
--- a/status/status.go
+++ b/status/status.go
@@ -1,5 +1,5 @@
 // Package status serves the status of the fleet to operators as one daemon sees it: owners, pools, queues, waves and what a job
-// is waiting for, as JSON and as an HTML page. It is read-only.
+// is waiting for, as JSON and as an HTML page, and explains where a job would be placed. It is read-only.
 //
 //	mux.Handle("/status/", status.Handler(fleet, waves))
 //	overview, err := status.NewClient("10.1.0.9:7075", http.DefaultClient).Overview(ctx)
@@ -32,6 +32,9 @@
 	Report(ctx context.Context, pool string) (engine.PoolReport, error)
 	Execute(ctx context.Context, call cluster.Call) (cluster.Result, error)
 	Explain(ctx context.Context, id string) (pool string, job engine.JobReport, known bool, err error)
+	// ExplainPlacement asks the owner of the shard of a job that isn't submitted how it would treat the job.
+	ExplainPlacement(ctx context.Context, pool string, spec engine.Spec) (cluster.Ownership, engine.PlacementReport, error)
+	Shards(pool string) int
 }
 
 // Waves lists the waves that operators have requested.
@@ -149,8 +152,9 @@
 
 // Paths of the HTTP interface.
 const (
-	pathOverview = "/status/overview"
-	pathJobs     = "/status/jobs/"
+	pathOverview  = "/status/overview"
+	pathJobs      = "/status/jobs/"
+	pathPlacement = "/status/placement"
 )
 
 // Handler serves the status as JSON, and as an HTML page at /status/.
@@ -158,6 +162,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathOverview, func(rw http.ResponseWriter, r *http.Request) { writeJSON(rw, Collect(r.Context(), f, w)) })
 	mux.HandleFunc("GET "+pathJobs+"{id}", func(rw http.ResponseWriter, r *http.Request) { serveJob(rw, r, f) })
+	mux.HandleFunc("POST "+pathPlacement, func(rw http.ResponseWriter, r *http.Request) { servePlacement(rw, r, f) })
 	mux.HandleFunc("GET /status/{$}", func(rw http.ResponseWriter, r *http.Request) { servePage(rw, r, f, w) })
 	return mux
 }
