--- a/cluster/claim_test.go
+++ b/cluster/claim_test.go
@@ -81,10 +81,10 @@
 	defer cancel()
 	g.Expect(b.claimPool(ctx, "pumps")).To(Succeed())
 	g.Expect(a.claimPool(ctx, "pumps")).To(Succeed())
-	_, err := b.HandleCall(ctx, Call{Op: OpClaim, Pool: "pumps", From: "c", Token: 1})
+	_, err := b.handle(ctx, "pumps", claimRequest{From: "c", Token: 1})
 	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue(), "%v", err)
 	g.Expect(p.claim(g).Token).To(Equal(int64(2)))
-	_, err = b.HandleCall(ctx, Call{Op: OpClaim, Pool: "pumps", From: "a", Token: 2})
+	_, err = b.handle(ctx, "pumps", claimRequest{From: "a", Token: 2})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(p.claim(g).Token).To(Equal(int64(3)))
 }
@@ -103,19 +103,19 @@
 	var wg sync.WaitGroup
 	for range 4 {
 		wg.Go(func() {
-			_, err := a.HandleCall(ctx, Call{Op: OpClaim, Pool: "pumps", From: "b"})
+			_, err := a.handle(ctx, "pumps", claimRequest{From: "b"})
 			g.Expect(err).NotTo(HaveOccurred())
 		})
 		wg.Go(func() { g.Expect(a.claimPool(ctx, "pumps")).To(Succeed()) })
 	}
 	wg.Wait()
-	_, err := a.HandleCall(ctx, Call{Op: OpClaim, Pool: "pumps", From: "b"})
+	_, err := a.handle(ctx, "pumps", claimRequest{From: "b"})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(p.claim(g).Token).To(Equal(int64(2)))
 	g.Expect(a.owned["pumps"].Token()).To(Equal(int64(2)))
 
 	g.Expect(b.claimPool(ctx, "pumps")).To(Succeed())
-	_, err = a.HandleCall(ctx, Call{Op: OpClaim, Pool: "pumps", From: "b"})
+	_, err = a.handle(ctx, "pumps", claimRequest{From: "b"})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(p.claim(g).Token).To(Equal(int64(4)), "a term that another daemon has overtaken does not count as ownership")
 }
@@ -162,7 +162,7 @@
 	}
 	g.Expect(b.claimPool(ctx, "pumps")).To(Succeed())
 	g.Expect(lastClaim()).To(And(HaveKeyWithValue("cause", "assigned: no member owns it"), HaveKeyWithValue("token", 1.0), HaveKey("ver")))
-	_, err := a.HandleCall(ctx, Call{Op: OpClaim, Pool: "pumps", From: "b", Token: 1})
+	_, err := a.handle(ctx, "pumps", claimRequest{From: "b", Token: 1})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(lastClaim()).To(And(HaveKeyWithValue("cause", "transferred by b"), HaveKeyWithValue("former", "b"), HaveKeyWithValue("formerToken", 1.0)))
 	b.writeHeartbeat(ctx)
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -13,7 +13,7 @@
 
 // Report requests the state of a pool, or of one of its shards, from the owners. It fails if any of them doesn't answer.
 func (n *Node) Report(ctx context.Context, pool string) (engine.PoolReport, error) {
-	results, err := n.attemptAll(ctx, Call{Op: OpReport, Pool: pool})
+	results, err := n.attemptAll(ctx, pool, reportRequest{})
 	if err != nil {
 		return engine.PoolReport{}, err
 	}
@@ -29,32 +29,32 @@
 
 // Cordon asks a worker's owner to keep new work off a worker for the given duration; 0 removes the cordon.
 func (n *Node) Cordon(ctx context.Context, pool, worker string, length time.Duration) (owner.CordonAnswer, error) {
-	res, err := n.attemptAtShard(ctx, Call{Op: OpCordon, Pool: pool, Worker: worker, DurationMS: length.Milliseconds()})
-	return owner.CordonAnswer{Empty: res.Empty, Known: res.Known, ClaimVer: res.ClaimVer, Part: res.ClaimPart}, err
+	res, err := n.attemptForWorker(ctx, pool, worker, cordonRequest{Worker: worker, Duration: length})
+	return res.cordonAnswer(), err
 }
 
 // AnnounceUpkeep names the workers of a shard whose instances are due for upkeep to the shard's owner.
 func (n *Node) AnnounceUpkeep(ctx context.Context, shard string, workers []string, length time.Duration) error {
-	_, err := n.attempt(ctx, Call{Op: OpUpkeepDue, Pool: shard, Workers: workers, DurationMS: length.Milliseconds()})
+	_, err := n.attempt(ctx, shard, upkeepDueRequest{Workers: workers, Duration: length})
 	return err
 }
 
 // WorkerTerminated notifies a worker's owner that an incarnation of the worker has terminated.
 func (n *Node) WorkerTerminated(ctx context.Context, pool, worker string, incarnation int64) error {
-	return n.notifyOwner(ctx, OpWorkerTerminated, pool, worker, incarnation)
+	return n.notifyOwner(ctx, pool, worker, workerTerminatedNotice{Worker: worker, Incarnation: incarnation})
 }
 
 // WorkerAbsent notifies a worker's owner that an incarnation of the worker has been on no instance for some time.
 func (n *Node) WorkerAbsent(ctx context.Context, pool, worker string, incarnation int64) error {
-	return n.notifyOwner(ctx, OpWorkerAbsent, pool, worker, incarnation)
+	return n.notifyOwner(ctx, pool, worker, workerAbsentNotice{Worker: worker, Incarnation: incarnation})
 }
 
-func (n *Node) notifyOwner(ctx context.Context, op, pool, worker string, incarnation int64) error {
+func (n *Node) notifyOwner(ctx context.Context, pool, worker string, notice request) error {
 	layout := n.layout.Load()
 	if _, assigned := n.assignments.Of(layout, pool, worker); !assigned && n.assignments.Known(layout, pool) {
 		return nil // No owner has heard of it.
 	}
-	_, err := n.attemptAtShard(ctx, Call{Op: op, Pool: pool, Worker: worker, Incarnation: incarnation})
+	_, err := n.attemptForWorker(ctx, pool, worker, notice)
 	return err
 }
 
--- a/cluster/isolation.go
+++ b/cluster/isolation.go
@@ -66,7 +66,7 @@
 func (n *Node) ping(ctx context.Context, m Member) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	_, err := n.peers.call(ctx, m.Address, Call{Op: OpPing, From: n.settings.Name})
+	_, err := n.peers.call(ctx, m.Address, pingRequest{From: n.settings.Name}.encode(""))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch {
--- a/cluster/leave.go
+++ b/cluster/leave.go
@@ -56,7 +56,7 @@
 	}
 	c, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	_, err := n.peers.call(c, to.Address, Call{Op: OpClaim, Pool: pool, From: n.settings.Name, Token: t.Token(), NoStoreAccess: noStoreAccess})
+	_, err := n.peers.call(c, to.Address, claimRequest{From: n.settings.Name, Token: t.Token(), NoStoreAccess: noStoreAccess}.encode(pool))
 	if err == nil {
 		n.release(pool, t)
 	}
--- a/cluster/peer.go
+++ b/cluster/peer.go
@@ -39,16 +39,16 @@
 }
 
 // call sends a call to a daemon. An error before a connection was established has verdict not-run.
-func (p *peerClient) call(ctx context.Context, address string, c Call) (Result, error) {
+func (p *peerClient) call(ctx context.Context, address string, c wireCall) (wireResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	body, err := json.Marshal(c)
 	if err != nil {
-		return Result{}, err
+		return wireResult{}, err
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+peerPath, bytes.NewReader(body))
 	if err != nil {
-		return Result{}, err
+		return wireResult{}, err
 	}
 	began := time.Now()
 	resp, err := p.http.Do(req)
@@ -56,19 +56,19 @@
 		if errors.Is(err, context.DeadlineExceeded) && time.Since(began) > silentAfter {
 			p.http.CloseIdleConnections() // They may have gone silent together.
 		}
-		return Result{}, verdict.FromTransport(err)
+		return wireResult{}, verdict.FromTransport(err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerBytes))
 	if err != nil {
-		return Result{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
+		return wireResult{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return Result{}, remoteError(resp, string(data))
+		return wireResult{}, remoteError(resp, string(data))
 	}
-	var r Result
+	var r wireResult
 	if err := json.Unmarshal(data, &r); err != nil {
-		return Result{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
+		return wireResult{}, verdict.Wrap(err, verdict.MayHaveRun, http.StatusBadGateway)
 	}
 	return r, nil
 }
@@ -87,12 +87,12 @@
 func (n *Node) PeerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+peerPath, func(w http.ResponseWriter, r *http.Request) {
-		var c Call
+		var c wireCall
 		if err := json.NewDecoder(io.LimitReader(r.Body, maxPeerBytes)).Decode(&c); err != nil {
 			writeError(w, verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest))
 			return
 		}
-		res, err := n.HandleCall(r.Context(), c)
+		res, err := n.handle(r.Context(), c.Pool, c.decode())
 		if err != nil {
 			writeError(w, err)
 			return
--- a/cluster/queues.go
+++ b/cluster/queues.go
@@ -172,11 +172,12 @@
 		if t.emptied(spec.Queue, name) {
 			continue
 		}
-		res, err := n.attempt(ctx, Call{Op: OpReleaseQueue, Pool: name, ID: spec.ID, Queue: spec.Queue, Version: spec.Version()})
-		if err != nil || res.Known {
-			return res.Known, err
+		res, err := n.attempt(ctx, name, releaseQueueRequest{Queue: spec.Queue, Version: spec.Version(), ID: spec.ID})
+		reply := res.releaseQueueReply()
+		if err != nil || reply.Held {
+			return reply.Held, err
 		}
-		if res.Empty {
+		if reply.Empty {
 			t.setEmptied(spec.Queue, name)
 		}
 	}
@@ -195,9 +196,9 @@
 	})
 }
 
-// submit executes a submission at an owner on this daemon. While it can't be told whether another pool has the job, the error has verdict
+// submitTo executes a submission at an owner on this daemon. While it can't be told whether another pool has the job, the error has verdict
 // may-have-run.
-func (n *Node) submit(ctx context.Context, t *ownerTerm, spec *engine.Spec) error {
+func (n *Node) submitTo(ctx context.Context, t *ownerTerm, spec *engine.Spec) error {
 	if spec == nil {
 		return verdict.New(verdict.NotRun, http.StatusBadRequest, "submit call has no job spec")
 	}
@@ -223,46 +224,44 @@
 	return t.Submit(ctx, *spec)
 }
 
-// releaseQueue executes a call of a pool that accepts the jobs of a queue from now on: this owner accepts no more of them under the call's
-// version or an earlier one. The result says whether it has the job, and whether it has no job of the queue at all.
-func (n *Node) releaseQueue(ctx context.Context, t *ownerTerm, call Call) (Result, error) {
-	t.release(call.Queue, call.Version)
-	held, empty, err := t.ReleaseQueue(ctx, call.Queue, call.Version, call.ID)
-	return Result{Known: held, Empty: empty}, err
+// releaseQueue executes a request of a pool that accepts the jobs of a queue from now on: this owner accepts no more of them under the
+// request's version or an earlier one.
+func (n *Node) releaseQueue(ctx context.Context, t *ownerTerm, r releaseQueueRequest) (releaseQueueReply, error) {
+	t.release(r.Queue, r.Version)
+	held, empty, err := t.ReleaseQueue(ctx, r.Queue, r.Version, r.ID)
+	return releaseQueueReply{Held: held, Empty: empty}, err
 }
 
-// executeAtFormers executes a call for a job that the queue's present pool doesn't know at the pools that had the queue before. It returns
-// the result of the one that knows the job.
-func (n *Node) executeAtFormers(ctx context.Context, call Call) (Result, error) {
-	formers, err := n.formerPools(ctx, call.Queue, call.Pool, 0)
+// executeAtFormers executes a request for a job that the queue's present pool doesn't know at the pools that had the queue before. It
+// returns the result of the one that knows the job.
+func (n *Node) executeAtFormers(ctx context.Context, pool string, job JobRef, r request) (wireResult, error) {
+	formers, err := n.formerPools(ctx, job.Queue, pool, 0)
 	if err != nil {
-		return Result{}, verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable)
+		return wireResult{}, verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable)
 	}
-	for _, pool := range formers {
-		call.Pool = pool
-		if res, err := n.executeAtPool(ctx, call); err != nil || res.Known {
+	for _, former := range formers {
+		if res, err := n.executeForJob(ctx, former, job.ID, r); err != nil || res.Known {
 			return res, err
 		}
 	}
-	return Result{}, nil
+	return wireResult{}, nil
 }
 
 // historyMaxAge is how old the rows of the queues may be for a count of waiting jobs.
 const historyMaxAge = 2 * time.Second
 
-// waitingAtFormers adds the waiting jobs in former pools of a queue.
-func (n *Node) waitingAtFormers(ctx context.Context, call Call, res Result) (Result, error) {
-	formers, err := n.formerPools(ctx, call.Queue, call.Pool, historyMaxAge)
+// waitingAtFormers adds the waiting jobs in former pools of a queue to those in the present one.
+func (n *Node) waitingAtFormers(ctx context.Context, pool, queue string, waiting int) (int, error) {
+	formers, err := n.formerPools(ctx, queue, pool, historyMaxAge)
 	if err != nil {
-		return res, nil // The count of the present pool is the best known.
+		return waiting, nil // The count of the present pool is the best known.
 	}
-	for _, pool := range formers {
-		call.Pool = pool
-		more, err := n.executeAtPool(ctx, call)
+	for _, former := range formers {
+		more, err := n.waitingInPool(ctx, former, queue)
 		if err != nil {
-			return Result{}, err
+			return 0, err
 		}
-		res.Waiting += more.Waiting
+		waiting += more
 	}
-	return res, nil
+	return waiting, nil
 }
--- a/cluster/queues_test.go
+++ b/cluster/queues_test.go
@@ -58,29 +58,28 @@
 	}
 }
 
-// call executes a call for the queue as a daemon's front does, with the pool of the configuration that the daemon has.
-func (x *queueSimulation) call(n *Node, op, id string, spec *engine.Spec) (Result, error) {
-	ctx, cancel := context.WithTimeout(x.ctx, 3*time.Second)
-	defer cancel()
-	q := n.Catalog().Queues[0]
-	call := Call{Op: op, Pool: q.Pool, Queue: q.Name, ID: id}
-	if spec != nil {
-		s := *spec
-		s.Settings = &q.Queue
-		call.Spec, call.Queue = &s, ""
-	}
-	return n.Execute(ctx, call)
+// queue returns the moved queue as the daemon's configuration has it.
+func (x *queueSimulation) queue(n *Node) *catalog.Queue { return &n.Catalog().Queues[0] }
+
+// timeout returns the context of a caller's request.
+func (x *queueSimulation) timeout() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(x.ctx, 3*time.Second)
 }
 
 func (x *queueSimulation) submit(n *Node, spec engine.Spec) error {
-	_, err := x.call(n, OpSubmit, spec.ID, &spec)
-	return err
+	ctx, cancel := x.timeout()
+	defer cancel()
+	q := x.queue(n)
+	spec.Settings = &q.Queue
+	return n.Submit(ctx, q.Pool, &spec)
 }
 
 func (x *queueSimulation) state(n *Node, id string) engine.State {
-	res, err := x.call(n, OpState, id, nil)
+	ctx, cancel := x.timeout()
+	defer cancel()
+	state, _, err := n.State(ctx, x.queue(n).Pool, JobRef{Queue: movedQueue, ID: id})
 	x.g.Expect(err).NotTo(HaveOccurred())
-	return res.State
+	return state
 }
 
 // tasksOf returns what the workers know of the tasks of a job. The caller must hold mu.
@@ -123,8 +122,8 @@
 			return
 		}
 	}
-	res, err := x.call(n, OpExplain, id, nil)
-	x.g.Expect(x.state(n, id)).To(Equal(engine.Completed), "%v: %+v (%v)", id, res.Job, err)
+	_, job, _, err := n.Explain(x.ctx, id)
+	x.g.Expect(x.state(n, id)).To(Equal(engine.Completed), "%v: %+v (%v)", id, job, err)
 }
 
 func queueJob(n int, lasting bool) engine.Spec {
@@ -165,15 +164,16 @@
 					time.Sleep(time.Second)
 					g.Expect(x.events(id)).To(Equal(before))
 				}
-				res, err := x.call(a, OpCancel, lasting.ID, nil)
+				ctx, cancel := x.timeout()
+				defer cancel()
+				known, err := a.Cancel(ctx, x.queue(a).Pool, JobRef{Queue: movedQueue, ID: lasting.ID})
 				g.Expect(err).NotTo(HaveOccurred())
-				g.Expect(res.Known).To(BeTrue())
+				g.Expect(known).To(BeTrue())
 				time.Sleep(time.Second)
 				g.Expect(x.state(a, lasting.ID)).To(Equal(engine.Cancelled))
 				g.Expect(x.submit(a, queueJob(60, false))).To(Succeed(), "the other pool accepts new jobs")
 				x.awaitCompleted(a, queueJob(60, false).ID)
-				_, err = x.call(a, OpState, queueJob(61, false).ID, nil)
-				g.Expect(err).NotTo(HaveOccurred())
+				x.state(a, queueJob(61, false).ID)
 			})
 		})
 	}
@@ -229,8 +229,10 @@
 			x.g.Expect(x.submit(x.nodes[0], spec)).To(Succeed())
 		}
 		x.route(3, "routes", x.nodes...)
-		res, err := x.call(x.nodes[1], OpWaiting, "", nil)
+		ctx, cancel := x.timeout()
+		defer cancel()
+		waiting, err := x.nodes[1].Waiting(ctx, x.queue(x.nodes[1]).Pool, movedQueue)
 		x.g.Expect(err).NotTo(HaveOccurred())
-		x.g.Expect(res.Waiting).To(Equal(4))
+		x.g.Expect(waiting).To(Equal(4))
 	})
 }
--- a/cluster/requests.go
+++ b/cluster/requests.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"samphirepoint/engine"
-	"samphirepoint/owner"
 	"samphirepoint/sleep"
 	"samphirepoint/verdict"
 )
@@ -22,98 +21,61 @@
 	noOwnerRetryAfter = time.Second
 )
 
-// Call is a request concerning a pool, in the form in which daemons forward it to each other. Pool is the name of the pool in a call
-// from outside the cluster, and that of the shard between daemons.
-type Call struct {
-	Op    string       `json:"op"`
-	Pool  string       `json:"pool"`
-	Spec  *engine.Spec `json:"spec,omitempty"`
-	ID    string       `json:"id,omitempty"`
-	Queue string       `json:"queue,omitempty"`
-	// Workspace is the one whose key the call carried, or "" for a public queue.
-	Workspace string `json:"workspace,omitempty"`
-	// Version is the version of the configuration that sends the queue to another pool (OpReleaseQueue).
-	Version int64  `json:"version,omitempty"`
-	Worker  string `json:"worker,omitempty"`
-	// Incarnation is that of the worker which a report is about, or 0 if it isn't known.
-	Incarnation int64    `json:"born,omitempty"`
-	Workers     []string `json:"workers,omitempty"`
-	DurationMS  int64    `json:"forMS,omitempty"`
-	// Token is the token of a pool's new owner (OpOwner), or of the one that transfers it (OpClaim).
-	Token int64  `json:"token,omitempty"`
-	From  string `json:"from,omitempty"`
-	// NoStoreAccess marks a pool that is transferred because the store does not serve its owner.
-	NoStoreAccess bool `json:"storeless,omitempty"`
-}
-
-// Result is the response to a successful Call.
-type Result struct {
-	Known   bool         `json:"known,omitempty"`
-	State   engine.State `json:"state,omitempty"`
-	Waiting int          `json:"waiting,omitempty"`
-	Empty   bool         `json:"empty,omitempty"`
-	// ClaimVer is the version of the claim of the owner that answers a cordon, ClaimPart the shard that it owns.
-	ClaimVer  int64  `json:"claimVer,omitempty"`
-	ClaimPart string `json:"claimPart,omitempty"`
+// attemptTimeout bounds one attempt at one daemon; the next attempt may find another owner.
+const attemptTimeout = 1300 * time.Millisecond
 
-	// StoreAgeMS is the time since the store last answered the daemon, in milliseconds, and LaterTerm whether it serves the pool under a higher
-	// token than the call's, in the answer to OpLaterTerm.
-	StoreAgeMS int64 `json:"storeAge,omitempty"`
-	LaterTerm  bool  `json:"laterTerm,omitempty"`
+// Submit submits a job to a pool.
+func (n *Node) Submit(ctx context.Context, pool string, spec *engine.Spec) error {
+	_, err := n.executeForJob(ctx, pool, spec.ID, submitRequest{Spec: spec})
+	return err
+}
 
-	Report *engine.PoolReport `json:"report,omitempty"`
-	Job    *engine.JobReport  `json:"job,omitempty"`
-	// Placement is the answer to OpExplainPlacement.
-	Placement *engine.PlacementReport `json:"placement,omitempty"`
+// State returns the state of a job, and false if the job is not known to the workspace. The pool is that of the job's queue.
+func (n *Node) State(ctx context.Context, pool string, job JobRef) (engine.State, bool, error) {
+	res, err := n.executeAtPools(ctx, pool, job, stateRequest{job})
+	reply := res.stateReply()
+	return reply.State, reply.Known, err
 }
 
-// The operations of a Call.
-const (
-	OpSubmit           = "submit"
-	OpState            = "state"
-	OpCancel           = "cancel"
-	OpWaiting          = "waiting"
-	OpCordon           = "cordon"
-	OpUpkeepDue        = "due"
-	OpClaim            = "take"
-	OpOwner            = "owner"
-	OpReport           = "report"
-	OpReleaseQueue     = "release"
-	OpWorkerTerminated = "gone"
-	OpWorkerAbsent     = "absent"
-	OpExplain          = "explain"
-	OpExplainPlacement = "explain-placement"
-	OpPing             = "ping"
-	OpReadClaim        = "claim"
-	OpLaterTerm        = "later"
-)
+// Cancel cancels a job. It reports false if the job is not known to the workspace. The pool is that of the job's queue.
+func (n *Node) Cancel(ctx context.Context, pool string, job JobRef) (known bool, err error) {
+	res, err := n.executeAtPools(ctx, pool, job, cancelRequest{job})
+	return res.Known, err
+}
 
-// attemptTimeout bounds one attempt at one daemon; the next attempt may find another owner.
-const attemptTimeout = 1300 * time.Millisecond
+// Waiting returns the number of a queue's jobs that have not started, also of those in pools that had the queue before.
+func (n *Node) Waiting(ctx context.Context, pool, queue string) (int, error) {
+	waiting, err := n.waitingInPool(ctx, pool, queue)
+	if err != nil {
+		return 0, err
+	}
+	return n.waitingAtFormers(ctx, pool, queue, waiting)
+}
 
-// Execute executes a call for a queue of a pool. A job that the pool doesn't know is looked for in the pools that had the queue before.
-func (n *Node) Execute(ctx context.Context, call Call) (Result, error) {
-	res, err := n.executeAtPool(ctx, call)
-	switch {
-	case err != nil || call.Queue == "":
+// executeAtPools executes a request for a job at the pool of its queue, and if that one doesn't know the job, at the pools that had the
+// queue before.
+func (n *Node) executeAtPools(ctx context.Context, pool string, job JobRef, r request) (wireResult, error) {
+	res, err := n.executeForJob(ctx, pool, job.ID, r)
+	if err != nil || res.Known || job.Queue == "" {
 		return res, err
-	case call.Op == OpWaiting:
-		return n.waitingAtFormers(ctx, call, res)
-	case !res.Known && (call.Op == OpState || call.Op == OpCancel || call.Op == OpExplain):
-		return n.executeAtFormers(ctx, call)
 	}
-	return res, nil
+	return n.executeAtFormers(ctx, pool, job, r)
 }
 
-// executeAtPool executes a call at the pool's owner, on this daemon or another. Calls are idempotent, so a call without a response is
-// retried until ctx ends, even if a later attempt is rejected: otherwise the response could not say whether the first attempt was
-// executed, and some callers can't ask again. An error after such an attempt has verdict may-have-run.
-func (n *Node) executeAtPool(ctx context.Context, call Call) (Result, error) {
+// executeForJob executes a request at the owner of a job's shard, on this daemon or another.
+func (n *Node) executeForJob(ctx context.Context, pool, id string, r request) (wireResult, error) {
+	return untilCertain(ctx, n, func(ctx context.Context) (wireResult, error) { return n.attemptForJob(ctx, pool, id, r) })
+}
+
+// untilCertain makes attempts to execute a request. Requests are idempotent, so one without a response is retried until ctx ends, even if
+// a later attempt is rejected: otherwise the response could not say whether the first attempt was executed, and some callers can't ask
+// again. An error after such an attempt has verdict may-have-run.
+func untilCertain[T any](ctx context.Context, n *Node, attempt func(context.Context) (T, error)) (T, error) {
 	limit := n.settings.Now() + ownerWaitTimeout
 	uncertain := false
 	for {
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		res, err := n.attemptAtShard(attempt, call)
+		c, cancel := context.WithTimeout(ctx, attemptTimeout)
+		res, err := attempt(c)
 		cancel()
 		if err == nil {
 			return res, nil
@@ -140,28 +102,28 @@
 	return verdict.Is(err, verdict.NotRun) && verdict.Status(err) == http.StatusMisdirectedRequest
 }
 
-// attempt makes one attempt to execute a call at the owner of a shard.
-func (n *Node) attempt(ctx context.Context, call Call) (Result, error) {
+// attempt makes one attempt to execute a request at the owner of a shard.
+func (n *Node) attempt(ctx context.Context, shard string, r request) (wireResult, error) {
 	n.mu.Lock()
-	local := n.pools[call.Pool]
+	local := n.pools[shard]
 	alive := n.view.Alive()
 	n.mu.Unlock()
 	if local != nil {
-		return n.callOwner(ctx, local, call)
+		return n.callOwner(ctx, local, r)
 	}
-	m, ok := Owner(alive, call.Pool)
+	m, ok := Owner(alive, shard)
 	if !ok || m.Node == n.settings.Name {
-		return Result{}, noOwner(call.Pool)
+		return wireResult{}, noOwner(shard)
 	}
 	if n.recentlyUnreachable(m.Node) {
-		return Result{}, verdict.Unavailable(noOwnerRetryAfter, "the owner of pool %s is unreachable", call.Pool)
+		return wireResult{}, verdict.Unavailable(noOwnerRetryAfter, "the owner of pool %s is unreachable", shard)
 	}
 	began := n.settings.Now()
-	res, err := n.peers.call(ctx, m.Address, call)
+	res, err := n.peers.call(ctx, m.Address, r.encode(shard))
 	n.recordReachability(m.Node, n.settings.Now()-began, err)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		n.Wake()
-		return res, noOwner(call.Pool)
+		return res, noOwner(shard)
 	}
 	return res, err
 }
@@ -201,93 +163,101 @@
 	return verdict.WithRetryAfter(verdict.New(verdict.NotRun, http.StatusMisdirectedRequest, "pool %s currently has no owner", pool), noOwnerRetryAfter)
 }
 
-// HandleCall executes a call from another daemon.
-func (n *Node) HandleCall(ctx context.Context, call Call) (Result, error) {
-	switch call.Op {
-	case OpClaim:
-		if n.leaving.Load() {
-			return Result{}, verdict.Unavailable(time.Second, "leaving")
-		}
-		if err := n.mayClaimFrom(call); err != nil {
-			return Result{}, err
-		}
-		return Result{}, n.claimFrom(context.WithoutCancel(ctx), call.Pool, call.Token, "transferred by "+call.From)
-	case OpOwner:
-		n.applyOwner(call)
-		return Result{}, nil
-	case OpPing:
-		return Result{}, nil
-	case OpLaterTerm:
-		return n.laterTerm(call), nil
-	case OpReadClaim:
-		return n.readClaim(ctx, call.Pool)
+// handle executes a request from another daemon.
+func (n *Node) handle(ctx context.Context, target string, r request) (wireResult, error) {
+	switch r := r.(type) {
+	case claimRequest:
+		return wireResult{}, n.claimTransferred(ctx, target, r)
+	case ownerNotice:
+		n.applyOwner(target, r)
+		return wireResult{}, nil
+	case pingRequest:
+		return wireResult{}, nil
+	case laterTermRequest:
+		return n.laterTerm(target, r).encode(), nil
+	case readClaimRequest:
+		reply, err := n.readClaim(ctx, target)
+		return reply.encode(), err
 	}
 	n.mu.Lock()
-	t := n.pools[call.Pool]
+	t := n.pools[target]
 	n.mu.Unlock()
 	if t == nil {
-		return Result{}, noOwner(call.Pool)
+		return wireResult{}, noOwner(target)
 	}
-	return n.callOwner(ctx, t, call)
+	return n.callOwner(ctx, t, r)
 }
 
-// callOwner executes a call at an owner on this daemon.
-func (n *Node) callOwner(ctx context.Context, t *ownerTerm, call Call) (Result, error) {
-	o := t.Owner
-	var res Result
-	var err error
-	switch call.Op {
-	case OpSubmit:
-		err = n.submit(ctx, t, call.Spec)
-	case OpReleaseQueue:
-		res, err = n.releaseQueue(ctx, t, call)
-	case OpState:
-		res.State, res.Known, err = o.State(ctx, call.ID, call.Workspace)
-	case OpCancel:
-		res.Known, err = o.Cancel(ctx, call.ID, call.Workspace)
-	case OpWaiting:
-		res.Waiting, err = o.Waiting(ctx, call.Queue)
-	case OpCordon:
-		var a owner.CordonAnswer
-		a, err = o.Cordon(ctx, call.Worker, time.Duration(call.DurationMS)*time.Millisecond)
-		res.Empty, res.Known, res.ClaimVer, res.ClaimPart = a.Empty, a.Known, a.ClaimVer, a.Part
-	case OpUpkeepDue:
-		err = o.SetUpkeepDue(ctx, call.Workers, time.Duration(call.DurationMS)*time.Millisecond)
-	case OpWorkerTerminated:
-		err = o.ReportTerminated(ctx, call.Worker, call.Incarnation)
-	case OpWorkerAbsent:
-		err = o.ReportAbsent(ctx, call.Worker, call.Incarnation)
-	case OpReport:
-		var r engine.PoolReport
-		r, err = o.Report(ctx)
-		res.Report = &r
-	case OpExplain:
-		var j engine.JobReport
-		j, res.Known, err = o.Explain(ctx, call.ID)
-		res.Job = &j
-	case OpExplainPlacement:
-		if call.Spec == nil {
-			return res, verdict.New(verdict.NotRun, http.StatusBadRequest, "the call has no job")
-		}
-		var r engine.PlacementReport
-		r, err = o.ExplainPlacement(ctx, *call.Spec)
-		res.Placement = &r
-	default:
-		err = verdict.New(verdict.NotRun, http.StatusBadRequest, "unknown operation %q", call.Op)
+// claimTransferred claims a pool that its owner transfers to this daemon.
+func (n *Node) claimTransferred(ctx context.Context, pool string, r claimRequest) error {
+	if n.leaving.Load() {
+		return verdict.Unavailable(time.Second, "leaving")
 	}
-	return res, err
+	if err := n.mayClaimFrom(r); err != nil {
+		return err
+	}
+	return n.claimFrom(context.WithoutCancel(ctx), pool, r.Token, "transferred by "+r.From)
+}
+
+// callOwner executes a request at an owner on this daemon.
+func (n *Node) callOwner(ctx context.Context, t *ownerTerm, r request) (wireResult, error) {
+	switch r := r.(type) {
+	case submitRequest:
+		return wireResult{}, n.submitTo(ctx, t, r.Spec)
+	case releaseQueueRequest:
+		reply, err := n.releaseQueue(ctx, t, r)
+		return reply.encode(), err
+	case stateRequest:
+		state, known, err := t.State(ctx, r.ID, r.Workspace)
+		return stateReply{Known: known, State: state}.encode(), err
+	case cancelRequest:
+		known, err := t.Cancel(ctx, r.ID, r.Workspace)
+		return cancelReply{Known: known}.encode(), err
+	case waitingRequest:
+		waiting, err := t.Waiting(ctx, r.Queue)
+		return waitingReply{Waiting: waiting}.encode(), err
+	case cordonRequest:
+		answer, err := t.Cordon(ctx, r.Worker, r.Duration)
+		return encodeCordonAnswer(answer), err
+	case upkeepDueRequest:
+		return wireResult{}, t.SetUpkeepDue(ctx, r.Workers, r.Duration)
+	case workerTerminatedNotice:
+		return wireResult{}, t.ReportTerminated(ctx, r.Worker, r.Incarnation)
+	case workerAbsentNotice:
+		return wireResult{}, t.ReportAbsent(ctx, r.Worker, r.Incarnation)
+	case reportRequest:
+		report, err := t.Report(ctx)
+		return reportReply{Report: report}.encode(), err
+	case explainRequest:
+		job, known, err := t.Explain(ctx, r.ID)
+		return explainReply{Known: known, Job: job}.encode(), err
+	case explainPlacementRequest:
+		reply, err := explainPlacement(ctx, t, r)
+		return reply.encode(), err
+	case unknownRequest:
+		return wireResult{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "unknown operation %q", r.op)
+	}
+	return wireResult{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "operation %q is not one of an owner", r.encode(t.shard).Op)
+}
+
+func explainPlacement(ctx context.Context, t *ownerTerm, r explainPlacementRequest) (explainPlacementReply, error) {
+	if r.Spec == nil {
+		return explainPlacementReply{}, verdict.New(verdict.NotRun, http.StatusBadRequest, "the call has no job")
+	}
+	report, err := t.ExplainPlacement(ctx, *r.Spec)
+	return explainPlacementReply{Placement: report}, err
 }
 
 // applyOwner records that another daemon has just claimed a pool, before its next heartbeat reports it. It stops this daemon's
 // term for the pool if that has a lower token.
-func (n *Node) applyOwner(call Call) {
+func (n *Node) applyOwner(pool string, notice ownerNotice) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if own := n.owned[call.Pool]; own != nil && own.Token() < call.Token {
+	if own := n.owned[pool]; own != nil && own.Token() < notice.Token {
 		own.Stop()
 	}
-	n.noteToken(call.Pool, call.Token)
-	o := n.view.members[call.From]
+	n.noteToken(pool, notice.Token)
+	o := n.view.members[notice.From]
 	if o == nil {
 		return
 	}
@@ -295,7 +265,7 @@
 	for p, t := range o.Pools {
 		pools[p] = t
 	}
-	pools[call.Pool] = call.Token
+	pools[pool] = notice.Token
 	o.Pools = pools
 }
 
@@ -311,7 +281,7 @@
 		go func() {
 			c, cancel := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
 			defer cancel()
-			_, _ = n.peers.call(c, m.Address, Call{Op: OpOwner, Pool: pool, Token: token, From: n.settings.Name})
+			_, _ = n.peers.call(c, m.Address, ownerNotice{From: n.settings.Name, Token: token}.encode(pool))
 		}()
 	}
 }
--- a/cluster/requests_test.go
+++ b/cluster/requests_test.go
@@ -29,7 +29,7 @@
 		case n < 5:
 			writeError(w, verdict.Unavailable(time.Second, "the store is unavailable"))
 		default:
-			_ = json.NewEncoder(w).Encode(Result{Known: true})
+			_ = json.NewEncoder(w).Encode(wireResult{Known: true})
 		}
 	}))
 	defer owner.Close()
@@ -41,12 +41,13 @@
 	n.layout.Store(shard.NewLayout(map[string]int{"pumps": 1}))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	res, err := n.Execute(ctx, Call{Op: OpSubmit, Pool: "pumps"})
+	job := JobRef{ID: "00000000000000a1"}
+	known, err := n.Cancel(ctx, "pumps", job)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(res.Known).To(BeTrue())
+	g.Expect(known).To(BeTrue())
 
 	calls.Store(1)
-	_, err = n.Execute(ctx, Call{Op: OpSubmit, Pool: "pumps"})
+	_, err = n.Cancel(ctx, "pumps", job)
 	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue(), "the rejection of a call that was certainly not executed is returned immediately")
 	g.Expect(calls.Load()).To(Equal(int64(2)))
 }
--- a/cluster/shards.go
+++ b/cluster/shards.go
@@ -101,65 +101,53 @@
 	n.Wake()
 }
 
-// attemptAtShard makes one attempt to execute a call for a pool at the owner of the shard that it concerns.
-func (n *Node) attemptAtShard(ctx context.Context, call Call) (Result, error) {
-	switch call.Op {
-	case OpWaiting:
-		return n.countWaiting(ctx, call)
-	case OpReport:
-		r, err := n.Report(ctx, call.Pool)
-		return Result{Report: &r}, err
-	}
-	name, ok := n.shardOf(call)
+// attemptForJob makes one attempt to execute a request at the owner of a job's shard.
+func (n *Node) attemptForJob(ctx context.Context, pool, id string, r request) (wireResult, error) {
+	name, ok := n.layout.Load().OfJob(pool, id)
 	if !ok {
-		return Result{}, noOwner(call.Pool)
+		return wireResult{}, noOwner(pool)
 	}
-	call.Pool = name
-	return n.attempt(ctx, call)
+	return n.attempt(ctx, name, r)
 }
 
-// shardOf returns the shard that a call for a pool concerns, and false if it isn't known yet.
-func (n *Node) shardOf(call Call) (string, bool) {
-	layout := n.layout.Load()
-	if call.Worker != "" {
-		return n.assignments.Of(layout, call.Pool, call.Worker)
-	}
-	id := call.ID
-	if call.Spec != nil {
-		id = call.Spec.ID
+// attemptForWorker makes one attempt to execute a request at the owner of a worker's shard.
+func (n *Node) attemptForWorker(ctx context.Context, pool, worker string, r request) (wireResult, error) {
+	name, ok := n.assignments.Of(n.layout.Load(), pool, worker)
+	if !ok {
+		return wireResult{}, noOwner(pool)
 	}
-	return layout.OfJob(call.Pool, id)
+	return n.attempt(ctx, name, r)
 }
 
-// countWaiting adds up the numbers of waiting jobs of all shards.
-func (n *Node) countWaiting(ctx context.Context, call Call) (Result, error) {
-	results, err := n.attemptAll(ctx, call)
-	var out Result
-	for _, r := range results {
-		out.Waiting += r.Waiting
-	}
-	return out, err
+// waitingInPool adds up the numbers of a queue's waiting jobs in all shards of a pool.
+func (n *Node) waitingInPool(ctx context.Context, pool, queue string) (int, error) {
+	return untilCertain(ctx, n, func(ctx context.Context) (int, error) {
+		results, err := n.attemptAll(ctx, pool, waitingRequest{Queue: queue})
+		waiting := 0
+		for _, r := range results {
+			waiting += r.Waiting
+		}
+		return waiting, err
+	})
 }
 
-// attemptAll makes one attempt to execute a call at the owners of all shards of a pool, or of the shard that it names. It fails if any
+// attemptAll makes one attempt to execute a request at the owners of all shards of a pool, or of the shard that it names. It fails if any
 // attempt fails.
-func (n *Node) attemptAll(ctx context.Context, call Call) ([]Result, error) {
+func (n *Node) attemptAll(ctx context.Context, pool string, r request) ([]wireResult, error) {
 	layout := n.layout.Load()
-	names := layout.Names(call.Pool)
-	if layout.PoolOf(call.Pool) != call.Pool {
-		names = []string{call.Pool}
+	names := layout.Names(pool)
+	if layout.PoolOf(pool) != pool {
+		names = []string{pool}
 	}
 	if len(names) == 0 {
-		return nil, noOwner(call.Pool)
+		return nil, noOwner(pool)
 	}
-	results := make([]Result, len(names))
+	results := make([]wireResult, len(names))
 	var g errgroup.Group
 	for i, name := range names {
 		g.Go(func() error {
-			c := call
-			c.Pool = name
 			var err error
-			results[i], err = n.attempt(ctx, c)
+			results[i], err = n.attempt(ctx, name, r)
 			return err
 		})
 	}
--- a/cluster/simsplits_test.go
+++ b/cluster/simsplits_test.go
@@ -303,7 +303,7 @@
 	case 9: // the owner hands the pool over
 		if from, ok := Owner(n.Alive(), pool); ok {
 			x.spawn(func() {
-				_, _ = n.HandleCall(x.ctx, Call{Op: OpClaim, Pool: pool, From: from.Node, Token: from.Pools[pool]})
+				_, _ = n.handle(x.ctx, pool, claimRequest{From: from.Node, Token: from.Pools[pool]})
 			})
 		}
 	case 10:
--- a/cluster/simulation_test.go
+++ b/cluster/simulation_test.go
@@ -171,7 +171,7 @@
 			x.awaitResume(n.settings.Name)
 			ctx, cancel := context.WithTimeout(x.ctx, 3*time.Second)
 			defer cancel()
-			if _, err := n.Execute(ctx, Call{Op: OpSubmit, Pool: pool, ID: spec.ID, Spec: &spec}); err == nil {
+			if n.Submit(ctx, pool, &spec) == nil {
 				x.mu.Lock()
 				x.accepted[spec.ID] = pool
 				x.mu.Unlock()
@@ -199,7 +199,7 @@
 			for range 3 {
 				x.spawn(func() {
 					time.Sleep(time.Duration(x.intN(400)) * time.Millisecond)
-					_, _ = to.HandleCall(x.ctx, Call{Op: OpClaim, Pool: pool, From: from.Node, Token: from.Pools[pool]})
+					_, _ = to.handle(x.ctx, pool, claimRequest{From: from.Node, Token: from.Pools[pool]})
 				})
 			}
 		case 2: // a daemon with another view of the members claims the pool
@@ -266,14 +266,14 @@
 	defer x.mu.Unlock()
 	for id, pool := range x.accepted {
 		x.mu.Unlock()
-		res, err := x.nodes[0].Execute(x.ctx, Call{Op: OpState, Pool: pool, ID: id})
+		state, known, err := x.nodes[0].State(x.ctx, pool, JobRef{ID: id})
 		x.mu.Lock()
-		if err != nil || res.State != engine.Completed {
+		if err != nil || state != engine.Completed {
 			x.mu.Unlock()
-			why, _ := x.nodes[0].Execute(x.ctx, Call{Op: OpExplain, Pool: pool, ID: id})
+			_, why, _, _ := x.nodes[0].Explain(x.ctx, id)
 			report, reportErr := x.nodes[0].Report(x.ctx, pool)
 			x.mu.Lock()
-			x.violate("LOST: job %s of %s is %q (known %t): %v; %+v; pool %+v (%v)", id, pool, res.State, res.Known, err, why.Job, report.Workers, reportErr)
+			x.violate("LOST: job %s of %s is %q (known %t): %v; %+v; pool %+v (%v)", id, pool, state, known, err, why, report.Workers, reportErr)
 		}
 	}
 }
--- a/cluster/status.go
+++ b/cluster/status.go
@@ -67,7 +67,7 @@
 	layout := n.layout.Load()
 	for _, name := range layout.Names(c.NonSparePools()...) {
 		g.Go(func() error {
-			res, err := n.attempt(ctx, Call{Op: OpExplain, Pool: name, ID: id})
+			res, err := n.attempt(ctx, name, explainRequest{ID: id})
 			if err == nil && res.Known && res.Job != nil {
 				mu.Lock()
 				pool, job, known = layout.PoolOf(name), *res.Job, true
@@ -93,7 +93,7 @@
 		return Ownership{Pool: pool}, engine.PlacementReport{}, noOwner(pool)
 	}
 	o := n.ownership(n.Alive(), name)
-	res, err := n.attempt(ctx, Call{Op: OpExplainPlacement, Pool: name, Spec: &spec})
+	res, err := n.attempt(ctx, name, explainPlacementRequest{Spec: &spec})
 	switch {
 	case err != nil:
 		return o, engine.PlacementReport{}, err
--- a/cluster/store_failure.go
+++ b/cluster/store_failure.go
@@ -89,8 +89,8 @@
 }
 
 // mayClaimFrom returns the reason why this daemon can't claim a pool from a daemon without store access, or nil.
-func (n *Node) mayClaimFrom(call Call) error {
-	if call.NoStoreAccess && n.StoreContactAge() > storeContactMaxAge {
+func (n *Node) mayClaimFrom(r claimRequest) error {
+	if r.NoStoreAccess && n.StoreContactAge() > storeContactMaxAge {
 		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, "the store has not responded to this daemon recently")
 	}
 	return nil
--- a/cluster/superseded.go
+++ b/cluster/superseded.go
@@ -34,7 +34,7 @@
 		defer cancel()
 		for ctx.Err() == nil {
 			c, cancel := context.WithTimeout(ctx, stopFormerInterval)
-			_, err := n.peers.call(c, former.Address, Call{Op: OpOwner, Pool: pool, Token: token, From: n.settings.Name})
+			_, err := n.peers.call(c, former.Address, ownerNotice{From: n.settings.Name, Token: token}.encode(pool))
 			cancel()
 			if err == nil {
 				return
@@ -65,10 +65,10 @@
 	}
 	for _, m := range peers.served {
 		c, cancel := context.WithTimeout(ctx, pingTimeout+storeTimeout/2)
-		res, err := n.peers.call(c, m.Address, Call{Op: OpReadClaim, Pool: part, From: n.settings.Name})
+		res, err := n.peers.call(c, m.Address, readClaimRequest{From: n.settings.Name}.encode(part))
 		cancel()
-		if err == nil && res.Known {
-			return res.ClaimVer == ver, m.Node + " reads it", nil
+		if claim := res.readClaimReply(); err == nil && claim.Known {
+			return claim.Version == ver, m.Node + " reads it", nil
 		}
 	}
 	switch age := n.clock().Since(peers.readAt); {
@@ -103,15 +103,16 @@
 	out.readAt = readAt
 	for _, m := range others {
 		g.Go(func() error {
-			res, err := n.peers.call(c, m.Address, Call{Op: OpLaterTerm, Pool: pool, Token: token, From: n.settings.Name})
+			res, err := n.peers.call(c, m.Address, laterTermRequest{From: n.settings.Name, Token: token}.encode(pool))
+			reply := res.laterTermReply()
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
 			case err != nil:
 				out.silent = append(out.silent, m.Node)
-			case res.LaterTerm:
+			case reply.Later:
 				out.later = m.Node
-			case time.Duration(res.StoreAgeMS)*time.Millisecond < peerStoreAge:
+			case reply.StoreAge < peerStoreAge:
 				out.served = append(out.served, m)
 			}
 			return nil
@@ -133,11 +134,11 @@
 	return others, n.membersReadAt
 }
 
-// laterTerm answers OpLaterTerm, also for terms of members that are gone.
-func (n *Node) laterTerm(call Call) Result {
+// laterTerm answers whether this daemon knows of a later term, also for terms of members that are gone.
+func (n *Node) laterTerm(pool string, r laterTermRequest) laterTermReply {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return Result{LaterTerm: n.highestTokens[call.Pool] > call.Token, StoreAgeMS: (n.settings.Now() - n.lastStoreContact).Milliseconds()}
+	return laterTermReply{Later: n.highestTokens[pool] > r.Token, StoreAge: n.settings.Now() - n.lastStoreContact}
 }
 
 // noteTokens records the tokens that members report. The caller must hold mu.
@@ -172,16 +173,16 @@
 }
 
 // readClaim reads the claim of a part for another daemon. The claim is not known if the part can't be read.
-func (n *Node) readClaim(ctx context.Context, part string) (Result, error) {
+func (n *Node) readClaim(ctx context.Context, part string) (readClaimReply, error) {
 	c, cancel := context.WithTimeout(ctx, storeTimeout/2)
 	defer cancel()
 	list, _, err := n.settings.Store.Read(c, owner.TableOwners, part)
 	switch {
 	case err == nil:
 		_, ver := owner.PresentClaim(owner.ClaimKey(part), list)
-		return Result{Known: true, ClaimVer: ver}, nil
+		return readClaimReply{Known: true, Version: ver}, nil
 	case n.StoreContactAge() > peerStoreAge:
-		return Result{}, verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable) // The store doesn't answer this daemon either.
+		return readClaimReply{}, verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable) // The store doesn't answer this daemon either.
 	}
-	return Result{}, nil
+	return readClaimReply{}, nil
 }
--- a/cluster/terms_test.go
+++ b/cluster/terms_test.go
@@ -68,7 +68,7 @@
 	defer cancel()
 	g.Expect(a.claimPool(ctx, "pumps")).To(Succeed())
 	term := a.pools["pumps"]
-	_, err := a.HandleCall(ctx, Call{Op: OpOwner, Pool: "pumps", Token: 2, From: "new"})
+	_, err := a.handle(ctx, "pumps", ownerNotice{Token: 2, From: "new"})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(term.Done(), "10s").Should(BeClosed())
 }
--- a/cluster/unaware_members_test.go
+++ b/cluster/unaware_members_test.go
@@ -65,7 +65,7 @@
 	defer cancel()
 	a, b := p.nodes[0], p.nodes[1]
 	p.now.Store(int64(2 * time.Second)) // since the start of a's process
-	_, err := a.HandleCall(ctx, Call{Op: OpClaim, Pool: "pumps", From: "leaving"})
+	_, err := a.handle(ctx, "pumps", claimRequest{From: "leaving"})
 	g.Expect(err).NotTo(HaveOccurred())
 	token, ver := p.claim(g).Token, claimVer(g, p)
 	p.stores[0].refuses.Store(true)
--- a/cluster/wire_test.go
+++ b/cluster/wire_test.go
@@ -23,6 +23,7 @@
 	"samphirepoint/engine"
 	"samphirepoint/rows/memrows"
 	"samphirepoint/shard"
+	"samphirepoint/verdict"
 )
 
 // wireFile has a request and a response of each operation, as daemons of earlier versions send them.
@@ -90,19 +91,11 @@
 // wireCalls make all calls to the recorder. They return what the caller learns.
 func wireCalls(ctx context.Context, n *Node, b Member) []func() string {
 	spec := wireSpec()
+	job := JobRef{Queue: "checks", ID: spec.ID, Workspace: "cooperative"}
 	return []func() string{
-		func() string {
-			_, err := n.Execute(ctx, Call{Op: OpSubmit, Pool: "pumps", ID: spec.ID, Spec: &spec})
-			return fmt.Sprint(err)
-		},
-		func() string {
-			res, err := n.Execute(ctx, Call{Op: OpState, Pool: "pumps", Queue: "checks", ID: spec.ID, Workspace: "cooperative"})
-			return fmt.Sprint(res.State, res.Known, err)
-		},
-		func() string {
-			res, err := n.Execute(ctx, Call{Op: OpWaiting, Pool: "pumps", Queue: "checks"})
-			return fmt.Sprint(res.Waiting, err)
-		},
+		func() string { return fmt.Sprint(n.Submit(ctx, "pumps", &spec)) },
+		func() string { return fmt.Sprint(n.State(ctx, "pumps", job)) },
+		func() string { return fmt.Sprint(n.Waiting(ctx, "pumps", "checks")) },
 		func() string {
 			pool, job, known, err := n.Explain(ctx, spec.ID)
 			return fmt.Sprint(pool, job, known, err)
@@ -111,10 +104,7 @@
 			owner, report, err := n.ExplainPlacement(ctx, "pumps", spec)
 			return fmt.Sprint(owner, report.Job, report.Queue, *report.Workspace, report.Order, report.Steps, report.Exists, err)
 		},
-		func() string {
-			res, err := n.Execute(ctx, Call{Op: OpCancel, Pool: "pumps", Queue: "checks", ID: spec.ID, Workspace: "cooperative"})
-			return fmt.Sprint(res.Known, err)
-		},
+		func() string { return fmt.Sprint(n.Cancel(ctx, "pumps", job)) },
 		func() string { return fmt.Sprint(n.Cordon(ctx, "pumps", "i-1", 2*time.Second)) },
 		func() string { return fmt.Sprint(n.Cordon(ctx, "pumps", "i-1", 0)) },
 		func() string {
@@ -176,12 +166,7 @@
 // wireResponder returns a function that sends requests to a daemon that owns pool "pumps".
 func wireResponder(ctx context.Context, t *testing.T) func(request []byte) []byte {
 	g := NewWithT(t)
-	began := time.Now()
-	n := NewNode(Settings{Name: "b", Store: memrows.New(), Options: engine.DefaultOptions(), Log: zerolog.Nop(), Now: func() time.Duration { return time.Minute + time.Since(began) }})
-	n.layout.Store(shard.NewLayout(map[string]int{"pumps": 1}))
-	n.lastStoreContact = n.settings.Now()
-	g.Expect(n.claimPool(ctx, "pumps")).To(Succeed())
-	handler := n.PeerHandler()
+	handler := wireOwner(ctx, t)
 	return func(request []byte) []byte {
 		w := httptest.NewRecorder()
 		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, peerPath, bytes.NewReader(request)))
@@ -189,3 +174,23 @@
 		return varyingTimes.ReplaceAll(bytes.TrimSpace(w.Body.Bytes()), []byte(`"$1":1`))
 	}
 }
+
+// wireOwner returns the handler of a daemon that owns pool "pumps".
+func wireOwner(ctx context.Context, t *testing.T) http.Handler {
+	began := time.Now()
+	n := NewNode(Settings{Name: "b", Store: memrows.New(), Options: engine.DefaultOptions(), Log: zerolog.Nop(), Now: func() time.Duration { return time.Minute + time.Since(began) }})
+	n.layout.Store(shard.NewLayout(map[string]int{"pumps": 1}))
+	n.lastStoreContact = n.settings.Now()
+	NewWithT(t).Expect(n.claimPool(ctx, "pumps")).To(Succeed())
+	return n.PeerHandler()
+}
+
+// Guards against an operation of a later version that counts as executed, or as possibly executed.
+func TestUnknownOperationIsNotRun(t *testing.T) {
+	g := NewWithT(t)
+	server := httptest.NewServer(wireOwner(t.Context(), t))
+	defer server.Close()
+	_, err := newPeerClient(nil).call(t.Context(), strings.TrimPrefix(server.URL, "http://"), wireCall{Op: "later-version", Pool: "pumps"})
+	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue(), "%v", err)
+	g.Expect(err).To(MatchError(ContainSubstring("unknown operation")))
+}
--- a/daemon/owner_cost_test.go
+++ b/daemon/owner_cost_test.go
@@ -111,11 +111,11 @@
 
 func usableWorkers(ctx context.Context, node *cluster.Node) int {
 	n := 0
-	res, err := node.Execute(ctx, cluster.Call{Op: cluster.OpReport, Pool: "pumps"})
+	report, err := node.Report(ctx, "pumps")
 	if err != nil {
 		return 0
 	}
-	for _, w := range res.Report.Workers {
+	for _, w := range report.Workers {
 		if w.Usable {
 			n++
 		}
@@ -134,13 +134,13 @@
 	for n := range jobs {
 		time.Sleep(time.Until(began.Add(time.Duration(n) * burstLength / time.Duration(jobs))))
 		go func() {
-			_, _ = node.Execute(ctx, cluster.Call{Op: cluster.OpSubmit, Pool: "pumps", Spec: burstJob(round, n)})
+			_ = node.Submit(ctx, "pumps", burstJob(round, n))
 		}()
 	}
 	for n := range jobs {
 		g.Eventually(func() engine.State {
-			res, _ := node.Execute(ctx, cluster.Call{Op: cluster.OpState, Pool: "pumps", ID: burstJob(round, n).ID})
-			return res.State
+			state, _, _ := node.State(ctx, "pumps", cluster.JobRef{ID: burstJob(round, n).ID})
+			return state
 		}, time.Minute, 20*time.Millisecond).Should(Equal(engine.Completed))
 	}
 	userAfter, totalAfter := processorTime()
--- a/status/status.go
+++ b/status/status.go
@@ -30,7 +30,7 @@
 	// StoreContactAge returns the time since the last contact with the store.
 	StoreContactAge() time.Duration
 	Report(ctx context.Context, pool string) (engine.PoolReport, error)
-	Execute(ctx context.Context, call cluster.Call) (cluster.Result, error)
+	Waiting(ctx context.Context, pool, queue string) (int, error)
 	Explain(ctx context.Context, id string) (pool string, job engine.JobReport, known bool, err error)
 	// ExplainPlacement asks the owner of the shard of a job that isn't submitted how it would treat the job.
 	ExplainPlacement(ctx context.Context, pool string, spec engine.Spec) (cluster.Ownership, engine.PlacementReport, error)
@@ -143,9 +143,8 @@
 }
 
 func (q *Queue) fill(ctx context.Context, f Fleet) error {
-	res, err := f.Execute(ctx, cluster.Call{Op: cluster.OpWaiting, Pool: q.Pool, Queue: q.Name})
-	if err == nil {
-		q.Waiting = res.Waiting
+	if waiting, err := f.Waiting(ctx, q.Pool, q.Name); err == nil {
+		q.Waiting = waiting
 	}
 	return nil
 }
