Explain that a gang's allotment has to cover all of its members

Cause: the explanation of a gang passed over the workspace's allotment, which its placement now checks. Change: the explanation checks it for all members. Result: tests of engine pass.

--- a/engine/placementreport.go
+++ b/engine/placementreport.go
@@ -212,15 +212,19 @@
 	case !st.spec.LongRunning && p.pendingStarts >= maxPendingStarts:
 		return nil, "too many starts wait for the store or for workers"
 	}
+	need := st.spec.Need
+	if st.spec.Gang {
+		need = need.Times(len(st.tasks)) // All members start at once.
+	}
+	if obstacle := p.workspaces.obstacle(st.occ.job.Spec.Workspace, need); obstacle != "" {
+		return nil, obstacle
+	}
 	if st.spec.Gang {
 		if plan := p.planGang(st, workers, c); plan != nil {
 			return plan[0], ""
 		}
 		return nil, p.placementObstacle(st, c)
 	}
-	if obstacle := p.workspaces.obstacle(st.occ.job.Spec.Workspace, st.spec.Need); obstacle != "" {
-		return nil, obstacle
-	}
 	if w := p.chooseWorker(st.tasks[0], workers, st.commonRack(), c); w == nil || st.spec.LongRunning || !reserved[w] {
 		return w, p.placementObstacle(st, c)
 	}
