Keep new work off suspects in the engine if Options.Ejection is set

Cause: a failing, stalling, restarting or slow worker is avoided only by a placement cost for 4 s. Change: with Options.Ejection the engine reports results, slow runs, rejected or unanswered starts, silence and restarts to package suspect and asks it before each start. Stalled runs on a suspect are stopped if their task can start elsewhere. A task that fails on two workers takes back what it told of the first one. Gangs, long-running tasks and last attempts go to a suspect only if its probe run has been due for 4 s. Without the option nothing changes.

--- a/engine/cost.go
+++ b/engine/cost.go
@@ -59,9 +59,7 @@
 		}
 	}
 	cost += costFailedOnWorker * float64(t.failedOn[w.ID])
-	if w.avoidUntil > c.Now {
-		cost += costAvoidedWorker
-	}
+	cost += w.cautionCost(c)
 	if st.AffinityRack != "" && w.rack() != st.AffinityRack {
 		cost += costOtherAffinityRack
 	}
--- a/engine/failures.go
+++ b/engine/failures.go
@@ -18,7 +18,7 @@
 
 // handleFailure delays the next run of a task that has failed, and counts the failure as an attempt unless the task is long-running.
 func (p *Pool) handleFailure(t *Task, r *Run, c Clock) {
-	p.recordFailure(r.Worker, t, c)
+	p.recordFailure(r, t, c)
 	if t.failedOn == nil {
 		t.failedOn = map[string]int{}
 	}
--- a/engine/gang.go
+++ b/engine/gang.go
@@ -73,7 +73,7 @@
 		for _, w := range workers {
 			free := w.info.Capacity.Sub(w.used).Sub(used[w])
 			full := st.spec.AntiAffinity > 0 && w.runsOfStep(st)+count[w] >= st.spec.AntiAffinity
-			if w.avoidUntil > c.Now || full || !free.Covers(need) || !p.fits(t, w, c) {
+			if w.avoidUntil > c.Now || full || !w.admits(count[w], c) || !free.Covers(need) || !p.fits(t, w, c) {
 				continue
 			}
 			pick = w
--- a/engine/learn.go
+++ b/engine/learn.go
@@ -11,6 +11,8 @@
 }
 
 const (
+	// minRunTimeSamples is the number of runs from which the observed run time of a queue is used.
+	minRunTimeSamples = 5
 	// runTimeSmoothing is the weight of the newest run in the moving average.
 	runTimeSmoothing = 0.1
 	// slowWorkerRatio is the ratio of actual to expected run time above which a worker counts as slow.
@@ -25,6 +27,10 @@
 func (p *Pool) recordRunTime(t *Task, r *Run, c Clock) {
 	took := float64((c.Now - r.startedAt).Milliseconds())
 	w := r.Worker
+	p.runDone(t, r, c)
+	if !p.measuresRunTime(w) {
+		return
+	}
 	w.failScore = max(0, w.failScore-1)
 	if t.checkpoint != "" || took <= 0 {
 		return
@@ -37,7 +43,7 @@
 	expected := p.expectedRunTime(t.step)
 	d.count++
 	d.mean += max(runTimeSmoothing, 1/float64(d.count)) * (took - d.mean)
-	if expected > 0 {
+	if expected > 0 && w.condition == nil {
 		ratio := took / expected
 		w.runTimeSamples++
 		w.runTimeRatio += 0.25 * (min(ratio, 8) - w.runTimeRatio)
@@ -54,7 +60,7 @@
 func (p *Pool) expectedRunTime(st *stepState) float64 {
 	d := p.durationEstimates[st.occ.job.Spec.Queue]
 	declared := float64(st.spec.EstimateMS)
-	if d == nil || d.count < 5 {
+	if d == nil || d.count < minRunTimeSamples {
 		return max(declared, 1)
 	}
 	if declared <= 0 {
@@ -64,8 +70,14 @@
 }
 
 // recordFailure counts a failure against a worker. A task that fails on several workers says nothing about them.
-func (p *Pool) recordFailure(w *Worker, t *Task, c Clock) {
+func (p *Pool) recordFailure(r *Run, t *Task, c Clock) {
+	w := r.Worker
 	if len(t.failedOn) > 0 && t.failedOn[w.ID] == 0 {
+		p.excuse(t, c)
+		return
+	}
+	if w.condition != nil {
+		w.condition.Failed(r.grant, t.id.Job, c.Now)
 		return
 	}
 	w.failScore++
--- a/engine/place.go
+++ b/engine/place.go
@@ -256,6 +256,9 @@
 		r.ticket = tk.code
 	}
 	p.addRun(r)
+	if w.condition != nil {
+		r.grant = w.condition.Started()
+	}
 	p.countPending(r, false)
 	p.markDirty(t.job())
 	r.rev = t.job().rev
@@ -273,7 +276,7 @@
 
 // mayRun reports whether the worker may run the task if it has the capacity.
 func (p *Pool) mayRun(t *Task, w *Worker, c Clock) bool {
-	if !t.step.permitsWorker(w) {
+	if !t.step.permitsWorker(w) || !p.admitsTask(t, w, c) {
 		return false
 	}
 	return !p.queueOf(t.job()).Advised || t.step.hasTicket(w, c.Now)
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"samphirepoint/suspect"
 )
 
 // Options are the time limits of the engine.
@@ -21,6 +23,9 @@
 	RowBytes int
 	// CompleteWithin is the time within which accepted work must be completed once no more arrives.
 	CompleteWithin time.Duration
+	// Ejection excludes suspects from new work but for probe runs, as package suspect decides. Without it, failing and slow workers get
+	// work last for a short time.
+	Ejection bool
 }
 
 // DefaultOptions returns options for a platform with leases of up to 10 s.
@@ -85,6 +90,8 @@
 	usableBuffer    []*Worker
 	nextExpiry      time.Duration
 	workspaces      workspaces
+	// suspects is nil without Options.Ejection.
+	suspects *suspect.Tracker
 }
 
 // Decision is a scheduling decision to be logged.
@@ -98,7 +105,7 @@
 
 // NewPool returns the empty state of a pool whose ownership began at now.
 func NewPool(name string, token int64, opt Options, now time.Duration) *Pool {
-	return &Pool{
+	p := &Pool{
 		Name:              name,
 		Token:             token,
 		options:           opt,
@@ -112,6 +119,10 @@
 		kinds:             map[string]float64{},
 		misplaced:         map[string]*Job{},
 	}
+	if opt.Ejection {
+		p.suspects = suspect.New()
+	}
+	return p
 }
 
 // SetQueues updates the queues. Jobs of a queue that was removed keep its last settings: those that have changed since a job was submitted
@@ -314,6 +325,9 @@
 func (p *Pool) dropRun(r *Run) {
 	r.Task.waitingSince = p.now
 	r.Worker.remove(r)
+	if r.Worker.condition != nil {
+		r.Worker.condition.Over(r.grant)
+	}
 	r.Task.removeRun(r)
 	p.workspaces.remove(r.Task.job().Spec.Workspace, r.Task.step.spec.Need)
 	p.countPending(r, true)
@@ -340,6 +354,7 @@
 
 // TakeDecisions returns the decisions since the last call.
 func (p *Pool) TakeDecisions() []Decision {
+	p.recordSuspectEvents()
 	d := p.decisions
 	p.decisions = nil
 	return d
@@ -360,6 +375,7 @@
 	}
 	for _, w := range p.workers {
 		p.tickWorker(w, c)
+		p.judgeRuns(w, c)
 	}
 	p.updateBacklog(c)
 	p.expire(c)
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -10,6 +10,9 @@
 // incarnation has executed a stop.
 func (p *Pool) workerRestarted(w *Worker, a RenewalReply, sentAt time.Duration, c Clock) {
 	p.recordDecision("worker-reborn", "", 0, w.ID, itoa(a.Incarnation))
+	if w.condition != nil {
+		w.condition.Restarted(c.Now)
+	}
 	listed := a.runIDs()
 	for _, r := range w.allRuns() {
 		former := r.phase == phaseInherited || (r.phase != phaseStarting && r.phase != phaseDecided && r.confirmedAt < sentAt)
--- a/engine/starts.go
+++ b/engine/starts.go
@@ -44,6 +44,7 @@
 		r.outcomeUnknown = true
 		p.countPending(r, false)
 		p.backOff(r.Worker, c)
+		r.Worker.noteStart(out, c)
 	case r.attempts > 1:
 		// An earlier order for this run may have been executed, or may yet be; a stop order prevents a late start.
 		p.stop(r, c)
@@ -55,6 +56,7 @@
 func (p *Pool) handleRejection(r *Run, out StartOutcome, reason string, c Clock) {
 	p.recordDecision("start-rejected", r.Task.id.String(), r.Num, r.Worker.ID, reason)
 	w, t := r.Worker, r.Task
+	w.noteStart(out, c)
 	p.dropRun(r)
 	t.notBefore = c.Now + rejectionBackoff
 	switch {
--- a/engine/terminated.go
+++ b/engine/terminated.go
@@ -8,6 +8,9 @@
 		return false
 	}
 	w.unresponsive = true
+	if w.condition != nil {
+		w.condition.Silent(c.Now)
+	}
 	p.recordDecision("worker-silent", "", 0, id, "")
 	if w.reportedGone {
 		p.WorkerTerminated(id, w.incarnation, c)
--- a/engine/testpool_test.go
+++ b/engine/testpool_test.go
@@ -71,6 +71,8 @@
 	executesUnanswered bool
 	maxUsed            Resources
 	startsTotal        int
+	// runTime returns how long a run takes and how it ends; without it, runs end by the test.
+	runTime func(o Order) (time.Duration, EndReason)
 }
 
 type fakeRun struct {
@@ -81,9 +83,11 @@
 
 const testStart = 10 * time.Second
 
-func newTestPool(workers int) *testPool {
+func newTestPool(workers int) *testPool { return newTestPoolWith(DefaultOptions(), workers) }
+
+func newTestPoolWith(options Options, workers int) *testPool {
 	w := &testPool{now: testStart, workers: map[string]*fakeWorker{}, records: map[string]stored{}}
-	w.pool = NewPool("pumps", 1, DefaultOptions(), w.now)
+	w.pool = NewPool("pumps", 1, options, w.now)
 	w.pool.SetQueues([]Queue{{Name: "q", Attempts: 3, Stretch: 1.6, TargetMS: 600}, {Name: "low", Attempts: 3, Priority: 1, Stretch: 1.6, TargetMS: 600}})
 	for i := range workers {
 		id := fmt.Sprintf("i-%02d", i)
@@ -211,7 +215,13 @@
 	}
 	if f.running[key] == nil {
 		f.startsTotal++
-		f.running[key] = &fakeRun{order: o}
+		r := &fakeRun{order: o}
+		if f.runTime != nil {
+			var took time.Duration
+			took, r.reason = f.runTime(o)
+			r.ends = w.now + took
+		}
+		f.running[key] = r
 	}
 	var used Resources
 	for _, r := range f.running {
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"samphirepoint/suspect"
 )
 
 // WorkerInfo is a worker's entry in the platform's list. Incarnation is the start time of the worker in Unix
@@ -68,6 +70,8 @@
 	runTimeSamples int
 	failScore      float64
 	avoidUntil     time.Duration
+	// condition takes the place of these fields with Options.Ejection; it is nil without.
+	condition *suspect.Worker
 }
 
 type pendingAck struct {
@@ -104,6 +108,10 @@
 	listedIn int64
 	// pending is set while the run is counted in Pool.pendingStarts.
 	pending bool
+	// grant is the period of the worker's condition in which the run started.
+	grant suspect.Grant
+	// judgedSlow, judgedStalled and judgedStable are set once the worker's condition has taken that into account.
+	judgedSlow, judgedStalled, judgedStable bool
 }
 
 type phase uint8
@@ -125,6 +133,9 @@
 	w := p.workers[id]
 	if w == nil {
 		w = &Worker{ID: id, runs: map[runID]*Run{}, runTimeRatio: 1}
+		if p.suspects != nil {
+			w.condition = p.suspects.Worker(id)
+		}
 		p.workers[id] = w
 		p.workersByID = nil
 	}
@@ -133,6 +144,9 @@
 
 func (p *Pool) removeWorker(id string) {
 	delete(p.workers, id)
+	if p.suspects != nil {
+		p.suspects.Remove(id)
+	}
 	p.workersByID = nil
 }
 
@@ -244,6 +258,9 @@
 			p.removeWorker(id)
 		}
 	}
+	if p.suspects != nil {
+		p.suspects.SetListed(named, c.Now)
+	}
 }
 
 // needsRenewal reports whether the worker's lease is to be renewed: it is listed, or may still have runs or unstored ends.
--- a/suspect/worker.go
+++ b/suspect/worker.go
@@ -37,7 +37,7 @@
 	scores    scores
 	decayedAt time.Duration
 	// jobs are the jobs whose runs have raised the scores last.
-	jobs []string
+	jobs []jobShare
 	// minorAt is when a rejected or unanswered start was counted last.
 	minorAt      time.Duration
 	minorCounted bool
@@ -58,6 +58,12 @@
 	instability float64
 }
 
+// jobShare is a job with the trouble that its runs have added.
+type jobShare struct {
+	job     string
+	trouble float64
+}
+
 const (
 	// threshold is the score from which a worker is a suspect: three failures with few successes between them, or three slow runs. At an
 	// error rate of 3 % a worker reaches it about once in some thousand runs.
@@ -204,18 +210,32 @@
 	case w.state == Returning && g != w.period:
 		// The run is from before the successful probe run.
 	default:
-		f := w.jobFactor(job)
-		w.raise(scores{trouble: f * add.trouble, slowness: f * add.slowness}, reason, now)
+		w.raise(w.share(job, add), reason, now)
 	}
 }
 
-// jobFactor returns the factor for a bad result of a job and remembers the job.
-func (w *Worker) jobFactor(job string) float64 {
-	if slices.Contains(w.jobs, job) {
-		return repeatedJobWeight
+// Excuse takes back the trouble of a job's failed runs, as the job has failed on another worker as well.
+func (w *Worker) Excuse(job string, now time.Duration) {
+	w.decay(now)
+	for i := range w.jobs {
+		if w.jobs[i].job == job {
+			w.scores.trouble = max(0, w.scores.trouble-w.jobs[i].trouble)
+			w.jobs[i].trouble = 0
+		}
+	}
+}
+
+// share returns what a bad result of a job adds to the scores, and remembers the job.
+func (w *Worker) share(job string, add scores) scores {
+	i := slices.IndexFunc(w.jobs, func(s jobShare) bool { return s.job == job })
+	if i < 0 {
+		w.jobs = append(w.jobs[max(0, len(w.jobs)-maxRememberedJobs+1):], jobShare{job: job})
+		i = len(w.jobs) - 1
+	} else {
+		add = scores{trouble: add.trouble * repeatedJobWeight, slowness: add.slowness * repeatedJobWeight}
 	}
-	w.jobs = append(w.jobs[max(0, len(w.jobs)-maxRememberedJobs+1):], job)
-	return 1
+	w.jobs[i].trouble += add.trouble
+	return add
 }
 
 // Rejected records that a start was answered by 429 or 503.
