Ask suspects at the health path of their service before a probe run

Cause: the configuration names a health path for each service, and nothing asks it. The contract 'health' of the settings sets engine.Options.Ejection.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -27,6 +27,8 @@
 	Name             string
 	EnforcesCapacity bool
 	Spare            bool
+	// HealthPath is where the pool's workers answer whether they are healthy, or "" if they don't.
+	HealthPath string
 }
 
 // Workspace is a tenant of the fleet: its callers identify themselves by its keys, and its jobs share its weight and its cap.
@@ -119,6 +121,12 @@
 	return Pool{}, false
 }
 
+// HealthPath returns the health path of a pool's workers, or "" if the pool has none or isn't known.
+func (c *Catalog) HealthPath(pool string) string {
+	p, _ := c.Pool(pool)
+	return p.HealthPath
+}
+
 // WorkspaceOf returns the workspace that has the API key.
 func (c *Catalog) WorkspaceOf(key string) (*Workspace, bool) {
 	w, ok := c.byKey[key]
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -178,6 +178,7 @@
 	for name, o := range n.ownerTerms() {
 		o.SetQueues(cat.QueuesOf(n.layout.Load().PoolOf(name)))
 		o.SetWorkspaces(cat.EngineWorkspaces())
+		o.SetHealthPath(cat.HealthPath(n.layout.Load().PoolOf(name)))
 	}
 }
 
--- a/cluster/simworkers_test.go
+++ b/cluster/simworkers_test.go
@@ -223,3 +223,6 @@
 
 // Throttle implements owner.Workers.
 func (a *simAccess) Throttle(context.Context, engine.Order, int64) error { return nil }
+
+// Healthy implements owner.Workers.
+func (a *simAccess) Healthy(context.Context, engine.Target, string) (bool, error) { return true, nil }
--- a/cluster/terms.go
+++ b/cluster/terms.go
@@ -80,6 +80,7 @@
 	n.runTerm(pool, o, newOwnerTerm(pool, o))
 	if cat != nil {
 		o.SetQueues(cat.QueuesOf(n.layout.Load().PoolOf(pool)))
+		o.SetHealthPath(cat.HealthPath(n.layout.Load().PoolOf(pool)))
 	}
 	n.rosterMu.Lock()
 	n.passRosterTo(pool, o)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -104,6 +104,7 @@
 	if s := settings.Bounds.FinishS; s > 0 {
 		o.CompleteWithin = time.Duration(s * float64(time.Second))
 	}
+	o.Ejection = settings.HasContract(platform.ContractHealth)
 	return o
 }
 
--- a/owner/overload_test.go
+++ b/owner/overload_test.go
@@ -107,6 +107,10 @@
 
 func (s *slowProcessor) Throttle(context.Context, engine.Order, int64) error { return nil }
 
+func (s *slowProcessor) Healthy(context.Context, engine.Target, string) (bool, error) {
+	return true, nil
+}
+
 // Guards against the collapse of an owner in a burst of 1,000 task starts a second on a slow processor: orders and renewals exceeded
 // their time limits while they waited for the owner's own processor, workers were taken for silent, orders were sent again and runs
 // given up, which cost more processor time than the burst itself.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -51,6 +51,8 @@
 	// Stop and Throttle return nil once the worker has executed the order.
 	Stop(ctx context.Context, o engine.Order, token int64) error
 	Throttle(ctx context.Context, o engine.Order, token int64) error
+	// Healthy asks a worker at the health path of its pool. An error means that the answer is unknown.
+	Healthy(ctx context.Context, to engine.Target, path string) (bool, error)
 }
 
 // Adviser reports which workers may run the steps of advised queues, and for how long the advice is valid.
@@ -113,6 +115,8 @@
 	confirmedBy     string
 	confirmedAt     time.Duration // the beginning of the last attempt
 	checkingCordons bool
+	// healthPath is the health path of the pool's workers, or "". Only the event loop uses it.
+	healthPath string
 	// loaded is closed once the pool's rows are read.
 	loaded chan struct{}
 	ctx    context.Context
@@ -211,6 +215,7 @@
 			o.startRenewers()
 			o.probeParts()
 			o.checkExpiringCordons()
+			o.checkHealth()
 			o.confirmClaimIfDue()
 		}
 		c := o.clock()
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -104,6 +104,8 @@
 
 func (w *fakeWorkers) Throttle(context.Context, engine.Order, int64) error { return nil }
 
+func (w *fakeWorkers) Healthy(context.Context, engine.Target, string) (bool, error) { return true, nil }
+
 func (w *fakeWorkers) endRun(o engine.Order, reason engine.EndReason) {
 	delete(w.running, o.Task.String())
 	w.endCount++
@@ -142,7 +144,9 @@
 // serveWith runs an owner with the given settings, to which it adds the others.
 func serveWith(t *testing.T, s Settings) *Owner {
 	began := time.Now()
+	ejection := s.Options.Ejection
 	s.Pool, s.Options, s.Log, s.Now = "pumps", engine.DefaultOptions(), zerolog.Nop(), func() time.Duration { return time.Since(began) }
+	s.Options.Ejection = ejection
 	o := New(context.Background(), s)
 	go func() { _ = o.Run() }()
 	o.SetQueues([]engine.Queue{{Name: "q", Attempts: 3, Stretch: 2, TargetMS: 500}})
