Count a gang's failure against one worker, and test jobs of uneven length

Cause: all members of a gang may end as failed when one fails, so that each failure raised the scores of all their workers. Change: with ejection, only the first failed member of a run counts. Result: the new test fails without the change, as i-01 to i-03 become suspects.

--- a/engine/learn.go
+++ b/engine/learn.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 )
 
@@ -77,7 +78,9 @@
 		return
 	}
 	if w.condition != nil {
-		w.condition.Failed(r.grant, t.id.Job, c.Now)
+		if !t.step.spec.Gang || !slices.Contains(t.failedRuns, r.Num) { // The other members of a gang may fail with the first one.
+			w.condition.Failed(r.grant, t.id.Job, c.Now)
+		}
 		return
 	}
 	w.failScore++
--- a/engine/suspects.go
+++ b/engine/suspects.go
@@ -116,7 +116,7 @@
 	if w.condition == nil || !p.reachable(w, c) {
 		return
 	}
-	for _, r := range w.allRuns() {
+	for _, r := range w.runs {
 		switch {
 		case r.phase != phaseRunning:
 		case r.Task.step.spec.LongRunning:
--- a/engine/suspects_test.go
+++ b/engine/suspects_test.go
@@ -215,6 +215,33 @@
 	}
 }
 
+// Pattern: gangs in which one worker fails its members, and the others fail with them. Guards against taking all workers of a gang for
+// suspects.
+func TestFailedGangBlamesOneWorker(t *testing.T) {
+	g := NewWithT(t)
+	o := DefaultOptions()
+	o.Ejection = true
+	w := newTestPoolWith(o, 10)
+	for n := range 4 {
+		step := Step{Count: 4, Need: Resources{CPU: 1000}, Gang: true, AntiAffinity: 1}
+		w.pool.Submit(oneStep(fmt.Sprintf("%016x", n), step), w.clock())
+		w.place()
+		for _, id := range []string{"i-00", "i-01", "i-02", "i-03"} {
+			f := w.workers[id]
+			for key := range f.running {
+				f.end(key, EndFailed)
+			}
+			w.pool.RenewalAnswered(id, f.answer(RenewalRequest{}, w.now), w.now, w.clock())
+		}
+	}
+	for id, x := range w.pool.workers {
+		if id != "i-00" {
+			g.Expect(x.condition.State()).To(Equal(suspect.Normal), id)
+		}
+	}
+	g.Expect(w.pool.workers["i-00"].condition.State()).To(Equal(suspect.Suspected))
+}
+
 // Guards against a gang or a long-running task that waits for good because only a suspect could run it.
 func TestDelicateTasksRunOnASuspectInTheEnd(t *testing.T) {
 	for name, step := range map[string]Step{
--- a/suspect/sim_test.go
+++ b/suspect/sim_test.go
@@ -36,6 +36,8 @@
 	now     time.Duration
 	// jobErrors is the share of runs that fail on any worker.
 	jobErrors float64
+	// longJobs is the share of runs that take eight times as long on any worker.
+	longJobs float64
 	// health answers the questions to suspects; nil if there is no health path.
 	health      func(w *simWorker) Health
 	asked       int
@@ -116,6 +118,9 @@
 func (x *simulation) start(w *simWorker) {
 	r := &simRun{grant: w.Started(), job: fmt.Sprint("j", x.rnd.Int64()), began: x.now}
 	r.took = time.Duration(float64(200+x.rnd.IntN(400)) * w.slowness * float64(time.Millisecond))
+	if x.longJobs > 0 && x.rnd.Float64() < x.longJobs {
+		r.took *= 8
+	}
 	r.fails = x.rnd.Float64() < max(x.jobErrors, w.failShare)
 	if x.rnd.Float64() < w.stallShare {
 		r.took = time.Hour
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -157,6 +157,23 @@
 	})
 }
 
+// Pattern: 15 % of the jobs take eight times as long as expected, on any worker. Guards against taking the workers that happen to run them
+// for slow.
+func TestJobsOfUnevenLength(t *testing.T) {
+	starts, suspicions := 0, 0
+	for seed := range uint64(simSeeds) {
+		x := newSimulation(seed, 10)
+		x.longJobs = 0.15
+		x.run(60 * time.Second)
+		suspicions += x.falseSuspicions
+		for _, w := range x.workers {
+			starts += w.started
+		}
+	}
+	t.Logf("%d suspicions in %d runs", suspicions, starts)
+	NewWithT(t).Expect(suspicions).To(BeNumerically("<=", starts/200))
+}
+
 // Pattern: false answers of the health path. Guards against a good worker that is never probed, against a bad one that returns by its
 // answer, and against too many questions.
 func TestFalseHealthAnswers(t *testing.T) {
--- a/suspect/tracker.go
+++ b/suspect/tracker.go
@@ -53,7 +53,9 @@
 }
 
 // New returns a Tracker without workers.
-func New() *Tracker { return &Tracker{workers: map[string]*Worker{}, typicalRatio: 1} }
+func New() *Tracker {
+	return &Tracker{workers: map[string]*Worker{}, typicalRatio: 1}
+}
 
 // Worker returns the worker with the given ID, and adds it if it isn't known.
 func (t *Tracker) Worker(id string) *Worker {
