Pause tolerated workers after failures, and stop stalled runs on any worker

A run that stalled on a worker that was no suspect waited for good. Change: a tolerated worker gets no work for 500 ms after a failure, and no last attempt before it has waited for 4 s. A stalled run is stopped whatever the state of its worker, the second one of a task after twice the time. TestRackThatFailsUsesUpNoAttempts and TestToleratedWorkerPausesAfterFailures pass.

--- a/engine/place.go
+++ b/engine/place.go
@@ -211,7 +211,9 @@
 				p.reserve(t, workers, c)
 				continue
 			}
-			p.recordFull(st.spec, p.queueOf(st.occ.job))
+			if p.suspects == nil || !p.isLastAttempt(t) { // A last attempt is kept off workers that others may use.
+				p.recordFull(st.spec, p.queueOf(st.occ.job))
+			}
 			return
 		}
 		p.start(t, w, t.lastRun+1, c)
--- a/engine/suspects.go
+++ b/engine/suspects.go
@@ -12,7 +12,8 @@
 	probePatience = 4 * time.Second
 	// stableProbeTime is the time after which a run of a long-running task counts as a success.
 	stableProbeTime = 2 * time.Second
-	// maxRescues bounds the stalled runs of a task that are stopped: a task whose time was estimated far too low must end at last.
+	// maxRescues bounds the stalled runs of a task that are stopped, each after twice the time of the one before: a task whose time was
+	// estimated far too low must end at last.
 	maxRescues = 2
 )
 
@@ -26,17 +27,28 @@
 	if !w.admits(0, c) {
 		return false
 	}
-	if w.condition == nil || w.condition.State() != suspect.Suspected || !p.isDelicate(t) {
+	if w.condition == nil {
 		return true
 	}
-	waited, _ := w.condition.ProbeDue(c.Now)
-	return waited >= probePatience
+	switch w.condition.State() {
+	case suspect.Suspected:
+		waited, _ := w.condition.ProbeDue(c.Now)
+		return waited >= probePatience || !p.isDelicate(t)
+	case suspect.Tolerated:
+		return c.Now-t.waitingSince >= probePatience || !p.isLastAttempt(t)
+	}
+	return true
 }
 
 // isDelicate reports whether a failed run of the task would cost more than that run: those of the rest of its gang, or its job.
 func (p *Pool) isDelicate(t *Task) bool {
+	return t.step.spec.Gang || t.step.spec.LongRunning || p.isLastAttempt(t)
+}
+
+// isLastAttempt reports whether one more failure of the task fails its job.
+func (p *Pool) isLastAttempt(t *Task) bool {
 	q := p.queueOf(t.job())
-	return t.step.spec.Gang || t.step.spec.LongRunning || q.Attempts > 0 && t.failures >= q.Attempts-1
+	return !t.step.spec.LongRunning && q.Attempts > 0 && t.failures >= q.Attempts-1
 }
 
 // cautionCost returns the cost of a placement on a worker whose runs have failed or been slow.
@@ -147,13 +159,15 @@
 		r.judgedStalled = true
 		condition.Stalled(r.grant, r.Task.id.Job, c.Now)
 	}
-	p.rescue(r, c)
+	if r.elapsed(c) > p.suspects.StalledAfter(expected)<<r.Task.rescues {
+		p.rescue(r, c)
+	}
 }
 
-// rescue stops a stalled run on a suspect if its task can start elsewhere.
+// rescue stops a stalled run if its task can start elsewhere.
 func (p *Pool) rescue(r *Run, c Clock) {
 	t := r.Task
-	if r.Worker.condition.State() != suspect.Suspected || t.step.spec.Gang || t.rescues >= maxRescues || !p.canRunElsewhere(t, c) {
+	if t.step.spec.Gang || t.rescues >= maxRescues || !p.canRunElsewhere(t, c) {
 		return
 	}
 	t.rescues++
--- a/engine/suspects_test.go
+++ b/engine/suspects_test.go
@@ -153,6 +153,19 @@
 	g.Expect(u.startsOnBad(20*time.Second)).To(BeNumerically("<=", 14), "a tenth of a good worker's")
 }
 
+// Pattern: five of ten workers, as those of a rack, fail all their runs at once, while the others are full. Guards against jobs that use up
+// their attempts on the workers beyond the bound.
+func TestRackThatFailsUsesUpNoAttempts(t *testing.T) {
+	g := NewWithT(t)
+	u := newUnevenPool(true)
+	for n := range 5 {
+		u.workers[fmt.Sprintf("i-%02d", n)].runTime = func(Order) (time.Duration, EndReason) { return 30 * time.Millisecond, EndFailed }
+	}
+	u.load(15 * time.Second)
+	g.Expect(u.jobsIn(Failed)).To(BeNumerically("<=", 10))
+	g.Expect(u.jobsIn(Completed)).To(BeNumerically(">=", 500))
+}
+
 // Pattern: runs on a worker never end. Guards against jobs that wait for them for good.
 func TestStalledRunsAreStoppedAndRepeated(t *testing.T) {
 	g := NewWithT(t)
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -265,6 +265,23 @@
 	g.Expect(w.State()).To(Equal(Normal))
 }
 
+// Guards against a worker beyond the bound that gets all the work which others have no room for and fails it at once, and against one that gets
+// none although it succeeds.
+func TestToleratedWorkerPausesAfterFailures(t *testing.T) {
+	g := NewWithT(t)
+	w := newSimulation(1, 3).workers[0].Worker // 30 % of 3 are none
+	for n := range 3 {
+		w.Failed(w.Started(), fmt.Sprint(n), 0)
+	}
+	g.Expect(w.State()).To(Equal(Tolerated))
+	g.Expect(w.Room(toleratedPause - 1)).To(BeZero())
+	g.Expect(w.Room(toleratedPause)).To(BeNumerically(">", simSlots))
+	w.Done(w.Started(), "done", 0, 0, toleratedPause)
+	g.Expect(w.Room(toleratedPause)).To(BeNumerically(">", simSlots))
+	g.Expect(w.Avoided(time.Second)).To(BeTrue())
+	g.Expect(w.Avoided(time.Minute)).To(BeFalse())
+}
+
 // Guards against ejecting more than the bound, or all workers, whatever happens in whatever order, and against a second probe run.
 func TestBoundsHoldAfterAnyEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/suspect/worker.go
+++ b/suspect/worker.go
@@ -12,7 +12,8 @@
 // The states of a worker.
 const (
 	Normal State = iota
-	// Tolerated workers have the scores of a suspect while MaxSuspectPercent allows no further one. They get work last.
+	// Tolerated workers have the scores of a suspect while MaxSuspectPercent allows no further one. They get work last, and none for
+	// a moment after a failure.
 	Tolerated
 	// Suspected workers get one probe run at a time.
 	Suspected
@@ -43,6 +44,8 @@
 	minorCounted bool
 
 	probe probe
+	// pausedUntil is until when a tolerated worker gets no work.
+	pausedUntil time.Duration
 	// returnedAt is when the last probe run succeeded, limit the number of runs at once since then.
 	returnedAt time.Duration
 	limit      int
@@ -90,6 +93,9 @@
 	maxRememberedJobs = 8
 	// minorInterval is the least time between two rejected or unanswered starts that count, as one overload rejects many at once.
 	minorInterval = 250 * time.Millisecond
+	// toleratedPause is the time after a failure in which a tolerated worker gets no work. A worker that fails its runs at once would
+	// otherwise get all those that find no room elsewhere, until their attempts are used up.
+	toleratedPause = 500 * time.Millisecond
 	// halfLife is the time in which trouble and slowness decay by half, instabilityHalfLife that of instability. Workers that restart by
 	// turns every 1.4 s restart once in some seconds each.
 	halfLife            = 10 * time.Second
@@ -120,6 +126,10 @@
 		return 0
 	case Returning:
 		return max(0, w.limit-w.running)
+	case Tolerated:
+		if now < w.pausedUntil {
+			return 0
+		}
 	}
 	return math.MaxInt32
 }
@@ -211,6 +221,9 @@
 		// The run is from before the successful probe run.
 	default:
 		w.raise(w.share(job, add), reason, now)
+		if w.state == Tolerated && add.trouble > 0 {
+			w.pausedUntil = now + toleratedPause
+		}
 	}
 }
 
