Test ejection from the settings to the workers' health path

Cause: no test covered the way of the contract and of the health path from settings and configuration to the owner of a pool.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -21,6 +21,8 @@
 type deployment struct {
 	fleet   *jobfleet.Fleet
 	daemons []*runningDaemon
+	// contracts are those of the daemons' settings.
+	contracts []string
 }
 
 type runningDaemon struct {
@@ -35,19 +37,28 @@
  "services":[{"name":"pumps"},{"name":"routes"},{"name":"common","spare":true}],"limits":{"max_body_bytes":262144}}`
 
 func deploy(t *testing.T, daemons int) *deployment {
+	d := deployFleet(t, testConfig)
+	d.startAll(t, daemons)
+	return d
+}
+
+// deployFleet starts a fleet without daemons.
+func deployFleet(t *testing.T, config string) *deployment {
 	fleet, err := jobfleet.New(map[string]int{"pumps": 4, "routes": 4, jobfleet.SparePool: 2})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(fleet.Close)
-	if err := fleet.Configure(json.RawMessage(testConfig)); err != nil {
+	if err := fleet.Configure(json.RawMessage(config)); err != nil {
 		t.Fatal(err)
 	}
-	d := &deployment{fleet: fleet}
+	return &deployment{fleet: fleet}
+}
+
+func (d *deployment) startAll(t *testing.T, daemons int) {
 	for n := range daemons {
 		d.daemons = append(d.daemons, d.start(t, fmt.Sprintf("edge-%d", n)))
 	}
-	return d
 }
 
 func (d *deployment) start(t *testing.T, name string) *runningDaemon {
@@ -64,7 +75,8 @@
 platform: {address: "%s"}
 cloud: {address: "%s"}
 bounds: {grace_s: 6, hold_max_ms: 10000, status_s: 120, lease_ms: 300}
-`, name, port, port+1, port+2, port+3, d.fleet.StoreAddress(), d.fleet.CloudAddress())))
+contracts: [%s]
+`, name, port, port+1, port+2, port+3, d.fleet.StoreAddress(), d.fleet.CloudAddress(), strings.Join(d.contracts, ", "))))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/jobfleet/faults.go
+++ b/standin/jobfleet/faults.go
@@ -48,6 +48,46 @@
 	}
 }
 
+// HealthPath is the health path of the workers.
+const HealthPath = "/alive"
+
+// health answers a call of the health path. A failing worker is unhealthy.
+func (w *worker) health(rw http.ResponseWriter, _ *http.Request) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.healthAsked++
+	if w.failing {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// outcome returns how the runs of the worker end.
+func (w *worker) outcome() string {
+	if w.failing {
+		return reasonFailed
+	}
+	return reasonDone
+}
+
+// Fail makes all runs at the worker of an instance end as failed, until it is called with false.
+func (f *Fleet) Fail(instance string, failing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if in := f.instances[instance]; in != nil && in.worker != nil {
+		in.worker.failing = failing
+	}
+}
+
+// HealthAsked returns how often the health of an instance's worker was asked.
+func (f *Fleet) HealthAsked(instance string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if in := f.instances[instance]; in != nil && in.worker != nil {
+		return in.worker.healthAsked
+	}
+	return 0
+}
+
 // Crash ends the worker of an instance with all that it runs. Its entry in the list of workers stays until the next worker starts, after
 // the given time.
 func (f *Fleet) Crash(instance string, down time.Duration) {
--- a/standin/jobfleet/worker.go
+++ b/standin/jobfleet/worker.go
@@ -47,6 +47,9 @@
 	lastRun  map[string]int64
 	ended    []*endedRun
 	ackedSeq int64
+	// failing is set while runs end as failed; healthAsked counts the calls of the health path.
+	failing     bool
+	healthAsked int
 }
 
 type run struct {
@@ -80,6 +83,7 @@
 	mux.HandleFunc("POST /api/run-start", w.fenced(w.start))
 	mux.HandleFunc("POST /api/run-stop", w.fenced(w.stop))
 	mux.HandleFunc("POST /api/pace", w.fenced(func(callRequest) (int, map[string]any) { return 200, w.status() }))
+	mux.HandleFunc("GET "+HealthPath, w.health)
 	mux.HandleFunc("POST /api/hold", func(rw http.ResponseWriter, r *http.Request) {
 		var c callRequest
 		_ = json.NewDecoder(r.Body).Decode(&c)
@@ -141,7 +145,7 @@
 	for _, name := range slices.SortedFunc(maps.Keys(w.running), func(a, b string) int { return cmp.Compare(w.running[a].doneAtMS, w.running[b].doneAtMS) }) {
 		switch r := w.running[name]; {
 		case r.doneAtMS <= due:
-			w.end(name, r, reasonDone)
+			w.end(name, r, w.outcome())
 		case expired:
 			w.end(name, r, "lapsed")
 		}
@@ -153,7 +157,8 @@
 }
 
 const (
-	reasonDone = "done"
+	reasonDone   = "done"
+	reasonFailed = "failed"
 	// reasonOld is why a start of a run that is not higher than one that has ended is rejected. Its deadline is taken all the same.
 	reasonOld = "old"
 )
