Keep last attempts off tolerated workers only while a worker is sound

Cause: a task of a queue with a single attempt counted as a last attempt from its beginning, and in a pool whose workers are all tolerated, such as one of a single worker, each last attempt waited 4 s for nothing. Change: only tasks that have failed count, and only while some worker is neither suspected nor tolerated.

--- a/engine/suspects.go
+++ b/engine/suspects.go
@@ -35,7 +35,7 @@
 		waited, _ := w.condition.ProbeDue(c.Now)
 		return waited >= probePatience || !p.isDelicate(t)
 	case suspect.Tolerated:
-		return c.Now-t.waitingSince >= probePatience || !p.isLastAttempt(t)
+		return c.Now-t.waitingSince >= probePatience || !p.isLastAttempt(t) || !p.hasSoundWorker()
 	}
 	return true
 }
@@ -45,10 +45,20 @@
 	return t.step.spec.Gang || t.step.spec.LongRunning || p.isLastAttempt(t)
 }
 
-// isLastAttempt reports whether one more failure of the task fails its job.
+// hasSoundWorker reports whether any worker of the pool is neither suspected nor tolerated.
+func (p *Pool) hasSoundWorker() bool {
+	for _, w := range p.workers {
+		if s := w.condition.State(); w.listed && s != suspect.Suspected && s != suspect.Tolerated {
+			return true
+		}
+	}
+	return false
+}
+
+// isLastAttempt reports whether the task has failed, and one more failure fails its job.
 func (p *Pool) isLastAttempt(t *Task) bool {
 	q := p.queueOf(t.job())
-	return !t.step.spec.LongRunning && q.Attempts > 0 && t.failures >= q.Attempts-1
+	return !t.step.spec.LongRunning && q.Attempts > 0 && t.failures >= max(q.Attempts-1, 1)
 }
 
 // cautionCost returns the cost of a placement on a worker whose runs have failed or been slow.
