Order, refuse and preempt by package ranking where workspaces or the setting for overload call for it

Cause: an overloaded pool served the jobs that were nearest to being late, a workspace could fill it alone, and tasks that need most of a worker never found room among small ones.

Change: with workspaces in the configuration, or with Options.Ranked, the engine orders waiting steps by ranking.Key, keeps up to an eighth of the workers free for large tasks, gives starved jobs up to a tenth of the CPU, preempts jobs without value first, and refuses by the work that goes before a job. Refusals are counted by reason, Admit returns the reason, and the report on a waiting job says why others go first. The tests that call Admit take the delay from its new result; what they check is unchanged.

--- a/engine/admission.go
+++ b/engine/admission.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"samphirepoint/ranking"
+)
 
 const (
 	// backlogInterval is the time between two counts of the backlog.
@@ -25,6 +29,8 @@
 	// since is when tasks that could run began to wait without interruption, or 0 while none waits.
 	since     time.Duration
 	completed int64
+	// work is the work of the completed tasks, in thousandths of a core times milliseconds, as it was expected.
+	work float64
 	// active is the time in which tasks completed. It is counted anew after a gap without a completion of more than maxCompletionGap:
 	// while the store or the owner stands still, nothing completes whatever the pool's throughput is.
 	active         time.Duration
@@ -35,6 +41,7 @@
 type throughputSample struct {
 	active    time.Duration
 	completed int64
+	work      float64
 }
 
 // updateBacklog counts the backlog. A pool whose owner, rather than its workers, limits the starts shows a backlog beside idle
@@ -62,7 +69,7 @@
 		b.samples = nil
 	}
 	b.lastCompletion = c.Now
-	b.samples = append(b.samples, throughputSample{active: b.active, completed: b.completed})
+	b.samples = append(b.samples, throughputSample{active: b.active, completed: b.completed, work: b.work})
 	for len(b.samples) > 1 && b.active-b.samples[1].active >= throughputWindow {
 		b.samples = b.samples[1:]
 	}
@@ -71,6 +78,7 @@
 // countRemaining counts the remaining tasks and reports whether some wait that could run.
 func (p *Pool) countRemaining(c Clock) (waiting bool) {
 	p.backlog.remaining = map[int]int{}
+	p.beginCount(c)
 	for _, j := range p.openJobs {
 		q := p.queueOf(j)
 		for o := range j.openOccurrences() {
@@ -81,6 +89,7 @@
 				p.backlog.remaining[q.Priority] += len(st.tasks) - st.done
 				waiting = waiting || st.dependenciesDone() && st.hasPending(c.Now)
 			}
+			p.queueOccurrence(o, q, c)
 		}
 	}
 	return waiting
@@ -104,12 +113,8 @@
 // throughput. It reports false while that is not known: without a backlog, and until tasks have completed beside a backlog for
 // throughputWindow.
 func (b *backlog) drainTime(priority int) (time.Duration, bool) {
-	if b.since == 0 {
-		return 0, false
-	}
-	first, last := b.samples[0], b.samples[len(b.samples)-1]
-	completed, period := last.completed-first.completed, last.active-first.active
-	if completed <= 0 || period < throughputWindow {
+	done, known := b.throughput()
+	if !known {
 		return 0, false
 	}
 	remaining := 0
@@ -118,22 +123,39 @@
 			remaining += n
 		}
 	}
-	return time.Duration(float64(period) * float64(remaining) / float64(completed)), true
+	return time.Duration(float64(done.active) * float64(remaining) / float64(done.completed)), true
+}
+
+// throughput returns what was completed recently, and in how much time. It reports false while that is not known.
+func (b *backlog) throughput() (done throughputSample, known bool) {
+	if b.since == 0 {
+		return throughputSample{}, false
+	}
+	first, last := b.samples[0], b.samples[len(b.samples)-1]
+	done = throughputSample{active: last.active - first.active, completed: last.completed - first.completed, work: last.work - first.work}
+	return done, done.completed > 0 && done.active >= throughputWindow
 }
 
-// Admit reports whether the pool can complete one more job with the given spec in time. If not, it returns the time after which
-// the backlog will have drained so far that it can. Jobs of long-running tasks and scheduled jobs are always admitted: they do not
-// queue for capacity now.
-func (p *Pool) Admit(spec *Spec) (retryAfter time.Duration, ok bool) {
+// Admit reports whether the pool can complete one more job with the given spec in time. If not, it returns why, and the time after which
+// it can. Jobs of long-running tasks and scheduled jobs are always admitted: they do not queue for capacity now.
+func (p *Pool) Admit(spec *Spec) (ranking.Refusal, bool) {
 	if spec.RepeatCount > 0 || spec.allLongRunning() {
-		return 0, true
+		return ranking.Refusal{}, true
+	}
+	if p.ranked() {
+		return p.admitRanked(spec)
 	}
 	drain, known := p.backlog.drainTime(p.queueOfSpec(spec).Priority)
-	limit := time.Duration(maxBacklogShare * float64(p.options.CompleteWithin))
+	limit := p.maxDrain()
 	if !known || drain <= limit {
-		return 0, true
+		return ranking.Refusal{}, true
 	}
-	return min(drain-limit, p.options.CompleteWithin), false
+	return ranking.Refusal{Reason: ranking.Backlog, RetryAfter: min(drain-limit, p.options.CompleteWithin)}, false
+}
+
+// maxDrain returns the longest time that the accepted work may take to complete.
+func (p *Pool) maxDrain() time.Duration {
+	return time.Duration(maxBacklogShare * float64(p.options.CompleteWithin))
 }
 
 func (s *Spec) allLongRunning() bool {
--- a/engine/admission_stall_test.go
+++ b/engine/admission_stall_test.go
@@ -30,8 +30,8 @@
 				}
 			}
 		}
-		if after, ok := w.pool.Admit(&spec); !ok {
-			worst = max(worst, after)
+		if refusal, ok := w.pool.Admit(&spec); !ok {
+			worst = max(worst, refusal.RetryAfter)
 		}
 	}
 	g.Expect(worst).To(BeNumerically("<", w.pool.options.CompleteWithin))
--- a/engine/admission_test.go
+++ b/engine/admission_test.go
@@ -15,9 +15,9 @@
 	for end := w.now + period; w.now < end; w.work(100 * time.Millisecond) {
 		for k := range jobs {
 			spec := oneStep(fmt.Sprintf("%s-%d-%d", prefix, w.now.Milliseconds(), k), step)
-			retryAfter, ok := w.pool.Admit(&spec)
+			refusal, ok := w.pool.Admit(&spec)
 			if !ok {
-				g.Expect(retryAfter).To(BeNumerically(">", 0))
+				g.Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
 				refused++
 				continue
 			}
--- a/engine/allotment.go
+++ b/engine/allotment.go
@@ -30,15 +30,19 @@
 	// allotments are those of capped workspaces; one without an allotment starts nothing.
 	allotments map[string]Allotment
 	used       map[string]Resources
+	meanWeight float64
 }
 
 // SetWorkspaces sets the workspaces of the configuration.
 func (p *Pool) SetWorkspaces(list []Workspace) {
 	settings := map[string]Workspace{}
+	total := 0.0
 	for _, w := range list {
 		settings[w.Name] = w
+		total += w.Weight
 	}
 	p.workspaces.settings = settings
+	p.workspaces.meanWeight = total / float64(max(len(list), 1))
 	p.placementNeeded = true
 }
 
--- a/engine/cost_benchmark_test.go
+++ b/engine/cost_benchmark_test.go
@@ -14,6 +14,27 @@
 	}
 }
 
+func BenchmarkRankedPlacement(b *testing.B) {
+	w := overloadedPool(85, 400)
+	w.pool.options.Ranked = true
+	c := w.clock()
+	for b.Loop() {
+		w.pool.RequestPlacement()
+		w.pool.Place(c)
+	}
+}
+
+// BenchmarkRankedAdmission decides on a job behind the others.
+func BenchmarkRankedAdmission(b *testing.B) {
+	w := overloadedPool(85, 400)
+	w.pool.options.Ranked = true
+	w.run(backlogInterval)
+	spec := w.pool.Job("0000000000000000").Spec
+	for b.Loop() {
+		w.pool.Admit(&spec)
+	}
+}
+
 func BenchmarkTick(b *testing.B) {
 	w := overloadedPool(85, 400)
 	c := w.clock()
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -139,6 +139,7 @@
 	case reason == EndDone && !st.LongRunning:
 		p.recordRunTime(t, r, c)
 		p.backlog.completed++
+		p.backlog.work += p.taskWork(t.step) * float64(t.step.completedTogether())
 		p.completeTask(t, c)
 	case reason == EndFailed:
 		p.handleFailure(t, r, c)
--- a/engine/explain.go
+++ b/engine/explain.go
@@ -1,6 +1,9 @@
 package engine
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+)
 
 // JobReport explains a job: what is done, what runs where, and why the remaining tasks wait.
 type JobReport struct {
@@ -93,8 +96,26 @@
 		return "every worker is at the step's anti-affinity limit"
 	case p.queueOf(st.occ.job).Advised && !any(func(w *Worker) bool { return st.hasTicket(w, c.Now) }):
 		return "no worker has a valid ticket from the adviser"
+	case !p.workspaces.mayStart(st.occ.job.Spec.Workspace, st.spec.Need):
+		return "the workspace has reached its allotment"
+	case p.ranked():
+		return p.orderReason(st, c)
 	case st.spec.Gang:
 		return "no capacity for all gang members at once"
 	}
 	return "no worker has room, or other work goes first"
 }
+
+// orderReason says how many steps go before a step of a ranked pool for which no worker has room, and why.
+func (p *Pool) orderReason(st *stepState, c Clock) string {
+	list := p.candidates(c)
+	at := slices.IndexFunc(list, func(cd candidate) bool { return cd.step == st })
+	reason := "no worker has room"
+	if st.spec.Gang {
+		reason = "no capacity for all gang members at once"
+	}
+	if at <= 0 {
+		return reason
+	}
+	return fmt.Sprintf("%s; %d steps go first, as the job is %s", reason, at, list[at].key.Standing())
+}
--- a/engine/gang.go
+++ b/engine/gang.go
@@ -6,7 +6,8 @@
 )
 
 // placeGang starts all tasks of a gang at once or none, on a single rack if one has the capacity.
-func (p *Pool) placeGang(st *stepState, workers []*Worker, c Clock) {
+func (p *Pool) placeGang(cd candidate, workers []*Worker, c Clock) {
+	st := cd.step
 	run := int64(0)
 	for _, t := range st.tasks {
 		if !t.pending(c.Now) {
@@ -17,6 +18,7 @@
 	checkpoint := st.gangCheckpoint()
 	plan := p.planGang(st, workers, c)
 	if plan == nil {
+		p.noteFull(cd, workers, c)
 		return
 	}
 	for i, t := range st.tasks {
--- a/engine/place.go
+++ b/engine/place.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"samphirepoint/ranking"
 )
 
 // schedulable reports whether a worker may get new starts.
@@ -49,9 +51,9 @@
 type candidate struct {
 	step        *stepState
 	longRunning bool
-	priority    int
-	late        bool
-	deadline    time.Duration
+	key         ranking.Key
+	// account is the one of the job's workspace, nil unless the pool is ranked.
+	account *ranking.Account
 }
 
 // Place decides which tasks start where, and records the decisions in the jobs.
@@ -62,15 +64,18 @@
 	p.placementNeeded = false
 	p.noRoom = p.noRoom[:0]
 	workers := p.usableWorkers(c)
+	p.beginPlacement(workers, c)
 	p.updateScarcity()
 	p.evacuate(c)
 	for _, cd := range p.candidates(c) {
 		if !cd.step.spec.LongRunning && p.pendingStarts >= maxPendingStarts {
 			p.placementNeeded = true
+			p.rank.filling = true
 			continue
 		}
 		p.placeStep(cd, workers, c)
 	}
+	p.rank.full = p.rank.filling
 	if p.pendingStarts < maxPendingStarts {
 		p.speculate(workers, c)
 	}
@@ -116,43 +121,47 @@
 	return out
 }
 
-// candidates returns the steps with tasks to start in scheduling order: long-running tasks, then jobs that can still
-// meet their objective, then the others; each group is ordered by priority, deadline and arrival.
+// candidates returns the steps with tasks to start in scheduling order: long-running tasks, then the others by their keys and arrival.
 func (p *Pool) candidates(c Clock) []candidate {
 	out := p.candidateBuffer[:0]
+	p.beginRound(c)
 	for _, j := range p.openJobs {
 		for o := range j.openOccurrences() {
 			out = p.addCandidates(out, o, c)
 		}
 	}
+	p.finishKeys(out, c)
 	slices.SortStableFunc(out, compareCandidates)
 	p.candidateBuffer = out
 	return out
 }
 
 func compareCandidates(a, b candidate) int {
-	return cmp.Or(
-		cmp.Compare(rankTrueFirst(a.longRunning), rankTrueFirst(b.longRunning)),
-		cmp.Compare(rankTrueFirst(!a.late), rankTrueFirst(!b.late)),
-		cmp.Compare(a.priority, b.priority),
-		cmp.Compare(a.deadline, b.deadline),
-	)
+	if a.longRunning != b.longRunning {
+		return cmp.Compare(rankTrueFirst(a.longRunning), rankTrueFirst(b.longRunning))
+	}
+	return ranking.Compare(&a.key, &b.key)
 }
 
 func (p *Pool) addCandidates(out []candidate, o *occurrence, c Clock) []candidate {
-	var deadline time.Duration
+	var key ranking.Key
+	var account *ranking.Account
 	q := p.queueOf(o.job)
 	known := false
+	p.chargeStarved(o, c)
 	for _, st := range o.steps {
 		if st.complete() || !st.dependenciesDone() || !st.hasPending(c.Now) {
 			continue
 		}
 		if !known {
 			known = true
-			deadline = p.deadline(o, q, c)
+			key, account = p.keyOf(o, q, c), p.accountOf(o.job)
 		}
-		late := !st.spec.LongRunning && c.Now+p.remainingCriticalPath(o) > deadline
-		out = append(out, candidate{step: st, longRunning: st.spec.LongRunning && !st.spec.BestEffort, priority: q.Priority, late: late, deadline: deadline})
+		cd := candidate{step: st, longRunning: st.spec.LongRunning && !st.spec.BestEffort, key: key, account: account}
+		if st.spec.LongRunning {
+			cd.key.Rank = ranking.OnTime
+		}
+		out = append(out, cd)
 	}
 	return out
 }
@@ -163,8 +172,12 @@
 		o.job.criticalPath = p.remainingCriticalPath(o)
 	}
 	age := time.Duration(c.Wall-o.dueMS) * time.Millisecond
-	whole := time.Duration(q.Stretch*float64(o.job.criticalPath)) + time.Duration(q.TargetMS)*time.Millisecond
-	return c.Now - age + whole
+	return c.Now - age + q.objective(o.job.criticalPath)
+}
+
+// objective returns the time within which a job with the given critical path should end.
+func (q *Queue) objective(criticalPath time.Duration) time.Duration {
+	return time.Duration(q.Stretch*float64(criticalPath)) + time.Duration(q.TargetMS)*time.Millisecond
 }
 
 func (t *Task) pending(now time.Duration) bool {
@@ -191,7 +204,7 @@
 		return
 	}
 	if st.spec.Gang {
-		p.placeGang(st, workers, c)
+		p.placeGang(cd, workers, c)
 		return
 	}
 	if p.knownFull(st.spec) {
@@ -211,6 +224,7 @@
 				p.reserve(t, workers, c)
 				continue
 			}
+			p.noteFull(cd, workers, c)
 			p.recordFull(st.spec, p.queueOf(st.occ.job))
 			return
 		}
@@ -287,12 +301,17 @@
 	return st.spec.AntiAffinity == 0 || w.runsOfStep(st) < st.spec.AntiAffinity
 }
 
+// reservedFromTask reports whether the worker is kept free of the task in this placement.
+func (w *Worker) reservedFromTask(t *Task, c Clock) bool {
+	return w.reservedAt == c.Now && w.reservedFor != t.step && !t.step.spec.LongRunning
+}
+
 // chooseWorker returns the worker with the lowest cost for a task, or nil.
 func (p *Pool) chooseWorker(t *Task, workers []*Worker, rack string, c Clock) *Worker {
 	var best *Worker
 	bestCost := math.Inf(1)
 	for _, w := range workers {
-		if !p.fits(t, w, c) || (w.reservedAt == c.Now && !t.step.spec.LongRunning) {
+		if !p.fits(t, w, c) || w.reservedFromTask(t, c) {
 			continue
 		}
 		cost := p.cost(t, w, rack, c)
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -21,6 +21,8 @@
 	RowBytes int
 	// CompleteWithin is the time within which accepted work must be completed once no more arrives.
 	CompleteWithin time.Duration
+	// Ranked enables the order and the refusals of package ranking also where the configuration has no workspaces.
+	Ranked bool
 }
 
 // DefaultOptions returns options for a platform with leases of up to 10 s.
@@ -85,6 +87,7 @@
 	usableBuffer    []*Worker
 	nextExpiry      time.Duration
 	workspaces      workspaces
+	rank            rankState
 }
 
 // Decision is a scheduling decision to be logged.
@@ -202,6 +205,7 @@
 	p.addKinds(j)
 	p.markDirty(j)
 	p.instantiateDue(j, c)
+	p.queueWork(j, c)
 	p.placementNeeded = true
 	return j
 }
@@ -308,6 +312,7 @@
 	r.Task.live = append(r.Task.live, r)
 	r.Worker.add(r)
 	p.workspaces.add(r.Task.job().Spec.Workspace, r.Task.step.spec.Need)
+	p.rank.shares.Add(r.Task.job().Spec.Workspace, r.Task.step.spec.Footprint().CPU)
 }
 
 // dropRun removes a run that is certainly not on its worker.
@@ -316,6 +321,7 @@
 	r.Worker.remove(r)
 	r.Task.removeRun(r)
 	p.workspaces.remove(r.Task.job().Spec.Workspace, r.Task.step.spec.Need)
+	p.rank.shares.Add(r.Task.job().Spec.Workspace, -r.Task.step.spec.Footprint().CPU)
 	p.countPending(r, true)
 	p.placementNeeded = true
 	p.noRoom = p.noRoom[:0]
--- a/engine/reserve.go
+++ b/engine/reserve.go
@@ -3,12 +3,13 @@
 import (
 	"cmp"
 	"slices"
+
+	"samphirepoint/ranking"
 )
 
-// reserve keeps shorter work off the worker with the most free CPU that could fit a long-running task, and preempts
-// lower-priority runs there. Capacity held by other long-running tasks is excluded, as it does not become free by
-// waiting, and so are workers that may not run the task, as it gets none of what becomes free there.
-func (p *Pool) reserve(t *Task, workers []*Worker, c Clock) {
+// chooseReserved returns the worker with the most free CPU that could fit a task once its other runs end, or nil. Capacity held by long-running
+// tasks is excluded, as it does not become free by waiting, and so are workers that may not run the task.
+func (p *Pool) chooseReserved(t *Task, workers []*Worker, c Clock) *Worker {
 	var best *Worker
 	for _, w := range workers {
 		if !p.mayRun(t, w, c) || !w.info.Capacity.Sub(w.usedBy(isLongRunning)).Covers(t.step.spec.Footprint()) || w.reservedAt == c.Now {
@@ -18,10 +19,17 @@
 			best = w
 		}
 	}
+	return best
+}
+
+// reserve keeps shorter work off the worker with the most free CPU that could fit a long-running task, and preempts
+// lower-priority runs there.
+func (p *Pool) reserve(t *Task, workers []*Worker, c Clock) {
+	best := p.chooseReserved(t, workers, c)
 	if best == nil {
 		return
 	}
-	best.reservedAt = c.Now
+	best.reservedAt, best.reservedFor = c.Now, nil
 	p.preempt(t, best, c)
 }
 
@@ -30,7 +38,7 @@
 	ownPriority := p.queueOf(t.job()).Priority
 	free := w.info.Capacity.Sub(w.used).Add(w.usedBy(func(r *Run) bool { return r.phase == phaseStopping }))
 	victims := w.allRuns()
-	slices.SortFunc(victims, func(a, b *Run) int { return cmp.Compare(b.startedAt, a.startedAt) })
+	p.sortVictims(victims, c)
 	for _, r := range victims {
 		if free.Covers(t.step.spec.Footprint()) {
 			return
@@ -43,3 +51,17 @@
 		p.stop(r, c)
 	}
 }
+
+// sortVictims orders runs by how little is lost if they are stopped: the newest first, in a ranked pool by the value of their jobs before that.
+func (p *Pool) sortVictims(list []*Run, c Clock) {
+	var ranks map[*Run]ranking.Rank
+	if p.ranked() {
+		ranks = make(map[*Run]ranking.Rank, len(list))
+		for _, r := range list {
+			ranks[r] = p.keyOf(r.Task.step.occ, p.queueOf(r.Task.job()), c).Rank
+		}
+	}
+	slices.SortFunc(list, func(a, b *Run) int {
+		return cmp.Or(cmp.Compare(ranks[b], ranks[a]), cmp.Compare(b.startedAt, a.startedAt))
+	})
+}
--- a/engine/simulation_test.go
+++ b/engine/simulation_test.go
@@ -334,6 +334,21 @@
 	}
 }
 
+// Guards against a rule that is violated by the order and the reservations of a ranked pool.
+func TestRulesUnderRandomFaultsRanked(t *testing.T) {
+	for seed := range uint64(simulationSeeds / 4) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			x := newSimulation(seed, noInjectedFault)
+			x.options.Ranked = true
+			x.takeOver(2)
+			if violations := x.run(); len(violations) > 0 {
+				t.Errorf("%d violations, the first: %s", len(violations), violations[0])
+			}
+		})
+	}
+}
+
 // Guards against a rule checker that detects nothing: when the store, the worker list or the fencing breaks its
 // guarantees, some simulation must violate a rule.
 func TestRuleCheckerDetectsViolations(t *testing.T) {
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -58,8 +58,9 @@
 	upkeepDueUntil time.Duration
 	// reportedEmpty is set if the last answer to a cordon was that the worker is empty.
 	reportedEmpty bool
-	// reservedAt is the time of the placement that reserved the worker for a long-running task.
+	// reservedAt is the time of the placement that reserved the worker, for a long-running task or if it is not nil for the step reservedFor.
 	reservedAt   time.Duration
+	reservedFor  *stepState
 	backoffUntil time.Duration
 	throttledAt  time.Duration
 
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -45,9 +45,9 @@
 	if o.storeUnavailable(c.Now) {
 		return errStoreUnavailable()
 	}
-	if retryAfter, ok := p.Admit(spec); !ok {
-		observe.Count("jobs.rejected_backlog")
-		return verdict.Unavailable(retryAfter, "pool %s has more accepted work than it can complete in time", o.settings.Pool)
+	if refusal, ok := p.Admit(spec); !ok {
+		observe.Count("jobs.rejected_" + string(refusal.Reason))
+		return verdict.Unavailable(refusal.RetryAfter, "pool %s has more accepted work than it can complete in time (%s)", o.settings.Pool, refusal.Reason)
 	}
 	return nil
 }
