Start a task on the worker that is kept free for it, and keep workers free for 2 s at most

Cause: once another task of the same size had found no room, a step was skipped for the rest of the placement, also where a worker was kept free for it. A worker was kept free for 3 s and then at once again for the same task, so that its room could stay idle beside waiting work.

Change: a step with a kept worker is always tried. A task has a worker kept free for 2 s, and for the next 2 s others may use the room.

--- a/engine/job.go
+++ b/engine/job.go
@@ -89,6 +89,8 @@
 	live       []*Run
 	// notBefore is the earliest next start, after a failure or a rejection.
 	notBefore time.Duration
+	// reserveAfter is when a worker may be kept free for the task again.
+	reserveAfter time.Duration
 	// failedOn counts the failed runs by worker.
 	failedOn map[string]int
 	restarts int
--- a/engine/place.go
+++ b/engine/place.go
@@ -207,7 +207,7 @@
 		p.placeGang(cd, workers, c)
 		return
 	}
-	if p.knownFull(st.spec) {
+	if p.knownFull(st.spec) && !p.rank.reservedFor(st.occ) {
 		return
 	}
 	rack := st.commonRack()
--- a/engine/rank.go
+++ b/engine/rank.go
@@ -12,8 +12,10 @@
 	starvedDivisor = 10
 	// reservedDivisor bounds the workers that are kept free for tasks that fit nowhere: 1/reservedDivisor of the pool's, but at least one.
 	reservedDivisor = 8
-	// maxReservation is how long a worker is kept free for a task. Most runs that occupy it end sooner.
-	maxReservation = 3 * time.Second
+	// maxReservation is how long a worker is kept free for a task. Most runs that occupy it end sooner. After reservationPause, the task may
+	// have a worker kept free again; until then, other work can use the room.
+	maxReservation   = 2 * time.Second
+	reservationPause = 2 * time.Second
 )
 
 // rankState is what the pool remembers between placements to rank its jobs.
@@ -61,7 +63,11 @@
 
 // renewReservation keeps the worker free in the current placement, if the task still waits for it.
 func (p *Pool) renewReservation(x reservation, c Clock) bool {
-	if !x.task.pending(c.Now) || x.task.job().state.Terminal() || c.Now-x.since > maxReservation || !p.schedulable(x.worker, c) {
+	if c.Now-x.since > maxReservation {
+		x.task.reserveAfter = c.Now + reservationPause
+		return false
+	}
+	if !x.task.pending(c.Now) || x.task.job().state.Terminal() || !p.schedulable(x.worker, c) {
 		return false
 	}
 	x.worker.reservedAt, x.worker.reservedFor = c.Now, x.task.step
@@ -186,7 +192,7 @@
 		if len(p.rank.reservations) >= p.rank.maxReservations {
 			return
 		}
-		if !t.pending(c.Now) || slices.ContainsFunc(p.rank.reservations, func(x reservation) bool { return x.task == t }) {
+		if !t.pending(c.Now) || t.reserveAfter > c.Now || slices.ContainsFunc(p.rank.reservations, func(x reservation) bool { return x.task == t }) {
 			continue
 		}
 		w := p.chooseReserved(t, workers, c)
