Merge the order and refusal of work under overload (package ranking)

Cause: requirement R5 to R7 of docs/design/README.md. Change: the ranked order joins allotments, suspects and the explanation of a placement, which names the new groups and workspaces beyond their share.

--- a/command/explain.go
+++ b/command/explain.go
@@ -205,7 +205,11 @@
 	if o.DeadlineMS < 0 {
 		deadline = fmt.Sprintf("objective expired %s ago", formatMS(-o.DeadlineMS))
 	}
-	return fmt.Sprintf("%s; %s, critical path %s; %d tasks of %d jobs go first", o.Group, deadline, formatMS(o.CriticalPathMS), o.TasksAhead, o.JobsAhead)
+	group := string(o.Group)
+	if o.BeyondShare {
+		group += ", workspace beyond its share"
+	}
+	return fmt.Sprintf("%s; %s, critical path %s; %d tasks of %d jobs go first", group, deadline, formatMS(o.CriticalPathMS), o.TasksAhead, o.JobsAhead)
 }
 
 func describeResult(r *engine.PlacementReport) string {
--- a/engine/placementreport.go
+++ b/engine/placementreport.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"samphirepoint/ranking"
 )
 
 // PlacementReport explains how the pool would treat a job if it were submitted now.
@@ -62,14 +64,18 @@
 // The groups, in the order in which they are served.
 const (
 	GroupLongRunning PlacementGroup = "long-running"
+	GroupStarved     PlacementGroup = "starved"
 	GroupOnTime      PlacementGroup = "on time"
 	GroupLate        PlacementGroup = "late"
+	GroupWorthless   PlacementGroup = "of no value"
 )
 
 // OrderReport is the place of a job among the steps that wait in the shard.
 type OrderReport struct {
-	Group          PlacementGroup `json:"group"`
-	CriticalPathMS int64          `json:"criticalPathMS"`
+	Group PlacementGroup `json:"group"`
+	// BeyondShare is set if the workspace uses more than its share while others wait.
+	BeyondShare    bool  `json:"beyondShare,omitempty"`
+	CriticalPathMS int64 `json:"criticalPathMS"`
 	// DeadlineMS is the time until the job's objective expires.
 	DeadlineMS int64 `json:"deadlineMS"`
 	// JobsAhead and TasksAhead count the waiting work that goes first.
@@ -143,14 +149,19 @@
 
 // explainOrder compares the first candidate of a hypothetical occurrence with the waiting steps. Equal ones go first, as they came earlier.
 func (p *Pool) explainOrder(o *occurrence, q Queue, c Clock) OrderReport {
+	waiting := p.candidates(c)
 	own := slices.MinFunc(p.addCandidates(nil, o, c), compareCandidates)
+	if own.account != nil {
+		own.key.BeyondShare = own.account.Beyond()
+	}
 	r := OrderReport{
 		Group:          own.group(),
+		BeyondShare:    own.key.BeyondShare,
 		CriticalPathMS: p.remainingCriticalPath(o).Milliseconds(),
 		DeadlineMS:     (p.deadline(o, q, c) - c.Now).Milliseconds(),
 	}
 	jobs := map[*Job]bool{}
-	for _, other := range p.candidates(c) {
+	for _, other := range waiting {
 		if compareCandidates(other, own) <= 0 {
 			jobs[other.step.occ.job] = true
 			r.TasksAhead += other.step.countPending(c.Now)
@@ -164,8 +175,12 @@
 	switch {
 	case cd.longRunning:
 		return GroupLongRunning
-	case cd.late:
+	case cd.key.Starved:
+		return GroupStarved
+	case cd.key.Rank == ranking.Late:
 		return GroupLate
+	case cd.key.Rank == ranking.Worthless:
+		return GroupWorthless
 	}
 	return GroupOnTime
 }
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -26,6 +26,8 @@
 	// Ejection excludes suspects from new work but for probe runs, as package suspect decides. Without it, failing and slow workers get
 	// work last for a short time.
 	Ejection bool
+	// Ranked enables the order and the refusals of package ranking also where the configuration has no workspaces.
+	Ranked bool
 }
 
 // DefaultOptions returns options for a platform with leases of up to 10 s.
@@ -92,6 +94,7 @@
 	workspaces      workspaces
 	// suspects is nil without Options.Ejection.
 	suspects *suspect.Tracker
+	rank     rankState
 }
 
 // Decision is a scheduling decision to be logged.
@@ -213,6 +216,7 @@
 	p.addKinds(j)
 	p.markDirty(j)
 	p.instantiateDue(j, c)
+	p.queueWork(j, c)
 	p.placementNeeded = true
 	return j
 }
@@ -319,6 +323,7 @@
 	r.Task.live = append(r.Task.live, r)
 	r.Worker.add(r)
 	p.workspaces.add(r.Task.job().Spec.Workspace, r.Task.step.spec.Need)
+	p.rank.shares.Add(r.Task.job().Spec.Workspace, r.Task.step.spec.Footprint().CPU)
 }
 
 // dropRun removes a run that is certainly not on its worker.
@@ -330,6 +335,7 @@
 	}
 	r.Task.removeRun(r)
 	p.workspaces.remove(r.Task.job().Spec.Workspace, r.Task.step.spec.Need)
+	p.rank.shares.Add(r.Task.job().Spec.Workspace, -r.Task.step.spec.Footprint().CPU)
 	p.countPending(r, true)
 	p.placementNeeded = true
 	p.noRoom = p.noRoom[:0]
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -8,6 +8,7 @@
 
 	"samphirepoint/engine"
 	"samphirepoint/observe"
+	"samphirepoint/ranking"
 	"samphirepoint/rows"
 	"samphirepoint/verdict"
 )
@@ -39,25 +40,25 @@
 
 // admit returns the reason why a job that isn't known yet can't be accepted now, or nil.
 func (o *Owner) admit(p *engine.Pool, spec *engine.Spec, c engine.Clock) error {
-	backlog, err := o.refusal(p, spec, c)
-	if backlog {
-		observe.Count("jobs.rejected_backlog")
+	overload, err := o.refusal(p, spec, c)
+	if overload != "" {
+		observe.Count("jobs.rejected_" + string(overload))
 	}
 	return err
 }
 
-// refusal returns the reason why a job that isn't known yet can't be accepted now, or nil, and whether it is the backlog.
-func (o *Owner) refusal(p *engine.Pool, spec *engine.Spec, c engine.Clock) (backlog bool, err error) {
+// refusal returns the reason why a job that isn't known yet can't be accepted now, or nil, and what is overloaded if that is the reason.
+func (o *Owner) refusal(p *engine.Pool, spec *engine.Spec, c engine.Clock) (overload ranking.Reason, err error) {
 	if p.Released(spec) {
-		return false, verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "queue %s was released to another pool, which may have job %s", spec.Queue, spec.ID)
+		return "", verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, "queue %s was released to another pool, which may have job %s", spec.Queue, spec.ID)
 	}
 	if o.storeUnavailable(c.Now) {
-		return false, errStoreUnavailable()
+		return "", errStoreUnavailable()
 	}
-	if retryAfter, ok := p.Admit(spec); !ok {
-		return true, verdict.Unavailable(retryAfter, "pool %s has more accepted work than it can complete in time", o.settings.Pool)
+	if refusal, ok := p.Admit(spec); !ok {
+		return refusal.Reason, verdict.Unavailable(refusal.RetryAfter, "pool %s has more accepted work than it can complete in time (%s)", o.settings.Pool, refusal.Reason)
 	}
-	return false, nil
+	return "", nil
 }
 
 // Cancel cancels a job. It reports false if the job is unknown to the workspace.
