Refuse jobs as not run while the store is silent, unless they were sent

Cause: a transaction without an answer counted only once it had timed out (900 ms) and the part had failed for another 250 ms. Before that, after 400 ms, all waiting jobs were given to the standby part. If that one was silent too, they were possibly sent and ended with 504, although their records had never left the owner before. A call at an owner that could not load waited until its context ended, longer than the daemon that forwards it waits, and ended there with 504.

Change: a part is away once its transaction in flight has had no answer for storeFailureGrace, by the owner's pace. The standby part gets a transaction without changes first, and changes only after an answer. Calls wait for the load for at most 700 ms, and not at all once a call of the load has lasted or failed for 500 ms. Load and commit together are bounded by acceptTimeout.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -30,6 +30,7 @@
 	if c.Now-o.lastWrite < commitInterval {
 		return
 	}
+	o.checkStandby(c.Now)
 	part := o.writablePart(c.Now)
 	if part == nil {
 		return
@@ -195,6 +196,7 @@
 	part.end()
 	part.failingSince = 0
 	part.lastVer = ver
+	o.standbyAnswers = o.standbyAnswers || part == o.standby
 	o.pool.Committed(batch, o.clock())
 	o.pool.RemovedFromStandby(cleared)
 	o.offerRenewals()
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -13,11 +13,12 @@
 )
 
 const (
-	// storeFailureGrace is how long the store may fail before new work is rejected immediately.
+	// storeFailureGrace is how long the store may fail or leave a transaction without an answer before new work is rejected immediately. A store
+	// that is 60 times as slow as usual answers within it.
 	storeFailureGrace = 250 * time.Millisecond
 	// storeRetryAfter is the Retry-After delay while the store is unavailable. It is short because callers have tight deadlines.
 	storeRetryAfter = time.Second
-	// acceptTimeout bounds how long a caller waits for a commit.
+	// acceptTimeout bounds how long a caller waits for the load and for a commit. Daemons that forward calls rely on an answer within 1.25 s.
 	acceptTimeout = 1100 * time.Millisecond
 )
 
@@ -72,6 +73,8 @@
 
 // changeAndCommit applies a change to a job and waits until the store has committed it.
 func (o *Owner) changeAndCommit(ctx context.Context, change func(*engine.Pool, engine.Clock) (*engine.Job, error)) error {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
 	stored := make(chan struct{})
 	var job *engine.Job
 	var refused error
@@ -91,11 +94,9 @@
 
 func errStoreUnavailable() error { return verdict.Unavailable(storeRetryAfter, "store unavailable") }
 
-// awaitCommit waits until the change of a job is committed. While the store is failing, a job that was never sent to it is
-// rejected.
+// awaitCommit waits until the change of a job is committed or ctx ends. While the store is failing or silent, a job that was never sent to
+// it is rejected.
 func (o *Owner) awaitCommit(ctx context.Context, job *engine.Job, stored chan struct{}) error {
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
-	defer cancel()
 	poll := time.NewTicker(storeFailureGrace / 2)
 	defer poll.Stop()
 	for {
--- a/owner/load.go
+++ b/owner/load.go
@@ -13,6 +13,7 @@
 	"samphirepoint/observe"
 	"samphirepoint/rows"
 	"samphirepoint/sleep"
+	"samphirepoint/verdict"
 )
 
 const (
@@ -20,8 +21,68 @@
 	loadTimeout = 3 * time.Second
 	// loadRetryDelay is the delay after a failed attempt to load the pool.
 	loadRetryDelay = 100 * time.Millisecond
+	// maxLoadWait bounds how long a call waits for the load. The rest of acceptTimeout is left for the commit of its change.
+	maxLoadWait = 700 * time.Millisecond
+	// loadSilence is the time without an answer of the store after which calls don't wait for the load. A slow store answers each read
+	// and write within half of it.
+	loadSilence = 2 * storeFailureGrace
 )
 
+// awaitLoaded waits until the pool is loaded. It fails with verdict not-run if that takes too long, and at once if the store is silent or
+// fails: nothing is known of the pool's jobs and nothing is written until then.
+func (o *Owner) awaitLoaded(ctx context.Context) error {
+	select {
+	case <-o.loaded:
+		return nil
+	default:
+	}
+	limit := time.NewTimer(maxLoadWait)
+	defer limit.Stop()
+	poll := time.NewTicker(storeFailureGrace / 2)
+	defer poll.Stop()
+	for {
+		if now := o.settings.Now(); o.primary.loadSilentFor(loadSilence, now) || o.standby.loadSilentFor(loadSilence, now) {
+			return errStoreUnavailable()
+		}
+		select {
+		case <-o.loaded:
+			return nil
+		case <-o.ctx.Done():
+			return notOwner(o.settings.Pool)
+		case <-poll.C:
+			continue
+		case <-limit.C:
+		case <-ctx.Done():
+		}
+		return verdict.Unavailable(storeRetryAfter, "pool %s is still loading", o.settings.Pool)
+	}
+}
+
+// duringLoad makes a call of the load to the part, and records since when the part has not answered one with success.
+func (o *Owner) duringLoad(part *storePart, call func() error) error {
+	part.loadCallAt.CompareAndSwap(0, max(1, int64(o.settings.Now())))
+	err := call()
+	if err == nil {
+		part.loadCallAt.Store(0)
+	}
+	return err
+}
+
+// loadSilentFor reports whether a call of the load has lasted or failed for longer than d.
+func (p *storePart) loadSilentFor(d, now time.Duration) bool {
+	at := time.Duration(p.loadCallAt.Load())
+	return at != 0 && now-at > d
+}
+
+// readForLoad reads the part's rows of a table.
+func (o *Owner) readForLoad(ctx context.Context, table string, part *storePart) (list []rows.Row, err error) {
+	err = o.duringLoad(part, func() error {
+		list, _, err = o.settings.Store.Read(ctx, table, part.name)
+		return err
+	})
+	return list, err
+}
+
 // load reads the pool's rows, retrying until it succeeds, the owner is stopped or the pool has another owner.
 func (o *Owner) load() error {
 	for {
@@ -80,7 +141,7 @@
 // claimStandby claims the standby part under the token of the pool's claim. It fails if the claim has changed meanwhile.
 func (o *Owner) claimStandby(ctx context.Context) error {
 	self := Claim{Token: o.settings.Token, Attempt: o.term}
-	list, _, err := o.settings.Store.Read(ctx, TableOwners, o.standby.name)
+	list, err := o.readForLoad(ctx, TableOwners, o.standby)
 	if err != nil {
 		return err
 	}
@@ -92,8 +153,10 @@
 		o.standby.claimVer = ver
 		return nil
 	}
-	o.standby.claimVer, err = WriteClaim(ctx, o.settings.Store, o.standby.name, ver, self)
-	return err
+	return o.duringLoad(o.standby, func() error {
+		o.standby.claimVer, err = WriteClaim(ctx, o.settings.Store, o.standby.name, ver, self)
+		return err
+	})
 }
 
 // awaitKnownToAll allows for former owners that don't know of this daemon, or not any more.
@@ -115,14 +178,14 @@
 // readPart reads the jobs of a part by ID.
 func (o *Owner) readPart(ctx context.Context, part *storePart) (map[string]partRows, error) {
 	// The version is read first, so that a transaction during the reads that follow makes this owner's first one conflict.
-	if err := part.readLastVersion(ctx, o.settings.Store); err != nil {
+	if err := o.duringLoad(part, func() error { return part.readLastVersion(ctx, o.settings.Store) }); err != nil {
 		return nil, err
 	}
-	specs, _, err := o.settings.Store.Read(ctx, TableSpecs, part.name)
+	specs, err := o.readForLoad(ctx, TableSpecs, part)
 	if err != nil {
 		return nil, err
 	}
-	records, _, err := o.settings.Store.Read(ctx, TableJobs, part.name)
+	records, err := o.readForLoad(ctx, TableJobs, part)
 	if err != nil {
 		return nil, err
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -104,6 +104,8 @@
 	pace    pace
 	// primary and standby are the parts that hold the pool's rows; writing is the one that the last changes went to.
 	primary, standby, writing *storePart
+	// standbyAnswers is set once the standby part has answered a transaction while the primary part fails or is silent.
+	standbyAnswers bool
 	// transactionCount counts the transactions of this owner.
 	transactionCount int64
 	lastWrite        time.Duration
@@ -258,14 +260,10 @@
 // WithState runs fn on the state and waits for it to return. It fails with verdict not-run if the owner stops first; fn is then not
 // executed later either.
 func (o *Owner) WithState(ctx context.Context, fn func(p *engine.Pool, c engine.Clock)) error {
-	ran := make(chan struct{})
-	select {
-	case <-o.loaded:
-	case <-o.ctx.Done():
-		return notOwner(o.settings.Pool)
-	case <-ctx.Done():
-		return verdict.Unavailable(time.Second, "pool %s is still loading", o.settings.Pool)
+	if err := o.awaitLoaded(ctx); err != nil {
+		return err
 	}
+	ran := make(chan struct{})
 	var decided atomic.Bool // set by whichever is first: the execution of fn, or its abandonment
 	o.post(func() {
 		if decided.CompareAndSwap(false, true) {
--- a/owner/storepart.go
+++ b/owner/storepart.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"samphirepoint/engine"
@@ -39,7 +40,9 @@
 	// failingSince is when the part began to fail or time out; 0 while it is available.
 	failingSince time.Duration
 	probing      bool
-	lastProbe    time.Duration
+	// loadCallAt is when the load began its first call to the part that has had no success, by Settings.Now in nanoseconds; 0 if there is none.
+	loadCallAt atomic.Int64
+	lastProbe  time.Duration
 }
 
 // begin records that a transaction with a batch is sent now, by the owner's pace.
@@ -56,10 +59,10 @@
 	return p.failingSince != 0 && now-p.failingSince > d
 }
 
-// stalled reports whether a transaction has had no outcome for stallTimeout. onTime is the owner's pace: the time by which the owner
+// silentFor reports whether a transaction has had no outcome for longer than d. onTime is the owner's pace: the time by which the owner
 // itself is late doesn't count.
-func (p *storePart) stalled(onTime time.Duration) bool {
-	return p.inFlight && onTime-p.sentAt > stallTimeout
+func (p *storePart) silentFor(d, onTime time.Duration) bool {
+	return p.inFlight && onTime-p.sentAt > d
 }
 
 func (p *storePart) lastTransactionRow() rows.Key {
@@ -77,10 +80,28 @@
 	return err
 }
 
+// checkStandby writes a transaction without changes to the standby part when the primary part fails or is silent. Until the standby part
+// has answered, no changes are given to it: if it is silent too, jobs that were not sent before can still be refused as not run.
+func (o *Owner) checkStandby(now time.Duration) {
+	if !o.primary.failingFor(failoverDelay, now) && !o.primary.silentFor(storeFailureGrace, o.pace.onTime()) {
+		o.standbyAnswers = false
+		return
+	}
+	if o.standbyAnswers || o.standby.inFlight || now < o.standby.retryAt {
+		return
+	}
+	observe.Count("store.standby-checks")
+	o.lastWrite = now
+	o.startWrite(o.standby, nil, o.newTransaction(o.standby))
+}
+
 // writablePart returns the part for the next transaction, or nil if there is none now.
 func (o *Owner) writablePart(now time.Duration) *storePart {
 	part := o.primary
-	if o.primary.failingFor(failoverDelay, now) || o.primary.stalled(o.pace.onTime()) {
+	if o.primary.failingFor(failoverDelay, now) || o.primary.silentFor(stallTimeout, o.pace.onTime()) {
+		if !o.standbyAnswers {
+			return nil
+		}
 		part = o.standby
 	}
 	o.noteFailover(part)
@@ -109,7 +130,9 @@
 
 // storeUnavailable reports whether changes can be written to neither part.
 func (o *Owner) storeUnavailable(now time.Duration) bool {
-	return o.primary.failingFor(storeFailureGrace, now) && (o.standby.failingFor(0, now) || o.standby.stalled(o.pace.onTime()))
+	onTime := o.pace.onTime()
+	primaryAway := o.primary.failingFor(storeFailureGrace, now) || o.primary.silentFor(storeFailureGrace, onTime)
+	return primaryAway && (o.standby.failingFor(0, now) || o.standby.silentFor(storeFailureGrace, onTime))
 }
 
 // probeParts checks whether parts that have failed are available again. Nothing else is written to them until then.
