Start nothing by an old list of workers after a failed first read

Cause: a daemon that owns nothing doesn't follow the list of workers. When it claims a pool, its list may be up to 12 s old (maxRosterAge). A read that failed set the time of the last attempt to now, whatever had been before, and so made the old list count: the new owner started work by it until the next read, at workers that had begun to drain before the term. The same held for a process that was paused in or between two reads.

Change: a failed read makes the list count for longer only if it was followed without interruption: at most 500 ms between two reads, and no read that exceeds its time limit by more. An owner that was following the list works on for up to 12 s while it is away, as before. One that was not starts nothing until it has read the list.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -118,12 +118,13 @@
 	// membersReadAt is the beginning of the last read of the members.
 	membersReadAt engine.Clock
 	roster        map[string][]engine.WorkerInfo
-	// rosterReadAt is when roster was read, rosterTriedAt when it was last tried to.
-	rosterReadAt, rosterTriedAt engine.Clock
-	wakeRoster                  chan struct{}
-	wakeHeartbeat               chan struct{}
-	wakeReconcile               chan struct{}
-	createdAt                   time.Duration
+	// rosterReadAt is when roster was read, rosterTriedAt when it was last tried to. rosterFollowedAt is the end of the last read up to which it
+	// was followed without interruption.
+	rosterReadAt, rosterTriedAt, rosterFollowedAt engine.Clock
+	wakeRoster                                    chan struct{}
+	wakeHeartbeat                                 chan struct{}
+	wakeReconcile                                 chan struct{}
+	createdAt                                     time.Duration
 	// declined holds when each daemon last failed to claim a pool that was transferred to it; transferring is set while pools
 	// are being transferred because the store does not serve this daemon.
 	declined     map[string]time.Duration
--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -18,6 +18,9 @@
 	// rosterWait is how long one read of the list of workers waits for a change. A read that gets no answer delays the news that a worker
 	// drains by this time and storeTimeout, which together must stay well below the time allowed for that news.
 	rosterWait = 500 * time.Millisecond
+	// maxRosterGap is the time between two reads of the list, and that by which a read may exceed its time limit, after which the list has not
+	// been followed without interruption.
+	maxRosterGap = 500 * time.Millisecond
 	// assignmentsInterval is the least time between two reads of the workers' shards.
 	assignmentsInterval = 100 * time.Millisecond
 )
@@ -66,12 +69,7 @@
 	defer cancel()
 	began := n.clock()
 	list, err := n.settings.Roster.Workers(c, rosterWait)
-	n.mu.Lock()
-	n.rosterTriedAt = n.clock()
-	if err == nil {
-		n.roster, n.rosterReadAt, n.rosterTriedAt = list, began, began
-	}
-	n.mu.Unlock()
+	n.noteRosterRead(began, list, err)
 	n.passRoster()
 	if err != nil {
 		n.settings.Log.Warn().Err(err).Msg("failed to read the list of workers")
@@ -80,6 +78,22 @@
 	n.assignWorkers(ctx, list)
 }
 
+// noteRosterRead records a read of the list of workers. A read that failed makes the last list count for longer only if that was followed
+// without interruption. Otherwise a worker may have begun to drain while this daemon owned nothing or was paused, and one lost answer
+// would let a new owner start work by the old list.
+func (n *Node) noteRosterRead(began engine.Clock, list map[string][]engine.WorkerInfo, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	ended := n.clock()
+	followed := began.Since(n.rosterFollowedAt) <= maxRosterGap && ended.Since(began) <= rosterWait+storeTimeout+maxRosterGap
+	switch {
+	case err == nil:
+		n.roster, n.rosterReadAt, n.rosterTriedAt, n.rosterFollowedAt = list, began, began, ended
+	case followed:
+		n.rosterTriedAt, n.rosterFollowedAt = ended, ended
+	}
+}
+
 func (n *Node) clock() engine.Clock {
 	return engine.Clock{Now: n.settings.Now(), Wall: time.Now().UnixMilli()}
 }
