Test that a withdrawn key is refused while a daemon can't learn of it

Cause: the bound on withdrawn keys was tested in package access and on a scripted store only, not in a running daemon under faults.

Change: tests of a real daemon against the stand-in platform.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -50,7 +50,8 @@
 	return d
 }
 
-func (d *deployment) start(t *testing.T, name string) *runningDaemon {
+// start starts a daemon, after the given changes of its settings.
+func (d *deployment) start(t *testing.T, name string, change ...func(*platform.Settings)) *runningDaemon {
 	port, reservation, err := ports.Reserve()
 	if err != nil {
 		t.Fatal(err)
@@ -68,6 +69,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for _, c := range change {
+		c(settings)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &runningDaemon{Daemon: New(settings, zerolog.Nop()), kill: cancel, done: make(chan struct{})}
 	go func() {
@@ -84,9 +88,17 @@
 
 // request sends one request and returns the status, or 0 if there was no response, and the body.
 func (r *runningDaemon) request(method, path, body string) (int, string) {
+	return r.requestWithKey(method, path, body, "")
+}
+
+// requestWithKey is like request, but sends an API key, unless it is "".
+func (r *runningDaemon) requestWithKey(method, path, body, key string) (int, string) {
 	req, _ := http.NewRequest(method, "http://"+r.settings.Listen.Front+path, strings.NewReader(body))
 	req.Host = "jobs.example"
 	req.Header.Set("Deadline-Ms", "3000")
+	if key != "" {
+		req.Header.Set("Authorization", "Token "+key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, ""
