--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -111,6 +111,7 @@
 	for _, seed := range []string{
 		"", "---\n---\n", "id: &a [*a]\n", "<<: {id: x}\n", "id: !!binary x\n", "? [a]\n: b\n", "a: b: c", "timings: {freshFor: 1e99h}",
 		"limits: {maxBodyBytes: 9999999999GiB}", "id: |\n  x\n", "\t", "zones: [a, a, '']\nid: null\n", "platform: http://[::1]:1/\n",
+		minimal + "tenants:\n- {name: a, api_keys: [k], cap: {cpu: 4000}}\n- {name: a}\n",
 	} {
 		f.Add([]byte(seed))
 	}
