Withdraw and add keys in the soak, and check answers and caps against them

Cause: the soak's configuration had no workspaces, so that the bounds on withdrawn and added keys were not tested across processes.

Change: two workspaces with two keys each; all queues but one are keyed. Keys are withdrawn, replaced and added, the last ones included, every 0.8 to 2.4 s, and two new faults withdraw a key while a daemon is cut off from the store or paused for longer than revoke_ms. Each answer is checked against the history of its key: a withdrawn key is not accepted from revoke_ms on, undisturbed daemons know a new key from apply_ms on, keyed queues answer calls without a key by 401 or 503 only, and public queues take them. A job that was never sent with a valid key must not run. With -caps, workspaces have caps that change, and the stand-in workers check at each start what the workspace has running on all of them. It is off until owners get allotments.

--- a/command/soak.go
+++ b/command/soak.go
@@ -23,7 +23,7 @@
 	duration         time.Duration
 	daemons, callers int
 	dir              string
-	splits           bool
+	splits, caps     bool
 }
 
 func (*soakCommand) Name() string { return "soak" }
@@ -44,6 +44,7 @@
 	f.IntVar(&c.daemons, "daemons", 0, "number of daemons; 0 is the usual number")
 	f.IntVar(&c.callers, "callers", 0, "number of callers; 0 is the usual number")
 	f.BoolVar(&c.splits, "splits", false, "make half of the faults partitions of the network")
+	f.BoolVar(&c.caps, "caps", false, "give the workspaces caps and check them")
 	f.StringVar(&c.dir, "dir", "", "directory for settings and logs; a new temporary one if empty")
 }
 
@@ -79,12 +80,14 @@
 	if err != nil {
 		return false, err
 	}
-	result, err := soak.Run(ctx, soak.Options{Seed: seed, Duration: c.duration, Program: program, Dir: dir, Daemons: c.daemons, Callers: c.callers, Splits: c.splits})
+	result, err := soak.Run(ctx, soak.Options{Seed: seed, Duration: c.duration, Program: program, Dir: dir, Daemons: c.daemons, Callers: c.callers, Splits: c.splits, Caps: c.caps})
 	if err != nil {
 		return false, err
 	}
 	fmt.Printf("seed %d: accepted %d, refused %d, cancelled %d, uncertain %d, completed %d, violations %d, logs in %s\n",
 		seed, result.Accepted, result.Refused, result.Cancelled, result.Uncertain, result.Completed, len(result.Violations), dir)
+	fmt.Printf("  keys: added %d, withdrawn %d (last of a workspace %d); answers checked: withdrawn key %d, new key %d, no such key %d\n",
+		result.Keys.Added, result.Keys.Withdrawn, result.Keys.LastWithdrawn, result.Keys.RevokedAnswers, result.Keys.NewKeyAnswers, result.Keys.InvalidAnswers)
 	for _, name := range slices.Sorted(maps.Keys(result.Faults)) {
 		fmt.Printf("  %s: %d\n", name, result.Faults[name])
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -19,16 +19,19 @@
 const (
 	uncertain outcome = iota // no attempt was accepted, and one has no certain answer
 	accepted
-	refused // each attempt was answered by 429 or 503
+	refused // each attempt was answered by 401, 429 or 503, or carried no valid key
 	cancelled
 )
 
 // job is a job that callers have submitted.
 type job struct {
-	id, path string
-	tasks    int
-	outcome  outcome
-	at       time.Time
+	id    string
+	queue queue
+	// workspace is the one whose key the job was sent with, or "".
+	workspace string
+	tasks     int
+	outcome   outcome
+	at        time.Time
 }
 
 const (
@@ -68,22 +71,25 @@
 
 // submit submits one job, to several daemons if needed, and follows it for a while.
 func (r *run) submit(clients []*http.Client) {
-	j := r.newJob()
+	key := r.drawKey()
+	j := r.newJob(key)
 	width := 1 + r.intN(4)
 	j.tasks = width + 1
 	spec := r.drawSpec()
-	body := fmt.Sprintf(`{"task_spec":%q,"steps":[{"count":%d,"cpu":4000,"mem_mb":100,"estimate_ms":300},{"count":1,"cpu":4000,"mem_mb":100,"estimate_ms":300,"after":[0]}]}`, spec, width)
+	body := fmt.Sprintf(`{"task_spec":%q,"steps":[{"count":%d,"cpu":%d,"mem_mb":%d,"estimate_ms":300},{"count":1,"cpu":%d,"mem_mb":%d,"estimate_ms":300,"after":[0]}]}`,
+		spec, width, taskNeed.CPU, taskNeed.Mem, taskNeed.CPU, taskNeed.Mem)
 	certain := true
 	for range attempts {
 		k := r.intN(len(r.daemons))
-		status, _, err := r.request(k, "POST", j.path, body, clients[k])
+		invalid := r.certainlyInvalid(j.queue, key, time.Now())
+		status, _, err := r.request(k, call{method: http.MethodPost, queue: j.queue, id: j.id, key: key, body: body}, clients[k])
 		switch {
 		case err == nil && status/100 == 2:
 			r.setOutcome(j, accepted)
 			r.follow(j, clients)
 			return
-		case err != nil || (status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable):
-			certain = certain && neverSent(err)
+		case err != nil || !isRefusal(status):
+			certain = certain && (invalid || neverSent(err))
 		}
 		time.Sleep(r.between(50*time.Millisecond, 400*time.Millisecond))
 	}
@@ -92,6 +98,11 @@
 	}
 }
 
+// isRefusal reports whether the status says that a job has not run and won't.
+func isRefusal(status int) bool {
+	return status == http.StatusUnauthorized || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // drawSpec returns the specification of a job's tasks, which is their duration if they are long.
 func (r *run) drawSpec() string {
 	if r.intN(longShare) > 0 {
@@ -105,18 +116,28 @@
 	return err != nil && strings.Contains(err.Error(), "connection refused")
 }
 
-// newJob registers a job with a new ID. Its outcome is uncertain.
-func (r *run) newJob() *job {
-	pool := pools[r.intN(len(pools))]
+// newJob registers a job with a new ID that is sent with the key. Its outcome is uncertain.
+func (r *run) newJob(key string) *job {
+	j := &job{queue: queues[r.intN(len(queues))], at: time.Now()}
+	if k, issued := r.workspaces.key(key); issued && !j.queue.public {
+		j.workspace = k.workspace
+	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	id := fmt.Sprintf("%08x%08x", uint32(r.options.Seed), len(r.jobs)+1)
-	j := &job{id: id, path: "/" + pool + "/" + id, at: time.Now()}
+	j.id = fmt.Sprintf("%08x%08x", uint32(r.options.Seed), len(r.jobs)+1)
 	r.jobs = append(r.jobs, j)
 	r.result.Uncertain++
+	r.mu.Unlock()
+	if j.workspace != "" {
+		r.workspaces.setWorkspaceOf(j.id, j.workspace)
+	}
 	return j
 }
 
+// callFor returns a call for a job, with a key of its workspace if that has one.
+func (r *run) callFor(j *job, method string) call {
+	return call{method: method, queue: j.queue, id: j.id, key: r.keyOfWorkspace(j.workspace)}
+}
+
 func (r *run) setOutcome(j *job, o outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -132,14 +153,14 @@
 	k := r.intN(len(r.daemons))
 	switch {
 	case r.intN(cancelShare) == 0:
-		if status, _, err := r.request(k, "DELETE", j.path, "", clients[k]); err != nil || status/100 != 2 {
+		if status, _, err := r.request(k, r.callFor(j, http.MethodDelete), clients[k]); err != nil || status/100 != 2 {
 			r.setOutcome(j, uncertain) // It may be cancelled later.
 			return
 		}
 		r.setOutcome(j, cancelled)
 	case r.intN(askShare) == 0:
 		calm := r.daemons[k].serving() && r.storeCalm()
-		status, body, err := r.request(k, "GET", j.path, "", clients[k])
+		status, body, err := r.request(k, r.callFor(j, http.MethodGet), clients[k])
 		_, done, _ := r.fleet.Job(j.id)
 		switch {
 		case err == nil && status == http.StatusGone && calm:
@@ -152,12 +173,16 @@
 
 // request sends a request to a daemon. A request on a new connection that gets no complete answer is a violation if nothing but a
 // request to leave has disturbed the daemon.
-func (r *run) request(k int, method, path, body string, client *http.Client) (int, string, error) {
+func (r *run) request(k int, c call, client *http.Client) (int, string, error) {
 	p := r.daemons[k]
-	calm := p.undisturbed()
-	status, answer, err := p.ask(method, path, body, client)
+	calm, connected := p.undisturbed(), p.serving() && r.storeCalm()
+	sent := time.Now()
+	status, answer, err := p.ask(c, client)
 	if errors.Is(err, errCut) && calm && p.undisturbed() {
-		r.violate("LOST: %s read %s %s and cut the connection: %v", p.name, method, path, err)
+		r.violate("LOST: %s read %s %s and cut the connection: %v", p.name, c.method, c.path(), err)
+	}
+	if err == nil {
+		r.checkAnswer(p, c, sent, connected && p.serving() && r.storeCalm(), status)
 	}
 	return status, answer, err
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -69,6 +69,8 @@
 	}},
 	{"wave", (*run).wave},
 	{"split", (*run).split},
+	{"withdrawal behind a cut", (*run).withdrawBehindCut},
+	{"withdrawal behind a pause", (*run).withdrawBehindPause},
 }
 
 // injectFaults begins faults until ctx ends, and waits for their ends.
@@ -187,11 +189,11 @@
 	}
 }
 
-// changeConfiguration adds and removes a route until ctx ends. After the bound, undisturbed daemons must answer as the newest version
+// changeConfiguration adds and removes a queue, and changes the caps, until ctx ends. After the bound, undisturbed daemons must answer as the newest version
 // says, and keep doing so.
 func (r *run) changeConfiguration(ctx context.Context) {
 	for extra := true; sleep.Context(ctx, r.between(configInterval/2, configInterval)) == nil; extra = !extra {
-		if err := r.configure(extra); err != nil {
+		if err := r.configure(func() { r.extra = extra; r.drawCaps() }); err != nil {
 			r.violate("configuration: %v", err)
 		}
 		began := time.Now()
@@ -207,7 +209,7 @@
 
 func (r *run) checkRoute(p *process, extra bool) {
 	calm := p.serving() && r.storeCalm()
-	status, _, err := p.ask("GET", "/extra/"+strings.Repeat("0", 16), "", nil)
+	status, _, err := p.ask(call{method: http.MethodGet, queue: extraQueue, id: strings.Repeat("0", 16), key: r.drawKey()}, nil)
 	if err != nil || !calm || !p.serving() || !r.storeCalm() {
 		return
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -73,7 +73,7 @@
 	defer cancel()
 	for _, p := range r.daemons {
 		for {
-			if status, _, err := p.ask("GET", "/"+pools[0]+"/", "", nil); err == nil && status == http.StatusOK {
+			if status, _, err := p.ask(call{method: http.MethodGet, queue: queues[0], key: r.drawValidKey()}, nil); err == nil && status == http.StatusOK {
 				break
 			}
 			if ctx.Err() != nil {
@@ -105,8 +105,10 @@
 	}
 	p.settings = filepath.Join(p.dir, p.name+".yaml")
 	text := fmt.Sprintf("node: %s\nzone: %s\nip: 127.0.0.1\nlisten: {front: \"127.0.0.1:%d\", ready: \"127.0.0.1:%d\"}\nport_range: [%d, %d]\n"+
-		"platform: {address: %q}\ncloud: {address: %q}\nbounds: {grace_s: %d, hold_max_ms: %d, status_s: 120, lease_ms: 3000, finish_s: 14}\n",
-		p.name, p.zone, p.port, p.port+1, p.port+peerPort, p.port+3, p.store.Address(), p.instances.Address(), int(graceTime.Seconds()), p.maxLease.Milliseconds())
+		"platform: {address: %q}\ncloud: {address: %q}\nbounds: {grace_s: %d, hold_max_ms: %d, status_s: 120, lease_ms: 3000, finish_s: 14,\n"+
+		"  strict_revoke: true, revoke_ms: %d, apply_ms: %d, quota_overage: %g}\n",
+		p.name, p.zone, p.port, p.port+1, p.port+peerPort, p.port+3, p.store.Address(), p.instances.Address(), int(graceTime.Seconds()), p.maxLease.Milliseconds(),
+		revokeTime.Milliseconds(), applyTime.Milliseconds(), quotaOverage)
 	return os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
@@ -209,8 +211,18 @@
 // errCut is the error of a request whose new connection ended without a complete answer.
 var errCut = errors.New("soak: the connection ended without an answer")
 
+// call is a call of a caller.
+type call struct {
+	method string
+	queue  queue
+	// id is the job's, or "" for the queue itself. key is the API key, or "" for a call without one.
+	id, key, body string
+}
+
+func (c call) path() string { return "/" + c.queue.name + "/" + c.id }
+
 // ask sends a request on a connection of the client, or on a new one if that is nil.
-func (p *process) ask(method, path, body string, client *http.Client) (int, string, error) {
+func (p *process) ask(c call, client *http.Client) (int, string, error) {
 	if client == nil {
 		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	}
@@ -221,12 +233,15 @@
 		GotConn:      func(i httptrace.GotConnInfo) { reused = i.Reused },
 		WroteRequest: func(i httptrace.WroteRequestInfo) { written = i.Err == nil },
 	})
-	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://127.0.0.1:%d%s", p.port, path), strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, c.method, fmt.Sprintf("http://127.0.0.1:%d%s", p.port, c.path()), strings.NewReader(c.body))
 	if err != nil {
 		return 0, "", err
 	}
 	req.Host = "jobs.example"
 	req.Header.Set("Deadline-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
+	if c.key != "" {
+		req.Header.Set("Authorization", "Token "+c.key)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		if written && !reused && ctx.Err() == nil && !errors.Is(err, syscall.ECONNREFUSED) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -7,9 +7,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -51,6 +51,8 @@
 	Daemons, Callers int
 	// Splits makes half of the faults partitions of the network.
 	Splits bool
+	// Caps gives the workspaces caps, and checks them.
+	Caps bool
 }
 
 // Result is what a run has seen.
@@ -58,6 +60,7 @@
 	Accepted, Refused, Uncertain, Cancelled, Completed int
 	// Faults counts the injected faults by name.
 	Faults     map[string]int
+	Keys       KeyChecks
 	Violations []string
 }
 
@@ -67,13 +70,17 @@
 	fleet   *jobfleet.Fleet
 	daemons []*process
 
+	workspaces *workspaces
+	// configMu is held while a version of the configuration is written, so that the store gets them in order. version is that of the newest
+	// one, and extra is set while it has the queue extraQueue.
+	configMu sync.Mutex
+	version  int
+	extra    bool
+
 	mu     sync.Mutex
 	rnd    *rand.Rand
 	result Result
 	jobs   []*job
-	// extra is set while the configuration has the route /extra/; version is the configuration's.
-	extra   bool
-	version int
 	// storeDisturbed is until when the store counts as disturbed.
 	storeDisturbed time.Time
 	splits         splits
@@ -88,7 +95,7 @@
 		return Result{}, err
 	}
 	defer r.close()
-	if err := r.configure(false); err != nil {
+	if err := r.configure(r.drawCaps); err != nil {
 		return r.result, err
 	}
 	if err := r.startDaemons(ctx); err != nil {
@@ -121,7 +128,13 @@
 		return nil, err
 	}
 	fleet.TaskDuration, fleet.MaxLease = taskDuration, maxLease
-	return &run{options: o, fleet: fleet, rnd: rand.New(rand.NewPCG(o.Seed, 1)), result: Result{Faults: map[string]int{}}}, nil
+	r := &run{
+		options: o, fleet: fleet, workspaces: newWorkspaces(), rnd: rand.New(rand.NewPCG(o.Seed, 1)), result: Result{Faults: map[string]int{}},
+	}
+	fleet.CheckStart = func(job string, running map[string]int) error {
+		return r.workspaces.checkStart(time.Now(), job, running)
+	}
+	return r, nil
 }
 
 // close ends all daemons and the fleet.
@@ -140,38 +153,13 @@
 	}
 	g.Go(func() error { r.injectFaults(faulty); return nil })
 	g.Go(func() error { r.changeConfiguration(faulty); return nil })
+	g.Go(func() error { r.changeKeys(faulty); return nil })
+	g.Go(func() error { r.probeKeys(faulty); return nil })
 	_ = g.Wait()
 	r.endFaults()
 	_ = sleep.Context(ctx, calmTime)
 }
 
-// configure writes a version of the configuration, with or without the extra route.
-func (r *run) configure(extra bool) error {
-	routes := []map[string]any{}
-	add := func(name, pool string) {
-		routes = append(routes, map[string]any{"name": name, "host": "jobs.example", "path_prefix": "/" + name + "/", "timeout_ms": 3000,
-			"target_latency_ms": 600, "service": pool, "attempts": 3, "stretch": 1.6})
-	}
-	services := []map[string]any{{"name": jobfleet.SparePool, "spare": true}}
-	for _, p := range pools {
-		add(p, p)
-		services = append(services, map[string]any{"name": p})
-	}
-	if extra {
-		add("extra", pools[0])
-	}
-	r.mu.Lock()
-	r.version += 3
-	r.extra = extra
-	config := map[string]any{"version": r.version, "routes": routes, "services": services, "limits": map[string]int{"max_body_bytes": 262144}}
-	r.mu.Unlock()
-	data, err := json.Marshal(config)
-	if err != nil {
-		return err
-	}
-	return r.fleet.Configure(json.RawMessage(data))
-}
-
 func (r *run) violate(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -199,7 +187,7 @@
 		starts, done, running := r.fleet.Job(j.id)
 		switch {
 		case j.outcome == refused && starts > 0:
-			r.violate("REFUSED: job %s was refused by every answer and has run %d times", j.id, starts)
+			r.violate("REFUSED: job %s was refused by every answer, or sent with no valid key, and has run %d times", j.id, starts)
 		case j.outcome == cancelled && running > 0:
 			r.violate("UNASKED: %d tasks of job %s run although it was cancelled", running, j.id)
 		case j.outcome == accepted && done < j.tasks:
@@ -213,7 +201,7 @@
 // checkState checks that a completed job is reported as such.
 func (r *run) checkState(j *job) {
 	for range 20 {
-		if status, body, err := r.daemons[r.intN(len(r.daemons))].ask("GET", j.path, "", nil); err == nil && status == 200 && stateOf(body) == "completed" {
+		if status, body, err := r.daemons[r.intN(len(r.daemons))].ask(r.callFor(j, http.MethodGet), nil); err == nil && status == 200 && stateOf(body) == "completed" {
 			r.result.Completed++
 			return
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,7 +33,7 @@
 }
 
 // Guards against promises that hold in simulations and are broken by the real processes: work lost, run twice or run although it was
-// refused, false states, cut answers, and configurations that revert.
+// refused, false states, cut answers, configurations that revert, and withdrawn keys that are accepted.
 func TestPromisesUnderRandomFaults(t *testing.T) {
 	g := NewWithT(t)
 	program, err := os.Executable()
@@ -42,4 +42,6 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(result.Violations).To(BeEmpty())
 	g.Expect(result.Completed).To(BeNumerically(">", 0))
+	g.Expect(result.Keys.RevokedAnswers).To(BeNumerically(">", 0))
+	g.Expect(result.Keys.InvalidAnswers).To(BeNumerically(">", 0))
 }
--- a/soak/splits_test.go
+++ b/soak/splits_test.go
@@ -71,7 +71,7 @@
 	r, err := newRun(Options{Program: program, Env: []string{daemonVariable + "=1"}, Dir: t.ArtifactDir(), Daemons: daemons})
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(r.close)
-	g.Expect(r.configure(false)).To(Succeed())
+	g.Expect(r.configure(func() {})).To(Succeed())
 	g.Expect(r.startDaemons(t.Context())).To(Succeed())
 	return r
 }
@@ -80,10 +80,10 @@
 func (r *run) submitLongTasks(g *WithT) {
 	const jobs = 6
 	for k := range jobs {
-		pool := pools[k%len(pools)]
-		body := `{"task_spec":"40s","steps":[{"count":4,"cpu":4000,"mem_mb":100,"estimate_ms":40000}]}`
+		c := call{method: http.MethodPost, queue: queues[k%len(queues)], id: fmt.Sprintf("%016x", k+1), key: r.drawValidKey()}
+		c.body = `{"task_spec":"40s","steps":[{"count":4,"cpu":4000,"mem_mb":100,"estimate_ms":40000}]}`
 		g.Eventually(func() (int, error) {
-			status, _, err := r.daemons[0].ask("POST", fmt.Sprintf("/%s/%016x", pool, k+1), body, nil)
+			status, _, err := r.daemons[0].ask(c, nil)
 			return status, err
 		}, startTime, 100*time.Millisecond).Should(Equal(http.StatusOK))
 	}
--- a/standin/jobfleet/jobfleet.go
+++ b/standin/jobfleet/jobfleet.go
@@ -32,6 +32,9 @@
 	// TaskDuration is the run time of each task whose specification isn't a duration itself, such as "8s". MaxLease is the longest lease that
 	// workers accept. Both must be set before the first start.
 	TaskDuration, MaxLease time.Duration
+	// CheckStart, if set, gets the job of each task that starts, and the number of tasks that each job has running on all workers, that one
+	// included. Its error is recorded as a violation. It is called while the fleet is locked, and must be set before the first start.
+	CheckStart func(job string, running map[string]int) error
 
 	mu           sync.Mutex
 	workers      map[string]*worker
--- a/standin/jobfleet/worker.go
+++ b/standin/jobfleet/worker.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"samphirepoint/rows"
@@ -226,13 +227,17 @@
 	return 200, w.status()
 }
 
-// checkStart checks the rule TWICE.
+// checkStart checks the rule TWICE, and calls CheckStart.
 func (w *worker) checkStart(c callRequest) {
+	running := map[string]int{jobOf(c.Task): 1}
 	for _, other := range w.fleet.workers {
 		if other.terminated {
 			continue
 		}
 		other.endDueRuns()
+		for task := range other.running {
+			running[jobOf(task)]++
+		}
 		if r := other.running[c.Task]; r != nil {
 			w.fleet.violate("TWICE: %s run %d starts on %s with token %d while run %d is on %s with token %d", c.Task, c.Run, w.id, c.FenceToken, r.number, other.id, other.token)
 		}
@@ -242,6 +247,18 @@
 			w.fleet.violate("TWICE: %s run %d starts on %s with token %d after run %d was done", c.Task, c.Run, w.id, c.FenceToken, e.run)
 		}
 	}
+	if w.fleet.CheckStart == nil {
+		return
+	}
+	if err := w.fleet.CheckStart(jobOf(c.Task), running); err != nil {
+		w.fleet.violate("%v", err)
+	}
+}
+
+// jobOf returns the ID of a task's job, which its name begins with.
+func jobOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
 }
 
 func (f *Fleet) violate(format string, args ...any) {
