Draw caps on memory too in the soak

Cause: with -caps, the soak's workspaces had caps on processors only.

Change: caps are drawn in tasks, for processors and memory each.

--- a/soak/caps.go
+++ b/soak/caps.go
@@ -7,10 +7,10 @@
 	"samphirepoint/engine"
 )
 
-// Bounds of the caps in thousandths of a core. The lowest leaves room for several tasks, and the callers' load can reach the highest.
+// Bounds of the caps in tasks. The lowest leaves room for several tasks, and the callers' load can reach the highest.
 const (
-	lowestCap  = 16_000
-	highestCap = 48_000
+	lowestCap  = 4
+	highestCap = 12
 )
 
 // capVersion holds the caps of one version of the configuration.
@@ -91,8 +91,10 @@
 	}
 	limits := map[string]engine.Resources{}
 	for _, name := range r.workspaces.names {
-		cpu := int64(lowestCap + r.intN(highestCap-lowestCap))
-		limits[name] = engine.Resources{CPU: cpu}
+		limits[name] = engine.Resources{
+			CPU: taskNeed.Times(lowestCap + r.intN(highestCap-lowestCap)).CPU,
+			Mem: taskNeed.Times(lowestCap + r.intN(highestCap-lowestCap)).Mem,
+		}
 	}
 	r.workspaces.setCaps(limits)
 }
