--- a/cluster/roster_age_test.go
+++ b/cluster/roster_age_test.go
@@ -63,7 +63,7 @@
 		pool := simPools[0]
 		g.Expect(n.claimOnce(ctx, pool, 0, "test")).To(Succeed())
 		spec := engine.Spec{ID: "00000000000000e1", Queue: "q-" + pool, Steps: []engine.Step{{Count: 4, Need: engine.Resources{CPU: 1000, Mem: 100}}}}
-		x.spawn(func() { _, _ = n.Execute(ctx, Call{Op: OpSubmit, Pool: pool, ID: spec.ID, Spec: &spec}) })
+		x.spawn(func() { _ = n.Submit(ctx, pool, &spec) })
 		roster.fails = true
 		for range 3 {
 			time.Sleep(100 * time.Millisecond)
