Rank work under the contract pressure, and confirm no configuration by a read of a lower version

Cause: the order and refusals of package ranking had no setting for deployments without workspaces. A read that finds a version below the one in force counted as a confirmation of it, so that a key which that version lacks stayed in use. The test of health paths hung on the load of the machine: its jobs ran one after the other on the fullest workers, and the failing one got none (traced from its log beside ten busy processes: 10,200 runs on two of four workers).

Change: Options.Ranked follows the contract. Such a read confirms nothing and is logged; keys are then refused after revoke_ms. The test submits jobs with a task for each worker. Calls without a key and with an unknown one have different messages.

--- a/access/access.go
+++ b/access/access.go
@@ -38,13 +38,17 @@
 	if !l.Current(age) {
 		return "", verdict.Unavailable(retryAfter, "the configuration was last confirmed %v ago: the key may have been withdrawn", age.Round(time.Millisecond))
 	}
-	if w, ok := c.WorkspaceOf(key(authorization)); ok {
+	k := key(authorization)
+	if w, ok := c.WorkspaceOf(k); ok {
 		return w.Name, nil
 	}
+	if k == "" {
+		return "", verdict.New(verdict.NotRun, http.StatusUnauthorized, "the call has no API key")
+	}
 	if l.UnknownKeyAge > 0 && age >= l.UnknownKeyAge {
 		return "", verdict.Unavailable(retryAfter, "the configuration was last confirmed %v ago: the key may have been added", age.Round(time.Millisecond))
 	}
-	return "", verdict.New(verdict.NotRun, http.StatusUnauthorized, "the call has no valid API key")
+	return "", verdict.New(verdict.NotRun, http.StatusUnauthorized, "the API key is not in version %d of the configuration", c.Version)
 }
 
 // key returns the API key in the value of an Authorization header, or "".
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphirepoint/boottime"
+	"samphirepoint/catalog"
 	"samphirepoint/cluster"
 	"samphirepoint/engine"
 	"samphirepoint/lateness"
@@ -105,6 +106,7 @@
 		o.CompleteWithin = time.Duration(s * float64(time.Second))
 	}
 	o.Ejection = settings.HasContract(platform.ContractHealth)
+	o.Ranked = settings.HasContract(platform.ContractPressure)
 	return o
 }
 
@@ -143,7 +145,7 @@
 // operator returns what is to be done with the rows that the operator writes.
 func (d *Daemon) operator() platform.Operator {
 	return platform.Operator{
-		Apply: d.node.SetCatalog,
+		Apply: d.applyCatalog,
 		Rejected: func(err error) {
 			observe.Count("configuration.rejected")
 			d.log.Error().Err(err).Msg("configuration rejected; the last good one stays in force")
@@ -154,6 +156,17 @@
 	}
 }
 
+// applyCatalog puts a version of the configuration in force. It returns false for an older one: what it withdraws or adds is not in force, so that
+// the read must not count as a confirmation.
+func (d *Daemon) applyCatalog(c *catalog.Catalog) bool {
+	d.node.SetCatalog(c)
+	if inForce := d.node.Catalog().Version; inForce != c.Version {
+		d.log.Error().Int64("version", c.Version).Int64("inForce", inForce).Msg("configuration ignored: its version is lower than the one in force")
+		return false
+	}
+	return true
+}
+
 // configAge returns the time since the beginning of the last read that confirmed the configuration, suspensions included.
 func (d *Daemon) configAge() time.Duration {
 	return boottime.Now() - time.Duration(d.configConfirmedAt.Load())
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -129,10 +129,14 @@
 
 // submit submits a job to one daemon after the other until it is accepted.
 func (d *deployment) submit(g *WithT, path string) {
+	d.submitSteps(g, path, `{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":60},{"count":2,"cpu":1000,"mem_mb":100,"estimate_ms":60,"after":[0]}`)
+}
+
+func (d *deployment) submitSteps(g *WithT, path, steps string) {
 	n := 0
 	g.Eventually(func() int {
 		n++
-		status, _ := d.daemons[n%len(d.daemons)].request("POST", path, `{"task_spec":"x","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":60},{"count":2,"cpu":1000,"mem_mb":100,"estimate_ms":60,"after":[0]}]}`)
+		status, _ := d.daemons[n%len(d.daemons)].request("POST", path, `{"task_spec":"x","steps":[`+steps+`]}`)
 		return status
 	}, time.Minute, 20*time.Millisecond).Should(Equal(200))
 }
--- a/daemon/suspects_test.go
+++ b/daemon/suspects_test.go
@@ -25,11 +25,9 @@
 	d.fleet.Fail(bad, true)
 	var paths []string
 	for deadline := time.Now().Add(time.Minute); d.fleet.HealthAsked(bad) < 2 && time.Now().Before(deadline); {
-		for range 10 { // more than one worker has room for
-			path := fmt.Sprintf("/pumps/%016x", len(paths)+1)
-			d.submit(g, path)
-			paths = append(paths, path)
-		}
+		path := fmt.Sprintf("/pumps/%016x", len(paths)+1)
+		d.submitSteps(g, path, `{"count":4,"cpu":1000,"mem_mb":100,"estimate_ms":60,"anti_affinity":1}`) // a task for each worker
+		paths = append(paths, path)
 	}
 	g.Expect(d.fleet.HealthAsked(bad)).To(BeNumerically(">=", 2))
 	for _, path := range paths {
