Store the rate of a peak for a fleet controller's successor once it is known

Cause: the peak periods were stored only when a spike began or ended, before its rate was known.

Change: they are stored again when a known rate exceeds the stored one by a fifth, and a successor starts from the stored rate of a peak that goes on.

--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -138,7 +138,9 @@
 	formerWorkers map[string]map[string]bool
 	missing       map[string]bool
 	// absent holds the workers with runs that are on no instance.
-	absent       map[string]absentWorker
+	absent map[string]absentWorker
+	// storedPeaks are the peak periods that a successor would find.
+	storedPeaks  map[string]PeakPeriod
 	surplusSince map[string]time.Duration
 	// announcedAt is when the workers that are due for upkeep were last named to their owners.
 	announcedAt time.Duration
--- a/upkeep/due_orders.go
+++ b/upkeep/due_orders.go
@@ -68,7 +68,7 @@
 			anyChanged = true
 		}
 	}
-	if anyChanged {
+	if anyChanged || c.forecast.Outdated(c.storedPeaks, s.Now) {
 		c.storePeakPeriods()
 	}
 	moves := s.PlanMoves(c.forecast, c.surplusSince)
--- a/upkeep/forecast.go
+++ b/upkeep/forecast.go
@@ -276,11 +276,25 @@
 	return out
 }
 
+// storedRateFactor is the factor by which a known peak must exceed the stored one to be stored again.
+const storedRateFactor = 1.2
+
+// Outdated reports whether a known peak is well above the one that is stored for a successor. The rate of a peak period is known only some seconds
+// after its start.
+func (f *Forecast) Outdated(stored map[string]PeakPeriod, now time.Duration) bool {
+	for pool, d := range f.pools {
+		if d.knownPeak(now) > storedRateFactor*float64(stored[pool].Rate) {
+			return true
+		}
+	}
+	return false
+}
+
 // Restore loads the peak periods that a predecessor stored.
 func (f *Forecast) Restore(periods map[string]PeakPeriod, now time.Duration, wallMS int64) {
 	for pool, t := range periods {
 		start := now - time.Duration(wallMS-t.StartMS)*time.Millisecond
-		d := &demand{lastObserved: now, firstObserved: now, lastPeak: float64(t.Rate), starts: []time.Duration{start}}
+		d := &demand{lastObserved: now, firstObserved: now, peak: float64(t.Rate), lastPeak: float64(t.Rate), starts: []time.Duration{start}}
 		if t.EndMS != 0 {
 			d.ends = append(d.ends, now-time.Duration(wallMS-t.EndMS)*time.Millisecond)
 		} else {
--- a/upkeep/moves_test.go
+++ b/upkeep/moves_test.go
@@ -58,6 +58,26 @@
 	g.Expect(s.PlanMoves(f, map[string]time.Duration{})).To(BeEmpty())
 }
 
+// Load pattern: a peak that begins under one fleet controller and goes on under the next one. Guards against a successor that knows only the start of
+// the peak, and moves instances for the rate that it sees rise again.
+func TestSuccessorKnowsThePresentPeak(t *testing.T) {
+	g := NewWithT(t)
+	f := NewForecast()
+	feed(f, "pumps", 10, 0, 4*time.Second, 10*testCapacity)
+	feed(f, "pumps", 900, 4*time.Second, time.Second, 10*testCapacity)
+	g.Expect(f.spiking("pumps")).To(BeTrue())
+	stored := f.PeakPeriods(5*time.Second, 1_800_000_000_000)
+	g.Expect(f.Outdated(stored, 5*time.Second)).To(BeFalse(), "its rate may rise further")
+	now := feed(f, "pumps", 1800, 5*time.Second, 3*time.Second, 10*testCapacity)
+	g.Expect(f.Outdated(stored, now)).To(BeTrue())
+	stored = f.PeakPeriods(now, 1_800_000_000_000)
+	g.Expect(f.Outdated(stored, now)).To(BeFalse())
+	next := NewForecast()
+	next.Restore(stored, now, 1_800_000_000_000)
+	feed(next, "pumps", 300, now, 250*time.Millisecond, 10*testCapacity)
+	g.Expect(next.expectedPeak("pumps", now)).To(BeNumerically("~", f.expectedPeak("pumps", now), 1000))
+}
+
 // Load pattern: peaks by turns, of which the last one goes on although another pool's turn was expected. Guards against instances that stand idle in
 // the pool with the wrong forecast while work waits in the other one.
 func TestWaitingWorkGoesBeforeExpectedPeak(t *testing.T) {
--- a/upkeep/store.go
+++ b/upkeep/store.go
@@ -15,7 +15,8 @@
 // storePeakPeriods stores the observed peak periods for a successor. If it fails, the successor's forecast is only less
 // accurate.
 func (c *Controller) storePeakPeriods() {
-	value, err := json.Marshal(c.forecast.PeakPeriods(c.settings.Now(), time.Now().UnixMilli()))
+	periods := c.forecast.PeakPeriods(c.settings.Now(), time.Now().UnixMilli())
+	value, err := json.Marshal(periods)
 	if err != nil {
 		panic(err) // A map of times always encodes.
 	}
@@ -27,7 +28,9 @@
 	})
 	if err != nil {
 		c.settings.Log.Warn().Err(err).Msg("cannot store the peak periods")
+		return
 	}
+	c.storedPeaks = periods
 }
 
 // initBaseline stores the number of instances of each pool before the first move.
