Refuse jobs for the work ahead only once a pool has been full for some seconds

Cause: at the start of a peak the pool's throughput is that of the time before it, and the instances ordered for it serve some 3 s later. Jobs were refused that the pool would have served; workspaces within their share were also refused for the backlog of one beyond its share.

Change: refusals wait until the pool has been full for 3 s, but for a workspace whose backlog alone overfills it; the whole backlog counts against workspaces within their share only from 1.4 times its bound on.

--- a/engine/place.go
+++ b/engine/place.go
@@ -75,6 +75,9 @@
 		}
 		p.placeStep(cd, workers, c)
 	}
+	if p.rank.filling && !p.rank.full {
+		p.rank.fullSince = c.Now
+	}
 	p.rank.full = p.rank.filling
 	if p.pendingStarts < maxPendingStarts {
 		p.speculate(workers, c)
--- a/engine/rank.go
+++ b/engine/rank.go
@@ -24,6 +24,8 @@
 	// full is set if some task had to wait in the last placement for a worker or for other starts, filling if one had to in the current
 	// placement.
 	full, filling bool
+	// fullSince is when the pool was last found full after it had room.
+	fullSince time.Duration
 	// capacity is the CPU of the listed workers that do not drain, also while they can't be reached, largestWorker the highest one of a
 	// worker, in thousandths of a core.
 	capacity, largestWorker int64
--- a/engine/rank_admission.go
+++ b/engine/rank_admission.go
@@ -9,6 +9,10 @@
 // runningWorkShare is the mean share of its work that a running task has yet to do.
 const runningWorkShare = 0.5
 
+// refusalDelay is how long a pool must have been full before jobs are refused for the work ahead of them, unless their workspace alone overfills it. Instances that are ordered at the beginning
+// of a peak serve some seconds later; until then the throughput says little of what the pool will complete.
+const refusalDelay = 3 * time.Second
+
 // held is what a capped workspace has waiting at a count of the accepted work.
 type held struct {
 	// planned is what it could start within its allotment, beside what it has running.
@@ -34,6 +38,7 @@
 		key := ranking.Key{Priority: q.Priority, WorkspacePriority: p.workspaces.settings[spec.Workspace].Priority, Deadline: t.Deadline - t.Setup}
 		p.rank.queue.Throughput, p.rank.queue.MaxDrain = p.throughput(), p.maxDrain()
 		refusal, refused = p.rank.queue.Refuse(key, p.rank.shares.Account(spec.Workspace), t)
+		refused = refused && (refusal.Overfull || p.now-p.rank.fullSince >= refusalDelay)
 	}
 	refusal.RetryAfter = min(refusal.RetryAfter, p.options.CompleteWithin)
 	return refusal, !refused
--- a/ranking/refusal.go
+++ b/ranking/refusal.go
@@ -24,6 +24,9 @@
 	lateDivisor = 2
 	// beyondShareDivisor is the same for jobs of workspaces beyond their share. The rest is left to the others.
 	beyondShareDivisor = 2
+	// wholeFactor/wholeDivisor times MaxDrain is the bound for all accepted work together for workspaces within their share. It leaves them room where
+	// the others have used up MaxDrain.
+	wholeFactor, wholeDivisor = 7, 5
 )
 
 // Refusal is the answer to a refused job.
@@ -31,6 +34,8 @@
 	Reason Reason
 	// RetryAfter is when a job like this one can be on time, if nothing else arrives.
 	RetryAfter time.Duration
+	// Overfull is set if the job's workspace is beyond its share and the accepted work takes longer than MaxDrain.
+	Overfull bool
 }
 
 // Queue is the accepted work of a pool, with the order in which it is done. Work is in thousandths of a core times milliseconds.
@@ -79,6 +84,7 @@
 		return Refusal{}, false
 	case key.BeyondShare:
 		r.Reason = BeyondShare
+		r.Overfull = excess > q.MaxDrain-q.MaxDrain/beyondShareDivisor
 	case noValue:
 		r.Reason = NoValue
 	default:
@@ -96,7 +102,7 @@
 }
 
 // excess returns by how much the accepted work takes too long for a new job with the given key. Work of workspaces beyond their share counts
-// against those within it only as far as the whole exceeds MaxDrain.
+// against those within it only as far as the whole exceeds a higher bound.
 func (q *Queue) excess(key Key, late bool) time.Duration {
 	limit := q.MaxDrain
 	if late {
@@ -107,7 +113,7 @@
 		return whole - limit/beyondShareDivisor
 	}
 	within := q.drain(func(k *Key) bool { return !k.BeyondShare })
-	return max(within-limit, whole-q.MaxDrain)
+	return max(within-limit, whole-wholeFactor*q.MaxDrain/wholeDivisor)
 }
 
 // drainBefore returns how long the jobs take that go before a new one with the given key.
