Let a gang exceed its workspace's cap by one task at most

Cause: a first start in a shard that alone has a share of the cap might exceed the limit by any amount. A gang starts all of its tasks at once, so that one of 4 tasks could run under a cap that holds one of them.

Change: all tasks of a gang but one have to fit into the limit. The report of a placement uses the same rule.

Result: TestGangExceedsTheCapByOneTaskAtMost fails with the former rule and passes.

--- a/engine/allotment.go
+++ b/engine/allotment.go
@@ -72,13 +72,19 @@
 	return out
 }
 
-// mayStart reports whether a workspace may have more running by the given resources.
+// mayStart reports whether a workspace may start a task with the given need.
 func (u *workspaces) mayStart(name string, need Resources) bool {
+	return u.mayStartTogether(name, need, 1)
+}
+
+// mayStartTogether reports whether a workspace may start n tasks at once. Where they may exceed the limit, one task fewer has to fit, since the
+// workspace's cap may be exceeded by one task only.
+func (u *workspaces) mayStartTogether(name string, need Resources, n int) bool {
 	if name == "" || u.settings != nil && !u.settings[name].Capped {
 		return true
 	}
-	a, used := u.allotments[name], u.used[name]
-	if a.Limit.Covers(used.Add(need)) || used == (Resources{}) && a.First.Covers(need) {
+	a, used, total := u.allotments[name], u.used[name], need.Times(n)
+	if a.Limit.Covers(used.Add(total)) || used == (Resources{}) && a.First.Covers(total) && a.Limit.Covers(need.Times(n-1)) {
 		return true
 	}
 	u.short = true
--- a/engine/allotment_test.go
+++ b/engine/allotment_test.go
@@ -39,3 +39,20 @@
 	p.Cancel("00000000000000a1", c)
 	g.Expect(p.WorkspaceDemands(c)).NotTo(HaveKey("capped"))
 }
+
+// Guards against a gang that brings its workspace above the cap by more than one task.
+func TestGangExceedsTheCapByOneTaskAtMost(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool("pumps", 1, DefaultOptions(), 0)
+	c := Clock{Now: time.Second, Wall: 1_000_000}
+	p.SetWorkspaces([]Workspace{{Name: "capped", Capped: true}})
+	p.SetRoster([]WorkerInfo{{ID: "w", Address: "a:1", Capacity: Resources{CPU: 64_000, Mem: 64_000}}}, c)
+	p.RenewalAnswered("w", RenewalReply{Incarnation: 1, ClockMS: 1}, c.Now, c)
+	p.Submit(Spec{ID: "00000000000000a1", Queue: "q", Workspace: "capped", Steps: []Step{{Count: 4, Gang: true, Need: Resources{CPU: 1000}}}}, c)
+	alone := Resources{CPU: Unlimited, Mem: Unlimited, GPU: Unlimited}
+	for _, x := range []struct{ limit, used int64 }{{2900, 0}, {3000, 4000}} {
+		p.SetAllotments(map[string]Allotment{"capped": {Limit: Resources{CPU: x.limit}, First: alone}})
+		p.Place(c)
+		g.Expect(p.WorkspaceDemands(c)["capped"].Used.CPU).To(Equal(x.used))
+	}
+}
--- a/engine/explain.go
+++ b/engine/explain.go
@@ -84,7 +84,7 @@
 	case !st.hasPending(c.Now):
 		return "retry delay after a failure or a rejection"
 	}
-	if obstacle := p.workspaces.obstacle(st.occ.job.Spec.Workspace, st.spec.Need); obstacle != "" && !st.spec.Gang {
+	if obstacle := p.workspaces.obstacle(st.occ.job.Spec.Workspace, st.spec.Need, 1); obstacle != "" && !st.spec.Gang {
 		return obstacle
 	}
 	return p.placementObstacle(st, c)
--- a/engine/gang.go
+++ b/engine/gang.go
@@ -15,7 +15,7 @@
 		}
 		run = max(run, t.lastRun+1)
 	}
-	if !p.workspaces.mayStart(st.occ.job.Spec.Workspace, st.spec.Need.Times(len(st.tasks))) {
+	if !p.workspaces.mayStartTogether(st.occ.job.Spec.Workspace, st.spec.Need, len(st.tasks)) {
 		return
 	}
 	checkpoint := st.gangCheckpoint()
--- a/engine/placementreport.go
+++ b/engine/placementreport.go
@@ -227,11 +227,11 @@
 	case !st.spec.LongRunning && p.pendingStarts >= maxPendingStarts:
 		return nil, "too many starts wait for the store or for workers"
 	}
-	need := st.spec.Need
+	together := 1
 	if st.spec.Gang {
-		need = need.Times(len(st.tasks)) // All members start at once.
+		together = len(st.tasks)
 	}
-	if obstacle := p.workspaces.obstacle(st.occ.job.Spec.Workspace, need); obstacle != "" {
+	if obstacle := p.workspaces.obstacle(st.occ.job.Spec.Workspace, st.spec.Need, together); obstacle != "" {
 		return nil, obstacle
 	}
 	if st.spec.Gang {
@@ -268,9 +268,9 @@
 	return r
 }
 
-// obstacle returns why the workspace may not have more running by the given resources, or "".
-func (u *workspaces) obstacle(name string, need Resources) string {
-	if u.mayStart(name, need) {
+// obstacle returns why the workspace may not start n tasks with the given need at once, or "".
+func (u *workspaces) obstacle(name string, need Resources, n int) string {
+	if u.mayStartTogether(name, need, n) {
 		return ""
 	}
 	switch _, ok := u.allotments[name]; {
