Divide a contended cap by what the workers have room to run

Cause: a shard asked for a share for all waiting tasks, also if its workers were full. Where a workspace has a backlog in full pools, these shards kept their fair parts unused, and a shard with free workers was left with its own part: with 8 shards, an eighth of the cap.

Change: while a shard lacks something, shares are divided by what the workers have room for and one start more. The uncontended share still follows all that waits.

--- a/engine/allotment.go
+++ b/engine/allotment.go
@@ -120,6 +120,8 @@
 // WorkspaceDemand is what a workspace has running, and what it could have running if neither workers nor its allotment were short.
 type WorkspaceDemand struct {
 	Used, Wanted Resources
+	// Placeable is the part of Wanted that the workers have room for, and one start more for when a run ends.
+	Placeable Resources
 	// Unit is the most that a single start needs: that of a task, or of all members of a gang.
 	Unit Resources
 }
@@ -130,6 +132,7 @@
 	for name, used := range p.workspaces.used {
 		out[name] = WorkspaceDemand{Used: used, Wanted: used}
 	}
+	room, footprints := p.freeCapacity(c), map[string]Resources{}
 	for _, j := range p.openJobs {
 		name := j.Spec.Workspace
 		if name == "" {
@@ -143,6 +146,7 @@
 					continue
 				}
 				d.Wanted = d.Wanted.Add(st.spec.Need.Times(n))
+				footprints[name] = footprints[name].Add(st.spec.Footprint().Times(n))
 				unit := st.spec.Need
 				if st.spec.Gang {
 					unit = unit.Times(n)
@@ -154,5 +158,21 @@
 			out[name] = d
 		}
 	}
+	for name, d := range out {
+		excess := footprints[name].Sub(room.Add(d.Unit))
+		d.Placeable = d.Wanted.Sub(excess.Max(Resources{}))
+		out[name] = d
+	}
 	return out
 }
+
+// freeCapacity returns what is free on the workers that accept new starts.
+func (p *Pool) freeCapacity(c Clock) Resources {
+	var free Resources
+	for _, w := range p.workers {
+		if p.available(w, c) {
+			free = free.Add(w.info.Capacity.Sub(w.used).Max(Resources{}))
+		}
+	}
+	return free
+}
--- a/engine/allotment_test.go
+++ b/engine/allotment_test.go
@@ -34,9 +34,12 @@
 	p.SetAllotments(map[string]Allotment{"capped": {Limit: Resources{CPU: 5500, Mem: Unlimited, GPU: Unlimited}}})
 	g.Expect(place().CPU).To(Equal(int64(5000)))
 	g.Expect(p.WorkspaceDemands(c)["capped"].Wanted.CPU).To(Equal(int64(8000)))
+	p.Submit(Spec{ID: "00000000000000a3", Queue: "q", Workspace: "capped", Steps: []Step{{Count: 90, Need: Resources{CPU: 1000, Mem: 10}}}}, c)
+	g.Expect(p.WorkspaceDemands(c)["capped"].Placeable.CPU).To(Equal(int64(64_000-8000+1000)), "the worker's room but for the other workspace's runs, and one task")
 	lowered := p.LowerAllotments(map[string]Resources{"capped": {CPU: 2000, Mem: Unlimited, GPU: Unlimited}})
 	g.Expect(lowered["capped"].CPU).To(Equal(int64(5000)), "what runs keeps its allotment")
 	p.Cancel("00000000000000a1", c)
+	p.Cancel("00000000000000a3", c)
 	g.Expect(p.WorkspaceDemands(c)).NotTo(HaveKey("capped"))
 }
 
--- a/quota/fault_test.go
+++ b/quota/fault_test.go
@@ -22,7 +22,8 @@
 func TestTaskLargerThanTheCapOfOneResourceRuns(t *testing.T) {
 	g := NewWithT(t)
 	limit := engine.Resources{CPU: 50, Mem: 1000}
-	d := engine.WorkspaceDemand{Wanted: engine.Resources{CPU: 60, Mem: 10}, Unit: engine.Resources{CPU: 60, Mem: 10}}
+	task := engine.Resources{CPU: 60, Mem: 10}
+	d := engine.WorkspaceDemand{Wanted: task, Placeable: task, Unit: task}
 	l := Ledger{Shares: map[string]Share{}}
 	for range 5 {
 		for _, shard := range []string{"a", "b"} {
@@ -60,3 +61,18 @@
 	}
 	g.Expect(k.allotments("a", 1, map[string]engine.Resources{"w": cpu(50)})["w"].Limit.CPU).To(Equal(int64(20)))
 }
+
+// Guards against shards that keep a cap for work that their full workers can't run, while another shard with free workers lacks it. The workspace
+// would use less than half of its cap beside waiting jobs.
+func TestFullPoolsHoldNoShareThatOthersCanUse(t *testing.T) {
+	g := NewWithT(t)
+	full := engine.WorkspaceDemand{Used: cpu(20), Wanted: cpu(900), Placeable: cpu(30), Unit: cpu(10)}
+	l := Ledger{Shares: map[string]Share{"a": {Granted: cpu(300)}, "b": {Granted: cpu(300)}, "c": {Granted: cpu(300)}}}
+	for range 4 {
+		l.Shares["a"], _ = l.Plan("a", 1, cpu(900), full, 0)
+		l.Shares["b"], _ = l.Plan("b", 1, cpu(900), full, 0)
+		l.Shares["c"], _ = l.Plan("c", 1, cpu(900), demand(300, 900, 10), 0)
+	}
+	g.Expect(l.Shares["c"].Granted.CPU).To(BeNumerically(">", 800))
+	g.Expect(l.Shares["a"].Granted.CPU).To(BeNumerically(">=", 30))
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,7 +18,7 @@
 	Token int64 `json:"t"`
 	// Granted is what the shard may have running.
 	Granted engine.Resources `json:"g"`
-	// Wanted is what the shard could have running, if that is more than Granted, and Unit the most that a single start needs then. Both are
+	// Wanted is what the shard's workers have room to run, if that is more than Granted, and Unit the most that a single start needs then. Both are
 	// written only when the others need to know, as each change is a write.
 	Wanted engine.Resources `json:"w,omitzero"`
 	Unit   engine.Resources `json:"u,omitzero"`
@@ -93,7 +93,7 @@
 			out = append(out, name)
 		}
 	}
-	if beyond(d.Wanted, l.Shares[shard].Granted, limit) != (engine.Resources{}) {
+	if beyond(d.Placeable, l.Shares[shard].Granted, limit) != (engine.Resources{}) {
 		out = append(out, shard)
 	}
 	slices.Sort(out)
@@ -113,7 +113,7 @@
 
 // published returns the demand that a share states. It changes when the shard begins or ceases to lack something, or lacks twice as much or half.
 func published(present Share, granted engine.Resources, d engine.WorkspaceDemand, limit engine.Resources) (wanted, unit engine.Resources) {
-	wanted = beyond(d.Wanted, granted, limit)
+	wanted = beyond(d.Placeable, granted, limit)
 	switch {
 	case wanted == (engine.Resources{}):
 		return engine.Resources{}, engine.Resources{}
@@ -135,14 +135,14 @@
 
 // plan returns the share of one resource.
 func (l Ledger) plan(shard string, r resource, limits engine.Resources, d engine.WorkspaceDemand, lacking []string, wallMS int64) int64 {
-	limit, used, wanted := *r(&limits), *r(&d.Used), *r(&d.Wanted)
+	limit, used, wanted, placeable := *r(&limits), *r(&d.Used), *r(&d.Wanted), *r(&d.Placeable)
 	if limit == 0 {
 		return 0
 	}
 	own := l.Shares[shard]
 	granted := *r(&own.Granted)
 	free, missing, unit := limit-granted, int64(0), *r(&d.Unit)
-	wants := []int64{wanted}
+	wants := []int64{placeable}
 	for name, s := range l.Shares {
 		if name == shard {
 			continue
@@ -159,7 +159,7 @@
 	}
 	contended := missing > max(free, 0)
 	if contended {
-		request = min(wanted, limit, max(used, fairPart(shard, wants, limit, unit, lacking, wallMS)))
+		request = min(placeable, limit, max(used, fairPart(shard, wants, limit, unit, lacking, wallMS)))
 	}
 	switch {
 	case free < 0: // The cap was lowered.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -12,7 +12,7 @@
 func cpu(n int64) engine.Resources { return engine.Resources{CPU: n} }
 
 func demand(used, wanted, unit int64) engine.WorkspaceDemand {
-	return engine.WorkspaceDemand{Used: cpu(used), Wanted: cpu(wanted), Unit: cpu(unit)}
+	return engine.WorkspaceDemand{Used: cpu(used), Wanted: cpu(wanted), Placeable: cpu(wanted), Unit: cpu(unit)}
 }
 
 // Guards against allotments that add up to more than the cap, whatever the shards ask for and in whatever order they write.
