State a lack again that is one start beyond what was asked for

Cause: a shard that had got what it asked for and wanted less than twice as much stated nothing new, so that the others saw no lack and gave nothing back. With a share of one task, its next job waited for the end of the first one beside an unused cap.

Change: the stated demand is kept only while it covers one start beyond the share.

Result: TestLackOfOneMoreTaskIsPublished fails before and passes.

--- a/quota/fault_test.go
+++ b/quota/fault_test.go
@@ -76,3 +76,16 @@
 	g.Expect(l.Shares["c"].Granted.CPU).To(BeNumerically(">", 800))
 	g.Expect(l.Shares["a"].Granted.CPU).To(BeNumerically(">=", 30))
 }
+
+// Guards against a shard that has got what it asked for and lacks one task more, of which the others don't learn: its next job would wait for the
+// end of the first one beside an unused cap.
+func TestLackOfOneMoreTaskIsPublished(t *testing.T) {
+	g := NewWithT(t)
+	l := Ledger{Shares: map[string]Share{"a": {Granted: cpu(980)}, "b": {Granted: cpu(20), Wanted: cpu(20), Unit: cpu(20)}}}
+	for range 2 {
+		l.Shares["b"], _ = l.Plan("b", 1, cpu(1000), demand(20, 40, 20), 0)
+		l.Shares["a"], _ = l.Plan("a", 1, cpu(1000), demand(200, 400, 20), 0)
+	}
+	l.Shares["b"], _ = l.Plan("b", 1, cpu(1000), demand(20, 40, 20), 0)
+	g.Expect(l.Shares["b"].Granted.CPU).To(BeNumerically(">=", 40))
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -111,13 +111,15 @@
 	return out
 }
 
-// published returns the demand that a share states. It changes when the shard begins or ceases to lack something, or lacks twice as much or half.
+// published returns the demand that a share states. It changes when the shard begins or ceases to lack something, wants twice as much or half, or has
+// got what it stated but for less than one start.
 func published(present Share, granted engine.Resources, d engine.WorkspaceDemand, limit engine.Resources) (wanted, unit engine.Resources) {
 	wanted = beyond(d.Placeable, granted, limit)
 	switch {
 	case wanted == (engine.Resources{}):
 		return engine.Resources{}, engine.Resources{}
-	case present.lacks() && wanted.Times(2).Covers(present.Wanted) && present.Wanted.Times(2).Covers(wanted) && present.Unit.Covers(d.Unit):
+	case present.lacks() && wanted.Times(2).Covers(present.Wanted) && present.Wanted.Times(2).Covers(wanted) && present.Unit.Covers(d.Unit) &&
+		present.Wanted.Covers(wanted.Min(granted.Add(d.Unit))):
 		return present.Wanted, present.Unit
 	}
 	return wanted, d.Unit
