Bound the bytes of a transaction of shares

Cause: a transaction had up to 50 rows, each with the shares of up to 150 shards. After a takeover with 210 workspaces it would have 900 KB of values, 1.2 MB as encoded for the store, which refuses it each time.

Change: a transaction has rows of up to 400 KB. The workspaces are taken in random order, so that each gets its turn.

--- a/quota/fault_test.go
+++ b/quota/fault_test.go
@@ -1,7 +1,10 @@
 package quota
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
@@ -89,3 +92,35 @@
 	l.Shares["b"], _ = l.Plan("b", 1, cpu(1000), demand(20, 40, 20), 0)
 	g.Expect(l.Shares["b"].Granted.CPU).To(BeNumerically(">=", 40))
 }
+
+// Guards against a transaction beyond the store's limit of 1 MB: many workspaces, each with a share in many shards, that all change at once, as after a
+// takeover. It would be refused forever. Each workspace has to get its turn.
+func TestTransactionsStayBelowTheLimitOfTheStore(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Hour
+	k := NewKeeper(Settings{Owners: func() int { return 1 }, Now: func() time.Duration { return now }, Log: zerolog.Nop()})
+	caps := map[string]engine.Resources{}
+	shares := map[string]Share{}
+	for i := range 150 {
+		amount := engine.Resources{CPU: 1_000_000, Mem: 1_000_000}
+		shares[fmt.Sprintf("some-pool-%03d.00", i)] = Share{Token: 1000, Granted: amount, Wanted: amount, Unit: amount}
+	}
+	encoded, err := json.Marshal(Ledger{Shares: shares})
+	g.Expect(err).NotTo(HaveOccurred())
+	for i := range 210 {
+		name := fmt.Sprintf("workspace-%03d", i)
+		caps[name] = engine.Resources{CPU: 1_000_000_000, Mem: 1_000_000_000}
+		k.ledgers[name] = storedLedger{Ledger: Ledger{Shares: shares}, ver: 9, bytes: len(encoded)}
+	}
+	planned := map[string]bool{}
+	for range 60 {
+		now += time.Second
+		for _, batch := range k.plan("some-pool-000.00", 1001, caps, nil) {
+			g.Expect(len(batch) * len(encoded)).To(BeNumerically("<", 500<<10))
+			for _, c := range batch {
+				planned[c.workspace] = true
+			}
+		}
+	}
+	g.Expect(planned).To(HaveLen(210))
+}
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -42,6 +43,8 @@
 	retryDelay = 150 * time.Millisecond
 	// maxRows bounds the rows of one transaction, each of which has a condition and a write.
 	maxRows = rows.MaxEntries / 2
+	// batchBytes bounds the size of the rows of one transaction, to keep it below the store's limit of 1 MB also in an encoding that is longer by a third.
+	batchBytes = 400 << 10
 )
 
 // Shard is the owner of a shard on this daemon.
@@ -85,7 +88,8 @@
 
 type storedLedger struct {
 	Ledger
-	ver int64
+	ver   int64
+	bytes int
 	// unreadable is set if the row can't be decoded. Its workspace starts nothing more, as nobody knows what the shards have.
 	unreadable bool
 }
@@ -224,7 +228,7 @@
 		if r.Table != Table || r.Ver <= k.ledgers[r.Name].ver {
 			continue
 		}
-		l := storedLedger{ver: r.Ver}
+		l := storedLedger{ver: r.Ver, bytes: len(r.Value)}
 		if err := json.Unmarshal(r.Value, &l.Ledger); err != nil && !r.Removed {
 			k.settings.Log.Error().Err(err).Str("workspace", r.Name).Msg("unreadable row of a quota; the workspace starts nothing more")
 			l.unreadable = true
@@ -304,12 +308,12 @@
 func (k *Keeper) plan(shard string, token int64, caps map[string]engine.Resources, demands map[string]engine.WorkspaceDemand) map[string][]change {
 	out := map[string][]change{}
 	now := k.settings.Now()
-	for _, workspace := range slices.Sorted(maps.Keys(caps)) {
-		part := partOf(workspace)
-		if at, ok := k.wroteAt[part]; ok && now-at < k.interval() || len(out[part]) == maxRows {
+	bytes := map[string]int{}
+	for _, workspace := range shuffled(caps) {
+		part, base := partOf(workspace), k.ledger(workspace)
+		if at, ok := k.wroteAt[part]; ok && now-at < k.interval() || len(out[part]) == maxRows || bytes[part]+base.bytes > batchBytes {
 			continue
 		}
-		base := k.ledger(workspace)
 		if base.unreadable || base.Shares[shard].Token > token {
 			continue // Unknown, or another daemon owns the shard.
 		}
@@ -317,6 +321,7 @@
 		share, changed := base.Plan(shard, token, caps[workspace], d, time.Now().UnixMilli())
 		_, unresolved := k.unresolved[entry{shard, workspace}]
 		if changed || unresolved {
+			bytes[part] += base.bytes
 			out[part] = append(out[part], change{workspace: workspace, base: base, share: share, demand: d})
 		}
 	}
@@ -326,6 +331,13 @@
 	return out
 }
 
+// shuffled returns the workspaces in random order: a transaction may not have room for all, and each has to get its turn.
+func shuffled(caps map[string]engine.Resources) []string {
+	list := slices.Collect(maps.Keys(caps))
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
 // lower lowers the allotments whose share shrinks, before that is written, and raises these shares to what is in use.
 func (k *Keeper) lower(ctx context.Context, shard string, s Shard, caps map[string]engine.Resources, changes map[string][]change) error {
 	limits := map[string]engine.Resources{}
