Give an owner the configuration that came while its term started

Cause: startTerm read the configuration before it registered the term. A version that came in between was passed to the registered owners only, so that this owner kept the older workspaces until the next version: one with a new cap ran without.

Change: after the registration, the newest version is passed to the owner, under a mutex that keeps versions in order.

Result: TestConfigurationThatComesWhileATermStartsIsInForce fails before and passes; the tests of cluster pass.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -77,6 +77,8 @@
 	layout      atomic.Pointer[shard.Layout]
 	assignments *shard.Assignments
 	quotas      *quota.Keeper
+	// catalogMu is held while the configuration is passed to an owner, so that an older version never follows a newer one.
+	catalogMu sync.Mutex
 	// rosterMu is held while a list of workers is passed to the owners.
 	rosterMu sync.Mutex
 	// unassignedSince is when this daemon first found each worker that has no shard, unlistedSince when it first missed each worker
@@ -177,15 +179,23 @@
 
 // setQueues gives the owners of this daemon the settings of their queues.
 func (n *Node) setQueues() {
+	for name, t := range n.ownerTerms() {
+		n.passCatalogTo(name, t.Owner)
+	}
+}
+
+// passCatalogTo gives the newest configuration to the owner of a shard.
+func (n *Node) passCatalogTo(name string, o *owner.Owner) {
+	n.catalogMu.Lock()
+	defer n.catalogMu.Unlock()
 	cat := n.catalog.Load()
 	if cat == nil {
 		return
 	}
-	for name, o := range n.ownerTerms() {
-		o.SetQueues(cat.QueuesOf(n.layout.Load().PoolOf(name)))
-		o.SetWorkspaces(cat.EngineWorkspaces())
-		o.SetHealthPath(cat.HealthPath(n.layout.Load().PoolOf(name)))
-	}
+	pool := n.layout.Load().PoolOf(name)
+	o.SetQueues(cat.QueuesOf(pool))
+	o.SetWorkspaces(cat.EngineWorkspaces())
+	o.SetHealthPath(cat.HealthPath(pool))
 }
 
 // Catalog returns the configuration in force, or nil before the first one.
--- a/cluster/terms.go
+++ b/cluster/terms.go
@@ -79,10 +79,7 @@
 		Now:                   n.settings.Now,
 	})
 	n.runTerm(pool, o, newOwnerTerm(pool, o))
-	if cat != nil {
-		o.SetQueues(cat.QueuesOf(n.layout.Load().PoolOf(pool)))
-		o.SetHealthPath(cat.HealthPath(n.layout.Load().PoolOf(pool)))
-	}
+	n.passCatalogTo(pool, o) // It may have changed before the term was registered.
 	n.rosterMu.Lock()
 	n.passRosterTo(pool, o)
 	n.rosterMu.Unlock()
--- a/cluster/terms_test.go
+++ b/cluster/terms_test.go
@@ -11,6 +11,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"samphirepoint/catalog"
+	"samphirepoint/engine"
 	"samphirepoint/rows"
 	"samphirepoint/rows/memrows"
 )
@@ -98,3 +100,38 @@
 	g.Eventually(owned).Should(And(HaveLen(1), HaveKey("routes")))
 	g.Expect(term.stopped.Load()).To(BeTrue())
 }
+
+// Guards against an owner that keeps an older configuration, with no cap for a workspace, because a newer one came between the start of its term and
+// its registration.
+func TestConfigurationThatComesWhileATermStartsIsInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		began := time.Now()
+		version := func(v int64, limit engine.Resources) *catalog.Catalog {
+			c := &catalog.Catalog{Version: v, Workspaces: []catalog.Workspace{{Name: "w", Cap: limit}}}
+			c.Index()
+			return c
+		}
+		var n *Node
+		starting := false
+		n = NewNode(Settings{Name: "a", Store: memrows.New(), Options: engine.DefaultOptions(), Log: zerolog.Nop(), Now: func() time.Duration {
+			if starting { // The owner that is being created reads the clock.
+				starting = false
+				n.SetCatalog(version(2, engine.Resources{CPU: 1000}))
+			}
+			return time.Since(began)
+		}})
+		n.SetCatalog(version(1, engine.Resources{}))
+		starting = true
+		n.startTerm(ctx, "pumps", 1, 0, time.Nanosecond)
+		capped := false
+		g.Expect(n.pools["pumps"].WithState(ctx, func(p *engine.Pool, c engine.Clock) {
+			r := p.ExplainPlacement(engine.Spec{ID: "00000000000000a1", Workspace: "w", Steps: []engine.Step{{Count: 1}}}, c)
+			capped = r.Workspace.Capped
+		})).To(Succeed())
+		g.Expect(capped).To(BeTrue())
+	})
+}
