Let each shard of a daemon write its shares within its own interval

Cause: the interval between two transactions for a part counted for all shards of a daemon together. In each pass one shard, chosen at random, could write, so that others waited for many intervals.

Change: each shard has an interval of its own, longer by the number of the daemon's shards where the bound of all daemons' writes requires it.

TestEachShardOfADaemonHasItsOwnInterval fails with the former interval.

--- a/quota/fault_test.go
+++ b/quota/fault_test.go
@@ -98,7 +98,7 @@
 func TestTransactionsStayBelowTheLimitOfTheStore(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Hour
-	k := NewKeeper(Settings{Owners: func() int { return 1 }, Now: func() time.Duration { return now }, Log: zerolog.Nop()})
+	k := NewKeeper(Settings{Owners: func() int { return 1 }, Shards: func() map[string]Shard { return nil }, Now: func() time.Duration { return now }, Log: zerolog.Nop()})
 	caps := map[string]engine.Resources{}
 	shares := map[string]Share{}
 	for i := range 150 {
@@ -124,3 +124,15 @@
 	}
 	g.Expect(planned).To(HaveLen(210))
 }
+
+// Guards against a shard that has to wait until the other shards of its daemon, which always have something to write, leave it the interval.
+func TestEachShardOfADaemonHasItsOwnInterval(t *testing.T) {
+	g := NewWithT(t)
+	k := NewKeeper(Settings{Owners: func() int { return 1 }, Shards: func() map[string]Shard { return nil }, Now: func() time.Duration { return time.Hour }, Log: zerolog.Nop()})
+	caps := map[string]engine.Resources{"w": cpu(100)}
+	demands := map[string]engine.WorkspaceDemand{"w": demand(0, 20, 10)}
+	for _, shard := range []string{"a", "b"} {
+		g.Expect(k.plan(shard, 1, caps, demands)).NotTo(BeEmpty(), shard)
+		g.Expect(k.plan(shard, 1, caps, demands)).To(BeEmpty(), shard)
+	}
+}
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -29,8 +29,8 @@
 )
 
 const (
-	// minInterval is the least time between two transactions of a daemon for the same part, or intervalPerOwner for each daemon that owns
-	// something if that is longer, so that the writes of all daemons stay far below the store's rate.
+	// minInterval is the least time between two transactions of a shard for the same part, or intervalPerOwner for each daemon that owns
+	// something and each shard of this one if that is longer, so that the writes of all daemons stay far below the store's rate.
 	minInterval      = 100 * time.Millisecond
 	intervalPerOwner = 10 * time.Millisecond
 	// idleInterval is the time between two looks at the demand if nothing asks for one earlier.
@@ -83,7 +83,7 @@
 	known   bool
 	// unresolved holds the writes of unknown outcome, by shard and workspace. Only the goroutine of maintain uses it, like wroteAt.
 	unresolved map[entry]unresolvedWrite
-	wroteAt    map[string]time.Duration
+	wroteAt    map[shardPart]time.Duration
 }
 
 type storedLedger struct {
@@ -97,6 +97,9 @@
 // entry names a shard's share of a workspace.
 type entry struct{ shard, workspace string }
 
+// shardPart names a shard and a part of the table.
+type shardPart struct{ shard, part string }
+
 // unresolvedWrite stands for the writes of a share that the store may still execute, as long as the row has the version that they replace.
 type unresolvedWrite struct {
 	replaces int64
@@ -111,7 +114,7 @@
 		wake:       make(chan struct{}, 1),
 		ledgers:    map[string]storedLedger{},
 		unresolved: map[entry]unresolvedWrite{},
-		wroteAt:    map[string]time.Duration{},
+		wroteAt:    map[shardPart]time.Duration{},
 	}
 }
 
@@ -138,9 +141,9 @@
 	return g.Wait()
 }
 
-// interval returns the least time between two transactions for a part.
+// interval returns the least time between two transactions of a shard for a part.
 func (k *Keeper) interval() time.Duration {
-	return max(minInterval, time.Duration(k.settings.Owners())*intervalPerOwner)
+	return max(minInterval, time.Duration(k.settings.Owners()*len(k.settings.Shards()))*intervalPerOwner)
 }
 
 // pause waits until the given time, and then for a call of Wake or idleInterval.
@@ -307,11 +310,11 @@
 // plan returns the shares of a shard that are to be written now, by part.
 func (k *Keeper) plan(shard string, token int64, caps map[string]engine.Resources, demands map[string]engine.WorkspaceDemand) map[string][]change {
 	out := map[string][]change{}
-	now := k.settings.Now()
+	now, interval := k.settings.Now(), k.interval()
 	bytes := map[string]int{}
 	for _, workspace := range shuffled(caps) {
 		part, base := partOf(workspace), k.ledger(workspace)
-		if at, ok := k.wroteAt[part]; ok && now-at < k.interval() || len(out[part]) == maxRows || bytes[part]+base.bytes > batchBytes {
+		if at, ok := k.wroteAt[shardPart{shard, part}]; ok && now-at < interval || len(out[part]) == maxRows || bytes[part]+base.bytes > batchBytes {
 			continue
 		}
 		if base.unreadable || base.Shares[shard].Token > token {
@@ -326,7 +329,7 @@
 		}
 	}
 	for part := range out {
-		k.wroteAt[part] = now
+		k.wroteAt[shardPart{shard, part}] = now
 	}
 	return out
 }
--- a/quota/keeper_test.go
+++ b/quota/keeper_test.go
@@ -266,7 +266,7 @@
 // that shrinks the share of its successor.
 func TestShareBelongsToTheOwnerThatWroteIt(t *testing.T) {
 	g := NewWithT(t)
-	k := NewKeeper(Settings{Owners: func() int { return 1 }, Now: func() time.Duration { return time.Hour }, Log: zerolog.Nop()})
+	k := NewKeeper(Settings{Owners: func() int { return 1 }, Shards: func() map[string]Shard { return nil }, Now: func() time.Duration { return time.Hour }, Log: zerolog.Nop()})
 	caps := map[string]engine.Resources{"w": cpu(100)}
 	k.ledgers["w"] = storedLedger{Ledger: Ledger{Shares: map[string]Share{"a": {Token: 4, Granted: cpu(50)}}}, ver: 9}
 	g.Expect(k.allotments("a", 4, caps)["w"].Limit.CPU).To(Equal(int64(50)))
