Count a run out once

Cause: when a worker terminates, each of its runs is lost in turn. The loss of a gang's member also drops members whose start is not stored yet, and those on the same worker were then dropped a second time. The workspace's use became negative, so that it could have more running than its allotment for the rest of the term. The CPU by which fair shares are charged fell likewise.

Change: dropRun has no effect on a run that its task no longer has.

Result: TestRunsOfATerminatedWorkerAreCountedOutOnce fails before (-2000 used after a gang of 3) and passes.

--- a/engine/allotment_test.go
+++ b/engine/allotment_test.go
@@ -59,3 +59,20 @@
 		g.Expect(p.WorkspaceDemands(c)["capped"].Used.CPU).To(Equal(x.used))
 	}
 }
+
+// Guards against a run that is counted out twice: members of a gang whose start is not stored yet, on a worker that terminates. The workspace could
+// then have more running than its allotment for as long as the owner lives.
+func TestRunsOfATerminatedWorkerAreCountedOutOnce(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool("pumps", 1, DefaultOptions(), 0)
+	c := Clock{Now: time.Second, Wall: 1_000_000}
+	p.SetWorkspaces([]Workspace{{Name: "capped", Capped: true}})
+	p.SetRoster([]WorkerInfo{{ID: "w", Address: "a:1", Capacity: Resources{CPU: 64_000, Mem: 64_000}}}, c)
+	p.RenewalAnswered("w", RenewalReply{Incarnation: 1, ClockMS: 1}, c.Now, c)
+	p.SetAllotments(map[string]Allotment{"capped": {Limit: Resources{CPU: 9000}}})
+	p.Submit(Spec{ID: "00000000000000a1", Queue: "q", Workspace: "capped", Steps: []Step{{Count: 3, Gang: true, Need: Resources{CPU: 1000}}}}, c)
+	p.Place(c)
+	g.Expect(p.WorkspaceDemands(c)["capped"].Used.CPU).To(Equal(int64(3000)))
+	p.WorkerTerminated("w", 0, c)
+	g.Expect(p.WorkspaceDemands(c)["capped"].Used).To(Equal(Resources{}))
+}
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -326,8 +326,12 @@
 	p.rank.shares.Add(r.Task.job().Spec.Workspace, r.Task.step.spec.Footprint().CPU)
 }
 
-// dropRun removes a run that is certainly not on its worker.
+// dropRun removes a run that is certainly not on its worker. It has no effect if that was done already: the loss of a gang's member also drops
+// other members on the same worker.
 func (p *Pool) dropRun(r *Run) {
+	if !slices.Contains(r.Task.live, r) {
+		return
+	}
 	r.Task.waitingSince = p.now
 	r.Worker.remove(r)
 	if r.Worker.condition != nil {
