--- a/engine/allotment.go
+++ b/engine/allotment.go
@@ -8,8 +8,9 @@
 // Allotment is what a workspace may have running in the pool.
 type Allotment struct {
 	Limit Resources
-	// Sole is set while no other shard may run anything of the workspace. A task that exceeds the limit by itself then still runs, alone.
-	Sole bool
+	// First bounds the first start while nothing runs in the pool. It exceeds Limit in resources of which no other shard may use anything, so that
+	// a task larger than the workspace's cap still runs, alone.
+	First Resources
 }
 
 // Workspace holds a workspace's settings from the operators' configuration.
@@ -71,13 +72,19 @@
 	return out
 }
 
-// mayStart reports whether a workspace may have more running by the given resources.
+// mayStart reports whether a workspace may start a task with the given need.
 func (u *workspaces) mayStart(name string, need Resources) bool {
+	return u.mayStartTogether(name, need, 1)
+}
+
+// mayStartTogether reports whether a workspace may start n tasks at once. Where they may exceed the limit, one task fewer has to fit, since the
+// workspace's cap may be exceeded by one task only.
+func (u *workspaces) mayStartTogether(name string, need Resources, n int) bool {
 	if name == "" || u.settings != nil && !u.settings[name].Capped {
 		return true
 	}
-	a, used := u.allotments[name], u.used[name]
-	if a.Limit.Covers(used.Add(need)) || a.Sole && used == (Resources{}) {
+	a, used, total := u.allotments[name], u.used[name], need.Times(n)
+	if a.Limit.Covers(used.Add(total)) || used == (Resources{}) && a.First.Covers(total) && a.Limit.Covers(need.Times(n-1)) {
 		return true
 	}
 	u.short = true
@@ -113,6 +120,8 @@
 // WorkspaceDemand is what a workspace has running, and what it could have running if neither workers nor its allotment were short.
 type WorkspaceDemand struct {
 	Used, Wanted Resources
+	// Placeable is the part of Wanted that the workers have room for, and one start more for when a run ends.
+	Placeable Resources
 	// Unit is the most that a single start needs: that of a task, or of all members of a gang.
 	Unit Resources
 }
@@ -123,6 +132,7 @@
 	for name, used := range p.workspaces.used {
 		out[name] = WorkspaceDemand{Used: used, Wanted: used}
 	}
+	room, footprints := p.freeCapacity(c), map[string]Resources{}
 	for _, j := range p.openJobs {
 		name := j.Spec.Workspace
 		if name == "" {
@@ -136,6 +146,7 @@
 					continue
 				}
 				d.Wanted = d.Wanted.Add(st.spec.Need.Times(n))
+				footprints[name] = footprints[name].Add(st.spec.Footprint().Times(n))
 				unit := st.spec.Need
 				if st.spec.Gang {
 					unit = unit.Times(n)
@@ -147,5 +158,21 @@
 			out[name] = d
 		}
 	}
+	for name, d := range out {
+		excess := footprints[name].Sub(room.Add(d.Unit))
+		d.Placeable = d.Wanted.Sub(excess.Max(Resources{}))
+		out[name] = d
+	}
 	return out
 }
+
+// freeCapacity returns what is free on the workers that accept new starts.
+func (p *Pool) freeCapacity(c Clock) Resources {
+	var free Resources
+	for _, w := range p.workers {
+		if p.available(w, c) {
+			free = free.Add(w.info.Capacity.Sub(w.used).Max(Resources{}))
+		}
+	}
+	return free
+}
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -28,8 +29,8 @@
 )
 
 const (
-	// minInterval is the least time between two transactions of a daemon for the same part, or intervalPerOwner for each daemon that owns
-	// something if that is longer, so that the writes of all daemons stay far below the store's rate.
+	// minInterval is the least time between two transactions of a shard for the same part, or intervalPerOwner for each daemon that owns
+	// something and each shard of this one if that is longer, so that the writes of all daemons stay far below the store's rate.
 	minInterval      = 100 * time.Millisecond
 	intervalPerOwner = 10 * time.Millisecond
 	// idleInterval is the time between two looks at the demand if nothing asks for one earlier.
@@ -42,6 +43,8 @@
 	retryDelay = 150 * time.Millisecond
 	// maxRows bounds the rows of one transaction, each of which has a condition and a write.
 	maxRows = rows.MaxEntries / 2
+	// batchBytes bounds the size of the rows of one transaction, to keep it below the store's limit of 1 MB also in an encoding that is longer by a third.
+	batchBytes = 400 << 10
 )
 
 // Shard is the owner of a shard on this daemon.
@@ -80,12 +83,13 @@
 	known   bool
 	// unresolved holds the writes of unknown outcome, by shard and workspace. Only the goroutine of maintain uses it, like wroteAt.
 	unresolved map[entry]unresolvedWrite
-	wroteAt    map[string]time.Duration
+	wroteAt    map[shardPart]time.Duration
 }
 
 type storedLedger struct {
 	Ledger
-	ver int64
+	ver   int64
+	bytes int
 	// unreadable is set if the row can't be decoded. Its workspace starts nothing more, as nobody knows what the shards have.
 	unreadable bool
 }
@@ -93,10 +97,14 @@
 // entry names a shard's share of a workspace.
 type entry struct{ shard, workspace string }
 
-// unresolvedWrite is a write that the store may still execute, as long as the row has the version that it replaces.
+// shardPart names a shard and a part of the table.
+type shardPart struct{ shard, part string }
+
+// unresolvedWrite stands for the writes of a share that the store may still execute, as long as the row has the version that they replace.
 type unresolvedWrite struct {
 	replaces int64
-	share    Share
+	// granted is the least that one of them grants, of each resource.
+	granted engine.Resources
 }
 
 // NewKeeper returns a Keeper. Run runs it.
@@ -106,7 +114,7 @@
 		wake:       make(chan struct{}, 1),
 		ledgers:    map[string]storedLedger{},
 		unresolved: map[entry]unresolvedWrite{},
-		wroteAt:    map[string]time.Duration{},
+		wroteAt:    map[shardPart]time.Duration{},
 	}
 }
 
@@ -133,9 +141,9 @@
 	return g.Wait()
 }
 
-// interval returns the least time between two transactions for a part.
+// interval returns the least time between two transactions of a shard for a part.
 func (k *Keeper) interval() time.Duration {
-	return max(minInterval, time.Duration(k.settings.Owners())*intervalPerOwner)
+	return max(minInterval, time.Duration(k.settings.Owners()*len(k.settings.Shards()))*intervalPerOwner)
 }
 
 // pause waits until the given time, and then for a call of Wake or idleInterval.
@@ -223,7 +231,7 @@
 		if r.Table != Table || r.Ver <= k.ledgers[r.Name].ver {
 			continue
 		}
-		l := storedLedger{ver: r.Ver}
+		l := storedLedger{ver: r.Ver, bytes: len(r.Value)}
 		if err := json.Unmarshal(r.Value, &l.Ledger); err != nil && !r.Removed {
 			k.settings.Log.Error().Err(err).Str("workspace", r.Name).Msg("unreadable row of a quota; the workspace starts nothing more")
 			l.unreadable = true
@@ -302,13 +310,13 @@
 // plan returns the shares of a shard that are to be written now, by part.
 func (k *Keeper) plan(shard string, token int64, caps map[string]engine.Resources, demands map[string]engine.WorkspaceDemand) map[string][]change {
 	out := map[string][]change{}
-	now := k.settings.Now()
-	for _, workspace := range slices.Sorted(maps.Keys(caps)) {
-		part := partOf(workspace)
-		if at, ok := k.wroteAt[part]; ok && now-at < k.interval() || len(out[part]) == maxRows {
+	now, interval := k.settings.Now(), k.interval()
+	bytes := map[string]int{}
+	for _, workspace := range shuffled(caps) {
+		part, base := partOf(workspace), k.ledger(workspace)
+		if at, ok := k.wroteAt[shardPart{shard, part}]; ok && now-at < interval || len(out[part]) == maxRows || bytes[part]+base.bytes > batchBytes {
 			continue
 		}
-		base := k.ledger(workspace)
 		if base.unreadable || base.Shares[shard].Token > token {
 			continue // Unknown, or another daemon owns the shard.
 		}
@@ -316,15 +324,23 @@
 		share, changed := base.Plan(shard, token, caps[workspace], d, time.Now().UnixMilli())
 		_, unresolved := k.unresolved[entry{shard, workspace}]
 		if changed || unresolved {
+			bytes[part] += base.bytes
 			out[part] = append(out[part], change{workspace: workspace, base: base, share: share, demand: d})
 		}
 	}
 	for part := range out {
-		k.wroteAt[part] = now
+		k.wroteAt[shardPart{shard, part}] = now
 	}
 	return out
 }
 
+// shuffled returns the workspaces in random order: a transaction may not have room for all, and each has to get its turn.
+func shuffled(caps map[string]engine.Resources) []string {
+	list := slices.Collect(maps.Keys(caps))
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
 // lower lowers the allotments whose share shrinks, before that is written, and raises these shares to what is in use.
 func (k *Keeper) lower(ctx context.Context, shard string, s Shard, caps map[string]engine.Resources, changes map[string][]change) error {
 	limits := map[string]engine.Resources{}
@@ -380,7 +396,7 @@
 func (k *Keeper) noteUnresolved(shard string, changes map[string][]change) {
 	each(changes, func(c *change) {
 		if c.uncertain {
-			k.unresolved[entry{shard, c.workspace}] = unresolvedWrite{replaces: c.base.ver, share: c.share}
+			k.addUnresolved(entry{shard, c.workspace}, unresolvedWrite{replaces: c.base.ver, granted: c.share.Granted})
 		}
 	})
 	for e, w := range k.unresolved {
@@ -390,6 +406,14 @@
 	}
 }
 
+// addUnresolved records a write without an answer. The store may still execute any one of those that replace the same version.
+func (k *Keeper) addUnresolved(e entry, w unresolvedWrite) {
+	if former, ok := k.unresolved[e]; ok && former.replaces == w.replaces {
+		w.granted = w.granted.Min(former.granted)
+	}
+	k.unresolved[e] = w
+}
+
 // allotments returns what the owner of a shard may use.
 func (k *Keeper) allotments(shard string, token int64, caps map[string]engine.Resources) map[string]engine.Allotment {
 	out := map[string]engine.Allotment{}
@@ -401,7 +425,7 @@
 		}
 		a := l.Limit(shard, limit)
 		if w, ok := k.unresolved[entry{shard, workspace}]; ok {
-			a = engine.Allotment{Limit: a.Limit.Min(limitOf(w.share.Granted, limit))}
+			a = engine.Allotment{Limit: a.Limit.Min(limitOf(w.granted, limit))}
 		}
 		out[workspace] = a
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,7 +18,7 @@
 	Token int64 `json:"t"`
 	// Granted is what the shard may have running.
 	Granted engine.Resources `json:"g"`
-	// Wanted is what the shard could have running, if that is more than Granted, and Unit the most that a single start needs then. Both are
+	// Wanted is what the shard's workers have room to run, if that is more than Granted, and Unit the most that a single start needs then. Both are
 	// written only when the others need to know, as each change is a write.
 	Wanted engine.Resources `json:"w,omitzero"`
 	Unit   engine.Resources `json:"u,omitzero"`
@@ -32,23 +32,29 @@
 	Shares map[string]Share `json:"s"`
 }
 
-// Limit returns what the shard may have running under the cap. After the cap was lowered, the shards scale their shares down
-// by the same factor until each has written a smaller one.
+// Limit returns what the shard may have running under the cap. While the shares exceed the cap, as after it was lowered, each shard counts all that
+// the others hold, as they may have it running. A first task may exceed the limit in a resource of which only this shard holds anything.
 func (l Ledger) Limit(shard string, limit engine.Resources) engine.Allotment {
 	granted, sum := l.Shares[shard].Granted, l.sum()
-	out := engine.Allotment{Sole: sum == granted}
+	var out engine.Allotment
 	for _, r := range resources {
-		*r(&out.Limit) = scaled(*r(&granted), *r(&sum), *r(&limit))
+		own, others, bound := *r(&granted), *r(&sum)-*r(&granted), *r(&limit)
+		if bound == 0 {
+			*r(&out.Limit), *r(&out.First) = engine.Unlimited, engine.Unlimited
+			continue
+		}
+		*r(&out.Limit) = max(min(own, bound-others), 0)
+		*r(&out.First) = *r(&out.Limit)
+		if own > 0 && others == 0 {
+			*r(&out.First) = engine.Unlimited
+		}
 	}
 	return out
 }
 
-// scaled returns a share of a cap whose shares add up to sum. A cap of 0 bounds nothing.
+// scaled returns a share of a cap, scaled down if the shares add up to more.
 func scaled(share, sum, limit int64) int64 {
-	switch {
-	case limit == 0:
-		return engine.Unlimited
-	case sum <= limit:
+	if sum <= limit {
 		return share
 	}
 	return int64(float64(share) * (float64(limit) / float64(sum)))
@@ -87,7 +93,7 @@
 			out = append(out, name)
 		}
 	}
-	if beyond(d.Wanted, l.Shares[shard].Granted, limit) != (engine.Resources{}) {
+	if beyond(d.Placeable, l.Shares[shard].Granted, limit) != (engine.Resources{}) {
 		out = append(out, shard)
 	}
 	slices.Sort(out)
@@ -105,13 +111,15 @@
 	return out
 }
 
-// published returns the demand that a share states. It changes when the shard begins or ceases to lack something, or lacks twice as much or half.
+// published returns the demand that a share states. It changes when the shard begins or ceases to lack something, wants twice as much or half, or has
+// got what it stated but for less than one start.
 func published(present Share, granted engine.Resources, d engine.WorkspaceDemand, limit engine.Resources) (wanted, unit engine.Resources) {
-	wanted = beyond(d.Wanted, granted, limit)
+	wanted = beyond(d.Placeable, granted, limit)
 	switch {
 	case wanted == (engine.Resources{}):
 		return engine.Resources{}, engine.Resources{}
-	case present.lacks() && wanted.Times(2).Covers(present.Wanted) && present.Wanted.Times(2).Covers(wanted) && present.Unit.Covers(d.Unit):
+	case present.lacks() && wanted.Times(2).Covers(present.Wanted) && present.Wanted.Times(2).Covers(wanted) && present.Unit.Covers(d.Unit) &&
+		present.Wanted.Covers(wanted.Min(granted.Add(d.Unit))):
 		return present.Wanted, present.Unit
 	}
 	return wanted, d.Unit
@@ -129,14 +137,14 @@
 
 // plan returns the share of one resource.
 func (l Ledger) plan(shard string, r resource, limits engine.Resources, d engine.WorkspaceDemand, lacking []string, wallMS int64) int64 {
-	limit, used, wanted := *r(&limits), *r(&d.Used), *r(&d.Wanted)
+	limit, used, wanted, placeable := *r(&limits), *r(&d.Used), *r(&d.Wanted), *r(&d.Placeable)
 	if limit == 0 {
 		return 0
 	}
 	own := l.Shares[shard]
 	granted := *r(&own.Granted)
 	free, missing, unit := limit-granted, int64(0), *r(&d.Unit)
-	wants := []int64{wanted}
+	wants := []int64{placeable}
 	for name, s := range l.Shares {
 		if name == shard {
 			continue
@@ -153,11 +161,13 @@
 	}
 	contended := missing > max(free, 0)
 	if contended {
-		request = min(wanted, limit, max(used, fairPart(shard, wants, limit, unit, lacking, wallMS)))
+		request = min(placeable, limit, max(used, fairPart(shard, wants, limit, unit, lacking, wallMS)))
 	}
 	switch {
 	case free < 0: // The cap was lowered.
 		return max(min(granted, request, scaled(granted, limit-free, limit)), used)
+	case used > granted: // A task that runs alone, or a cap that was added: the others have to know.
+		return used
 	case request > granted && wanted > granted:
 		return min(request, granted+free)
 	case request < granted && (contended || granted > idleFactor*request+headroom):
