Name the waiting work of capped workspaces quotaBacklog

Cause: held, hold and filling said nothing of what they count, and a local variable hid the type of the same name.

Change: quotaBacklog, waitsForQuota, beginBacklogCount and nextFull, with comments that say what a count finds.

--- a/engine/admission.go
+++ b/engine/admission.go
@@ -78,7 +78,7 @@
 // countRemaining counts the remaining tasks and reports whether some wait that could run.
 func (p *Pool) countRemaining(c Clock) (waiting bool) {
 	p.backlog.remaining = map[int]int{}
-	p.beginCount(c)
+	p.beginBacklogCount(c)
 	for _, j := range p.openJobs {
 		q := p.queueOf(j)
 		for o := range j.openOccurrences() {
--- a/engine/place.go
+++ b/engine/place.go
@@ -70,12 +70,12 @@
 	for _, cd := range p.candidates(c) {
 		if !cd.step.spec.LongRunning && p.pendingStarts >= maxPendingStarts {
 			p.placementNeeded = true
-			p.rank.filling = true
+			p.rank.nextFull = true
 			continue
 		}
 		p.placeStep(cd, workers, c)
 	}
-	p.rank.full = p.rank.filling
+	p.rank.full = p.rank.nextFull
 	if p.pendingStarts < maxPendingStarts {
 		p.speculate(workers, c)
 	}
--- a/engine/rank.go
+++ b/engine/rank.go
@@ -21,11 +21,11 @@
 // rankState is what the pool remembers between placements to rank its jobs.
 type rankState struct {
 	shares ranking.Shares
-	// full is set if some task had to wait in the last placement for a worker or for other starts, filling if one had to in the current
+	// full is set if some task had to wait in the last placement for a worker or for other starts, nextFull if one had to in the current
 	// placement.
-	full, filling bool
-	// capacity is the CPU of the listed workers that do not drain, also while they can't be reached, largestWorker the highest one of a
-	// worker, in thousandths of a core.
+	full, nextFull bool
+	// capacity is the CPU of the listed workers that do not drain, also while they can't be reached, largestWorker that of the largest of
+	// them, in thousandths of a core.
 	capacity, largestWorker int64
 	// starvedBudget is the CPU that starved jobs may yet take in the current placement.
 	starvedBudget int64
@@ -36,8 +36,8 @@
 	smallest Resources
 	// queue is the accepted work by rank, as of the last count of the backlog and the jobs submitted since.
 	queue ranking.Queue
-	// held is what the capped workspaces have waiting.
-	held map[string]*held
+	// quotaBacklogs are those of the capped workspaces, by name.
+	quotaBacklogs map[string]*quotaBacklog
 }
 
 // reservation keeps a worker free of other work until it has room for a task.
@@ -50,7 +50,7 @@
 // beginPlacement prepares a placement on the given workers.
 func (p *Pool) beginPlacement(workers []*Worker, c Clock) {
 	r := &p.rank
-	r.filling, r.capacity, r.largestWorker = false, 0, 0
+	r.nextFull, r.capacity, r.largestWorker = false, 0, 0
 	for _, w := range p.workersByID {
 		if w.listed && !w.info.Draining {
 			r.capacity += w.info.Capacity.CPU
@@ -128,7 +128,8 @@
 	return a
 }
 
-// finishKeys adds to the keys what depends on other jobs. The candidates are in order of arrival.
+// finishKeys adds to the keys what depends on other jobs, once all workspaces that wait are known. The candidates are in order of arrival, so
+// that the oldest starved jobs use up the budget.
 func (p *Pool) finishKeys(list []candidate, c Clock) {
 	if !p.ranked() {
 		return
@@ -184,7 +185,7 @@
 // each ended run leaves.
 func (p *Pool) noteFull(cd candidate, workers []*Worker, c Clock) {
 	st := cd.step
-	p.rank.filling = true
+	p.rank.nextFull = true
 	if !p.ranked() || p.rank.smallest.Covers(st.spec.Footprint()) || (cd.key.Rank != ranking.OnTime && !cd.key.Starved) {
 		return
 	}
@@ -204,7 +205,7 @@
 	}
 }
 
-// reservedFor reports whether a worker is kept free for the occurrence. It then counts as begun, since the worker would else be kept free in vain.
+// reservedFor reports whether a worker is kept free for the occurrence. It then counts as begun, since the worker would otherwise be kept free in vain.
 func (r *rankState) reservedFor(o *occurrence) bool {
 	return slices.ContainsFunc(r.reservations, func(x reservation) bool { return x.task.step.occ == o })
 }
--- a/engine/rank_admission.go
+++ b/engine/rank_admission.go
@@ -9,11 +9,11 @@
 // runningWorkShare is the mean share of its work that a running task has yet to do.
 const runningWorkShare = 0.5
 
-// held is what a capped workspace has waiting at a count of the accepted work.
-type held struct {
-	// planned is what it could start within its allotment, beside what it has running.
+// quotaBacklog is the waiting work of a capped workspace, as of a count of the accepted work.
+type quotaBacklog struct {
+	// planned is what the workspace could start within its allotment, beside what it has running.
 	planned Resources
-	// work is the work beyond that, and since is when there first was some at each count.
+	// work is the work beyond that. Each count since then has found some.
 	work  float64
 	since time.Duration
 }
@@ -42,45 +42,45 @@
 // refuseBehindQuota decides on a job of a workspace whose other work has waited for its allotment for throughputWindow. Before, the allotment may
 // yet be raised. The work drains by what the workspace has running.
 func (p *Pool) refuseBehindQuota(workspace string, t ranking.Timing) (ranking.Refusal, bool) {
-	h, used := p.rank.held[workspace], p.workspaces.used[workspace].CPU
-	if h == nil || h.work == 0 || used == 0 || p.now-h.since < throughputWindow {
+	b, used := p.rank.quotaBacklogs[workspace], p.workspaces.used[workspace].CPU
+	if b == nil || b.work == 0 || used == 0 || p.now-b.since < throughputWindow {
 		return ranking.Refusal{}, false
 	}
-	return ranking.RefuseBehind(time.Duration(h.work/float64(used)*float64(time.Millisecond)), t)
+	return ranking.RefuseBehind(time.Duration(b.work/float64(used)*float64(time.Millisecond)), t)
 }
 
-// beginCount begins a count of the accepted work.
-func (p *Pool) beginCount(c Clock) {
+// beginBacklogCount begins a count of the accepted work.
+func (p *Pool) beginBacklogCount(c Clock) {
 	p.rank.queue.Reset()
-	for name, h := range p.rank.held {
-		if h.work == 0 {
-			h.since = c.Now
+	for name, b := range p.rank.quotaBacklogs {
+		if b.work == 0 {
+			b.since = c.Now
 		}
-		h.planned, h.work = Resources{}, 0
+		b.planned, b.work = Resources{}, 0
 		if !p.workspaces.settings[name].Capped {
-			delete(p.rank.held, name)
+			delete(p.rank.quotaBacklogs, name)
 		}
 	}
 }
 
-// hold reports whether waiting tasks of a workspace have to wait for its allotment, and adds their work to that which does.
-func (p *Pool) hold(workspace string, need Resources, work float64, c Clock) bool {
+// waitsForQuota reports whether waiting tasks of a workspace have to wait for its allotment, and adds them to the workspace's quota backlog.
+func (p *Pool) waitsForQuota(workspace string, need Resources, work float64, c Clock) bool {
 	if !p.workspaces.settings[workspace].Capped {
 		return false
 	}
-	h := p.rank.held[workspace]
-	if h == nil {
-		h = &held{since: c.Now}
-		if p.rank.held == nil {
-			p.rank.held = map[string]*held{}
+	b := p.rank.quotaBacklogs[workspace]
+	if b == nil {
+		b = &quotaBacklog{since: c.Now}
+		if p.rank.quotaBacklogs == nil {
+			p.rank.quotaBacklogs = map[string]*quotaBacklog{}
 		}
-		p.rank.held[workspace] = h
+		p.rank.quotaBacklogs[workspace] = b
 	}
-	if p.workspaces.mayStart(workspace, h.planned.Add(need)) {
-		h.planned = h.planned.Add(need)
+	if p.workspaces.mayStart(workspace, b.planned.Add(need)) {
+		b.planned = b.planned.Add(need)
 		return false
 	}
-	h.work += work
+	b.work += work
 	return true
 }
 
@@ -117,8 +117,8 @@
 		}
 		running, waiting := st.countRemaining()
 		work += runningWorkShare * float64(running) * p.taskWork(st)
-		if held := float64(waiting) * p.taskWork(st); !p.hold(name, st.spec.Need.Times(waiting), held, c) {
-			work += held
+		if waitingWork := float64(waiting) * p.taskWork(st); !p.waitsForQuota(name, st.spec.Need.Times(waiting), waitingWork, c) {
+			work += waitingWork
 		}
 	}
 	if work > 0 {
