--- a/engine/job.go
+++ b/engine/job.go
@@ -94,8 +94,8 @@
 	// failedOn counts the failed runs by worker.
 	failedOn map[string]int
 	restarts int
-	// rescues counts the stalled runs that were stopped.
-	rescues int
+	// stalledStops counts the stalled runs that were stopped.
+	stalledStops int
 	// waitingSince is the start of the current time without a run: when the job entered the pool, or when the task's last
 	// run ended.
 	waitingSince time.Duration
--- a/engine/learn.go
+++ b/engine/learn.go
@@ -74,12 +74,12 @@
 func (p *Pool) recordFailure(r *Run, t *Task, c Clock) {
 	w := r.Worker
 	if len(t.failedOn) > 0 && t.failedOn[w.ID] == 0 {
-		p.excuse(t, c)
+		p.discountFailures(t, c)
 		return
 	}
 	if w.condition != nil {
 		if !t.step.spec.Gang || !slices.Contains(t.failedRuns, r.Num) { // The other members of a gang may fail with the first one.
-			w.condition.Failed(r.grant, t.id.Job, c.Now)
+			w.condition.Failed(r.period, t.id.Job, c.Now)
 		}
 		return
 	}
--- a/engine/place.go
+++ b/engine/place.go
@@ -273,7 +273,7 @@
 	}
 	p.addRun(r)
 	if w.condition != nil {
-		r.grant = w.condition.Started()
+		r.period = w.condition.Started()
 	}
 	p.countPending(r, false)
 	p.markDirty(t.job())
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -331,7 +331,7 @@
 	r.Task.waitingSince = p.now
 	r.Worker.remove(r)
 	if r.Worker.condition != nil {
-		r.Worker.condition.Over(r.grant)
+		r.Worker.condition.Over(r.period)
 	}
 	r.Task.removeRun(r)
 	p.workspaces.remove(r.Task.job().Spec.Workspace, r.Task.step.spec.Need)
--- a/engine/suspects.go
+++ b/engine/suspects.go
@@ -7,14 +7,16 @@
 )
 
 const (
-	// probePatience is how long a probe run that is due waits for work that fits nowhere else. Then it gets the next task, which may also
+	// maxProbeWait is how long a probe run that is due waits for work that fits nowhere else. Then it gets the next task, which may also
 	// be one that is usually kept off suspects, so that no such task waits for good.
-	probePatience = 4 * time.Second
+	maxProbeWait = 4 * time.Second
+	// maxLastAttemptWait is how long the last attempt of a task waits for a worker that is not tolerated.
+	maxLastAttemptWait = 4 * time.Second
 	// stableProbeTime is the time after which a run of a long-running task counts as a success.
 	stableProbeTime = 2 * time.Second
-	// maxRescues bounds the stalled runs of a task that are stopped, each after twice the time of the one before: a task whose time was
-	// estimated far too low must end at last.
-	maxRescues = 2
+	// maxStalledStops bounds the stalled runs of a task that are stopped, each after twice the time of the one before: a task whose time was
+	// estimated far too low must be able to end.
+	maxStalledStops = 2
 )
 
 // admits reports whether the condition of the worker allows one more run beside the given number of new ones.
@@ -33,15 +35,15 @@
 	switch w.condition.State() {
 	case suspect.Suspected:
 		waited, _ := w.condition.ProbeDue(c.Now)
-		return waited >= probePatience || !p.isDelicate(t)
+		return waited >= maxProbeWait || !p.isCostlyToFail(t)
 	case suspect.Tolerated:
-		return c.Now-t.waitingSince >= probePatience || !p.isLastAttempt(t) || !p.hasSoundWorker()
+		return c.Now-t.waitingSince >= maxLastAttemptWait || !p.isLastAttempt(t) || !p.hasSoundWorker()
 	}
 	return true
 }
 
-// isDelicate reports whether a failed run of the task would cost more than that run: those of the rest of its gang, or its job.
-func (p *Pool) isDelicate(t *Task) bool {
+// isCostlyToFail reports whether a failed run of the task would cost more than that run: those of the rest of its gang, or its job.
+func (p *Pool) isCostlyToFail(t *Task) bool {
 	return t.step.spec.Gang || t.step.spec.LongRunning || p.isLastAttempt(t)
 }
 
@@ -71,7 +73,7 @@
 	}
 	waited, due := w.condition.ProbeDue(c.Now)
 	switch {
-	case due && waited >= probePatience:
+	case due && waited >= maxProbeWait:
 		return -costAvoidedWorker
 	case due, w.condition.Avoided(c.Now):
 		return costAvoidedWorker
@@ -88,14 +90,14 @@
 	if t.checkpoint == "" {
 		expected = p.knownRunTime(t.step)
 	}
-	r.Worker.condition.Done(r.grant, t.id.Job, r.elapsed(c), expected, c.Now)
+	r.Worker.condition.Done(r.period, t.id.Job, r.elapsed(c), expected, c.Now)
 }
 
-// excuse takes back what the failures of a task have told of the workers, as it fails on another one as well.
-func (p *Pool) excuse(t *Task, c Clock) {
+// discountFailures takes back what the failures of a task have told of the workers, as it fails on another one as well.
+func (p *Pool) discountFailures(t *Task, c Clock) {
 	for id := range t.failedOn {
 		if w := p.workers[id]; w != nil && w.condition != nil {
-			w.condition.Excuse(t.id.Job, c.Now)
+			w.condition.Discount(t.id.Job, c.Now)
 		}
 	}
 }
@@ -144,7 +146,7 @@
 		case r.Task.step.spec.LongRunning:
 			if !r.judgedStable && r.elapsed(c) >= stableProbeTime {
 				r.judgedStable = true
-				w.condition.Done(r.grant, r.Task.id.Job, 0, 0, c.Now)
+				w.condition.Done(r.period, r.Task.id.Job, 0, 0, c.Now)
 			}
 		default:
 			p.judgeRunTime(r, c)
@@ -160,27 +162,27 @@
 	condition := r.Worker.condition
 	if !r.judgedSlow && r.elapsed(c) > p.suspects.SlowAfter(expected) {
 		r.judgedSlow = true
-		condition.Slow(r.grant, r.Task.id.Job, c.Now)
+		condition.Slow(r.period, r.Task.id.Job, c.Now)
 	}
 	if r.elapsed(c) <= p.suspects.StalledAfter(expected) {
 		return
 	}
 	if !r.judgedStalled {
 		r.judgedStalled = true
-		condition.Stalled(r.grant, r.Task.id.Job, c.Now)
+		condition.Stalled(r.period, r.Task.id.Job, c.Now)
 	}
-	if r.elapsed(c) > p.suspects.StalledAfter(expected)<<r.Task.rescues {
-		p.rescue(r, c)
+	if r.elapsed(c) > p.suspects.StalledAfter(expected)<<r.Task.stalledStops {
+		p.stopStalled(r, c)
 	}
 }
 
-// rescue stops a stalled run if its task can start elsewhere.
-func (p *Pool) rescue(r *Run, c Clock) {
+// stopStalled stops a stalled run if its task can start elsewhere.
+func (p *Pool) stopStalled(r *Run, c Clock) {
 	t := r.Task
-	if t.step.spec.Gang || t.rescues >= maxRescues || !p.canRunElsewhere(t, c) {
+	if t.step.spec.Gang || t.stalledStops >= maxStalledStops || !p.canRunElsewhere(t, c) {
 		return
 	}
-	t.rescues++
+	t.stalledStops++
 	p.recordDecision("stalled-run", t.id.String(), r.Num, r.Worker.ID, "")
 	p.stop(r, c)
 }
--- a/engine/suspects_test.go
+++ b/engine/suspects_test.go
@@ -276,7 +276,7 @@
 		}
 		w.run(time.Second)
 		g.Expect(len(w.workers["i-00"].running) == 0).To(Equal(waits), "%d workers", workers)
-		w.run(probePatience)
+		w.run(maxProbeWait)
 		g.Expect(w.workers["i-00"].running).To(HaveLen(1), "%d workers", workers)
 	}
 }
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -109,8 +109,8 @@
 	listedIn int64
 	// pending is set while the run is counted in Pool.pendingStarts.
 	pending bool
-	// grant is the period of the worker's condition in which the run started.
-	grant suspect.Grant
+	// period is that of the worker's condition in which the run started.
+	period suspect.Period
 	// judgedSlow, judgedStalled and judgedStable are set once the worker's condition has taken that into account.
 	judgedSlow, judgedStalled, judgedStable bool
 }
--- a/suspect/probe.go
+++ b/suspect/probe.go
@@ -92,12 +92,12 @@
 }
 
 // probeSucceeded ends the suspicion if the run is the present probe run and has not been found slow before.
-func (w *Worker) probeSucceeded(g Grant, now time.Duration) {
-	if g != w.period || w.probe.failed {
+func (w *Worker) probeSucceeded(p Period, now time.Duration) {
+	if p != w.period || w.probe.failed {
 		return
 	}
 	w.enter(Returning)
-	w.scores.trouble, w.scores.slowness = 0, 0
+	w.scores.failure, w.scores.slowness = 0, 0
 	w.limit, w.returnedAt = firstReturnLimit, now
 	w.tracker.record(EventReturned, w, "")
 }
--- a/suspect/sim_test.go
+++ b/suspect/sim_test.go
@@ -22,7 +22,7 @@
 }
 
 type simRun struct {
-	grant             Grant
+	period            Period
 	job               string
 	began, took       time.Duration
 	fails, slowCalled bool
@@ -101,7 +101,7 @@
 	if w.restarts != nil && w.restarts(x.now) {
 		w.Restarted(x.now)
 		for _, r := range w.runs {
-			w.Over(r.grant)
+			w.Over(r.period)
 		}
 		w.runs = nil
 	}
@@ -116,7 +116,7 @@
 }
 
 func (x *simulation) start(w *simWorker) {
-	r := &simRun{grant: w.Started(), job: fmt.Sprint("j", x.rnd.Int64()), began: x.now}
+	r := &simRun{period: w.Started(), job: fmt.Sprint("j", x.rnd.Int64()), began: x.now}
 	r.took = time.Duration(float64(200+x.rnd.IntN(400)) * w.slowness * float64(time.Millisecond))
 	if x.longJobs > 0 && x.rnd.Float64() < x.longJobs {
 		r.took *= 8
@@ -134,21 +134,21 @@
 	elapsed := x.now - r.began
 	switch {
 	case elapsed >= r.took:
-		w.Over(r.grant)
+		w.Over(r.period)
 		switch {
 		case r.fails:
 			w.failed++
-			w.Failed(r.grant, r.job, x.now)
+			w.Failed(r.period, r.job, x.now)
 		case !r.slowCalled:
-			w.Done(r.grant, r.job, elapsed, simExpected, x.now)
+			w.Done(r.period, r.job, elapsed, simExpected, x.now)
 		}
 		return true
 	case elapsed > x.tracker.StalledAfter(simExpected) && w.State() == Suspected:
-		w.Over(r.grant)
+		w.Over(r.period)
 		return true
 	case elapsed > x.tracker.SlowAfter(simExpected) && !r.slowCalled:
 		r.slowCalled = true
-		w.Slow(r.grant, r.job, x.now)
+		w.Slow(r.period, r.job, x.now)
 	}
 	return false
 }
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -287,11 +287,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		tracker := New()
 		tracker.SetAsksHealth(rapid.Bool().Draw(t, "asks"))
-		runs := map[string][]Grant{}
+		runs := map[string][]Period{}
 		probes := map[string]int{}
 		now := time.Duration(0)
 		id := func() string { return fmt.Sprint("i", rapid.IntRange(0, 11).Draw(t, "worker")) }
-		take := func(id string) (Grant, bool) {
+		take := func(id string) (Period, bool) {
 			if len(runs[id]) == 0 {
 				return 0, false
 			}
--- a/suspect/tracker.go
+++ b/suspect/tracker.go
@@ -1,7 +1,7 @@
 // Package suspect decides which workers of a shard get no new work because they fail, stall, restart or run slowly, when such a worker
 // gets a probe run, and how it returns. A Tracker is pure: time is an argument. It is not safe for concurrent use.
 //
-// Each worker has three scores: for trouble, for slowness and for instability. Trouble and slowness are log-likelihood ratios as in a CUSUM
+// Each worker has three scores: for failures, for slowness and for instability. The first two are log-likelihood ratios as in a CUSUM
 // test: a bad result raises them by more than a good one lowers them. All decay with time; instability by nothing else, as a worker that
 // restarts again and again succeeds in between. A worker whose score reaches a threshold becomes a suspect.
 package suspect
@@ -89,7 +89,7 @@
 	// A shorter list allows fewer suspects.
 	for _, id := range slices.Sorted(maps.Keys(t.workers)) {
 		if w := t.workers[id]; w.listed && w.state == Suspected && t.suspects > t.maxSuspects() {
-			w.scores, w.decayedAt = scores{trouble: threshold}, now
+			w.scores, w.decayedAt = scores{failure: threshold}, now
 			w.tolerate()
 		}
 	}
@@ -128,7 +128,7 @@
 
 const (
 	// slowRatio is the ratio of actual to expected run time from which a run counts as slow, and stallRatio that from which it counts as
-	// stalled. Slow workers are 4 to 5 times as slow.
+	// stalled.
 	slowRatio  = 2.5
 	stallRatio = 6.0
 	// runOverhead is the part of a run's time that doesn't grow with its length, such as the delay until its end is listed.
