Split the keeper of the quotas by reading, changing and running

Its write built rows and handled the outcome, and Ledger.plan gathered what the other shards say and decided.

Change: ledgers.go follows the rows, changes.go plans and writes the shares, keeper.go runs both. Comments say what wroteAt holds, why turns go by the wall clock, and what the headroom is for.

--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -2,23 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"maps"
-	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"samphirepoint/engine"
-	"samphirepoint/observe"
 	"samphirepoint/rows"
 	"samphirepoint/sleep"
-	"samphirepoint/verdict"
 )
 
 // Table holds one row per capped workspace, its Ledger, distributed over a few parts.
@@ -78,34 +70,19 @@
 	// ledgers holds the newest known rows; known is false before all parts have been read.
 	ledgers map[string]storedLedger
 	known   bool
-	// unresolved holds the writes of unknown outcome, by shard and workspace. Only the goroutine of maintain uses it, like wroteAt.
-	unresolved map[entry]unresolvedWrite
+	// unresolved holds the writes of unknown outcome, wroteAt the time of the last transaction for each part. Only the goroutine of maintain uses
+	// them.
+	unresolved map[shareKey]unresolvedWrite
 	wroteAt    map[string]time.Duration
 }
 
-type storedLedger struct {
-	Ledger
-	ver int64
-	// unreadable is set if the row can't be decoded. Its workspace starts nothing more, as nobody knows what the shards have.
-	unreadable bool
-}
-
-// entry names a shard's share of a workspace.
-type entry struct{ shard, workspace string }
-
-// unresolvedWrite is a write that the store may still execute, as long as the row has the version that it replaces.
-type unresolvedWrite struct {
-	replaces int64
-	share    Share
-}
-
 // NewKeeper returns a Keeper. Run runs it.
 func NewKeeper(s Settings) *Keeper {
 	return &Keeper{
 		settings:   s,
 		wake:       make(chan struct{}, 1),
 		ledgers:    map[string]storedLedger{},
-		unresolved: map[entry]unresolvedWrite{},
+		unresolved: map[shareKey]unresolvedWrite{},
 		wroteAt:    map[string]time.Duration{},
 	}
 }
@@ -153,105 +130,6 @@
 // needed reports whether there is anything to keep.
 func (k *Keeper) needed() bool { return len(k.settings.Caps()) > 0 && len(k.settings.Shards()) > 0 }
 
-// follow keeps the copy of the rows up to date while it is needed.
-func (k *Keeper) follow(ctx context.Context) {
-	after := int64(-1)
-	for ctx.Err() == nil {
-		if !k.needed() {
-			after = -1
-			_ = sleep.Context(ctx, idleInterval)
-			continue
-		}
-		var err error
-		if after < 0 {
-			after, err = k.readAll(ctx)
-		} else {
-			after, err = k.readChanges(ctx, after)
-		}
-		if err != nil {
-			after = -1
-			if !errors.Is(err, rows.ErrHistoryGone) {
-				_ = sleep.Context(ctx, retryDelay)
-			}
-		}
-	}
-}
-
-// readAll reads all parts and returns the version from which the feed continues.
-func (k *Keeper) readAll(ctx context.Context) (int64, error) {
-	c, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	vers := make([]int64, parts)
-	g, c := errgroup.WithContext(c)
-	for i := range parts {
-		g.Go(func() error {
-			list, ver, err := k.settings.Store.Read(c, Table, strconv.Itoa(i))
-			vers[i] = ver
-			k.apply(list)
-			return err
-		})
-	}
-	if err := g.Wait(); err != nil {
-		return -1, err
-	}
-	k.mu.Lock()
-	k.known = true
-	k.mu.Unlock()
-	k.Wake()
-	return slices.Min(vers), nil
-}
-
-func (k *Keeper) readChanges(ctx context.Context, after int64) (int64, error) {
-	c, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
-	defer cancel()
-	list, ver, err := k.settings.Store.Watch(c, Table, after, watchWait)
-	if err != nil {
-		return -1, err
-	}
-	if k.apply(list) {
-		k.Wake()
-	}
-	return ver, nil
-}
-
-// apply takes over the rows that are newer than the copies, and reports whether any is.
-func (k *Keeper) apply(list []rows.Row) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	changed := false
-	for _, r := range list {
-		if r.Table != Table || r.Ver <= k.ledgers[r.Name].ver {
-			continue
-		}
-		l := storedLedger{ver: r.Ver}
-		if err := json.Unmarshal(r.Value, &l.Ledger); err != nil && !r.Removed {
-			k.settings.Log.Error().Err(err).Str("workspace", r.Name).Msg("unreadable row of a quota; the workspace starts nothing more")
-			l.unreadable = true
-		}
-		k.ledgers[r.Name] = l
-		changed = true
-	}
-	return changed
-}
-
-// applyConflict takes over the present rows. A row that is gone has no newer version to be recognized by.
-func (k *Keeper) applyConflict(conflict *rows.Conflict) {
-	k.apply(conflict.Rows)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for _, r := range conflict.Rows {
-		if r.Ver == 0 {
-			delete(k.ledgers, r.Name)
-		}
-	}
-}
-
-func (k *Keeper) ledger(workspace string) storedLedger {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.ledgers[workspace]
-}
-
 // maintain brings the shares of all shards of this daemon in line with their demand.
 func (k *Keeper) maintain(ctx context.Context) {
 	k.mu.Lock()
@@ -268,16 +146,7 @@
 	}
 }
 
-// change is a share to be written.
-type change struct {
-	workspace string
-	base      storedLedger
-	share     Share
-	demand    engine.WorkspaceDemand
-	// uncertain is set if the write got no answer.
-	uncertain bool
-}
-
+// maintainShard lowers what the shard gives back, writes its changed shares, and then puts in force what the store has.
 func (k *Keeper) maintainShard(ctx context.Context, name string, s Shard, caps map[string]engine.Resources) error {
 	c, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -299,97 +168,6 @@
 	return err
 }
 
-// plan returns the shares of a shard that are to be written now, by part.
-func (k *Keeper) plan(shard string, token int64, caps map[string]engine.Resources, demands map[string]engine.WorkspaceDemand) map[string][]change {
-	out := map[string][]change{}
-	now := k.settings.Now()
-	for _, workspace := range slices.Sorted(maps.Keys(caps)) {
-		part := partOf(workspace)
-		if at, ok := k.wroteAt[part]; ok && now-at < k.interval() || len(out[part]) == maxRows {
-			continue
-		}
-		base := k.ledger(workspace)
-		if base.unreadable || base.Shares[shard].Token > token {
-			continue // Unknown, or another daemon owns the shard.
-		}
-		d := demands[workspace]
-		share, changed := base.Plan(shard, token, caps[workspace], d, time.Now().UnixMilli())
-		_, unresolved := k.unresolved[entry{shard, workspace}]
-		if changed || unresolved {
-			out[part] = append(out[part], change{workspace: workspace, base: base, share: share, demand: d})
-		}
-	}
-	for part := range out {
-		k.wroteAt[part] = now
-	}
-	return out
-}
-
-// lower lowers the allotments whose share shrinks, before that is written, and raises these shares to what is in use.
-func (k *Keeper) lower(ctx context.Context, shard string, s Shard, caps map[string]engine.Resources, changes map[string][]change) error {
-	limits := map[string]engine.Resources{}
-	each(changes, func(c *change) {
-		if !c.share.Granted.Covers(c.base.Shares[shard].Granted) {
-			limits[c.workspace] = limitOf(c.share.Granted, caps[c.workspace])
-		}
-	})
-	if len(limits) == 0 {
-		return nil
-	}
-	inForce, err := s.LowerAllotments(ctx, limits)
-	if err != nil {
-		return err
-	}
-	each(changes, func(c *change) {
-		if limit, ok := inForce[c.workspace]; ok {
-			c.share.Granted = grantedOf(limit, caps[c.workspace])
-		}
-	})
-	return nil
-}
-
-func each(changes map[string][]change, fn func(*change)) {
-	for _, batch := range changes {
-		for i := range batch {
-			fn(&batch[i])
-		}
-	}
-}
-
-// limitOf returns the limit for a share. A resource without a cap is not limited.
-func limitOf(granted, limit engine.Resources) engine.Resources {
-	return whereCapped(granted, limit, engine.Unlimited)
-}
-
-// grantedOf returns the share for a limit.
-func grantedOf(inForce, limit engine.Resources) engine.Resources {
-	return whereCapped(inForce, limit, 0)
-}
-
-// whereCapped returns the values of the capped resources, and another value for the others.
-func whereCapped(values, limit engine.Resources, otherwise int64) engine.Resources {
-	for _, r := range resources {
-		if *r(&limit) == 0 {
-			*r(&values) = otherwise
-		}
-	}
-	return values
-}
-
-// noteUnresolved records the writes without an answer, and forgets those that the store can no longer execute.
-func (k *Keeper) noteUnresolved(shard string, changes map[string][]change) {
-	each(changes, func(c *change) {
-		if c.uncertain {
-			k.unresolved[entry{shard, c.workspace}] = unresolvedWrite{replaces: c.base.ver, share: c.share}
-		}
-	})
-	for e, w := range k.unresolved {
-		if k.ledger(e.workspace).ver > w.replaces {
-			delete(k.unresolved, e)
-		}
-	}
-}
-
 // allotments returns what the owner of a shard may use.
 func (k *Keeper) allotments(shard string, token int64, caps map[string]engine.Resources) map[string]engine.Allotment {
 	out := map[string]engine.Allotment{}
@@ -400,72 +178,10 @@
 			continue
 		}
 		a := l.Limit(shard, limit)
-		if w, ok := k.unresolved[entry{shard, workspace}]; ok {
+		if w, ok := k.unresolved[shareKey{shard, workspace}]; ok {
 			a = engine.Allotment{Limit: a.Limit.Min(limitOf(w.share.Granted, limit))}
 		}
 		out[workspace] = a
 	}
 	return out
 }
-
-// partOf returns the part with a workspace's row.
-func partOf(workspace string) string {
-	return strconv.FormatUint(xxhash.Sum64String(workspace)%parts, 10)
-}
-
-// write writes the shares of one part in one transaction, and applies what the store says of the rows.
-func (k *Keeper) write(ctx context.Context, shard string, batch []change) error {
-	tx := rows.Tx{}
-	var next []rows.Row
-	for i := range batch {
-		c := &batch[i]
-		l := Ledger{Shares: maps.Clone(c.base.Shares)}
-		if l.Shares == nil {
-			l.Shares = map[string]Share{}
-		}
-		l.Shares[shard] = c.share
-		if c.share.Granted == (engine.Resources{}) && c.share.Wanted == (engine.Resources{}) {
-			delete(l.Shares, shard)
-		}
-		value, err := json.Marshal(l)
-		if err != nil {
-			return err
-		}
-		key := rows.Key{Table: Table, Part: partOf(c.workspace), Name: c.workspace}
-		tx.Expected = append(tx.Expected, rows.Condition{Key: key, Ver: c.base.ver})
-		tx.Writes = append(tx.Writes, rows.Write{Key: key, Value: value})
-		next = append(next, rows.Row{Key: key, Value: value})
-	}
-	ver, err := k.settings.Store.Transact(ctx, tx)
-	var conflict *rows.Conflict
-	switch {
-	case err == nil:
-		observe.Count("quota.writes")
-		for i := range next {
-			next[i].Ver = ver
-		}
-		k.apply(next)
-		k.logWritten(shard, batch)
-		return nil
-	case errors.As(err, &conflict):
-		observe.Count("quota.conflicts")
-		k.applyConflict(conflict)
-		k.Wake()
-		return nil
-	}
-	observe.Count("quota.failures")
-	if !verdict.Is(err, verdict.NotRun) {
-		for i := range batch {
-			batch[i].uncertain = true
-		}
-	}
-	return err
-}
-
-func (k *Keeper) logWritten(shard string, batch []change) {
-	for i := range batch {
-		c := &batch[i]
-		k.settings.Log.Info().Str("shard", shard).Str("workspace", c.workspace).Int64("grantedCPU", c.share.Granted.CPU).Int64("grantedMem", c.share.Granted.Mem).
-			Int64("usedCPU", c.demand.Used.CPU).Int64("wantedCPU", c.demand.Wanted.CPU).Int64("formerCPU", c.base.Shares[shard].Granted.CPU).Msg("allotment written")
-	}
-}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -64,7 +64,8 @@
 }
 
 // Plan returns the share that a shard's owner should write now, and whether it differs from the present one. A share that shrinks may be
-// used no more before it is written, and one that grows not before the write has succeeded. wallMS is the Unix time in milliseconds.
+// used no more before it is written, and one that grows not before the write has succeeded. wallMS is the Unix time in milliseconds, by which the
+// owners of all shards agree on whose turn it is.
 func (l Ledger) Plan(shard string, token int64, limit engine.Resources, d engine.WorkspaceDemand, wallMS int64) (Share, bool) {
 	present, known := l.Shares[shard]
 	if !known && d == (engine.WorkspaceDemand{}) {
@@ -73,7 +74,7 @@
 	next := Share{Token: token}
 	lacking := l.lackingShards(shard, limit, d)
 	for _, r := range resources {
-		*r(&next.Granted) = l.plan(shard, r, limit, d, lacking, wallMS)
+		*r(&next.Granted) = l.grant(shard, r, limit, d, lacking, wallMS)
 	}
 	next.Wanted, next.Unit = published(present, next.Granted, d, limit)
 	return next, next != present
@@ -127,39 +128,57 @@
 	minUnitsPerPart = 2
 )
 
-// plan returns the share of one resource.
-func (l Ledger) plan(shard string, r resource, limits engine.Resources, d engine.WorkspaceDemand, lacking []string, wallMS int64) int64 {
-	limit, used, wanted := *r(&limits), *r(&d.Used), *r(&d.Wanted)
-	if limit == 0 {
-		return 0
-	}
+// others is what the shares of all other shards say of one resource, as one shard sees it.
+type others struct {
+	// free is what no shard has of the cap. It is negative after the cap was lowered.
+	free int64
+	// missing is how much more than they have the others could use.
+	missing int64
+	// unit is the largest need of a single start in any shard.
+	unit int64
+	// wants are what the shards could use, that of the shard itself first.
+	wants []int64
+}
+
+// others returns what the shares of the others say of a resource.
+func (l Ledger) others(shard string, r resource, limit int64, d engine.WorkspaceDemand) others {
 	own := l.Shares[shard]
-	granted := *r(&own.Granted)
-	free, missing, unit := limit-granted, int64(0), *r(&d.Unit)
-	wants := []int64{wanted}
+	o := others{free: limit - *r(&own.Granted), unit: *r(&d.Unit), wants: []int64{*r(&d.Wanted)}}
 	for name, s := range l.Shares {
 		if name == shard {
 			continue
 		}
-		free -= *r(&s.Granted)
-		missing += max(*r(&s.Wanted)-*r(&s.Granted), 0)
-		unit = max(unit, *r(&s.Unit))
-		wants = append(wants, max(*r(&s.Wanted), min(*r(&s.Granted), limit)))
+		o.free -= *r(&s.Granted)
+		o.missing += max(*r(&s.Wanted)-*r(&s.Granted), 0)
+		o.unit = max(o.unit, *r(&s.Unit))
+		o.wants = append(o.wants, max(*r(&s.Wanted), min(*r(&s.Granted), limit)))
 	}
-	headroom := limit / int64(2*len(wants))
+	return o
+}
+
+// grant returns what a shard should have of one resource.
+func (l Ledger) grant(shard string, r resource, limits engine.Resources, d engine.WorkspaceDemand, lacking []string, wallMS int64) int64 {
+	limit, used, wanted := *r(&limits), *r(&d.Used), *r(&d.Wanted)
+	if limit == 0 {
+		return 0
+	}
+	own, o := l.Shares[shard], l.others(shard, r, limit, d)
+	granted := *r(&own.Granted)
+	// With headroom, not each start needs a write. The headrooms of all shards add up to half of the cap.
+	headroom := limit / int64(2*len(o.wants))
 	request := int64(0)
 	if wanted > 0 {
 		request = min(wanted+headroom, limit)
 	}
-	contended := missing > max(free, 0)
+	contended := o.missing > max(o.free, 0)
 	if contended {
-		request = min(wanted, limit, max(used, fairPart(shard, wants, limit, unit, lacking, wallMS)))
+		request = min(wanted, limit, max(used, fairPart(shard, o.wants, limit, o.unit, lacking, wallMS)))
 	}
 	switch {
-	case free < 0: // The cap was lowered.
-		return max(min(granted, request, scaled(granted, limit-free, limit)), used)
+	case o.free < 0: // The cap was lowered.
+		return max(min(granted, request, scaled(granted, limit-o.free, limit)), used)
 	case request > granted && wanted > granted:
-		return min(request, granted+free)
+		return min(request, granted+o.free)
 	case request < granted && (contended || granted > idleFactor*request+headroom):
 		return max(request, used)
 	}
