Remove a field that no test of package quota uses

Change: the field is gone; each owner of the model has its own limit.

Result: no check is changed; go test ./quota passes.

--- a/quota/keeper_test.go
+++ b/quota/keeper_test.go
@@ -58,7 +58,6 @@
 	name          string
 	token         int64
 	used, pending int64
-	limit         engine.Allotment
 }
 
 // ownerModel is one owner of a shard. Only the newest one may start tasks; a former one that doesn't know yet may still write shares.
