--- a/cluster/quotas.go
+++ b/cluster/quotas.go
@@ -37,6 +37,7 @@
 	return out
 }
 
+// quotaShards returns the owners on this daemon, by shard.
 func (n *Node) quotaShards() map[string]quota.Shard {
 	out := map[string]quota.Shard{}
 	for name, t := range n.ownerTerms() {
