--- a/soak/faults.go
+++ b/soak/faults.go
@@ -69,8 +69,8 @@
 	}},
 	{"wave", (*run).wave},
 	{"split", (*run).split},
-	{"withdrawal behind a cut", (*run).withdrawBehindCut},
-	{"withdrawal behind a pause", (*run).withdrawBehindPause},
+	{"withdrawal behind a cut", (*run).withdrawDuringCut},
+	{"withdrawal behind a pause", (*run).withdrawDuringPause},
 }
 
 // injectFaults begins faults until ctx ends, and waits for their ends.
--- a/soak/workspaces.go
+++ b/soak/workspaces.go
@@ -171,7 +171,7 @@
 	r.configMu.Lock()
 	defer r.configMu.Unlock()
 	change()
-	r.version += 3
+	r.version += 3 // Versions rise, but need not be consecutive.
 	data, err := json.Marshal(r.configuration())
 	if err != nil {
 		return err
