Split the count of a workspace's demand, and explain some limits

Cause: WorkspaceDemands nested four levels; Unlimited is a quarter of the largest integer without a reason; the constant maxDrain of package ranking was easily confused with Queue.MaxDrain; two comments were hard to parse.

Change: WorkspaceDemand.addWaiting, drainLimit, and comments.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -38,7 +38,8 @@
 	Keys []string
 	// Priority orders the workspaces where there is too little capacity for all: a lower number goes first.
 	Priority int
-	// Weight is the workspace's share of a pool relative to the others that wait, and the jobs a second up to which it is entitled to them.
+	// Weight is the workspace's share of a pool relative to the others that wait, and the number of jobs a second up to which it is entitled
+	// to service.
 	Weight float64
 	// Cap bounds what the workspace has running on all workers together; 0 stands for no limit on a resource.
 	Cap engine.Resources
--- a/engine/allotment.go
+++ b/engine/allotment.go
@@ -2,7 +2,7 @@
 
 import "math"
 
-// Unlimited is the limit of a resource that isn't limited.
+// Unlimited is the limit of a resource that isn't limited. Sums of a few such limits don't overflow.
 const Unlimited = math.MaxInt64 / 4
 
 // Allotment is what a workspace may have running in the pool.
@@ -117,6 +117,19 @@
 	Unit Resources
 }
 
+// addWaiting adds n waiting tasks of a step.
+func (d *WorkspaceDemand) addWaiting(s *Step, n int) {
+	if n == 0 {
+		return
+	}
+	d.Wanted = d.Wanted.Add(s.Need.Times(n))
+	unit := s.Need
+	if s.Gang {
+		unit = unit.Times(n)
+	}
+	d.Unit = d.Unit.Max(unit)
+}
+
 // WorkspaceDemands returns the demand of the workspaces that have any.
 func (p *Pool) WorkspaceDemands(c Clock) map[string]WorkspaceDemand {
 	out := map[string]WorkspaceDemand{}
@@ -131,16 +144,9 @@
 		d := out[name]
 		for o := range j.openOccurrences() {
 			for _, st := range o.steps {
-				n := st.countPending(c.Now)
-				if n == 0 || !st.dependenciesDone() {
-					continue
-				}
-				d.Wanted = d.Wanted.Add(st.spec.Need.Times(n))
-				unit := st.spec.Need
-				if st.spec.Gang {
-					unit = unit.Times(n)
+				if st.dependenciesDone() {
+					d.addWaiting(st.spec, st.countPending(c.Now))
 				}
-				d.Unit = d.Unit.Max(unit)
 			}
 		}
 		if d != (WorkspaceDemand{}) {
--- a/ranking/ranking.go
+++ b/ranking/ranking.go
@@ -33,7 +33,8 @@
 	// The remaining critical path of a job that has not begun may be too short by 1/marginDivisor. Without a margin, the earliest deadline
 	// first starts every job of an overloaded pool at the last possible moment, and its later steps are late.
 	marginDivisor = 2
-	// The margin with the setup time is at most 1/slackDivisor of the objective's slack, since a tight objective would else never count as within reach.
+	// The margin with the setup time is at most 1/slackDivisor of the objective's slack, since otherwise no job with a tight objective would
+	// ever count as on time.
 	slackDivisor = 2
 )
 
--- a/ranking/refusal.go
+++ b/ranking/refusal.go
@@ -115,8 +115,8 @@
 	return q.drain(func(k *Key) bool { return Compare(k, &key) <= 0 })
 }
 
-// maxDrain is the time that a pool without throughput is taken to need.
-const maxDrain = time.Hour
+// drainLimit bounds a drain time: a pool without throughput would need forever.
+const drainLimit = time.Hour
 
 // drain returns how long the selected jobs take.
 func (q *Queue) drain(selected func(*Key) bool) time.Duration {
@@ -129,6 +129,6 @@
 	if work == 0 {
 		return 0
 	}
-	ms := math.Min(work/q.Throughput, float64(maxDrain.Milliseconds()))
+	ms := math.Min(work/q.Throughput, float64(drainLimit.Milliseconds()))
 	return time.Duration(ms * float64(time.Millisecond))
 }
