Tell the two counts of pending things apart, and say how candidates are ordered

Cause: Pool.countPending updates the pending starts, stepState.countPending counted tasks. The comment on maxPendingStarts justified it by figures of runs, which the code does not do.

Change: countPendingTasks, and comments.

Result: names and comments only; go test ./cluster passes (before this change), go test ./engine fails in TestExplainedOrderAndWorkspace alone, as before.

--- a/engine/allotment.go
+++ b/engine/allotment.go
@@ -145,7 +145,7 @@
 		for o := range j.openOccurrences() {
 			for _, st := range o.steps {
 				if st.dependenciesDone() {
-					d.addWaiting(st.spec, st.countPending(c.Now))
+					d.addWaiting(st.spec, st.countPendingTasks(c.Now))
 				}
 			}
 		}
--- a/engine/place.go
+++ b/engine/place.go
@@ -51,7 +51,8 @@
 type candidate struct {
 	step        *stepState
 	longRunning bool
-	key         ranking.Key
+	// key orders the long-running candidates, and the others.
+	key ranking.Key
 	// account is the one of the job's workspace, nil unless the pool is ranked.
 	account *ranking.Account
 }
@@ -82,9 +83,8 @@
 }
 
 // maxPendingStarts is the number of starts that may wait for the store or for their worker's answer before no more are decided, so
-// that the choice of the next task uses the newest state of the queue and no start waits until its lease is used up. An owner with a
-// fifth of a core handles about 500 starts a second, so these wait for half a second at most; at 1,000 starts a second
-// with answers from store and worker within 50 ms, a fifth of them wait.
+// that the choice of the next task uses the newest state of the queue, and no start waits until its lease is used up on an owner with
+// little processor time.
 const maxPendingStarts = 240
 
 // awaitsOutcome reports whether the run was decided and its start is neither answered nor known to be unanswered.
@@ -121,7 +121,7 @@
 	return out
 }
 
-// candidates returns the steps with tasks to start in scheduling order: long-running tasks, then the others by their keys and arrival.
+// candidates returns the steps with tasks to start in scheduling order: long-running tasks, then the others; each group by key and arrival.
 func (p *Pool) candidates(c Clock) []candidate {
 	out := p.candidateBuffer[:0]
 	p.beginRound(c)
@@ -188,7 +188,8 @@
 	return slices.ContainsFunc(st.tasks, func(t *Task) bool { return t.pending(now) })
 }
 
-func (st *stepState) countPending(now time.Duration) int {
+// countPendingTasks returns the number of the step's tasks that could start now.
+func (st *stepState) countPendingTasks(now time.Duration) int {
 	n := 0
 	for _, t := range st.tasks {
 		if t.pending(now) {
--- a/engine/placementreport.go
+++ b/engine/placementreport.go
@@ -164,7 +164,7 @@
 	for _, other := range waiting {
 		if compareCandidates(other, own) <= 0 {
 			jobs[other.step.occ.job] = true
-			r.TasksAhead += other.step.countPending(c.Now)
+			r.TasksAhead += other.step.countPendingTasks(c.Now)
 		}
 	}
 	r.JobsAhead = len(jobs)
--- a/engine/rank.go
+++ b/engine/rank.go
@@ -145,7 +145,7 @@
 		p.rank.smallest = p.rank.smallest.Min(need)
 		if p.rank.starvedBudget > 0 && p.starved(cd.step.occ, c) {
 			cd.key.Starved = true
-			p.rank.starvedBudget -= need.CPU * int64(cd.step.countPending(c.Now))
+			p.rank.starvedBudget -= need.CPU * int64(cd.step.countPendingTasks(c.Now))
 		}
 	}
 }
