Let workspaces use up to 1.5 times their share before others go first

Cause: a workspace was beyond its share as soon as its use exceeded the mean of those waiting, which ordinary variation does half of the time. Its urgent jobs then waited behind jobs with time to spare, and fewer jobs were on time.

Change: a workspace is beyond its share from 1.5 times the use of the other waiting workspaces on, for each unit of weight.

Tests of ranking, engine and owner pass; a workspace that sends five times what the pool completes delays nobody else in them.

--- a/ranking/shares.go
+++ b/ranking/shares.go
@@ -13,17 +13,21 @@
 // send could fill the pool before it counts as beyond its share; if all did, a short burst would count like steady use.
 const burstDivisor = 2
 
+// shareTolerance is how many times its share a workspace may use, relative to the others that wait, before it counts as beyond its share. Work
+// arrives unevenly, and within this tolerance the order of deadlines lets more jobs be on time.
+const shareTolerance = 1.5
+
 // minAverage is the average use, in thousandths of a core, below which an idle account is dropped.
 const minAverage = 1
 
 // Shares records how much CPU each workspace of a shard uses, weighted, and which of them are beyond their fair share.
 //
 // The use of a workspace is its recent average, plus half of what it runs beyond that. A workspace is beyond its share if its use for each
-// unit of weight is above that of all waiting workspaces taken together. So it is never beyond while no other one waits, and of several that
+// unit of weight is more than shareTolerance times that of the other waiting workspaces taken together. So it is never beyond while no other one waits, and of several that
 // wait, at least one is within its share.
 //
 // While a workspace within its share waits, no placement starts a task of the same rank for one beyond its share in room that fits both. A
-// workspace that sends any multiple of its usual work is beyond its share from the placement on after which it runs more than twice its share.
+// workspace that sends any multiple of its usual work is beyond its share from the placement on after which it runs more than three times its share.
 // It then delays a task of a workspace within its share by at most the longest of the runs that fill the workers when the task becomes ready,
 // plus the time between two placements.
 type Shares struct {
@@ -95,5 +99,6 @@
 	if a.round != a.shares.round {
 		weight, use = weight+a.weight, use+a.used
 	}
-	return a.used*weight > use*a.weight
+	others, othersUse := weight-a.weight, use-a.used
+	return others > 0 && a.used*others > shareTolerance*othersUse*a.weight
 }
