Expect a slow part of the store to be slow before taking it for silent

Cause: a part whose transaction had no answer for 250 ms was taken for away.

Change: a part counts as silent after 250 ms or twice the time of its last answered transaction, whichever is longer, up to 1 s.

Result: the test at 320 ms fails without the change.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -193,6 +193,7 @@
 }
 
 func (o *Owner) handleCommitted(part *storePart, batch []engine.Change, cleared []engine.Leftover, ver int64) {
+	part.answered(o.pace.onTime())
 	part.end()
 	part.failingSince = 0
 	part.lastVer = ver
--- a/owner/silent_store_test.go
+++ b/owner/silent_store_test.go
@@ -118,11 +118,18 @@
 	return s.Store.Read(ctx, table, part)
 }
 
-// Load pattern: the store is 60 times as slow as usual. Guards against refusals of work that it can take.
+// Load pattern: the store is 60, or 80, times as slow as usual. Guards against refusals of work that it can take, as by an answer that is late for a
+// store at its usual speed but not for a slow one.
 func TestJobsAreAcceptedWhileTheStoreIsSlow(t *testing.T) {
+	for _, delay := range []time.Duration{240 * time.Millisecond, 320 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) { acceptsJobsOfSlowStore(t, delay) })
+	}
+}
+
+func acceptsJobsOfSlowStore(t *testing.T, delay time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		s, w := &slowStore{Store: memrows.New(), delay: 240 * time.Millisecond}, newFakeWorkers(t)
+		s, w := &slowStore{Store: memrows.New(), delay: delay}, newFakeWorkers(t)
 		o := serveOn(t, s, claim(t, s.Store, 1), w, 1)
 		defer endOwner(o)
 		time.Sleep(2 * time.Second)
--- a/owner/storepart.go
+++ b/owner/storepart.go
@@ -35,6 +35,8 @@
 	sentAt    time.Duration
 	batch     []engine.Change
 	rewritten bool
+	// latency is how long the last answered transaction took, by the owner's pace.
+	latency time.Duration
 	// retryAt is the earliest time of the next transaction.
 	retryAt time.Duration
 	// failingSince is when the part began to fail or time out; 0 while it is available.
@@ -59,6 +61,18 @@
 	return p.failingSince != 0 && now-p.failingSince > d
 }
 
+// answered records how long the transaction in flight, which has been answered now, has taken.
+func (p *storePart) answered(onTime time.Duration) { p.latency = onTime - p.sentAt }
+
+// maxSlowness bounds the time for which a part that was slow before may have no answer until it counts as silent.
+const maxSlowness = time.Second
+
+// silent reports whether a transaction has had no outcome for so long that the part counts as away: longer than storeFailureGrace, and than a slow
+// part can be expected to take.
+func (p *storePart) silent(onTime time.Duration) bool {
+	return p.silentFor(max(storeFailureGrace, min(2*p.latency, maxSlowness)), onTime)
+}
+
 // silentFor reports whether a transaction has had no outcome for longer than d. onTime is the owner's pace: the time by which the owner
 // itself is late doesn't count.
 func (p *storePart) silentFor(d, onTime time.Duration) bool {
@@ -83,7 +97,7 @@
 // checkStandby writes a transaction without changes to the standby part when the primary part fails or is silent. Until the standby part
 // has answered, no changes are given to it: if it is silent too, jobs that were not sent before can still be refused as not run.
 func (o *Owner) checkStandby(now time.Duration) {
-	if !o.primary.failingFor(failoverDelay, now) && !o.primary.silentFor(storeFailureGrace, o.pace.onTime()) {
+	if !o.primary.failingFor(failoverDelay, now) && !o.primary.silent(o.pace.onTime()) {
 		o.standbyAnswers = false
 		return
 	}
@@ -131,8 +145,8 @@
 // storeUnavailable reports whether changes can be written to neither part.
 func (o *Owner) storeUnavailable(now time.Duration) bool {
 	onTime := o.pace.onTime()
-	primaryAway := o.primary.failingFor(storeFailureGrace, now) || o.primary.silentFor(storeFailureGrace, onTime)
-	return primaryAway && (o.standby.failingFor(0, now) || o.standby.silentFor(storeFailureGrace, onTime))
+	primaryAway := o.primary.failingFor(storeFailureGrace, now) || o.primary.silent(onTime)
+	return primaryAway && (o.standby.failingFor(0, now) || o.standby.silent(onTime))
 }
 
 // probeParts checks whether parts that have failed are available again. Nothing else is written to them until then.
