Compare the starts on a slow worker with those on a good one

Cause: the bound of 14 starts in 20 s stood for a tenth of a good worker's without saying so, and had been raised from 6 after a measurement. Change: the test counts the starts on a good worker and takes a tenth of them, the stated target.

--- a/engine/suspects_test.go
+++ b/engine/suspects_test.go
@@ -150,7 +150,10 @@
 	u.bad.runTime = func(Order) (time.Duration, EndReason) { return u.randomRun(4.5, u.jobErrors) }
 	u.load(5 * time.Second)
 	g.Expect(u.condition()).To(Equal(suspect.Suspected))
-	g.Expect(u.startsOnBad(20*time.Second)).To(BeNumerically("<=", 14), "a tenth of a good worker's")
+	good := u.workers["i-05"]
+	before := good.startsTotal
+	starts := u.startsOnBad(20 * time.Second)
+	g.Expect(starts).To(BeNumerically("<=", (good.startsTotal-before)/10), "a tenth of a good worker's")
 }
 
 // Pattern: five of ten workers, as those of a rack, fail all their runs at once, while the others are full. Guards against jobs that use up
