Let only placements record that an allotment holds up a start, and check it in one place

Cause: the check of an allotment recorded a shortage as a side effect, so that explanations and the count of the backlog also woke the keeper of the quotas. Reports checked it twice, with two texts, and for a gang by one task where the placement needs all members. The daemon derived from the catalog what SetCatalog had just decided.

Change: the check is pure, and placements record the shortage. Both reports use allotmentObstacle. SetCatalog reports whether the version is in force. Placement is unchanged; of reports only the text for a gang that waits for its allotment differs.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -164,17 +164,19 @@
 	return n
 }
 
-// SetCatalog puts a version of the configuration in force, unless it is not newer than the current one.
-func (n *Node) SetCatalog(c *catalog.Catalog) {
+// SetCatalog puts a version of the configuration in force, unless it is not newer than the current one. It reports whether that version is in
+// force now.
+func (n *Node) SetCatalog(c *catalog.Catalog) (inForce bool) {
 	old := n.catalog.Load()
 	if old != nil && old.Version >= c.Version {
-		return
+		return old.Version == c.Version
 	}
 	n.catalog.Store(c)
 	n.settings.Log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Msg("configuration in force")
 	n.setQueues()
 	n.quotas.Wake()
 	n.Wake()
+	return true
 }
 
 // setQueues gives the owners of this daemon the settings of their queues.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -159,12 +159,11 @@
 // applyCatalog puts a version of the configuration in force. It returns false for an older one: what it withdraws or adds is not in force, so that
 // the read must not count as a confirmation.
 func (d *Daemon) applyCatalog(c *catalog.Catalog) bool {
-	d.node.SetCatalog(c)
-	if inForce := d.node.Catalog().Version; inForce != c.Version {
-		d.log.Error().Int64("version", c.Version).Int64("inForce", inForce).Msg("configuration ignored: its version is lower than the one in force")
-		return false
+	inForce := d.node.SetCatalog(c)
+	if !inForce {
+		d.log.Error().Int64("version", c.Version).Int64("inForce", d.node.Catalog().Version).Msg("configuration ignored: its version is lower than the one in force")
 	}
-	return true
+	return inForce
 }
 
 // configAge returns the time since the beginning of the last read that confirmed the configuration, suspensions included.
--- a/engine/allotment.go
+++ b/engine/allotment.go
@@ -84,11 +84,14 @@
 		return true
 	}
 	a, used, total := u.allotments[name], u.used[name], need.Times(n)
-	if a.Limit.Covers(used.Add(total)) || used == (Resources{}) && a.First.Covers(total) && a.Limit.Covers(need.Times(n-1)) {
-		return true
-	}
-	u.short = true
-	return false
+	return a.Limit.Covers(used.Add(total)) || used == (Resources{}) && a.First.Covers(total) && a.Limit.Covers(need.Times(n-1))
+}
+
+// admitStart is mayStartTogether for a placement: it records that an allotment holds up a start, so that a larger one is asked for.
+func (u *workspaces) admitStart(name string, need Resources, n int) bool {
+	admitted := u.mayStartTogether(name, need, n)
+	u.short = u.short || !admitted
+	return admitted
 }
 
 // TakeAllotmentShortage reports whether an allotment has held up a start since the last call.
--- a/engine/explain.go
+++ b/engine/explain.go
@@ -84,7 +84,7 @@
 	case !st.hasPending(c.Now):
 		return "retry delay after a failure or a rejection"
 	}
-	if obstacle := p.workspaces.obstacle(st.occ.job.Spec.Workspace, st.spec.Need, 1); obstacle != "" && !st.spec.Gang {
+	if obstacle := p.allotmentObstacle(st); obstacle != "" {
 		return obstacle
 	}
 	return p.placementObstacle(st, c)
@@ -106,8 +106,6 @@
 		return "every worker is at the step's anti-affinity limit"
 	case p.queueOf(st.occ.job).Advised && !any(func(w *Worker) bool { return st.hasTicket(w, c.Now) }):
 		return "no worker has a valid ticket from the adviser"
-	case !p.workspaces.mayStart(st.occ.job.Spec.Workspace, st.spec.Need):
-		return "the workspace has reached its allotment"
 	case p.ranked():
 		return p.orderReason(st, c)
 	case st.spec.Gang:
--- a/engine/gang.go
+++ b/engine/gang.go
@@ -15,7 +15,7 @@
 		}
 		run = max(run, t.lastRun+1)
 	}
-	if !p.workspaces.mayStartTogether(st.occ.job.Spec.Workspace, st.spec.Need, len(st.tasks)) {
+	if !p.workspaces.admitStart(st.occ.job.Spec.Workspace, st.spec.Need, len(st.tasks)) {
 		return
 	}
 	checkpoint := st.gangCheckpoint()
--- a/engine/place.go
+++ b/engine/place.go
@@ -219,7 +219,7 @@
 		if !t.pending(c.Now) {
 			continue
 		}
-		if !p.workspaces.mayStart(t.job().Spec.Workspace, st.spec.Need) {
+		if !p.workspaces.admitStart(t.job().Spec.Workspace, st.spec.Need, 1) {
 			return
 		}
 		w := p.chooseWorker(t, workers, rack, c)
--- a/engine/placementreport.go
+++ b/engine/placementreport.go
@@ -227,11 +227,7 @@
 	case !st.spec.LongRunning && p.pendingStarts >= maxPendingStarts:
 		return nil, "too many starts wait for the store or for workers"
 	}
-	together := 1
-	if st.spec.Gang {
-		together = len(st.tasks)
-	}
-	if obstacle := p.workspaces.obstacle(st.occ.job.Spec.Workspace, st.spec.Need, together); obstacle != "" {
+	if obstacle := p.allotmentObstacle(st); obstacle != "" {
 		return nil, obstacle
 	}
 	if st.spec.Gang {
@@ -282,6 +278,15 @@
 	return "the workspace's allotment in this shard is in use"
 }
 
+// allotmentObstacle returns how the workspace's allotment keeps the next start of a step from happening, or "". All members of a gang start at once.
+func (p *Pool) allotmentObstacle(st *stepState) string {
+	together := 1
+	if st.spec.Gang {
+		together = len(st.tasks)
+	}
+	return p.workspaces.obstacle(st.occ.job.Spec.Workspace, st.spec.Need, together)
+}
+
 // expectedWait returns the expected time in milliseconds until the job's first task starts: none if a step that may start has a worker,
 // otherwise the time in which the pool completes the waiting tasks ahead and one more at its recent throughput. It returns nil if that
 // isn't known.
--- a/engine/speculate.go
+++ b/engine/speculate.go
@@ -33,7 +33,7 @@
 		if r.phase == phaseDecided || (c.Now-r.startedAt < limit && !stuck) {
 			continue
 		}
-		if !p.workspaces.mayStart(t.job().Spec.Workspace, st.spec.Need) {
+		if !p.workspaces.admitStart(t.job().Spec.Workspace, st.spec.Need, 1) {
 			return
 		}
 		w := p.chooseWorker(t, workers, "", c)
