--- a/engine/ends.go
+++ b/engine/ends.go
@@ -25,13 +25,17 @@
 	if !w.contacted || w.unresponsive {
 		p.placementNeeded = true
 	}
-	if !w.contacted {
+	first := !w.contacted
+	if first {
 		w.foreignDeadlineMS = a.ClockMS + p.maxForeignLease(a.ClockMS).Milliseconds()
 	}
 	w.contacted, w.unresponsive, w.reportedGone, w.lastContact = true, false, false, c.Now
 	if a.ClockMS > w.clockMS || w.clockAt == 0 {
 		w.clockMS, w.clockAt = a.ClockMS, c.Now
 	}
+	if first {
+		p.recordDecision("worker-reached", "", 0, w.ID, w.describeLease(c))
+	}
 	p.renewals++
 	p.applyEnds(w, a.Ended, c)
 	p.applyRunning(w, a.Running, c)
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -9,7 +9,6 @@
 // longest lease that a worker accepts. If an order was repeated, an earlier one for the same run may yet be executed, unless the new
 // incarnation has executed a stop.
 func (p *Pool) workerRestarted(w *Worker, a RenewalReply, sentAt time.Duration, c Clock) {
-	p.recordDecision("worker-reborn", "", 0, w.ID, itoa(a.Incarnation))
 	if w.condition != nil {
 		w.condition.Restarted(c.Now)
 	}
@@ -30,6 +29,7 @@
 	w.clockMS, w.clockAt, w.deadlineMS = a.ClockMS, c.Now, 0
 	// Orders of this owner for the former incarnation may still be executed.
 	w.foreignDeadlineMS = max(a.ClockMS+p.maxForeignLease(a.ClockMS).Milliseconds(), inheritedLeaseMaxAge.Milliseconds())
+	p.recordDecision("worker-reborn", "", 0, w.ID, itoa(a.Incarnation)+", "+w.describeLease(c))
 }
 
 // inheritedLeaseMaxAge is the age up to which a worker may hold a lease from an order that was sent to its former
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -337,7 +338,7 @@
 		return
 	}
 	if !p.reachable(w, c) && p.leasesExpired(w, c) {
-		p.recordDecision("lease-lapsed", "", 0, w.ID, p.describeContact(w, c))
+		p.recordDecision("lease-lapsed", "", 0, w.ID, p.describeContact(w, c)+", "+w.describeLease(c))
 		for _, r := range w.allRuns() {
 			if r.phase != phaseDecided {
 				p.loseRun(r, c)
@@ -358,6 +359,12 @@
 	return "last reached " + (c.Now - w.lastContact).String() + " ago"
 }
 
+// describeLease says which incarnation this owner takes the worker for, and until when its leases are in force on its clock.
+func (w *Worker) describeLease(c Clock) string {
+	return fmt.Sprintf("incarnation %d, clock %d ms read %s ago, granted until %d ms, by others until %d ms",
+		w.incarnation, w.clockMS, c.Now-w.clockAt, w.deadlineMS, w.foreignDeadlineMS)
+}
+
 // tickRun resends unanswered orders. A start order is resent only once its worker has responded again: a worker that
 // restarted during a network partition would read the deadline on its own new clock. One whose worker accepts no new work
 // any more is stopped instead, as the earlier order may not have been executed.
