Add a failing test: a restarted worker's clock doesn't tell its age

An owner takes a worker's clock for its age, and allows for the longest lease, by an order for the former incarnation, only below 24 s.

--- a/engine/restart_test.go
+++ b/engine/restart_test.go
@@ -213,3 +213,31 @@
 	req, _ := w.pool.NextRenewal("i-00", w.clock())
 	g.Expect(req.AckedUpTo).To(BeZero(), "another incarnation may answer")
 }
+
+// Guards against a second run of a task while its worker, partitioned soon after a restart, still holds the longest lease by an order for its
+// former incarnation: a worker's clock starts anew at any value, so that it doesn't tell how long ago the worker has started.
+func TestClockOfARestartedWorkerDoesNotTellItsAge(t *testing.T) {
+	for _, successor := range []bool{false, true} {
+		t.Run(fmt.Sprintf("successor=%t", successor), func(t *testing.T) {
+			g := NewWithT(t)
+			w := newTestPool(2)
+			for _, f := range w.workers {
+				f.incarnation, f.startedAt, f.clockBase = f.incarnation+1, w.now, time.Hour
+				f.lease = w.now + w.pool.options.MaxLease
+			}
+			if successor {
+				w.successor()
+			}
+			w.run(200 * time.Millisecond)
+			o, f := w.startOne("00000000000000b4")
+			w.execute(o)
+			f.unresponsive = true
+			for end := f.lease + 2*time.Second; w.now < end; {
+				w.run(50 * time.Millisecond)
+				g.Expect(w.countRuns(o.Task.String())).To(BeNumerically("<=", 1), "%s after the restart", w.now-f.startedAt)
+			}
+			g.Expect(f.running).To(BeEmpty())
+			g.Expect(w.countRuns(o.Task.String())).To(Equal(1), "it runs elsewhere")
+		})
+	}
+}
--- a/engine/testpool_test.go
+++ b/engine/testpool_test.go
@@ -57,9 +57,11 @@
 }
 
 type fakeWorker struct {
-	info         WorkerInfo
-	incarnation  int64
-	startedAt    time.Duration
+	info        WorkerInfo
+	incarnation int64
+	startedAt   time.Duration
+	// clockBase is what the worker's clock read at its start.
+	clockBase    time.Duration
 	unresponsive bool
 	running      map[string]*fakeRun
 	ended        []EndedRow
@@ -114,7 +116,9 @@
 	w.pool.SetRoster(list, w.clock())
 }
 
-func (f *fakeWorker) clockMS(now time.Duration) int64 { return (now - f.startedAt).Milliseconds() }
+func (f *fakeWorker) clockMS(now time.Duration) int64 {
+	return (f.clockBase + now - f.startedAt).Milliseconds()
+}
 
 // renewLeases renews the leases of all workers once; unresponsive workers don't answer.
 func (w *testPool) renewLeases() {
@@ -133,7 +137,7 @@
 
 func (f *fakeWorker) answer(req RenewalRequest, now time.Duration) RenewalReply {
 	f.ackedUpTo = max(f.ackedUpTo, req.AckedUpTo)
-	f.lease = max(f.lease, time.Duration(req.DeadlineMS)*time.Millisecond+f.startedAt)
+	f.lease = max(f.lease, time.Duration(req.DeadlineMS)*time.Millisecond+f.startedAt-f.clockBase)
 	a := RenewalReply{Incarnation: f.incarnation, ClockMS: f.clockMS(now)}
 	for _, r := range f.running {
 		a.Running = append(a.Running, RunningRow{Task: r.order.Task.String(), Run: r.order.Run, Percent: 100})
