--- a/cluster/claim.go
+++ b/cluster/claim.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"samphirepoint/engine"
 	"samphirepoint/owner"
 	"samphirepoint/rows"
 	"samphirepoint/sleep"
@@ -130,7 +131,7 @@
 	if err := permit(present); err != nil {
 		return 0, verdict.Wrap(err, verdict.NotRun, http.StatusConflict)
 	}
-	c.Token = present.Token + 1
+	c.Token = present.Token + engine.TokensPerTerm
 	written, err := owner.WriteClaim(ctx, store, pool, ver, *c)
 	var conflict *rows.Conflict
 	if !errors.As(err, &conflict) {
--- a/cluster/claim_test.go
+++ b/cluster/claim_test.go
@@ -13,6 +13,7 @@
 	"github.com/onsi/gomega/gbytes"
 	"github.com/rs/zerolog"
 
+	"samphirepoint/engine"
 	"samphirepoint/owner"
 	"samphirepoint/rows"
 	"samphirepoint/rows/memrows"
@@ -66,7 +67,7 @@
 	}
 	c, ver, err := Claim(t.Context(), s, "pumps", owner.Claim{Node: "a"}, anyClaim)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(c.Token).To(Equal(int64(1)))
+	g.Expect(c.Token).To(Equal(int64(engine.TokensPerTerm)))
 	g.Expect(ver).To(Equal(int64(1)))
 }
 
@@ -81,12 +82,12 @@
 	defer cancel()
 	g.Expect(b.claimPool(ctx, "pumps")).To(Succeed())
 	g.Expect(a.claimPool(ctx, "pumps")).To(Succeed())
-	_, err := b.handle(ctx, "pumps", claimRequest{From: "c", Token: 1})
+	_, err := b.handle(ctx, "pumps", claimRequest{From: "c", Token: engine.TokensPerTerm})
 	g.Expect(verdict.Is(err, verdict.NotRun)).To(BeTrue(), "%v", err)
-	g.Expect(p.claim(g).Token).To(Equal(int64(2)))
-	_, err = b.handle(ctx, "pumps", claimRequest{From: "a", Token: 2})
+	g.Expect(p.claim(g).Token).To(Equal(int64(2 * engine.TokensPerTerm)))
+	_, err = b.handle(ctx, "pumps", claimRequest{From: "a", Token: 2 * engine.TokensPerTerm})
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(p.claim(g).Token).To(Equal(int64(3)))
+	g.Expect(p.claim(g).Token).To(Equal(int64(3 * engine.TokensPerTerm)))
 }
 
 // Guards against a second term of a daemon for a pool that it has just claimed, when the request to claim it is repeated by a
@@ -111,13 +112,13 @@
 	wg.Wait()
 	_, err := a.handle(ctx, "pumps", claimRequest{From: "b"})
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(p.claim(g).Token).To(Equal(int64(2)))
-	g.Expect(a.owned["pumps"].Token()).To(Equal(int64(2)))
+	g.Expect(p.claim(g).Token).To(Equal(int64(2 * engine.TokensPerTerm)))
+	g.Expect(a.owned["pumps"].Token()).To(Equal(int64(2 * engine.TokensPerTerm)))
 
 	g.Expect(b.claimPool(ctx, "pumps")).To(Succeed())
 	_, err = a.handle(ctx, "pumps", claimRequest{From: "b"})
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(p.claim(g).Token).To(Equal(int64(4)), "a term that another daemon has overtaken does not count as ownership")
+	g.Expect(p.claim(g).Token).To(Equal(int64(4*engine.TokensPerTerm)), "a term that another daemon has overtaken does not count as ownership")
 }
 
 // Guards against a claim that is reported as not run although an unanswered write may have claimed the pool.
@@ -161,15 +162,15 @@
 		return last
 	}
 	g.Expect(b.claimPool(ctx, "pumps")).To(Succeed())
-	g.Expect(lastClaim()).To(And(HaveKeyWithValue("cause", "assigned: no member owns it"), HaveKeyWithValue("token", 1.0), HaveKey("ver")))
-	_, err := a.handle(ctx, "pumps", claimRequest{From: "b", Token: 1})
+	g.Expect(lastClaim()).To(And(HaveKeyWithValue("cause", "assigned: no member owns it"), HaveKeyWithValue("token", float64(engine.TokensPerTerm)), HaveKey("ver")))
+	_, err := a.handle(ctx, "pumps", claimRequest{From: "b", Token: engine.TokensPerTerm})
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(lastClaim()).To(And(HaveKeyWithValue("cause", "transferred by b"), HaveKeyWithValue("former", "b"), HaveKeyWithValue("formerToken", 1.0)))
+	g.Expect(lastClaim()).To(And(HaveKeyWithValue("cause", "transferred by b"), HaveKeyWithValue("former", "b"), HaveKeyWithValue("formerToken", float64(engine.TokensPerTerm))))
 	b.writeHeartbeat(ctx)
 	a.writeHeartbeat(ctx)
 	p.observe()
 	b.view.Refused("a")
 	b.view.Refused("a")
 	g.Expect(b.claimPool(ctx, "pumps")).To(Succeed())
-	g.Expect(lastClaim()).To(And(HaveKeyWithValue("cause", "assigned: a refuses connections"), HaveKeyWithValue("token", 3.0)))
+	g.Expect(lastClaim()).To(And(HaveKeyWithValue("cause", "assigned: a refuses connections"), HaveKeyWithValue("token", 3.0*engine.TokensPerTerm)))
 }
--- a/cluster/simworkers_test.go
+++ b/cluster/simworkers_test.go
@@ -72,16 +72,16 @@
 func (a *simAccess) RenewLease(ctx context.Context, to engine.Target, renewal owner.LeaseRenewal) (engine.RenewalReply, error) {
 	var reply engine.RenewalReply
 	var err error
-	if !a.remoteTo(ctx, to.ID, func() { reply, err = a.hold(to.ID, renewal) }) {
+	if !a.remoteTo(ctx, to.ID, func() { reply, err = a.hold(to, renewal) }) {
 		return engine.RenewalReply{}, errNoResponse()
 	}
 	return reply, err
 }
 
-func (p *simPlatform) hold(id string, renewal owner.LeaseRenewal) (engine.RenewalReply, error) {
+func (p *simPlatform) hold(to engine.Target, renewal owner.LeaseRenewal) (engine.RenewalReply, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w, err := p.checkCall(id, renewal.Token)
+	w, err := p.checkCall(to.ID, to.Token)
 	if err != nil {
 		return engine.RenewalReply{}, err
 	}
@@ -95,7 +95,7 @@
 		case <-time.After(renewal.Wait):
 		}
 		p.mu.Lock()
-		if p.workers[id] != w {
+		if p.workers[to.ID] != w {
 			return engine.RenewalReply{}, errNoResponse() // It was started again.
 		}
 		if w.gone {
@@ -113,41 +113,40 @@
 }
 
 // Start implements owner.Workers.
-func (a *simAccess) Start(ctx context.Context, o engine.Order, token int64) (engine.StartOutcome, string, error) {
-	var out engine.StartOutcome
-	var reason string
+func (a *simAccess) Start(ctx context.Context, o engine.Order) (engine.StartAnswer, error) {
+	var answer engine.StartAnswer
 	var err error
-	if !a.remoteTo(ctx, o.Worker.ID, func() { out, reason, err = a.start(o, token, a.daemon) }) {
-		return engine.StartUnknown, "", nil
+	if !a.remoteTo(ctx, o.Worker.ID, func() { answer, err = a.start(o, a.daemon) }) {
+		return engine.StartAnswer{Outcome: engine.StartUnknown}, nil
 	}
-	return out, reason, err
+	return answer, err
 }
 
-func (p *simPlatform) start(o engine.Order, token int64, daemon string) (engine.StartOutcome, string, error) {
+func (p *simPlatform) start(o engine.Order, daemon string) (engine.StartAnswer, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w, err := p.checkCall(o.Worker.ID, token)
+	w, err := p.checkCall(o.Worker.ID, o.Worker.Token)
 	switch {
 	case errors.Is(err, errWorkerStarting):
-		return engine.StartUnknown, "", nil
+		return engine.StartAnswer{Outcome: engine.StartUnknown}, nil
 	case err != nil:
-		return engine.StartRejected, "", err
+		return engine.StartAnswer{Outcome: engine.StartRejected}, err
 	}
 	task := o.Task.String()
 	switch {
 	case w.running[task] == o.Run:
-		return engine.StartAccepted, "", nil
+		return engine.StartAnswer{Outcome: engine.StartAccepted}, nil
 	case o.Run <= w.highestRun[task]:
-		return engine.StartRejected, engine.ReasonStaleRun, nil
+		return engine.StartAnswer{Outcome: engine.StartRejected, Reason: engine.ReasonStaleRun}, nil
 	case o.DeadlineMS <= w.clockMS():
-		return engine.StartRejected, engine.ReasonDeadlinePassed, nil
+		return engine.StartAnswer{Outcome: engine.StartRejected, Reason: engine.ReasonDeadlinePassed}, nil
 	}
 	t := p.tasks[task]
 	if t == nil {
 		t = &simTask{}
 		p.tasks[task] = t
 	}
-	t.note(p, "run %d starts at %s by %s with token %d", o.Run, w.info.ID, daemon, token)
+	t.note(p, "run %d starts at %s by %s with token %d", o.Run, w.info.ID, daemon, o.Worker.Token)
 	p.checkStart(task, t)
 	if w.info.Draining && time.Since(w.drainingSince) > simNoticeTime && p.inTouch(daemon) {
 		p.violate("DRAIN: %s starts at %s, %s after its report that it drains: %q", task, w.info.ID, time.Since(w.drainingSince), t.history)
@@ -168,7 +167,7 @@
 	if !p.lasting[o.Task.Job] {
 		time.AfterFunc(length, func() { p.finish(w, task, o.Run, reason) })
 	}
-	return engine.StartAccepted, "", nil
+	return engine.StartAnswer{Outcome: engine.StartAccepted}, nil
 }
 
 // checkStart checks the rule TWICE.
@@ -201,13 +200,13 @@
 }
 
 // Stop implements owner.Workers.
-func (a *simAccess) Stop(ctx context.Context, o engine.Order, token int64) error {
+func (a *simAccess) Stop(ctx context.Context, o engine.Order) error {
 	var err error
 	if !a.remoteTo(ctx, o.Worker.ID, func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		var w *simWorker
-		if w, err = a.checkCall(o.Worker.ID, token); err != nil {
+		if w, err = a.checkCall(o.Worker.ID, o.Worker.Token); err != nil {
 			return
 		}
 		task := o.Task.String()
@@ -222,7 +221,7 @@
 }
 
 // Throttle implements owner.Workers.
-func (a *simAccess) Throttle(context.Context, engine.Order, int64) error { return nil }
+func (a *simAccess) Throttle(context.Context, engine.Order) error { return nil }
 
 // Healthy implements owner.Workers.
 func (a *simAccess) Healthy(context.Context, engine.Target, string) (bool, error) { return true, nil }
--- a/cluster/terms_test.go
+++ b/cluster/terms_test.go
@@ -31,7 +31,7 @@
 	g.Expect(a.claimPool(ctx, "pumps")).To(Succeed())
 	a.release("pumps", transferred)
 	g.Expect(a.owned).To(HaveKey("pumps"))
-	g.Expect(a.owned["pumps"].Token()).To(Equal(int64(3)))
+	g.Expect(a.owned["pumps"].Token()).To(Equal(int64(3 * engine.TokensPerTerm)))
 }
 
 // blockedStore answers writes shortly after the caller has given up.
@@ -70,7 +70,7 @@
 	defer cancel()
 	g.Expect(a.claimPool(ctx, "pumps")).To(Succeed())
 	term := a.pools["pumps"]
-	_, err := a.handle(ctx, "pumps", ownerNotice{Token: 2, From: "new"})
+	_, err := a.handle(ctx, "pumps", ownerNotice{Token: 2 * engine.TokensPerTerm, From: "new"})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(term.Done(), "10s").Should(BeClosed())
 }
--- a/cluster/wire_test.go
+++ b/cluster/wire_test.go
@@ -117,7 +117,7 @@
 			return fmt.Sprint(n.heldElsewhere(ctx, newOwnerTerm("routes", nil), &queueHistory{Pools: []string{"pumps", "routes"}}, &spec))
 		},
 		func() string { n.ping(ctx, b); return "" },
-		func() string { return fmt.Sprint(n.confirmByPeers(ctx, "pumps", 1, 1)) },
+		func() string { return fmt.Sprint(n.confirmByPeers(ctx, "pumps", engine.TokensPerTerm, 1)) },
 		func() string { return fmt.Sprint(n.transferPool(ctx, "routes", b, true)) },
 		func() string { n.announce(ctx, "routes", 4); return "" },
 	}
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -33,7 +33,7 @@
 	f.pool.SetWorkspaces(f.Catalog().EngineWorkspaces())
 	f.pool.SetAllotments(map[string]engine.Allotment{"cooperative": {Limit: engine.Resources{CPU: 4000, Mem: engine.Unlimited, GPU: engine.Unlimited}}})
 	f.pool.SetRoster([]engine.WorkerInfo{{ID: "i-1", Address: "a:1", Capacity: engine.Resources{CPU: 64_000, Mem: 64_000}, Labels: []string{"rack-3"}}}, explainedAt)
-	f.pool.RenewalAnswered("i-1", engine.RenewalReply{Incarnation: 1, ClockMS: 1}, explainedAt.Now, explainedAt)
+	f.pool.RenewalAnswered(f.pool.Targets()[0], engine.RenewalReply{Incarnation: 1, ClockMS: 1}, explainedAt.Now, explainedAt)
 	return f
 }
 
--- a/engine/allotment_test.go
+++ b/engine/allotment_test.go
@@ -14,7 +14,7 @@
 	c := Clock{Now: time.Second, Wall: 1_000_000}
 	p.SetWorkspaces([]Workspace{{Name: "capped", Capped: true}, {Name: "free"}})
 	p.SetRoster([]WorkerInfo{{ID: "w", Address: "a:1", Capacity: Resources{CPU: 64_000, Mem: 64_000}}}, c)
-	p.RenewalAnswered("w", RenewalReply{Incarnation: 1, ClockMS: 1}, c.Now, c)
+	p.RenewalAnswered(p.workers["w"].target(), RenewalReply{Incarnation: 1, ClockMS: 1}, c.Now, c)
 	submit := func(id, workspace string) {
 		p.Submit(Spec{ID: id, Queue: "q", Workspace: workspace, Steps: []Step{{Count: 8, Need: Resources{CPU: 1000, Mem: 10}}}}, c)
 	}
@@ -50,7 +50,7 @@
 	c := Clock{Now: time.Second, Wall: 1_000_000}
 	p.SetWorkspaces([]Workspace{{Name: "capped", Capped: true}})
 	p.SetRoster([]WorkerInfo{{ID: "w", Address: "a:1", Capacity: Resources{CPU: 64_000, Mem: 64_000}}}, c)
-	p.RenewalAnswered("w", RenewalReply{Incarnation: 1, ClockMS: 1}, c.Now, c)
+	p.RenewalAnswered(p.workers["w"].target(), RenewalReply{Incarnation: 1, ClockMS: 1}, c.Now, c)
 	p.Submit(Spec{ID: "00000000000000a1", Queue: "q", Workspace: "capped", Steps: []Step{{Count: 4, Gang: true, Need: Resources{CPU: 1000}}}}, c)
 	alone := Resources{CPU: Unlimited, Mem: Unlimited, GPU: Unlimited}
 	for _, x := range []struct{ limit, used int64 }{{2900, 0}, {3000, 4000}} {
@@ -68,7 +68,7 @@
 	c := Clock{Now: time.Second, Wall: 1_000_000}
 	p.SetWorkspaces([]Workspace{{Name: "capped", Capped: true}})
 	p.SetRoster([]WorkerInfo{{ID: "w", Address: "a:1", Capacity: Resources{CPU: 64_000, Mem: 64_000}}}, c)
-	p.RenewalAnswered("w", RenewalReply{Incarnation: 1, ClockMS: 1}, c.Now, c)
+	p.RenewalAnswered(p.workers["w"].target(), RenewalReply{Incarnation: 1, ClockMS: 1}, c.Now, c)
 	p.SetAllotments(map[string]Allotment{"capped": {Limit: Resources{CPU: 9000}}})
 	p.Submit(Spec{ID: "00000000000000a1", Queue: "q", Workspace: "capped", Steps: []Step{{Count: 3, Gang: true, Need: Resources{CPU: 1000}}}}, c)
 	p.Place(c)
--- a/engine/besteffort.go
+++ b/engine/besteffort.go
@@ -66,7 +66,7 @@
 
 // ThrottleAnswered records whether a worker has confirmed a throttle order.
 func (p *Pool) ThrottleAnswered(o Order, done bool) {
-	if r := p.findRun(o); r != nil && r.throttlePercent == o.Percent {
+	if r := p.findRun(o); r != nil && r.throttlePercent == o.Percent && o.Worker.Token == r.Worker.token {
 		r.throttleConfirmed = done
 	}
 }
--- a/engine/commit.go
+++ b/engine/commit.go
@@ -168,6 +168,7 @@
 func (p *Pool) sendStart(r *Run, c Clock) {
 	r.phase = phaseStarting
 	r.orderedAt = c.Now
+	r.sentToken = r.Worker.token
 	r.outcomeUnknown = false
 	p.countPending(r, false)
 	r.attempts++
--- a/engine/cost_benchmark_test.go
+++ b/engine/cost_benchmark_test.go
@@ -53,7 +53,7 @@
 	}
 	c := w.clock()
 	for b.Loop() {
-		w.pool.RenewalAnswered("i-00", reply, c.Now, c)
+		w.pool.RenewalAnswered(w.pool.workers["i-00"].target(), reply, c.Now, c)
 	}
 }
 
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -10,32 +10,24 @@
 // maxEndsPerAnswer is the maximum number of ends in one answer; more may follow.
 const maxEndsPerAnswer = 500
 
-// RenewalAnswered handles a worker's answer to a lease renewal that was sent at sentAt.
-func (p *Pool) RenewalAnswered(id string, a RenewalReply, sentAt time.Duration, c Clock) {
-	w := p.workers[id]
-	if w == nil {
+// RenewalAnswered handles a worker's answer to a lease renewal that was sent at sentAt. The answer to a renewal of a former session says nothing of
+// the present one.
+func (p *Pool) RenewalAnswered(to Target, a RenewalReply, sentAt time.Duration, c Clock) {
+	w := p.workers[to.ID]
+	switch {
+	case w == nil || w.token != to.Token:
 		return
+	case w.contacted && w.incarnation != a.Incarnation:
+		p.restarted(w, a.Incarnation, c)
+		return
+	case !w.contacted:
+		p.contact(w, a, c)
 	}
-	if w.incarnation != 0 && a.Incarnation != 0 && w.incarnation != a.Incarnation {
-		p.workerRestarted(w, a, sentAt, c)
-	}
-	if a.Incarnation != 0 {
-		w.incarnation = a.Incarnation
-	}
-	if !w.contacted || w.unresponsive {
-		p.placementNeeded = true
-	}
-	first := !w.contacted
-	if first {
-		w.foreignDeadlineMS = a.ClockMS + p.maxForeignLease(a.ClockMS).Milliseconds()
-	}
-	w.contacted, w.unresponsive, w.reportedGone, w.lastContact = true, false, false, c.Now
-	if a.ClockMS > w.clockMS || w.clockAt == 0 {
+	p.placementNeeded = p.placementNeeded || w.unresponsive
+	w.unresponsive, w.reportedGone, w.lastContact = false, false, c.Now
+	if a.ClockMS > w.clockMS {
 		w.clockMS, w.clockAt = a.ClockMS, c.Now
 	}
-	if first {
-		p.recordDecision("worker-reached", "", 0, w.ID, w.describeLease(c))
-	}
 	p.renewals++
 	p.applyEnds(w, a.Ended, c)
 	p.applyRunning(w, a.Running, c)
@@ -50,11 +42,16 @@
 	p.throttleBestEffort(w, c)
 }
 
-// absenceIsFinal reports whether the run is certainly not on its worker, given that a list requested at sentAt lacks it.
+// absenceIsFinal reports whether the run is certainly not on its worker, given that a list requested at sentAt lacks it. The worker rejects
+// orders of former sessions.
 func (r *Run) absenceIsFinal(sentAt time.Duration) bool {
-	switch r.phase {
-	case phaseInherited:
+	switch {
+	case r.phase == phaseDecided:
+		return false
+	case r.sentToken < r.Worker.token:
 		return true
+	}
+	switch r.phase {
 	case phaseRunning:
 		return r.confirmedAt < sentAt
 	case phaseStopping:
@@ -199,6 +196,7 @@
 		r.incarnation = r.Worker.incarnation // The order was sent to a former one.
 		p.markDirty(t.job())
 	}
+	p.adopt(r)
 	t.keepCheckpoint(row.Checkpoint)
 	r.percent, r.load = row.Percent, row.Load
 	t.observeReadiness(row.Percent >= 100, c)
@@ -212,6 +210,15 @@
 	}
 }
 
+// adopt makes a listed run one of the present session. What was confirmed of its stop or throttle in a former one doesn't count.
+func (p *Pool) adopt(r *Run) {
+	if r.sentToken < r.Worker.token && r.phase != phaseInherited {
+		r.stopAcked, r.stopSentAt = false, 0
+		r.throttlePercent, r.throttleConfirmed = 100, false
+	}
+	r.sentToken, r.confirmedToken = r.Worker.token, r.Worker.token
+}
+
 // keepCheckpoint records the newest checkpoint of a task, unless it is too long for the task's record.
 func (t *Task) keepCheckpoint(checkpoint string) {
 	if checkpoint != "" && len(checkpoint) <= maxCheckpointBytes && !t.done {
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -17,6 +17,7 @@
 func TestLeaseOfUnresponsiveWorkerExpires(t *testing.T) {
 	g := NewWithT(t)
 	w := newTestPool(4)
+	w.run(w.pool.longestLease()) // Until then, former owners may have granted longer leases.
 	w.pool.Submit(longRunning("00000000000000aa", 3), w.clock())
 	w.flush()
 	w.run(time.Second)
@@ -42,6 +43,7 @@
 func TestNoSecondRunBeforeLeaseExpiry(t *testing.T) {
 	g := NewWithT(t)
 	w := newTestPool(2)
+	w.run(w.pool.longestLease()) // Until then, former owners may have granted longer leases.
 	w.pool.Submit(oneStep("00000000000000ab", Step{Count: 1, Need: Resources{CPU: 1000}, EstimateMS: 500}), w.clock())
 	w.flush()
 	w.run(100 * time.Millisecond)
--- a/engine/lease.go
+++ b/engine/lease.go
@@ -2,16 +2,14 @@
 
 import "time"
 
-// lease returns the lease deadline to send now and records it. A worker whose clock isn't known gets none. The lease
-// of an unresponsive worker is not extended: any call may still reach it, so its runs could otherwise never be
-// considered over. Nor is any lease extended beyond what ClaimConfirmed allows.
+// lease returns the lease deadline to send now and records it. A worker whose clock isn't known gets none, nor does an unresponsive one: any
+// call may still reach it, so its runs could otherwise never be considered over, and it may have started again, with another clock. No
+// lease is extended beyond what ClaimConfirmed allows.
 func (p *Pool) lease(w *Worker, c Clock) int64 {
-	if !w.contacted {
+	if !w.contacted || w.unresponsive {
 		return 0
 	}
-	if w.unresponsive {
-		return w.deadlineMS
-	}
+	w.grantedAt = c.Now
 	d := w.clockMS + (c.Now - w.clockAt).Milliseconds() + p.grantableLease(c).Milliseconds()
 	w.deadlineMS = max(w.deadlineMS, d)
 	return w.deadlineMS
@@ -40,19 +38,3 @@
 // AwaitLeasesFrom makes the time for which leases of former owners can still be in force begin at the given time, if that is later than the
 // beginning of this ownership.
 func (p *Pool) AwaitLeasesFrom(from time.Duration) { p.leasesFrom = max(p.leasesFrom, from) }
-
-const (
-	// maxClockRateRatio bounds how much slower a worker's monotonic clock may run.
-	maxClockRateRatio = 1.022
-	// leaseExpiryMargin allows for the transmission of the last answer.
-	leaseExpiryMargin = 100 * time.Millisecond
-)
-
-// leasesExpired reports whether every lease that any owner can have granted to the worker has expired.
-func (p *Pool) leasesExpired(w *Worker, c Clock) bool {
-	if !w.contacted {
-		return c.Now-p.leasesFrom > time.Duration(float64(p.options.MaxLease)*maxClockRateRatio)+time.Second
-	}
-	remaining := time.Duration(float64(max(w.deadlineMS, w.foreignDeadlineMS)-w.clockMS)*maxClockRateRatio) * time.Millisecond
-	return c.Now > w.clockAt+remaining+leaseExpiryMargin
-}
--- a/engine/pool.go
+++ b/engine/pool.go
@@ -57,6 +57,8 @@
 	workers  map[string]*Worker
 	// workersByID holds the workers ordered by ID, or nil after a change of workers.
 	workersByID []*Worker
+	// sessions counts the sessions with workers that have replaced others.
+	sessions int64
 	// renewals counts the answered lease renewals.
 	renewals          int64
 	dirty             []*Job
--- a/engine/relisted_test.go
+++ b/engine/relisted_test.go
@@ -150,12 +150,13 @@
 	g := NewWithT(t)
 	w := newTestPool(1)
 	o, f := w.startOne("00000000000000b6")
-	w.pool.StartAnswered(o, StartAccepted, "", w.clock())
+	w.pool.StartAnswered(o, StartAnswer{Outcome: StartAccepted}, w.clock())
 	former := f.incarnation
 	f.incarnation, f.startedAt = former+1, w.now
 	f.running[runKey(o.Task, o.Run)] = &fakeRun{order: o}
 	w.now += 100 * time.Millisecond
 	w.renewLeases()
+	w.renewLeases()
 	w.flush()
 	f.unresponsive = true
 	w.successor()
--- a/engine/restart_test.go
+++ b/engine/restart_test.go
@@ -19,8 +19,8 @@
 
 // renewLeaseWith starts a lease renewal of a worker now and passes the given answer to the pool.
 func (w *testPool) renewLeaseWith(f *fakeWorker, a RenewalReply) {
-	w.pool.NextRenewal(f.info.ID, w.clock())
-	w.pool.RenewalAnswered(f.info.ID, a, w.now, w.clock())
+	req, _ := w.pool.NextRenewal(f.info.ID, w.clock())
+	w.pool.RenewalAnswered(req.To, a, w.now, w.clock())
 }
 
 // Guards against a second run of a task when a repeated start order is rejected while the first one is still in flight:
@@ -29,14 +29,14 @@
 	g := NewWithT(t)
 	w := newTestPool(2)
 	o, _ := w.startOne("00000000000000b1")
-	w.pool.StartAnswered(o, StartUnknown, "", w.clock())
+	w.pool.StartAnswered(o, StartAnswer{Outcome: StartUnknown}, w.clock())
 	w.now += time.Second
 	w.renewLeases()
 	w.pool.Tick(w.clock())
 	again := w.pool.TakeOrders()
 	g.Expect(again).To(HaveLen(1))
 	g.Expect(again[0].Kind).To(Equal(OrderStart))
-	w.pool.StartAnswered(again[0], StartRejected, ReasonNoCapacity, w.clock())
+	w.pool.StartAnswered(again[0], StartAnswer{Outcome: StartRejected, Reason: ReasonNoCapacity}, w.clock())
 	orders := w.pool.TakeOrders()
 	g.Expect(orders).To(HaveLen(1))
 	g.Expect(orders[0].Kind).To(Equal(OrderStop))
@@ -51,9 +51,11 @@
 	g := NewWithT(t)
 	w := newTestPool(1)
 	o, f := w.startOne("00000000000000b2")
-	w.pool.StartAnswered(o, StartAccepted, "", w.clock())
+	w.pool.StartAnswered(o, StartAnswer{Outcome: StartAccepted}, w.clock())
 	w.now += 100 * time.Millisecond
-	w.renewLeaseWith(f, RenewalReply{Incarnation: f.incarnation + 1, ClockMS: 90, Running: []RunningRow{{Task: o.Task.String(), Run: o.Run, Percent: 100}}})
+	second := RenewalReply{Incarnation: f.incarnation + 1, ClockMS: 90, Running: []RunningRow{{Task: o.Task.String(), Run: o.Run, Percent: 100}}}
+	w.renewLeaseWith(f, second)
+	w.renewLeaseWith(f, second)
 	w.pool.RequestPlacement()
 	w.pool.Place(w.clock())
 	w.write()
@@ -61,6 +63,7 @@
 
 	w.now += 100 * time.Millisecond
 	w.renewLeaseWith(f, RenewalReply{Incarnation: f.incarnation + 2, ClockMS: 90})
+	w.renewLeaseWith(f, RenewalReply{Incarnation: f.incarnation + 2, ClockMS: 92})
 	w.pool.RequestPlacement()
 	w.pool.Place(w.clock())
 	w.write()
@@ -76,7 +79,7 @@
 	w := newTestPool(1)
 	o, f := w.startOne("00000000000000b3")
 	f.unresponsive = true
-	w.pool.StartAnswered(o, StartUnknown, "", w.clock())
+	w.pool.StartAnswered(o, StartAnswer{Outcome: StartUnknown}, w.clock())
 	w.renewLeases()
 	w.now += time.Second
 	w.pool.Tick(w.clock())
@@ -87,30 +90,6 @@
 	g.Expect(w.pool.TakeOrders()).To(HaveLen(1))
 }
 
-// Guards against a second run of a task on another worker while its worker, partitioned soon after a restart, still
-// holds the lease of an order for its former incarnation, which is the longest possible lease.
-func TestRecentlyRestartedWorkerMayHoldLongestLease(t *testing.T) {
-	for _, c := range []struct {
-		age      time.Duration
-		restarts bool
-	}{{time.Second, false}, {time.Minute, true}} {
-		g := NewWithT(t)
-		w := newTestPool(2)
-		for _, f := range w.workers {
-			f.startedAt = w.now - c.age
-		}
-		w.successor()
-		w.renewLeases()
-		o, f := w.startOne("00000000000000b4")
-		w.execute(o)
-		f.unresponsive = true
-		w.run(8 * time.Second)
-		g.Expect(w.workers["i-00"].startsTotal+w.workers["i-01"].startsTotal == 2).To(Equal(c.restarts), "after 8 s, age %s", c.age)
-		w.run(4 * time.Second)
-		g.Expect(w.workers["i-00"].startsTotal + w.workers["i-01"].startsTotal).To(Equal(2))
-	}
-}
-
 // Guards against an owner that grants leases for too long after its claim was last known to be current: by the monotonic clock, or by the
 // time of day on a machine that was suspended, whose monotonic clock stood still.
 func TestLeasesEndSoonAfterTheClaimWasConfirmed(t *testing.T) {
@@ -135,24 +114,27 @@
 }
 
 // Guards against a second run of a task on another worker while its worker, which has started again under its ID and is partitioned later,
-// holds the lease of an order for its former incarnation that it has executed late: after the owner had learned of the restart.
+// holds the lease of a renewal for its former incarnation, executed before or after the owner has learned of the restart.
 func TestRestartedWorkerMayGetLongestLeaseLate(t *testing.T) {
-	for _, late := range []time.Duration{100 * time.Millisecond, 3 * time.Second, 8 * time.Second} {
+	for _, late := range []time.Duration{0, 50 * time.Millisecond, 100 * time.Millisecond, 3 * time.Second, 8 * time.Second} {
 		t.Run(fmt.Sprint(late), func(t *testing.T) {
 			g := NewWithT(t)
 			w := newTestPool(2)
-			const id = "00000000000000b8"
-			for _, f := range w.workers {
-				f.incarnation, f.startedAt, f.lease = f.incarnation+100, w.now, 0
+			former := map[string]RenewalRequest{}
+			for id, f := range w.workers {
+				former[id], _ = w.pool.NextRenewal(id, w.clock())
+				f.restart(w.now, 0)
 			}
-			w.run(100 * time.Millisecond)
-			o, f := w.startOne(id)
-			w.execute(o)
 			w.run(late)
+			for id, f := range w.workers {
+				f.executeLate(former[id], w.now)
+			}
+			w.run(200 * time.Millisecond)
+			o, f := w.startOne("00000000000000b8")
+			w.execute(o)
+			w.run(100 * time.Millisecond)
 			f.unresponsive = true
-			w.run(50 * time.Millisecond)
-			f.lease = w.now + w.pool.options.MaxLease // It executes a late renewal, whose deadline is far ahead on its new clock.
-			for end := f.lease + 20*time.Second; w.now < end; {
+			for end := w.now + 30*time.Second; w.now < end; {
 				w.run(50 * time.Millisecond)
 				g.Expect(w.countRuns(o.Task.String())).To(BeNumerically("<=", 1), "%s after the restart", w.now-f.startedAt)
 			}
@@ -163,27 +145,50 @@
 }
 
 // Guards against a task that runs twice since its order was repeated, and the earlier one is executed late by the next incarnation of the
-// worker: only a stop that this one has executed prevents that.
-func TestRepeatedStartIsStoppedOnRestartedWorker(t *testing.T) {
+// worker.
+func TestNextIncarnationRejectsEarlierOrders(t *testing.T) {
 	g := NewWithT(t)
 	w := newTestPool(2)
 	const id = "00000000000000b9"
 	o, f := w.startOne(id)
-	w.pool.StartAnswered(o, StartUnknown, "", w.clock())
+	w.pool.StartAnswered(o, StartAnswer{Outcome: StartUnknown}, w.clock())
 	w.run(time.Second)
 	g.Expect(w.countRuns(o.Task.String())).To(Equal(1))
-	f.incarnation, f.startedAt, f.lease, f.running = f.incarnation+1, w.now, 0, map[string]*fakeRun{}
-	w.now += 50 * time.Millisecond
-	w.renewLeases()
-	w.pool.RequestPlacement()
-	w.pool.Place(w.clock())
-	w.write()
-	orders := w.pool.TakeOrders()
-	g.Expect(orders).To(ConsistOf(And(HaveField("Kind", OrderStop), HaveField("Run", o.Run), HaveField("Worker.ID", o.Worker.ID))))
-	w.execute(orders[0])
+	f.restart(w.now, 0)
 	w.run(200 * time.Millisecond)
-	g.Expect(w.countRuns(o.Task.String())).To(Equal(1))
 	g.Expect(w.pool.Job(id).occurrences[0].tasks[0].lastRun).To(Equal(o.Run + 1))
+	starts := f.startsTotal
+	w.execute(o)
+	g.Expect(f.startsTotal).To(Equal(starts))
+	g.Expect(w.countRuns(o.Task.String())).To(Equal(1))
+}
+
+// Guards against a task that runs again elsewhere although the next incarnation of its worker, which is cut off before it has answered, has
+// executed the order: for an unanswered order, and for one whose answer shows another clock.
+func TestUnsettledOrderMayRunOnTheNextIncarnation(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		t.Run(fmt.Sprintf("answered=%t", answered), func(t *testing.T) {
+			g := NewWithT(t)
+			w := newTestPool(2)
+			w.run(w.pool.longestLease())
+			o, f := w.startOne("00000000000000ba")
+			former := f.incarnation
+			f.restart(w.now, time.Hour)
+			f.losesAnswers = !answered
+			w.execute(o)
+			g.Expect(f.running).To(HaveLen(1))
+			f.lease = w.now + w.pool.options.MaxLease
+			f.unresponsive = true
+			w.run(50 * time.Millisecond)
+			w.pool.ReportTerminated(f.info.ID, former, w.clock())
+			for end := w.now + 30*time.Second; w.now < end; {
+				w.run(50 * time.Millisecond)
+				g.Expect(w.countRuns(o.Task.String())).To(BeNumerically("<=", 1), "%s after the restart", w.now-f.startedAt)
+			}
+			g.Expect(w.countRuns(o.Task.String())).To(Equal(1))
+			g.Expect(f.running).To(BeEmpty(), "it runs elsewhere")
+		})
+	}
 }
 
 // Guards against a task that runs again after its end as done: the worker, started again under its id, had executed the order, and the
@@ -199,7 +204,8 @@
 	g.Expect(f.ackedUpTo).To(Equal(int64(1)))
 
 	w.pool.Submit(oneStep("00000000000000b4", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
-	f.incarnation, f.startedAt, f.ended, f.lastEnd, f.ackedUpTo, f.lease = 9999, w.now, nil, 0, 0, 0
+	f.restart(w.now, 0)
+	f.incarnation = 9999
 	w.place()
 	w.endAll(EndDone)
 	starts := f.startsTotal
@@ -222,7 +228,7 @@
 			g := NewWithT(t)
 			w := newTestPool(2)
 			for _, f := range w.workers {
-				f.incarnation, f.startedAt, f.clockBase = f.incarnation+1, w.now, time.Hour
+				f.restart(w.now, time.Hour)
 				f.lease = w.now + w.pool.options.MaxLease
 			}
 			if successor {
--- a/engine/simulation_calls_test.go
+++ b/engine/simulation_calls_test.go
@@ -19,12 +19,12 @@
 		case w == nil || w.partitioned(x.now):
 			x.pool.RenewalFailed(to.ID, x.clock())
 		default:
-			a, obeyed := w.answer(req, x.pool.Token, x.now)
+			a, obeyed := w.answer(req, to.Token, x.now)
 			if !obeyed || x.chance(0.02) {
 				x.pool.RenewalFailed(to.ID, x.clock())
 				continue
 			}
-			x.pool.RenewalAnswered(to.ID, a, x.now, x.clock())
+			x.pool.RenewalAnswered(to, a, x.now, x.clock())
 		}
 	}
 }
@@ -73,7 +73,7 @@
 
 // send executes an order, now or later, with or without an answer.
 func (x *simulation) send(o Order) {
-	w, pool, token := x.checker.workers[o.Worker.ID], x.pool, x.pool.Token
+	w, pool, token := x.checker.workers[o.Worker.ID], x.pool, o.Worker.Token
 	if x.injected == unfencedOrders {
 		token += 1000
 	}
@@ -123,7 +123,7 @@
 	switch {
 	case p != x.pool || reason == "fence":
 	case o.Kind == OrderStart:
-		p.StartAnswered(o, out, reason, x.clock())
+		p.StartAnswered(o, StartAnswer{Outcome: out, Reason: reason}, x.clock())
 	case o.Kind == OrderStop:
 		p.StopAnswered(o, done, x.clock())
 	case o.Kind == OrderThrottle:
--- a/engine/simulation_test.go
+++ b/engine/simulation_test.go
@@ -193,7 +193,7 @@
 		x.storeUnavailableUntil = x.now + time.Duration(x.rnd.IntN(3000))*time.Millisecond
 	}
 	if x.chance(0.02) {
-		x.takeOver(x.pool.Token + 1)
+		x.takeOver(x.pool.Token + TokensPerTerm)
 	}
 	if x.chance(0.02) {
 		x.moveIfEmpty(x.pick())
--- a/engine/starts.go
+++ b/engine/starts.go
@@ -31,14 +31,35 @@
 	workerBackoff = 4 * rejectionBackoff
 )
 
-// StartAnswered handles the outcome of a start order.
-func (p *Pool) StartAnswered(o Order, out StartOutcome, reason string, c Clock) {
+// StartAnswer is what is known of the outcome of a start order.
+type StartAnswer struct {
+	Outcome StartOutcome
+	// Reason is that of a rejection.
+	Reason string
+	// ClockMS is the reading of the worker's clock, 0 if it isn't known.
+	ClockMS int64
+}
+
+// StartAnswered handles the outcome of a start order. That of an order of a former session says nothing of the present incarnation; the first
+// answer of the session does.
+func (p *Pool) StartAnswered(o Order, a StartAnswer, c Clock) {
 	r := p.findRun(o)
 	if r == nil || r.phase != phaseStarting {
 		return
 	}
+	out, reason := a.Outcome, a.Reason
 	switch {
+	case r.Worker.token != o.Worker.Token:
+		r.outcomeUnknown = true
+		p.countPending(r, false)
+	case a.ClockMS != 0 && !r.Worker.showsSameClock(a.ClockMS, r.orderedAt, c):
+		r.outcomeUnknown = true
+		p.countPending(r, false)
+		p.beginSession(r.Worker, "another clock reads "+itoa(a.ClockMS)+" ms", c)
 	case out == StartAccepted:
+		if a.ClockMS != 0 {
+			r.confirmedToken = r.Worker.token
+		}
 		p.confirmRun(r, c)
 	case out == StartUnknown, r.attempts > 1 && out == StartNotSent:
 		r.outcomeUnknown = true
@@ -80,7 +101,7 @@
 // StopAnswered handles the answer to a stop order; done is false if the worker did not confirm it.
 func (p *Pool) StopAnswered(o Order, done bool, c Clock) {
 	r := p.findRun(o)
-	if r == nil || r.phase != phaseStopping || !done {
+	if r == nil || r.phase != phaseStopping || !done || r.Worker.token != o.Worker.Token {
 		return
 	}
 	r.stopAcked = true
@@ -92,7 +113,7 @@
 func (p *Pool) AwaitsStart(o Order, c Clock) bool {
 	r := p.findRun(o)
 	switch {
-	case r == nil || r.phase != phaseStarting:
+	case r == nil || r.phase != phaseStarting || r.Worker.token != o.Worker.Token:
 		return false
 	case r.Worker.acceptsWork(c) && p.rosterCurrent(c):
 		return true
--- a/engine/suspects.go
+++ b/engine/suspects.go
@@ -210,7 +210,7 @@
 
 // HealthAnswered handles the answer of a worker's health path.
 func (p *Pool) HealthAnswered(to Target, h suspect.Health, c Clock) {
-	if w := p.workers[to.ID]; w != nil && w.condition != nil && w.info.Address == to.Address {
+	if w := p.workers[to.ID]; w != nil && w.condition != nil && w.token == to.Token && w.info.Address == to.Address {
 		w.condition.HealthAnswered(h, c.Now)
 		p.placementNeeded = true
 	}
--- a/engine/suspects_test.go
+++ b/engine/suspects_test.go
@@ -247,7 +247,7 @@
 			for key := range f.running {
 				f.end(key, EndFailed)
 			}
-			w.pool.RenewalAnswered(id, f.answer(RenewalRequest{}, w.now), w.now, w.clock())
+			w.pool.RenewalAnswered(w.pool.workers[id].target(), f.answer(RenewalRequest{}, w.now), w.now, w.clock())
 		}
 	}
 	for id, x := range w.pool.workers {
--- a/engine/terminated.go
+++ b/engine/terminated.go
@@ -44,10 +44,15 @@
 // it has another address by now: in its entry, or in that of a later incarnation which a former owner has reached and this one doesn't know yet.
 func (p *Pool) AddressReused(to Target, c Clock) {
 	if w := p.workers[to.ID]; w != nil && w.info.Address == to.Address {
-		p.WorkerTerminated(to.ID, max(w.incarnation, w.info.Incarnation), c)
+		p.terminated(w, max(w.latest, w.info.Incarnation), func(*Run) bool { return true }, c)
 	}
 }
 
+// startedBefore reports whether the session's incarnation is known to have started before the given one.
+func (w *Worker) startedBefore(incarnation int64) bool {
+	return w.incarnation != 0 && w.incarnation < incarnation
+}
+
 // startedAfter reports whether the worker is known to have started again after the given incarnation of it. A run that was ordered before may
 // then be one of the later incarnation.
 func (w *Worker) startedAfter(incarnation int64) bool {
@@ -57,35 +62,49 @@
 // latestIncarnation returns the latest incarnation of the worker that this owner knows of: from the worker, from its entry or from the
 // records of its runs.
 func (w *Worker) latestIncarnation() int64 {
-	latest := max(w.incarnation, w.info.Incarnation)
+	latest := max(w.latest, w.info.Incarnation)
 	for _, r := range w.runs {
 		latest = max(latest, r.incarnation)
 	}
 	return latest
 }
 
-// WorkerTerminated ends all runs of a worker incarnation that has certainly ended, unless the worker has started again since. 0 stands for an
-// incarnation that isn't known: all runs end.
+// WorkerTerminated ends the runs of a worker incarnation that has certainly ended, unless the worker has started again since. 0 stands for an
+// incarnation that isn't known. Runs whose orders may reach the worker's next incarnation go on.
 func (p *Pool) WorkerTerminated(id string, incarnation int64, c Clock) {
-	w := p.workers[id]
-	if w == nil || w.startedAfter(incarnation) {
+	if w := p.workers[id]; w != nil {
+		p.terminated(w, incarnation, func(r *Run) bool { return !r.mayReachNext() }, c)
+	}
+}
+
+// terminated ends those runs of a terminated incarnation that are over.
+func (p *Pool) terminated(w *Worker, incarnation int64, over func(*Run) bool, c Clock) {
+	if w.startedAfter(incarnation) {
 		return
 	}
 	if w.contacted || len(w.runs) > 0 {
-		p.recordDecision("worker-gone", "", 0, id, "") // once: an entry of another writer may name an address again and again
+		p.recordDecision("worker-gone", "", 0, w.ID, "") // once: an entry of another writer may name an address again and again
 	}
 	for _, r := range w.allRuns() {
-		p.loseRun(r, c)
+		if over(r) {
+			p.loseRun(r, c)
+		}
+	}
+	if w.contacted {
+		p.beginSession(w, "terminated", c)
 	}
-	w.contacted, w.reportedGone = false, false
-	w.orphans = 0
-	w.pendingAcks = nil
 	w.cordonedUntil = 0 // It gets no work any more: once it is unlisted, it needs no cordon.
-	if !w.listed {
-		p.removeWorker(id)
+	if !w.listed && len(w.runs) == 0 {
+		p.removeWorker(w.ID)
 	}
 }
 
+// mayReachNext reports whether a start order was sent for the run and no incarnation of the worker is known to have it: the next one may execute
+// the order.
+func (r *Run) mayReachNext() bool {
+	return r.sentToken != 0 && r.confirmedToken == 0
+}
+
 // loseRun ends a run that is over without an end listed by its worker.
 func (p *Pool) loseRun(r *Run, c Clock) {
 	p.recordDecision("run-lost", r.Task.id.String(), r.Num, r.Worker.ID, "")
--- a/engine/testpool_test.go
+++ b/engine/testpool_test.go
@@ -68,6 +68,8 @@
 	lastEnd      int64
 	ackedUpTo    int64
 	lease        time.Duration
+	// token is the highest fencing token that the worker has seen.
+	token int64
 	// losesAnswers leaves start orders unanswered; executesUnanswered says whether they are executed.
 	losesAnswers       bool
 	executesUnanswered bool
@@ -131,13 +133,39 @@
 			w.pool.RenewalFailed(id, w.clock())
 			continue
 		}
-		w.pool.RenewalAnswered(id, f.answer(req, w.now), w.now, w.clock())
+		f.rejects(req.To)
+		w.pool.RenewalAnswered(req.To, f.answer(req, w.now), w.now, w.clock())
 	}
 }
 
+// rejects reports whether the worker has seen a higher token than that of a call.
+func (f *fakeWorker) rejects(to Target) bool {
+	if to.Token < f.token {
+		return true
+	}
+	f.token = to.Token
+	return false
+}
+
+// restart begins a new incarnation that knows nothing of the former one and whose clock starts at the given reading.
+func (f *fakeWorker) restart(now, clock time.Duration) {
+	f.incarnation++
+	f.startedAt, f.clockBase, f.lease, f.token = now, clock, 0, 0
+	f.running, f.ended, f.lastEnd, f.ackedUpTo = map[string]*fakeRun{}, nil, 0, 0
+}
+
+// executeLate executes a lease renewal whose answer is lost.
+func (f *fakeWorker) executeLate(req RenewalRequest, now time.Duration) {
+	if f.rejects(req.To) {
+		return
+	}
+	f.answer(req, now)
+}
+
 func (f *fakeWorker) answer(req RenewalRequest, now time.Duration) RenewalReply {
 	f.ackedUpTo = max(f.ackedUpTo, req.AckedUpTo)
-	f.lease = max(f.lease, time.Duration(req.DeadlineMS)*time.Millisecond+f.startedAt-f.clockBase)
+	deadline := time.Duration(req.DeadlineMS)*time.Millisecond + f.startedAt - f.clockBase
+	f.lease = max(f.lease, min(deadline, now+DefaultOptions().MaxLease))
 	a := RenewalReply{Incarnation: f.incarnation, ClockMS: f.clockMS(now)}
 	for _, r := range f.running {
 		a.Running = append(a.Running, RunningRow{Task: r.order.Task.String(), Run: r.order.Run, Percent: 100})
@@ -194,7 +222,7 @@
 
 func (w *testPool) execute(o Order) {
 	f := w.workers[o.Worker.ID]
-	if f == nil {
+	if f == nil || (!f.unresponsive && f.rejects(o.Worker)) {
 		return
 	}
 	key := runKey(o.Task, o.Run)
@@ -214,7 +242,7 @@
 
 func (w *testPool) start(f *fakeWorker, key string, o Order) {
 	if f.unresponsive || (f.losesAnswers && !f.executesUnanswered) {
-		w.pool.StartAnswered(o, StartUnknown, "", w.clock())
+		w.pool.StartAnswered(o, StartAnswer{Outcome: StartUnknown}, w.clock())
 		return
 	}
 	if f.running[key] == nil {
@@ -235,10 +263,10 @@
 	}
 	f.maxUsed = Resources{CPU: max(f.maxUsed.CPU, used.CPU), Mem: max(f.maxUsed.Mem, used.Mem)}
 	if f.losesAnswers {
-		w.pool.StartAnswered(o, StartUnknown, "", w.clock())
+		w.pool.StartAnswered(o, StartAnswer{Outcome: StartUnknown}, w.clock())
 		return
 	}
-	w.pool.StartAnswered(o, StartAccepted, "", w.clock())
+	w.pool.StartAnswered(o, StartAnswer{Outcome: StartAccepted, ClockMS: f.clockMS(w.now)}, w.clock())
 }
 
 // run advances the time by d in small steps, with lease renewals, ticks and placements.
@@ -300,7 +328,7 @@
 
 // successor replaces the pool by one that loads the last stored records with a higher token.
 func (w *testPool) successor() {
-	p := NewPool("pumps", w.pool.Token+1, DefaultOptions(), w.now)
+	p := NewPool("pumps", w.pool.Token+TokensPerTerm, DefaultOptions(), w.now)
 	p.SetQueues([]Queue{{Name: "q", Attempts: 3, Stretch: 1.6, TargetMS: 600}})
 	for id, s := range w.records {
 		s.load(p, id, w.clock())
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -21,9 +20,11 @@
 	Incarnation       int64
 }
 
-// Target is the destination of an order: the worker's address, and the ID of the worker that it is meant for.
+// Target is the destination of a call: the worker's address, and the ID of the worker that it is meant for. Token is the fencing token of the
+// worker's incarnation that it is meant for, which the ID doesn't tell from the others.
 type Target struct {
 	ID, Address string
+	Token       int64
 }
 
 // Worker is a worker as known to the pool's owner.
@@ -34,28 +35,18 @@
 	listed     bool
 	unlistedAt time.Duration
 
-	incarnation int64
-	clockMS     int64
-	clockAt     time.Duration
-	// deadlineMS is the latest lease deadline that was sent, on the worker's clock.
-	deadlineMS int64
-	// foreignDeadlineMS bounds the leases granted by others: by former owners, and by orders for a former incarnation.
-	foreignDeadlineMS int64
-	// contacted is set by the first answered lease renewal of this ownership.
-	contacted    bool
-	lastContact  time.Duration
-	unresponsive bool
+	session
+	// latest is the latest incarnation that has answered this owner.
+	latest int64
+	// formerUntil is until when leases of former sessions may be in force, grantedAt when a deadline was last sent in any of them.
+	formerUntil, grantedAt time.Duration
+	lastContact            time.Duration
+	unresponsive           bool
 	// reportedGone is set while the worker is reported as terminated and has neither answered nor failed to answer since.
 	reportedGone bool
 
-	used Resources
-	// orphans is the number of runs in the worker's last list that this owner did not order; the capacity they use is
-	// unknown.
-	orphans       int
+	used          Resources
 	runs          map[runID]*Run
-	lastEnd       int64
-	pendingAcks   []pendingAck
-	ackedUpTo     int64
 	cordonedUntil time.Duration
 	// upkeepDueUntil is until when the worker's instance counts as due for upkeep.
 	upkeepDueUntil time.Duration
@@ -93,15 +84,17 @@
 	rev         int64
 	orderedAt   time.Duration
 	// confirmedAt is when the worker was first known to have the run.
-	confirmedAt    time.Duration
-	startedAt      time.Duration
-	attempts       int
-	outcomeUnknown bool
-	stopSentAt     time.Duration
-	stopAcked      bool
-	stopAckedAt    time.Duration
-	percent        int64
-	load           int64
+	confirmedAt time.Duration
+	// sentToken is the token of the last start order. confirmedToken is that of the last session whose incarnation is known to have the run, or 0.
+	sentToken, confirmedToken int64
+	startedAt                 time.Duration
+	attempts                  int
+	outcomeUnknown            bool
+	stopSentAt                time.Duration
+	stopAcked                 bool
+	stopAckedAt               time.Duration
+	percent                   int64
+	load                      int64
 	// throttlePercent is the last ordered throttle, throttleConfirmed whether the worker has answered that order.
 	throttlePercent   int64
 	throttleConfirmed bool
@@ -134,7 +127,7 @@
 func (p *Pool) ensureWorker(id string) *Worker {
 	w := p.workers[id]
 	if w == nil {
-		w = &Worker{ID: id, runs: map[runID]*Run{}, runTimeRatio: 1}
+		w = &Worker{ID: id, session: session{token: p.firstToken()}, runs: map[runID]*Run{}, runTimeRatio: 1}
 		if p.suspects != nil {
 			w.condition = p.suspects.Worker(id)
 		}
@@ -145,6 +138,9 @@
 }
 
 func (p *Pool) removeWorker(id string) {
+	if w := p.workers[id]; w != nil && w.contacted {
+		p.nextToken() // A worker that comes back under this ID gets a higher one.
+	}
 	delete(p.workers, id)
 	if p.suspects != nil {
 		p.suspects.Remove(id)
@@ -152,7 +148,7 @@
 	p.workersByID = nil
 }
 
-func (w *Worker) target() Target { return Target{ID: w.ID, Address: w.info.Address} }
+func (w *Worker) target() Target { return Target{ID: w.ID, Address: w.info.Address, Token: w.token} }
 
 // runID identifies a run on a worker.
 type runID struct {
@@ -243,8 +239,12 @@
 		if info.Draining && !w.info.Draining {
 			p.recordDecision("worker-draining", "", 0, w.ID, "")
 		}
+		restarted := w.contacted && info.Incarnation != w.info.Incarnation && w.startedBefore(info.Incarnation)
 		w.info = info
 		w.listed = true
+		if restarted {
+			p.beginSession(w, "listed as incarnation "+itoa(info.Incarnation), c)
+		}
 	}
 	for id, w := range p.workers {
 		if named[id] {
@@ -337,20 +337,29 @@
 	if len(w.runs) == 0 {
 		return
 	}
-	if !p.reachable(w, c) && p.leasesExpired(w, c) {
-		p.recordDecision("lease-lapsed", "", 0, w.ID, p.describeContact(w, c)+", "+w.describeLease(c))
-		for _, r := range w.allRuns() {
-			if r.phase != phaseDecided {
-				p.loseRun(r, c)
-			}
-		}
-		return
+	if !p.reachable(w, c) {
+		p.loseExpiredRuns(w, c)
 	}
 	for _, r := range w.runs {
 		p.tickRun(r, c)
 	}
 }
 
+// loseExpiredRuns ends the runs of a worker out of reach whose leases have certainly expired.
+func (p *Pool) loseExpiredRuns(w *Worker, c Clock) {
+	recorded := false
+	for _, r := range w.allRuns() {
+		if r.phase == phaseDecided || c.Now <= p.runEnd(r) {
+			continue
+		}
+		if !recorded {
+			p.recordDecision("lease-lapsed", "", 0, w.ID, p.describeContact(w, c)+", "+w.describeLease(c))
+			recorded = true
+		}
+		p.loseRun(r, c)
+	}
+}
+
 // describeContact says when this owner last reached a worker.
 func (p *Pool) describeContact(w *Worker, c Clock) string {
 	if !w.contacted {
@@ -359,12 +368,6 @@
 	return "last reached " + (c.Now - w.lastContact).String() + " ago"
 }
 
-// describeLease says which incarnation this owner takes the worker for, and until when its leases are in force on its clock.
-func (w *Worker) describeLease(c Clock) string {
-	return fmt.Sprintf("incarnation %d, clock %d ms read %s ago, granted until %d ms, by others until %d ms",
-		w.incarnation, w.clockMS, c.Now-w.clockAt, w.deadlineMS, w.foreignDeadlineMS)
-}
-
 // tickRun resends unanswered orders. A start order is resent only once its worker has responded again: a worker that
 // restarted during a network partition would read the deadline on its own new clock. One whose worker accepts no new work
 // any more is stopped instead, as the earlier order may not have been executed.
--- a/owner/calls.go
+++ b/owner/calls.go
@@ -64,32 +64,41 @@
 	var err error
 	switch order.Kind {
 	case engine.OrderStart:
-		var out engine.StartOutcome
-		var reason string
-		out, reason, err = o.settings.Workers.Start(ctx, order, o.settings.Token)
-		answered = out != engine.StartUnknown
+		var a engine.StartAnswer
+		a, err = o.settings.Workers.Start(ctx, order)
+		answered = a.Outcome != engine.StartUnknown
 		if !answered {
 			observe.Count("orders.unanswered")
 		}
-		handle = func() { o.pool.StartAnswered(order, out, reason, o.clock()) }
+		handle = func() { o.pool.StartAnswered(order, a, o.clock()) }
 	case engine.OrderStop:
-		err = o.settings.Workers.Stop(ctx, order, o.settings.Token)
+		err = o.settings.Workers.Stop(ctx, order)
 		answered = err == nil || errors.Is(err, ErrIncarnationMismatch)
 		handle = func() { o.pool.StopAnswered(order, err == nil, o.clock()) }
 	case engine.OrderThrottle:
-		err = o.settings.Workers.Throttle(ctx, order, o.settings.Token)
+		err = o.settings.Workers.Throttle(ctx, order)
 		answered = err == nil || errors.Is(err, ErrIncarnationMismatch)
 		handle = func() { o.pool.ThrottleAnswered(order, err == nil) }
 	}
 	switch {
 	case errors.Is(err, ErrFenced):
-		return answered, func() { o.fail(err) }
+		return answered, func() { o.fenced(order.Worker, err) }
 	case errors.Is(err, ErrIncarnationMismatch):
 		return answered, func() { o.pool.AddressReused(order.Worker, o.clock()) }
 	}
 	return answered, handle
 }
 
+// fenced handles the rejection of a call for its fencing token: the pool has another owner, unless this owner has begun a new session
+// with the worker since.
+func (o *Owner) fenced(to engine.Target, err error) {
+	if o.pool.Supersedes(to) {
+		observe.Count("calls.superseded")
+		return
+	}
+	o.fail(err)
+}
+
 // adviceTimeout bounds one call to the adviser.
 const adviceTimeout = 4 * time.Second
 
--- a/owner/health_test.go
+++ b/owner/health_test.go
@@ -31,7 +31,7 @@
 	return a, nil
 }
 
-func (u *unevenWorkers) Start(_ context.Context, o engine.Order, _ int64) (engine.StartOutcome, string, error) {
+func (u *unevenWorkers) Start(_ context.Context, o engine.Order) (engine.StartAnswer, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	id, reason := o.Worker.ID, engine.EndDone
@@ -39,7 +39,7 @@
 		reason = engine.EndFailed
 	}
 	u.ends[id] = append(u.ends[id], engine.EndedRow{Seq: int64(len(u.ends[id]) + 1), Task: o.Task.String(), Run: o.Run, Reason: reason})
-	return engine.StartAccepted, "", nil
+	return engine.StartAnswer{Outcome: engine.StartAccepted}, nil
 }
 
 func (u *unevenWorkers) Healthy(_ context.Context, to engine.Target, path string) (bool, error) {
--- a/owner/overload_test.go
+++ b/owner/overload_test.go
@@ -89,23 +89,23 @@
 	return a
 }
 
-func (s *slowProcessor) Start(ctx context.Context, o engine.Order, _ int64) (engine.StartOutcome, string, error) {
+func (s *slowProcessor) Start(ctx context.Context, o engine.Order) (engine.StartAnswer, error) {
 	if s.use(ctx) {
-		return engine.StartUnknown, "", nil
+		return engine.StartAnswer{Outcome: engine.StartUnknown}, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.starts[o.Task.String()]++
 	s.workers[o.Worker.ID].running[o.Task.String()] = burstRun{run: o.Run, end: time.Now().Add(burstTaskLength)}
-	return engine.StartAccepted, "", nil
+	return engine.StartAnswer{Outcome: engine.StartAccepted}, nil
 }
 
-func (s *slowProcessor) Stop(ctx context.Context, _ engine.Order, _ int64) error {
+func (s *slowProcessor) Stop(ctx context.Context, _ engine.Order) error {
 	s.use(ctx)
 	return ctx.Err()
 }
 
-func (s *slowProcessor) Throttle(context.Context, engine.Order, int64) error { return nil }
+func (s *slowProcessor) Throttle(context.Context, engine.Order) error { return nil }
 
 func (s *slowProcessor) Healthy(context.Context, engine.Target, string) (bool, error) {
 	return true, nil
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -33,24 +33,25 @@
 // ErrFenced reports that a worker has seen a higher fencing token.
 var ErrFenced = errors.New("owner: the worker has seen a higher fencing token")
 
+// ErrTokensUsedUp reports that an ownership has begun as many sessions with workers as it has fencing tokens.
+var ErrTokensUsedUp = errors.New("owner: the fencing tokens of the ownership are used up")
+
 // LeaseRenewal is a call that renews a worker's lease and asks for its runs. A DeadlineMS of 0 doesn't extend the lease.
 type LeaseRenewal struct {
-	Token      int64
 	DeadlineMS int64
 	AckedUpTo  int64
 	Wait       time.Duration
 }
 
-// Workers sends calls to workers.
+// Workers sends calls to workers, with the fencing tokens of their targets.
 type Workers interface {
 	// RenewLease fails with ErrFenced, with ErrIncarnationMismatch, or with any other error if the worker didn't answer.
 	RenewLease(ctx context.Context, to engine.Target, renewal LeaseRenewal) (engine.RenewalReply, error)
-	// Start fails with ErrFenced or ErrIncarnationMismatch. Otherwise the outcome says what is known of the start, and the
-	// string is the reason of a rejection.
-	Start(ctx context.Context, o engine.Order, token int64) (engine.StartOutcome, string, error)
+	// Start fails with ErrFenced or ErrIncarnationMismatch. Otherwise the answer says what is known of the start.
+	Start(ctx context.Context, o engine.Order) (engine.StartAnswer, error)
 	// Stop and Throttle return nil once the worker has executed the order.
-	Stop(ctx context.Context, o engine.Order, token int64) error
-	Throttle(ctx context.Context, o engine.Order, token int64) error
+	Stop(ctx context.Context, o engine.Order) error
+	Throttle(ctx context.Context, o engine.Order) error
 	// Healthy asks a worker at the health path of its pool. An error means that the answer is unknown.
 	Healthy(ctx context.Context, to engine.Target, path string) (bool, error)
 }
@@ -221,6 +222,7 @@
 			o.checkExpiringCordons()
 			o.checkHealth()
 			o.confirmClaimIfDue()
+			o.checkTokens()
 		}
 		c := o.clock()
 		if c.Now >= mayPlaceAt {
@@ -231,6 +233,13 @@
 	}
 }
 
+// checkTokens ends the ownership once its fencing tokens are used up. The next claim brings new ones.
+func (o *Owner) checkTokens() {
+	if o.pool.TokensUsedUp() {
+		o.fail(ErrTokensUsedUp)
+	}
+}
+
 // drainInbox handles the events that are already queued, so that one placement pass covers them all.
 func (o *Owner) drainInbox() {
 	for range maxDrained {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -47,11 +47,11 @@
 	return nil
 }
 
-func (w *fakeWorkers) RenewLease(_ context.Context, _ engine.Target, renewal LeaseRenewal) (engine.RenewalReply, error) {
+func (w *fakeWorkers) RenewLease(_ context.Context, to engine.Target, renewal LeaseRenewal) (engine.RenewalReply, error) {
 	time.Sleep(2 * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.fence(renewal.Token); err != nil {
+	if err := w.fence(to.Token); err != nil {
 		return engine.RenewalReply{}, err
 	}
 	a := engine.RenewalReply{Incarnation: w.incarnation, ClockMS: time.Since(w.startedAt).Milliseconds()}
@@ -66,16 +66,16 @@
 	return a, nil
 }
 
-func (w *fakeWorkers) Start(_ context.Context, o engine.Order, token int64) (engine.StartOutcome, string, error) {
+func (w *fakeWorkers) Start(_ context.Context, o engine.Order) (engine.StartAnswer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.fence(token); err != nil {
-		return engine.StartRejected, "fence", err
+	if err := w.fence(o.Worker.Token); err != nil {
+		return engine.StartAnswer{Outcome: engine.StartRejected, Reason: "fence"}, err
 	}
 	task := o.Task.String()
 	if r, ok := w.running[task]; ok {
 		if r.Run == o.Run {
-			return engine.StartAccepted, "", nil
+			return engine.StartAnswer{Outcome: engine.StartAccepted}, nil
 		}
 		w.t.Errorf("task %s: run %d starts while run %d is running", task, o.Run, r.Run)
 	}
@@ -85,15 +85,15 @@
 	w.starts++
 	w.running[task] = o
 	if w.loseStartResponse != nil && w.loseStartResponse(w.starts) {
-		return engine.StartUnknown, "", nil
+		return engine.StartAnswer{Outcome: engine.StartUnknown}, nil
 	}
-	return engine.StartAccepted, "", nil
+	return engine.StartAnswer{Outcome: engine.StartAccepted}, nil
 }
 
-func (w *fakeWorkers) Stop(_ context.Context, o engine.Order, token int64) error {
+func (w *fakeWorkers) Stop(_ context.Context, o engine.Order) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.fence(token); err != nil {
+	if err := w.fence(o.Worker.Token); err != nil {
 		return err
 	}
 	if r, ok := w.running[o.Task.String()]; ok && r.Run == o.Run {
@@ -102,7 +102,7 @@
 	return nil
 }
 
-func (w *fakeWorkers) Throttle(context.Context, engine.Order, int64) error { return nil }
+func (w *fakeWorkers) Throttle(context.Context, engine.Order) error { return nil }
 
 func (w *fakeWorkers) Healthy(context.Context, engine.Target, string) (bool, error) { return true, nil }
 
--- a/owner/renewals.go
+++ b/owner/renewals.go
@@ -61,7 +61,7 @@
 		if req.DeadlineMS == 0 || req.Unacknowledged {
 			wait = 0
 		}
-		if !o.renewOnce(req.To, LeaseRenewal{Token: o.settings.Token, DeadlineMS: req.DeadlineMS, AckedUpTo: req.AckedUpTo, Wait: wait}) {
+		if !o.renewOnce(req.To, LeaseRenewal{DeadlineMS: req.DeadlineMS, AckedUpTo: req.AckedUpTo, Wait: wait}) {
 			_ = sleep.Context(o.ctx, renewalRetryDelay)
 		}
 	}
@@ -125,13 +125,13 @@
 	switch {
 	case err == nil:
 		observe.Count("renewals.answered")
-		o.post(func() { o.pool.RenewalAnswered(to.ID, a, sent, o.clock()) })
+		o.post(func() { o.pool.RenewalAnswered(to, a, sent, o.clock()) })
 		if len(a.Ended) > 0 || renewal.Wait == 0 {
 			_ = sleep.Context(o.ctx, renewalDelay(o.pace.loopDelay()))
 		}
 		return true
 	case errors.Is(err, ErrFenced):
-		o.post(func() { o.fail(err) })
+		o.post(func() { o.fenced(to, err) })
 	case errors.Is(err, ErrIncarnationMismatch):
 		o.post(func() { o.pool.AddressReused(to, o.clock()) })
 	case o.ctx.Err() == nil:
