Start nothing on a worker by the entry of its former incarnation, or after it was reported as terminated

A worker that starts again under its ID may be of another kind and have other room, but its entry in the list is replaced up to a heartbeat later. Until then an owner placed tasks by the labels and the capacity of the former incarnation: ROUTE and LIMIT could break. Orders were also sent to a worker that was reported as terminated until it left a renewal unanswered, up to 1.6 s later; such orders may reach the next incarnation.

Both get no starts now until the entry is of the incarnation that answers, or the worker answers again. TestNoStartByTheEntryOfAFormerIncarnation failed before.

--- a/engine/place.go
+++ b/engine/place.go
@@ -17,7 +17,7 @@
 
 // available reports whether a worker accepts new starts, as far as the last list of workers says.
 func (p *Pool) available(w *Worker, c Clock) bool {
-	return w.acceptsWork(c) && w.orphans == 0 && p.reachable(w, c)
+	return w.acceptsWork(c) && w.orphans == 0 && !w.reportedGone && w.describedByEntry() && p.reachable(w, c)
 }
 
 // acceptsWork reports whether the worker is listed and neither draining nor cordoned.
@@ -25,6 +25,11 @@
 	return w.listed && !w.info.Draining && w.cordonedUntil <= c.Now
 }
 
+// describedByEntry reports whether the worker's entry is of the incarnation that answers: an earlier one may have had other labels and capacity.
+func (w *Worker) describedByEntry() bool {
+	return w.info.Incarnation == 0 || w.incarnation == 0 || w.info.Incarnation == w.incarnation
+}
+
 const (
 	// maxRosterAge is the age of the list of workers, and maxRosterAttemptAge that of the last attempt to read it, from which on nothing
 	// is started: a worker may have begun to drain since. The first one lets work go on while the part of the store with the list is
--- a/engine/restart_test.go
+++ b/engine/restart_test.go
@@ -191,6 +191,24 @@
 	}
 }
 
+// Guards against a start by the labels and the capacity of a former incarnation: the present one may be of another kind.
+func TestNoStartByTheEntryOfAFormerIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(1)
+	f := w.workers["i-00"]
+	f.info.Incarnation = f.incarnation
+	w.updateRoster()
+	f.restart(w.now, 0)
+	w.run(200 * time.Millisecond)
+	w.pool.Submit(oneStep("00000000000000bb", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	w.run(time.Second)
+	g.Expect(f.startsTotal).To(BeZero())
+	f.info.Incarnation = f.incarnation
+	w.updateRoster()
+	w.run(200 * time.Millisecond)
+	g.Expect(f.startsTotal).To(Equal(1))
+}
+
 // Guards against a task that runs again after its end as done: the worker, started again under its id, had executed the order, and the
 // owner's next renewal acknowledged as many ends as it had seen of the former incarnation, so that the end was never listed.
 func TestEndsOfARestartedWorkerAreListedBeforeTheyAreAcknowledged(t *testing.T) {
