Count an unknown member at an entry that knows no other entry

Cause: an entry that has started and has neither read the list of instances nor heard of another entry counts one member, itself. A table change that is accepted there is reported as accepted, installed by 1 of 1 entries, although no majority has it. If the entry restarts, no entry has the version in force, and the others go on under the former one.

Change: such an entry, which is no majority for freshness either, counts one unknown member, so that it reports "installed by 1 of 2 entries" until it knows the others. The count that it sends to others doesn't change by this: a reply is built after the request has made its sender known.

Measured: the new test failed before (2 not <= 1).

--- a/configsync/configsync_test.go
+++ b/configsync/configsync_test.go
@@ -75,6 +75,24 @@
 	}
 }
 
+// Guards against an accept that a restarted entry reports as installed at all members while it knows no other entry.
+func TestAcceptAtEntryThatKnowsNoOther(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(4)
+	c.publishInstances()
+	c.advance(5*time.Second, nil)
+	c.partition(3)
+	e := c.start(3)
+	c.advance(5*time.Second, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	installed, members := e.syncer.PushAccepted(ctx, c.commit(2))
+	g.Expect(2 * installed).To(BeNumerically("<=", members))
+	c.publishInstances()
+	_, members = e.syncer.PushAccepted(ctx, c.commit(3))
+	g.Expect(members).To(Equal(4))
+}
+
 // Guards against an accept that is reported as installed without a majority, and against a push that ends with the
 // operator's request.
 func TestPushContinuesInBackground(t *testing.T) {
--- a/membership/majority.go
+++ b/membership/majority.go
@@ -33,8 +33,8 @@
 //
 // listed holds the ids of the live entries in the last instance list; nil means that the list was never read. In that
 // case the number of members is at least the highest that a contact counts, since contacts may know members that this
-// entry has no report about. An entry that then knows no other entry is not a majority, since it cannot distinguish a
-// deployment of one entry from a network partition.
+// entry has no report about. An entry that then knows no other entry is not a majority and counts one unknown member, since
+// it cannot distinguish a deployment of one entry from a network partition.
 func (v *View) Quorum(subset, listed []string, contacts map[string]Contact) (majority bool, members int) {
 	ids := v.quorumMembers(listed)
 	members = len(ids)
@@ -43,7 +43,7 @@
 			members = max(members, c.Members)
 		}
 		if len(v.members)+len(v.expired) == 1 {
-			return false, members
+			return false, max(members, 2)
 		}
 	}
 	n := 0
