Print a command's value as JSON or text in one place

Cause: five commands of package command chose between JSON and text, each in its own method, and the encoding with indentation stood twice.

The output is the same.

--- a/command/explain.go
+++ b/command/explain.go
@@ -75,11 +75,7 @@
 	if err != nil {
 		return err
 	}
-	if c.json {
-		return printJSON(out, p)
-	}
-	printPlacement(out, &p)
-	return nil
+	return printValue(out, c.json, p, func(w io.Writer) { printPlacement(w, &p) })
 }
 
 // defaultJob is the job that is explained without -job.
--- a/command/fleet.go
+++ b/command/fleet.go
@@ -139,11 +139,7 @@
 
 // print writes v as JSON with -json, and calls text to write it otherwise.
 func (r *fleetInvocation) print(v any, text func(io.Writer)) error {
-	if r.flags.json {
-		return printJSON(r.stdout, v)
-	}
-	text(r.stdout)
-	return nil
+	return printValue(r.stdout, r.flags.json, v, text)
 }
 
 func splitList(text string) []string {
--- a/command/status.go
+++ b/command/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -83,7 +82,7 @@
 		if err != nil {
 			return err
 		}
-		return c.print(out, job, func() { printJob(out, &job) })
+		return printValue(out, c.json, job, func(w io.Writer) { printJob(w, &job) })
 	case len(args) != 1 || statusViews[args[0]] == nil:
 		return usageErrorf("expected jobs ID, queues, pools, waves or owners, found %q", args)
 	}
@@ -91,7 +90,8 @@
 	if err != nil {
 		return err
 	}
-	return c.print(out, statusViews[args[0]].value(&o), func() { printTable(out, statusViews[args[0]].rows(&o)) })
+	view := statusViews[args[0]]
+	return printValue(out, c.json, view.value(&o), func(w io.Writer) { printTable(w, view.rows(&o)) })
 }
 
 // daemonAddress returns the address that the named flag has, or that of the daemon that the settings file configures.
@@ -110,16 +110,6 @@
 	return set.MetricsAddress(), nil
 }
 
-func (c *statusCommand) print(out io.Writer, value any, asText func()) error {
-	if !c.json {
-		asText()
-		return nil
-	}
-	e := json.NewEncoder(out)
-	e.SetIndent("", "  ")
-	return e.Encode(value)
-}
-
 // statusView is a section of the overview, as a value for JSON and as table rows.
 type statusView struct {
 	value func(*status.Overview) any
--- a/command/table.go
+++ b/command/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -116,9 +115,3 @@
 	}
 	return f
 }
-
-func printJSON(w io.Writer, v any) error {
-	e := json.NewEncoder(w)
-	e.SetIndent("", "  ")
-	return e.Encode(v)
-}
--- a/command/table_actions.go
+++ b/command/table_actions.go
@@ -68,11 +68,7 @@
 
 // print writes v as JSON with -json, and calls text to write it otherwise.
 func (r *tableInvocation) print(v any, text func(io.Writer)) error {
-	if r.flags.json {
-		return printJSON(r.stdout, v)
-	}
-	text(r.stdout)
-	return nil
+	return printValue(r.stdout, r.flags.json, v, text)
 }
 
 func runTableShow(ctx context.Context, r *tableInvocation) error {
