Wait with sleep.Context in load, dev and experiment

Cause: five loops had their own select between a timer and the end of the context, two of them with a poll interval without a name.

Change: they call sleep.Context, and the two intervals are named constants.

Measured: the tests of the three packages pass, also with -race.

--- a/dev/dev.go
+++ b/dev/dev.go
@@ -30,6 +30,7 @@
 	"samphirepoint/report"
 	"samphirepoint/services"
 	"samphirepoint/settings"
+	"samphirepoint/sleep"
 	"samphirepoint/standin"
 	"samphirepoint/standin/platformd"
 	"samphirepoint/standin/workerd"
@@ -43,6 +44,8 @@
 	workersPerRack = 4
 	// startTimeout bounds the time until all entries are ready.
 	startTimeout = 20 * time.Second
+	// readyPollInterval is the time between two checks whether an entry is ready.
+	readyPollInterval = 50 * time.Millisecond
 	// versionSampleInterval is the time between samples of the entries' table versions, and thus the resolution of the
 	// rollout measure.
 	versionSampleInterval = 50 * time.Millisecond
@@ -339,10 +342,8 @@
 	defer cancel()
 	for _, e := range c.Entries {
 		for !e.Ready() || len(e.Members()) < len(c.Entries) {
-			select {
-			case <-ctx.Done():
+			if sleep.Context(ctx, readyPollInterval) != nil {
 				return fmt.Errorf("entries are not ready after %s", startTimeout)
-			case <-time.After(50 * time.Millisecond):
 			}
 		}
 	}
--- a/dev/run.go
+++ b/dev/run.go
@@ -11,6 +11,7 @@
 	"samphirepoint/checker"
 	"samphirepoint/load"
 	"samphirepoint/report"
+	"samphirepoint/sleep"
 	"samphirepoint/standin/workerd"
 	"samphirepoint/table"
 )
@@ -83,10 +84,8 @@
 // changeTable accepts changes of a weight at even intervals during the run.
 func (c *Cluster) changeTable(ctx context.Context) {
 	for i := range c.Options.Changes {
-		select {
-		case <-ctx.Done():
+		if sleep.Context(ctx, c.Options.Duration/time.Duration(c.Options.Changes+1)) != nil {
 			return
-		case <-time.After(c.Options.Duration / time.Duration(c.Options.Changes+1)):
 		}
 		if err := c.acceptWeightChange(ctx, i); err != nil {
 			c.Options.Progress("table change %d failed: %v", i+1, err)
--- a/experiment/capacity.go
+++ b/experiment/capacity.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"samphirepoint/sleep"
 	"samphirepoint/standin"
 )
 
@@ -146,10 +147,8 @@
 		return fmt.Errorf("metrics of the entry: %v, %v", errIn, errOut)
 	}
 	counters, cpu, start := l.platform.Counters(), cpuTime(), time.Now()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(each):
+	if err := sleep.Context(ctx, each); err != nil {
+		return err
 	}
 	took := time.Since(start).Seconds()
 	f.CorePercent = 100 * (cpuTime() - cpu).Seconds() / took
--- a/experiment/testbed.go
+++ b/experiment/testbed.go
@@ -24,6 +24,7 @@
 	"samphirepoint/request"
 	"samphirepoint/services"
 	"samphirepoint/settings"
+	"samphirepoint/sleep"
 	"samphirepoint/standin"
 	"samphirepoint/standin/platformd"
 	"samphirepoint/table"
@@ -33,6 +34,8 @@
 const (
 	// testbedStartTimeout bounds the time until the entries of a testbed are ready.
 	testbedStartTimeout = 20 * time.Second
+	// testbedPollInterval is the time between two checks whether an entry is ready.
+	testbedPollInterval = 20 * time.Millisecond
 	// slotsPerWorker is the number of slots of a testbed worker.
 	slotsPerWorker = 8
 	// registerBatch bounds the instance rows written in one transaction.
@@ -193,10 +196,8 @@
 	defer cancel()
 	for _, e := range l.entries {
 		for !e.Ready() || len(e.Members()) < n {
-			select {
-			case <-ctx.Done():
+			if sleep.Context(ctx, testbedPollInterval) != nil {
 				return fmt.Errorf("entries are not ready after %s", testbedStartTimeout)
-			case <-time.After(20 * time.Millisecond):
 			}
 		}
 	}
--- a/load/load.go
+++ b/load/load.go
@@ -18,6 +18,7 @@
 
 	"samphirepoint/network"
 	"samphirepoint/request"
+	"samphirepoint/sleep"
 	"samphirepoint/standin/workerd"
 )
 
@@ -175,10 +176,8 @@
 		if !again || resubmission == maxResubmissions {
 			return
 		}
-		select {
-		case <-ctx.Done():
+		if sleep.Context(ctx, max(resubmitDelay, rec.RetryAfter)) != nil {
 			return
-		case <-time.After(max(resubmitDelay, rec.RetryAfter)):
 		}
 	}
 }
