Let orders for a worker name its incarnation in the product's own interface

Cause: drain, undrain and reboot went to whatever answered at the worker's address. One that arrived late, after a lost answer or a pause of the lease holder, was executed by the worker's next incarnation: it rebooted a worker that served again. That a worker accepted work counted as the end of its reboot, which a late undrain brings about as well. Change: the status of a worker has its incarnation, the orders name the one that answered the status call, and the worker rejects those for another one, or for another worker. A rebooting row names the incarnation that the reboot ends, and another one is the sign that it is over. A worker that does not answer gets no order. Workers that report no incarnation are treated as before. With the former rule for the end of a reboot, the new cases "undrained before its reboot" and "rebooted, still draining" of TestDecide fail.

--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -31,8 +31,10 @@
 
 // Worker is the status of a worker. A worker no longer drains once it has rebooted.
 type Worker struct {
-	Draining bool
-	Running  []Work
+	// Incarnation is the start time of the worker's process in Unix milliseconds, or 0 if the worker doesn't report it.
+	Incarnation int64
+	Draining    bool
+	Running     []Work
 }
 
 // Member is the state of an entry as known to the lease holder, which is a member too.
@@ -233,18 +235,29 @@
 
 func (in Input) rebooting() Decision {
 	switch {
-	case in.Worker != nil && !in.Worker.Draining:
+	case in.Worker != nil && in.rebooted():
 		return Decision{Action: Serve}
 	case in.Now.Sub(in.Instance.Since) > in.RebootTimeout:
 		return Decision{Action: Fail, Reason: "the worker has not rebooted in time"}
 	case in.Worker == nil:
 		return in.waitOne(in.workerNode(), "the worker is rebooting")
+	case !in.Worker.Draining:
+		return Decision{Action: Drain, Reason: "the worker accepts work before its reboot"}
 	case len(in.Worker.Running) > 0:
 		return Decision{Action: Wait, Waits: in.waitsForWork()}
 	}
 	return Decision{Action: RebootWorker}
 }
 
+// rebooted reports whether the worker has started again since its reboot was due. Without incarnations, that it accepts work is the only sign;
+// an undrain order that arrived late has the same effect.
+func (in Input) rebooted() bool {
+	if in.Instance.RebootOf == 0 || in.Worker.Incarnation == 0 {
+		return !in.Worker.Draining
+	}
+	return in.Worker.Incarnation != in.Instance.RebootOf
+}
+
 func (in Input) workerNode() wave.Node {
 	return wave.Node{Kind: wave.KindWorker, Name: in.Instance.ID}
 }
--- a/drainer/drainer_test.go
+++ b/drainer/drainer_test.go
@@ -70,8 +70,15 @@
 			in.Instance.State = instance.Rebooting
 			in.Worker.Running = []Work{request}
 		}, Wait, "work r1", nil},
-		"rebooting":                    {func(in *Input) { in.Instance.State, in.Worker = instance.Rebooting, nil }, Wait, "worker w1", nil},
-		"rebooted":                     {func(in *Input) { in.Instance.State, in.Worker.Draining = instance.Rebooting, false }, Serve, "", nil},
+		"rebooting": {func(in *Input) { in.Instance.State, in.Worker = instance.Rebooting, nil }, Wait, "worker w1", nil},
+		"rebooted":  {func(in *Input) { in.Instance.State, in.Worker.Draining = instance.Rebooting, false }, Serve, "", nil},
+		"rebooted, still draining": {func(in *Input) {
+			in.Instance.State, in.Instance.RebootOf, in.Worker.Incarnation = instance.Rebooting, 1, 2
+		}, Serve, "", nil},
+		"undrained before its reboot": {func(in *Input) {
+			in.Instance.State, in.Instance.RebootOf = instance.Rebooting, 1
+			in.Worker.Incarnation, in.Worker.Draining = 1, false
+		}, Drain, "", nil},
 		"reboot timeout":               {func(in *Input) { in.Instance.State, in.Worker = instance.Rebooting, nil; late(in) }, Fail, "", nil},
 		"serving row, draining worker": {func(in *Input) { in.Instance.State = instance.Serving }, Undrain, "", nil},
 	}
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -30,9 +30,11 @@
 type Workers interface {
 	// Status returns an error if the worker does not answer within a second.
 	Status(ctx context.Context, in instance.Instance) (drainer.Worker, error)
-	Drain(ctx context.Context, in instance.Instance) error
-	Undrain(ctx context.Context, in instance.Instance) error
-	Reboot(ctx context.Context, in instance.Instance) error
+	// Drain, Undrain and Reboot have no effect on another incarnation of the worker than the given one: an order may arrive late,
+	// when the worker has started again. 0 stands for any.
+	Drain(ctx context.Context, in instance.Instance, incarnation int64) error
+	Undrain(ctx context.Context, in instance.Instance, incarnation int64) error
+	Reboot(ctx context.Context, in instance.Instance, incarnation int64) error
 	Checkpoint(ctx context.Context, in instance.Instance, task string) error
 	Stop(ctx context.Context, in instance.Instance, task string) error
 }
--- a/fleet/controller_test.go
+++ b/fleet/controller_test.go
@@ -69,6 +69,25 @@
 	}
 }
 
+// Guards against a reboot order that arrives late and ends what the next incarnation of the worker runs.
+func TestLateRebootOrderEndsNoLaterIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	ctx, env := context.Background(), newTestEnv(8)
+	ops := startWave(ctx, g, env)
+	env.process("a", -1)
+	env.repeatReboots = true
+	for range 400 {
+		if env.tick(ctx); finished(ctx, ops) {
+			break
+		}
+	}
+	g.Expect(env.violations).To(BeEmpty())
+	g.Expect(finished(ctx, ops)).To(BeTrue())
+	for id, f := range env.workers {
+		g.Expect(f.reboots).To(Equal(1), id)
+	}
+}
+
 // Guards against a move that ends in more than one pool, does not wait for work in flight, or leaves the worker
 // draining.
 func TestMove(t *testing.T) {
--- a/fleet/detect.go
+++ b/fleet/detect.go
@@ -262,7 +262,7 @@
 		_, err := c.store.Remove(ctx, in.ID)
 		return c.ignoreStalePlan(err, "remove", in.ID)
 	case ok && answers && p.worker.Draining:
-		c.callWorker(ctx, "undrain", in, c.Workers.Undrain)
+		c.callIncarnation(ctx, "undrain", in, c.Workers.Undrain)
 	case ok && answers && listed.State == services.StateLive:
 		if _, err := c.store.Return(ctx, listed); err != nil {
 			return c.ignoreStalePlan(err, "return", in.ID)
--- a/fleet/step_drains.go
+++ b/fleet/step_drains.go
@@ -111,18 +111,19 @@
 	var err error
 	switch d.Action {
 	case drainer.Drain:
-		c.callWorker(ctx, "drain", in, c.Workers.Drain)
+		c.callIncarnation(ctx, "drain", in, c.Workers.Drain)
 	case drainer.Undrain:
-		c.callWorker(ctx, "undrain", in, c.Workers.Undrain)
+		c.callIncarnation(ctx, "undrain", in, c.Workers.Undrain)
 	case drainer.RebootWorker:
-		c.callWorker(ctx, "reboot", in, c.Workers.Reboot)
+		c.callIncarnation(ctx, "reboot", in, c.Workers.Reboot)
 	case drainer.Checkpoint:
 		c.callForTasks(ctx, "checkpoint", in, d.Tasks, c.Workers.Checkpoint)
 		c.term.checkpointed[in.ID] = c.Now()
 	case drainer.Stop:
 		c.callForTasks(ctx, "stop", in, d.Tasks, c.Workers.Stop)
 	case drainer.Reboot:
-		_, err = c.store.Reboot(ctx, in.ID, in.Wave)
+		incarnation, _ := c.incarnation(in.ID)
+		_, err = c.store.Reboot(ctx, in.ID, in.Wave, incarnation)
 	case drainer.Serve:
 		_, err = c.store.Serve(ctx, in.ID, in.Wave, wave.Maintained)
 	case drainer.Fail:
@@ -143,7 +144,7 @@
 	}
 	c.logStep(string(d.Action), in.ID).Str("pool", in.Pool).Str("wave", in.Wave).Str("target", in.TargetPool).Str("why", d.Reason).Msg("drain step")
 	if d.Action == drainer.Release || d.Action == drainer.Abort {
-		c.callWorker(ctx, "undrain", in, c.Workers.Undrain)
+		c.callIncarnation(ctx, "undrain", in, c.Workers.Undrain)
 	}
 	return nil
 }
--- a/fleet/steps.go
+++ b/fleet/steps.go
@@ -23,9 +23,28 @@
 	return func(f wave.Failure) bool { return f.Instance == id }
 }
 
+// callIncarnation sends a command to the incarnation of a worker that answered the status probe of this step. A worker that did not answer gets
+// none: once it answers, a later step does what its status then requires.
+func (c *Controller) callIncarnation(ctx context.Context, step string, in instance.Instance, f func(context.Context, instance.Instance, int64) error) {
+	incarnation, answered := c.incarnation(in.ID)
+	if !answered {
+		return
+	}
+	c.callWorker(ctx, step, in, func(ctx context.Context, in instance.Instance) error { return f(ctx, in, incarnation) })
+}
+
+// incarnation returns the incarnation of the worker that answered the status probe of this step, and false if none did.
+func (c *Controller) incarnation(id string) (int64, bool) {
+	p := c.term.probes[id]
+	if p == nil || p.worker == nil {
+		return 0, false
+	}
+	return p.worker.Incarnation, true
+}
+
 // callWorker sends a command to a worker. Errors are only logged: the next step reads the worker's status and repeats
 // the command. The lease is checked immediately before the call, because a late reboot command of a holder that was
-// paused would reach a serving worker.
+// paused would reach a serving worker, unless the worker reports its incarnation.
 func (c *Controller) callWorker(ctx context.Context, step string, in instance.Instance, f func(context.Context, instance.Instance) error) {
 	if _, err := c.Lease.Condition(); err != nil {
 		return
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -148,8 +148,8 @@
 	return verdict.Wrap(fmt.Errorf("%w: %s", ErrBudget, fmt.Sprintf(format, args...)), verdict.NotRun, http.StatusConflict)
 }
 
-// Reboot records that the drained instance may be rebooted from now on.
-func (s *Store) Reboot(ctx context.Context, id, waveID string) (int64, error) {
+// Reboot records that the drained instance may be rebooted from now on, which ends the given incarnation of its worker.
+func (s *Store) Reboot(ctx context.Context, id, waveID string, incarnation int64) (int64, error) {
 	return s.transact(ctx, func(t *txn) error {
 		in, ok, err := t.instance(id)
 		switch {
@@ -161,7 +161,7 @@
 			return changed("instance %s is %s for wave %q", id, in.State, in.Wave)
 		}
 		old := in
-		in.State, in.Since = instance.Rebooting, s.now().UTC()
+		in.State, in.RebootOf, in.Since = instance.Rebooting, incarnation, s.now().UTC()
 		return t.replace(old, in)
 	})
 }
@@ -181,7 +181,7 @@
 			return nil
 		}
 		old := in
-		in.State, in.Since, in.Wave, in.TargetPool = instance.Serving, s.now().UTC(), "", ""
+		in.State, in.Since, in.Wave, in.TargetPool, in.RebootOf = instance.Serving, s.now().UTC(), "", "", 0
 		if result == wave.Maintained {
 			in.Maintained = in.Since
 		}
@@ -220,7 +220,7 @@
 			return err
 		}
 		old := in
-		in.State, in.Since, in.Wave, in.TargetPool = instance.Failed, s.now().UTC(), "", ""
+		in.State, in.Since, in.Wave, in.TargetPool, in.RebootOf = instance.Failed, s.now().UTC(), "", "", 0
 		return t.replace(old, in)
 	})
 }
--- a/fleet/testenv_test.go
+++ b/fleet/testenv_test.go
@@ -31,16 +31,20 @@
 	violations []string
 	// skipChecks turns off the checks after each commit, for benchmarks.
 	skipChecks bool
+	// repeatReboots makes a copy of each reboot order arrive up to 10 s late; late holds these copies.
+	repeatReboots bool
+	late          []func()
 }
 
 type fakeWorker struct {
-	in        services.Instance
-	draining  bool
-	running   []drainer.Work
-	downUntil time.Time
-	dead      bool
-	reboots   int
-	stopped   []string
+	in          services.Instance
+	incarnation int64
+	draining    bool
+	running     []drainer.Work
+	downUntil   time.Time
+	dead        bool
+	reboots     int
+	stopped     []string
 }
 
 // process is an entry that runs a view and a controller, and may die after a number of commits. It implements
@@ -67,7 +71,7 @@
 	}
 	for i := range n {
 		id := fmt.Sprintf("w%02d", i)
-		env.workers[id] = &fakeWorker{in: services.Instance{ID: id, Kind: services.KindWorker, Address: "10.0.0.1:1", Zone: fmt.Sprintf("z%d", i/4%2),
+		env.workers[id] = &fakeWorker{incarnation: 1, in: services.Instance{ID: id, Kind: services.KindWorker, Address: "10.0.0.1:1", Zone: fmt.Sprintf("z%d", i/4%2),
 			Rack: fmt.Sprintf("r%d", i/4), State: services.StateLive, Slots: 8}}
 	}
 	return env
@@ -104,6 +108,12 @@
 	env.mu.Lock()
 	env.clock = env.clock.Add(time.Second)
 	env.mu.Unlock()
+	if env.clock.Second()%10 == 0 {
+		for _, arrive := range env.late {
+			arrive()
+		}
+		env.late = nil
+	}
 	for _, p := range env.procs {
 		if p.dead {
 			continue
@@ -210,6 +220,15 @@
 	return versions, err
 }
 
+// incarnation returns the fake worker of the instance, or an error if it does not answer or is another incarnation.
+func (p *process) incarnation(in instance.Instance, incarnation int64) (*fakeWorker, error) {
+	f, err := p.worker(in)
+	if err == nil && f.incarnation != incarnation {
+		return nil, errors.New("another incarnation")
+	}
+	return f, err
+}
+
 // worker returns the fake worker of the instance, or an error if it does not answer.
 func (p *process) worker(in instance.Instance) (*fakeWorker, error) {
 	f := p.env.workers[in.ID]
@@ -227,28 +246,36 @@
 	if err != nil {
 		return drainer.Worker{}, err
 	}
-	return drainer.Worker{Draining: f.draining, Running: f.running}, nil
+	return drainer.Worker{Incarnation: f.incarnation, Draining: f.draining, Running: f.running}, nil
 }
 
-func (p *process) Drain(_ context.Context, in instance.Instance) error {
-	f, err := p.worker(in)
+func (p *process) Drain(_ context.Context, in instance.Instance, incarnation int64) error {
+	f, err := p.incarnation(in, incarnation)
 	if err == nil {
 		f.draining = true
 	}
 	return err
 }
 
-func (p *process) Undrain(_ context.Context, in instance.Instance) error {
-	f, err := p.worker(in)
+func (p *process) Undrain(_ context.Context, in instance.Instance, incarnation int64) error {
+	f, err := p.incarnation(in, incarnation)
 	if err == nil {
 		f.draining = false
 	}
 	return err
 }
 
-// Reboot adds a violation if the worker serves or has work.
-func (p *process) Reboot(_ context.Context, in instance.Instance) error {
-	f, err := p.worker(in)
+// Reboot implements Workers for the process.
+func (p *process) Reboot(_ context.Context, in instance.Instance, incarnation int64) error {
+	if env := p.env; env.repeatReboots {
+		env.late = append(env.late, func() { _ = p.reboot(in, incarnation) })
+	}
+	return p.reboot(in, incarnation)
+}
+
+// reboot adds a violation if the worker serves or has work.
+func (p *process) reboot(in instance.Instance, incarnation int64) error {
+	f, err := p.incarnation(in, incarnation)
 	if err != nil {
 		return err
 	}
@@ -258,6 +285,7 @@
 		}
 	}
 	f.reboots++
+	f.incarnation++
 	f.draining = false
 	f.downUntil = p.env.clock.Add(3 * time.Second)
 	return nil
--- a/fleet/workers.go
+++ b/fleet/workers.go
@@ -7,10 +7,12 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 
 	"samphirepoint/drainer"
 	"samphirepoint/instance"
 	"samphirepoint/network"
+	"samphirepoint/request"
 )
 
 // maxStatusBytes bounds a worker's status; one of 8 slots takes about 2 KB.
@@ -32,9 +34,10 @@
 
 // workerStatus is the part of GET /status that drains use.
 type workerStatus struct {
-	ID       string `json:"id"`
-	Draining bool   `json:"draining"`
-	Running  []struct {
+	ID          string `json:"id"`
+	Incarnation int64  `json:"incarnation"`
+	Draining    bool   `json:"draining"`
+	Running     []struct {
 		RequestID  string `json:"requestId"`
 		Task       string `json:"task"`
 		Backer     string `json:"backer"`
@@ -44,7 +47,7 @@
 
 // Status implements Workers.
 func (h *HTTPWorkers) Status(ctx context.Context, in instance.Instance) (drainer.Worker, error) {
-	data, err := h.do(ctx, http.MethodGet, in, "/status")
+	data, err := h.do(ctx, http.MethodGet, in, "/status", http.Header{})
 	if err != nil {
 		return drainer.Worker{}, err
 	}
@@ -55,7 +58,7 @@
 	if s.ID != "" && s.ID != in.ID {
 		return drainer.Worker{}, fmt.Errorf("status of %s: worker %s answers at %s", in.ID, s.ID, in.Address)
 	}
-	w := drainer.Worker{Draining: s.Draining}
+	w := drainer.Worker{Incarnation: s.Incarnation, Draining: s.Draining}
 	for _, r := range s.Running {
 		work := drainer.Work{ID: r.RequestID, Idempotent: r.Idempotent, Backer: r.Backer}
 		if r.Task != "" {
@@ -67,42 +70,49 @@
 }
 
 // Drain implements Workers.
-func (h *HTTPWorkers) Drain(ctx context.Context, in instance.Instance) error {
-	return h.post(ctx, in, "/drain")
+func (h *HTTPWorkers) Drain(ctx context.Context, in instance.Instance, incarnation int64) error {
+	return h.post(ctx, in, "/drain", incarnation)
 }
 
 // Undrain implements Workers.
-func (h *HTTPWorkers) Undrain(ctx context.Context, in instance.Instance) error {
-	return h.post(ctx, in, "/undrain")
+func (h *HTTPWorkers) Undrain(ctx context.Context, in instance.Instance, incarnation int64) error {
+	return h.post(ctx, in, "/undrain", incarnation)
 }
 
 // Reboot implements Workers.
-func (h *HTTPWorkers) Reboot(ctx context.Context, in instance.Instance) error {
-	return h.post(ctx, in, "/reboot")
+func (h *HTTPWorkers) Reboot(ctx context.Context, in instance.Instance, incarnation int64) error {
+	return h.post(ctx, in, "/reboot", incarnation)
 }
 
 // Checkpoint implements Workers.
 func (h *HTTPWorkers) Checkpoint(ctx context.Context, in instance.Instance, task string) error {
-	return h.post(ctx, in, "/tasks/"+url.PathEscape(task)+"/checkpoint")
+	return h.post(ctx, in, "/tasks/"+url.PathEscape(task)+"/checkpoint", 0)
 }
 
 // Stop implements Workers.
 func (h *HTTPWorkers) Stop(ctx context.Context, in instance.Instance, task string) error {
-	return h.post(ctx, in, "/tasks/"+url.PathEscape(task)+"/stop")
+	return h.post(ctx, in, "/tasks/"+url.PathEscape(task)+"/stop", 0)
 }
 
-func (h *HTTPWorkers) post(ctx context.Context, in instance.Instance, path string) error {
-	_, err := h.do(ctx, http.MethodPost, in, path)
+// post sends a command to an incarnation of the worker, or to any if that is 0. A task has an ID of its own, which no other incarnation knows.
+func (h *HTTPWorkers) post(ctx context.Context, in instance.Instance, path string, incarnation int64) error {
+	header := http.Header{}
+	header.Set(request.HeaderWorker, in.ID)
+	if incarnation != 0 {
+		header.Set(request.HeaderIncarnation, strconv.FormatInt(incarnation, 10))
+	}
+	_, err := h.do(ctx, http.MethodPost, in, path, header)
 	return err
 }
 
-func (h *HTTPWorkers) do(ctx context.Context, method string, in instance.Instance, path string) ([]byte, error) {
+func (h *HTTPWorkers) do(ctx context.Context, method string, in instance.Instance, path string, header http.Header) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+in.Address+path, nil)
 	if err != nil {
 		return nil, err
 	}
+	req.Header = header
 	resp, err := h.client.Do(req)
 	if err != nil {
 		return nil, err
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -38,6 +38,8 @@
 	TargetPool string `json:"targetPool,omitempty"`
 	// Wave is the ID of the maintenance wave that drains or reboots the instance.
 	Wave string `json:"wave,omitempty"`
+	// RebootOf is the incarnation of the worker that the reboot ends, in state rebooting; 0 if the worker doesn't report it.
+	RebootOf int64 `json:"rebootOf,omitempty"`
 	// Since is the time of the last change of State.
 	Since time.Time `json:"since"`
 	// Maintained is the time at which the last maintenance finished.
--- a/request/request.go
+++ b/request/request.go
@@ -21,6 +21,7 @@
 	HeaderAttempt           = "Samphire-Attempt"
 	HeaderVerdict           = "Samphire-Verdict"
 	HeaderWorker            = "Samphire-Worker"
+	HeaderIncarnation       = "Samphire-Incarnation"
 	HeaderReplayed          = "Samphire-Replayed"
 	HeaderBodyHash          = "Samphire-Body-Hash"
 	HeaderLeaving           = "Samphire-Leaving"
--- a/standin/workerd/lifecycle.go
+++ b/standin/workerd/lifecycle.go
@@ -83,6 +83,7 @@
 	}
 	s.mu.Lock()
 	s.offline = false
+	s.incarnation = max(s.incarnation+1, time.Now().UnixMilli())
 	s.mu.Unlock()
 	s.Drain(false)
 	s.serve(ln)
--- a/standin/workerd/server.go
+++ b/standin/workerd/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -53,6 +54,7 @@
 	wake    chan struct{}
 
 	mu               sync.Mutex
+	incarnation      int64
 	mode             Mode
 	draining         bool
 	offline          bool          // from a reboot until the worker listens again, or after Close
@@ -95,7 +97,9 @@
 
 // Status is the response to GET /status.
 type Status struct {
-	ID          string `json:"id"`
+	ID string `json:"id"`
+	// Incarnation is the start time of the worker in Unix milliseconds. It is higher after each reboot.
+	Incarnation int64  `json:"incarnation"`
 	Zone        string `json:"zone"`
 	Region      string `json:"region,omitempty"`
 	Rack        string `json:"rack"`
@@ -123,10 +127,12 @@
 		wake:    make(chan struct{}, 1),
 		closed:  make(chan struct{}),
 		mode:    Mode{Mode: Normal},
-		changed: make(chan struct{}),
-		running: map[string]*run{},
-		tasks:   map[string]*task{},
-		random:  rand.New(rand.NewPCG(o.Seed, 2)),
+
+		incarnation: time.Now().UnixMilli(),
+		changed:     make(chan struct{}),
+		running:     map[string]*run{},
+		tasks:       map[string]*task{},
+		random:      rand.New(rand.NewPCG(o.Seed, 2)),
 	}
 	s.routes()
 	return s
@@ -211,7 +217,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.options
-	st := Status{ID: o.ID, Zone: o.Zone, Region: o.Region, Rack: o.Rack, Slots: o.Slots, Connections: o.Connections,
+	st := Status{ID: o.ID, Incarnation: s.incarnation, Zone: o.Zone, Region: o.Region, Rack: o.Rack, Slots: o.Slots, Connections: o.Connections,
 		Draining: s.draining, Leaving: s.leavingLocked(), Running: []Running{}, Usage: s.usage}
 	for _, r := range s.running {
 		st.Running = append(st.Running, r.describe())
@@ -231,9 +237,29 @@
 	})
 	s.mux.HandleFunc("GET /journal", s.handleJournal)
 	s.mux.HandleFunc("PUT /mode", s.handleMode)
-	s.mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) { s.Drain(true); w.WriteHeader(http.StatusNoContent) })
-	s.mux.HandleFunc("POST /undrain", func(w http.ResponseWriter, _ *http.Request) { s.Drain(false); w.WriteHeader(http.StatusNoContent) })
-	s.mux.HandleFunc("POST /reboot", s.handleReboot)
+	s.mux.HandleFunc("POST /drain", s.addressed(func(w http.ResponseWriter, _ *http.Request) { s.Drain(true); w.WriteHeader(http.StatusNoContent) }))
+	s.mux.HandleFunc("POST /undrain", s.addressed(func(w http.ResponseWriter, _ *http.Request) { s.Drain(false); w.WriteHeader(http.StatusNoContent) }))
+	s.mux.HandleFunc("POST /reboot", s.addressed(s.handleReboot))
+}
+
+// addressed rejects the orders that are meant for another worker, or for another incarnation of this one.
+func (s *Server) addressed(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		incarnation := strconv.FormatInt(s.incarnation, 10)
+		s.mu.Unlock()
+		if !names(r, request.HeaderWorker, s.options.ID) || !names(r, request.HeaderIncarnation, incarnation) {
+			http.Error(w, "meant for another worker or incarnation", http.StatusConflict)
+			return
+		}
+		h(w, r)
+	}
+}
+
+// names reports whether a header of the request has the value, or is missing.
+func names(r *http.Request, header, value string) bool {
+	given := r.Header.Get(header)
+	return given == "" || given == value
 }
 
 func (s *Server) handleJournal(w http.ResponseWriter, r *http.Request) {
--- a/standin/workerd/server_test.go
+++ b/standin/workerd/server_test.go
@@ -14,6 +14,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"samphirepoint/drainer"
+	"samphirepoint/fleet"
+	"samphirepoint/instance"
 	"samphirepoint/request"
 	"samphirepoint/services"
 	"samphirepoint/standin/platformd"
@@ -174,6 +177,27 @@
 		WithTimeout(5 * time.Second).Should(Succeed())
 }
 
+// Guards against orders for a former incarnation, or for another worker at the address, that this one executes.
+func TestOrdersForAnotherIncarnationAreRejected(t *testing.T) {
+	g := NewWithT(t)
+	s := start(t, workerd.Options{})
+	in := instance.Instance{ID: "w1", Address: s.Address()}
+	ctx, workers := context.Background(), fleet.NewHTTPWorkers(nil)
+	former, err := workers.Status(ctx, in)
+	g.Expect(err).NotTo(HaveOccurred())
+	s.Reboot(0)
+	var present drainer.Worker
+	g.Eventually(func() error { present, err = workers.Status(ctx, in); return err }).WithTimeout(5 * time.Second).Should(Succeed())
+	g.Expect(present.Incarnation).To(BeNumerically(">", former.Incarnation))
+	g.Expect(workers.Drain(ctx, in, former.Incarnation)).NotTo(Succeed())
+	g.Expect(workers.Reboot(ctx, in, former.Incarnation)).NotTo(Succeed())
+	other := instance.Instance{ID: "w2", Address: s.Address()}
+	g.Expect(workers.Drain(ctx, other, 0)).NotTo(Succeed())
+	g.Expect(s.Status().Draining).To(BeFalse())
+	g.Expect(workers.Drain(ctx, in, present.Incarnation)).To(Succeed())
+	g.Expect(s.Status().Draining).To(BeTrue())
+}
+
 // Guards against a worker that the platform does not list, or does not list as leaving while it drains.
 func TestRegisters(t *testing.T) {
 	g := NewWithT(t)
