Report a worker as terminated up to the incarnation known before the first list without it

Cause: an instance has to lack its worker in two lists of instances, as a list may be outdated. The report named the incarnation known before the second one. A worker that started again under its ID between the two, with the second list still outdated, was reported in its new incarnation. Its owner then takes it for terminated, and starts its tasks elsewhere, as soon as it leaves a lease renewal unanswered, which one that is merely cut off does too. Change: what is known of the worker is kept from the first list that lacks it. Result: TestReportNamesNoIncarnationThatBeganBetweenTwoLists failed before ("terminated w-1 6" instead of "terminated w-1 5") and passes, as the other tests of package upkeep do, with the race detector, three times.

--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -134,9 +134,10 @@
 	terminated map[string]terminatedWorker
 	// incarnations holds the workers' incarnations by pool, as reported by the owners before the next list is read.
 	incarnations map[string]map[string]int64
-	// formerWorkers holds the workers that each instance had before, missing the instances that had no worker in the last list.
+	// formerWorkers holds the workers that each instance had before. missing holds the instances that had no worker in the last list, with
+	// what was known of their former worker before that list.
 	formerWorkers map[string]map[string]bool
-	missing       map[string]bool
+	missing       map[string]terminatedWorker
 	// absent holds the workers with runs that are on no instance.
 	absent map[string]absentWorker
 	// storedPeaks are the peak periods that a successor would find.
@@ -167,7 +168,7 @@
 		terminated:    map[string]terminatedWorker{},
 		incarnations:  map[string]map[string]int64{},
 		formerWorkers: map[string]map[string]bool{},
-		missing:       map[string]bool{},
+		missing:       map[string]terminatedWorker{},
 		surplusSince:  map[string]time.Duration{},
 		startingUntil: map[string]time.Duration{},
 	}
@@ -374,18 +375,22 @@
 	seen := maps.Clone(s.Instances)
 	for id, previous := range c.lastSeen {
 		current, listed := s.Instances[id]
+		terminated, missingBefore := c.missing[id]
+		delete(c.missing, id)
 		switch {
 		case previous.Worker == "", current.Worker == previous.Worker:
-			delete(c.missing, id)
 			continue
-		case c.formerWorkers[id][current.Worker], current.Worker == "" && !c.missing[id]:
-			c.missing[id] = current.Worker == ""
+		case c.formerWorkers[id][current.Worker]:
+			seen[id] = previous
+			continue
+		case current.Worker == "" && !missingBefore:
+			c.missing[id] = c.terminatedWorkerOf(previous)
 			seen[id] = previous
 			continue
+		case current.Worker != "":
+			terminated = c.terminatedWorkerOf(previous)
 		}
-		delete(c.missing, id)
-		incarnation, known := c.incarnations[previous.Pool][previous.Worker]
-		c.terminated[previous.Worker] = terminatedWorker{pool: previous.Pool, incarnation: incarnation, known: known}
+		c.terminated[previous.Worker] = terminated
 		if c.formerWorkers[id] == nil {
 			c.formerWorkers[id] = map[string]bool{}
 		}
@@ -397,6 +402,12 @@
 	c.lastSeen = seen
 }
 
+// terminatedWorkerOf describes an instance's worker by what its owner reported before the present list was read.
+func (c *Controller) terminatedWorkerOf(i Instance) terminatedWorker {
+	incarnation, known := c.incarnations[i.Pool][i.Worker]
+	return terminatedWorker{pool: i.Pool, incarnation: incarnation, known: known}
+}
+
 // States of a wave, as reported.
 const (
 	waveRunning   = "running"
--- a/upkeep/terminated_test.go
+++ b/upkeep/terminated_test.go
@@ -104,21 +104,37 @@
 	return p.note("absent", worker, incarnation)
 }
 
+// observeWorker reads a list with the given worker on the only instance, and then the owner's report with an incarnation of w-1, if any.
+func observeWorker(t *testing.T, c *Controller, now time.Duration, worker string, incarnation int64) {
+	s := &State{Now: now, Instances: map[string]Instance{"m": {ID: "m", Pool: "pumps", Worker: worker}}, Reports: map[string]engine.PoolReport{}}
+	if incarnation != 0 {
+		s.Reports["pumps"] = engine.PoolReport{Workers: []engine.WorkerReport{{ID: "w-1", Incarnation: incarnation, Runs: 1}}}
+	}
+	c.notifyTerminated(t.Context(), s)
+	c.reportAbsent(t.Context(), s)
+	c.noteIncarnations(s)
+}
+
+// Guards against a report that names an incarnation which has begun since the first list without the worker. The second such list may be
+// outdated.
+func TestReportNamesNoIncarnationThatBeganBetweenTwoLists(t *testing.T) {
+	g := NewWithT(t)
+	pools := &reportedPools{testPools: &testPools{}}
+	c := New(t.Context(), Settings{Pools: pools})
+	observeWorker(t, c, 0, "w-1", 5)
+	observeWorker(t, c, time.Second, "", 6)
+	observeWorker(t, c, 2*time.Second, "", 6)
+	g.Expect(pools.reported).To(Equal([]string{"terminated w-1 5"}))
+}
+
 // Guards against a report on a worker that has started again under its ID since the list that lacked it was read: it must name the
 // incarnation that was known before, so that the runs of the later one go on.
 func TestReportsNameTheIncarnationKnownBeforeTheList(t *testing.T) {
 	g := NewWithT(t)
 	pools := &reportedPools{testPools: &testPools{}, unreachable: true}
 	c := New(t.Context(), Settings{Pools: pools})
-	// observe reads a list with the given worker on the only instance, and then the owner's report with an incarnation of w-1, if any.
 	observe := func(now time.Duration, worker string, incarnation int64) {
-		s := &State{Now: now, Instances: map[string]Instance{"m": {ID: "m", Pool: "pumps", Worker: worker}}, Reports: map[string]engine.PoolReport{}}
-		if incarnation != 0 {
-			s.Reports["pumps"] = engine.PoolReport{Workers: []engine.WorkerReport{{ID: "w-1", Incarnation: incarnation, Runs: 1}}}
-		}
-		c.notifyTerminated(t.Context(), s)
-		c.reportAbsent(t.Context(), s)
-		c.noteIncarnations(s)
+		observeWorker(t, c, now, worker, incarnation)
 	}
 	observe(0, "w-1", 5)
 	observe(time.Second, "", 0)
