Take a leaving worker for available again on its own word only

Cause: an entry asks the address of a leaving worker whether it accepts work again, and did not look at who answered. Another worker that had got the address made it offer requests to one that had left. Change: a status that names another worker is ignored, as the holder of the fleet lease does. Result: TestWorkerIsAvailableOnItsOwnWordOnly failed before ("w1 answers at its former address") and passes with the race detector.

--- a/entry/leaving_workers.go
+++ b/entry/leaving_workers.go
@@ -59,14 +59,14 @@
 	return list
 }
 
-// checkAvailable clears the leaving mark of a worker that reports that it accepts work. The time of the request is passed
-// along, so that a later mark stays.
+// checkAvailable clears the leaving mark of a worker that reports that it accepts work, unless another worker answers at its address. The time
+// of the request is passed along, so that a later mark stays.
 func (e *Entry) checkAvailable(ctx context.Context, in instance.Instance) {
 	client := worker.NewClientOn(e.network, in.Address)
 	defer client.Close()
 	asked := time.Now()
 	st, err := client.Status(ctx)
-	if err != nil || st.Leaving || st.Draining {
+	if err != nil || st.ID != "" && st.ID != in.ID || st.Leaving || st.Draining {
 		return
 	}
 	e.log.Info().Str("worker", in.ID).Str("pool", in.Pool).Str("reason", "worker reports that it accepts work").Msg("worker is available again")
