Let a replaced worker's failures not count against the one that has its ID

Cause: the scheduler tells the workers under one ID apart by their address, but kept the results of outlier detection by ID: a new worker stayed ejected, for up to a minute between probes, because of the former one, and was ejected by requests that had been in flight there. Change: the results are dropped when the address changes, and outcomes of requests at a replaced worker are not recorded. Result: TestReplacedWorkerInheritsNoFailures failed before (the new worker was ejected) and passes. Packages dispatch, outlier and filter pass with the race detector.

--- a/dispatch/granting.go
+++ b/dispatch/granting.go
@@ -81,16 +81,19 @@
 	if r.Outcome.ran() {
 		p.recordCompletion(now.Sub(run.started), now)
 	}
-	if m.removed && m.state.InUse == 0 && p.members[m.state.ID] == m {
+	if m.removed && m.state.InUse == 0 && p.isCurrent(m) {
 		m.client.Close()
 		delete(p.members, m.state.ID)
 	}
 	s.grantFreeSlots(p)
 }
 
-// recordOutcome updates the health, load and latency state of the worker that ran the request.
+// recordOutcome updates the health, load and latency state of the worker that ran the request, unless another one has replaced it.
 func (s *Scheduler) recordOutcome(p *pool, run *running, r Result, now time.Time) {
 	m := run.member
+	if !p.isCurrent(m) {
+		return
+	}
 	var changes []outlier.StateChange
 	report := func(result outlier.Result) {
 		changes = p.outliers.Report(now, m.state.ID, run.acquisition.request.Request.ID, result)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -117,12 +117,16 @@
 	if !ok || m.address != row.Address {
 		m = &member{client: p.newClient(row.Address), address: row.Address}
 		p.members[row.ID] = m
+		p.outliers.Forget(row.ID)
 	}
 	m.removed = false
 	m.state.ID, m.state.Zone, m.state.Slots = row.ID, row.Zone, row.Slots
 	m.state.Leaving = row.State != instance.Serving || leaving
 }
 
+// isCurrent reports whether the member is still the worker with its ID: another one may have replaced it.
+func (p *pool) isCurrent(m *member) bool { return p.members[m.state.ID] == m }
+
 // refresh recomputes the usable slots after members, ejections or demand have changed.
 func (p *pool) refresh(now time.Time) {
 	p.workers = p.workers[:0]
@@ -157,7 +161,7 @@
 func (p *pool) inUseOnUnusable() int {
 	n := 0
 	for _, run := range p.running {
-		if m := run.member; !m.usable() || p.members[m.state.ID] != m {
+		if m := run.member; !m.usable() || !p.isCurrent(m) {
 			n++
 		}
 	}
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -14,6 +14,7 @@
 
 	"samphirepoint/fairqueue"
 	"samphirepoint/instance"
+	"samphirepoint/outlier"
 	"samphirepoint/placement"
 	"samphirepoint/request"
 	"samphirepoint/verdict"
@@ -327,6 +328,40 @@
 	}
 }
 
+// Guards against a worker that gets no requests because of the failures of another one, whose ID it has at another address: those before it
+// came, and those of requests that were still in flight then.
+func TestReplacedWorkerInheritsNoFailures(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness()
+	h.setFleet(fleetOf(true, 4, 8))
+	// begin begins a request at p0 and returns the function that lets it fail.
+	begin := func() func() {
+		req := h.newRequest()
+		req.Exclude = []string{"p1", "p2", "p3"}
+		r, ok := poll(h.acquire(req))
+		g.Expect(ok).To(BeTrue())
+		g.Expect(r.grant.Worker).To(Equal("p0"))
+		return func() { r.grant.Release(Result{Outcome: Failed}); h.runActions() }
+	}
+	var inFlight []func()
+	for range outlier.ConsecutiveFailures {
+		inFlight = append(inFlight, begin())
+	}
+	for range outlier.ConsecutiveFailures {
+		begin()()
+	}
+	ejected := func() bool { return h.pools["p"].members["p0"].state.Ejected }
+	g.Expect(ejected()).To(BeTrue())
+	f := fleetOf(true, 4, 8)
+	f.Pools["p"][0].Address = "127.0.0.1:2"
+	h.setFleet(f)
+	g.Expect(ejected()).To(BeFalse(), "another worker")
+	for _, failed := range inFlight {
+		failed()
+	}
+	g.Expect(ejected()).To(BeFalse(), "the requests ran at the former one")
+}
+
 // A request that cannot get a slot before its deadline must be shed on arrival, and the backlog of one backer must not
 // cause requests of another backer to be shed.
 func TestShedByOwnQueuePosition(t *testing.T) {
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -135,6 +135,14 @@
 	}
 }
 
+// Forget drops the results of a worker that another one has replaced under its ID.
+func (t *Tracker) Forget(id string) {
+	if w, ok := t.workers[id]; ok && w.ejected {
+		t.ejected--
+	}
+	delete(t.workers, id)
+}
+
 // State returns the state of a worker; an unknown worker is healthy.
 func (t *Tracker) State(id string, now time.Time) State {
 	w, ok := t.workers[id]
