Keep a worker's cordon when the worker terminates, as it may start again under its ID

A report that a worker has terminated ended its cordon. A worker that was back under its ID while it was still listed got work, although the order for its instance was open and could be executed at any moment; that would have ended the new runs.

The cordon lasts; a worker that has terminated and not answered since is only forgotten at once when it is unlisted. TestCordonOutlastsARestart failed before: a run started during a cordon of 2 s.

--- a/engine/relisted_test.go
+++ b/engine/relisted_test.go
@@ -187,3 +187,22 @@
 	w.pool.AddressReused(Target{ID: old.ID, Address: old.Address}, w.clock())
 	g.Expect(w.pool.Job(id).occurrences[0].tasks[0].live).To(BeEmpty())
 }
+
+// Guards against work that is started on a worker whose instance has an open order, because the worker terminated and started again under its
+// ID before it was unlisted.
+func TestCordonOutlastsARestart(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(1)
+	f := w.workers["i-00"]
+	empty, known := w.pool.Cordon("i-00", w.now+2*time.Second, w.clock())
+	g.Expect(empty && known).To(BeTrue())
+	f.unresponsive = true
+	w.renewLeases()
+	w.pool.ReportTerminated("i-00", f.incarnation, w.clock())
+	f.unresponsive, f.incarnation, f.startedAt = false, f.incarnation+1, w.now
+	w.pool.Submit(oneStep("00000000000000b5", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	w.run(time.Second)
+	g.Expect(f.running).To(BeEmpty())
+	w.run(2 * time.Second)
+	g.Expect(f.running).To(HaveLen(1))
+}
--- a/engine/session.go
+++ b/engine/session.go
@@ -87,6 +87,7 @@
 	if w.latest != 0 && a.Incarnation > w.latest && w.condition != nil {
 		w.condition.Restarted(c.Now)
 	}
+	w.gone = false
 	w.contacted, w.incarnation, w.latest = true, a.Incarnation, max(w.latest, a.Incarnation)
 	w.clockMS, w.clockAt = a.ClockMS, c.Now
 	w.othersUntil = c.Now + p.longestLease()
--- a/engine/terminated.go
+++ b/engine/terminated.go
@@ -93,7 +93,7 @@
 	if w.contacted {
 		p.beginSession(w, "terminated", c)
 	}
-	w.cordonedUntil = 0 // It gets no work any more: once it is unlisted, it needs no cordon.
+	w.gone = true // Once it is unlisted, it needs no cordon. Until then it may start again under its ID while the order is still open.
 	if !w.listed && len(w.runs) == 0 {
 		p.removeWorker(w.ID)
 	}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -44,6 +44,8 @@
 	unresponsive           bool
 	// reportedGone is set while the worker is reported as terminated and has neither answered nor failed to answer since.
 	reportedGone bool
+	// gone is set while the worker has terminated and has not answered since.
+	gone bool
 
 	used          Resources
 	runs          map[runID]*Run
@@ -256,7 +258,7 @@
 		}
 		w.listed = false
 		w.keepCordon(c)
-		if w.occupancy() == 0 && w.cordonedUntil <= c.Now {
+		if w.occupancy() == 0 && (w.gone || w.cordonedUntil <= c.Now) {
 			p.removeWorker(id)
 		}
 	}
