Acknowledge a worker's ends only while no start order to it is open

Callers could see a task run again after its end. The next incarnation of a worker executes what was meant for the former one. If it executed a start, and after that run's end a lease renewal that acknowledged ends of the former incarnation, it discarded the end before anybody had listed it; the owner found no trace of the run and started the task again.

A renewal that acknowledges ends is now sent only while each start order of the session is known to have reached the session's incarnation, it doesn't wait at the worker, and no start is sent until it is answered. Other renewals acknowledge nothing.

TestNoStartIsOpenWhileEndsAreAcknowledged failed before.

--- a/engine/commit.go
+++ b/engine/commit.go
@@ -147,12 +147,16 @@
 	}
 }
 
-// sendOrWithdraw sends the order of a recorded start, or drops the run if its worker no longer accepts new work.
+// sendOrWithdraw sends the order of a recorded start, or drops the run if its worker no longer accepts new work. While the worker is told to discard
+// ends, the order waits.
 func (p *Pool) sendOrWithdraw(r *Run, c Clock) {
 	if !p.schedulable(r.Worker, c) {
 		p.withdraw(r, c)
 		return
 	}
+	if r.Worker.acking {
+		return
+	}
 	r.startedAt = c.Now
 	p.sendStart(r, c)
 }
--- a/engine/ends.go
+++ b/engine/ends.go
@@ -28,9 +28,13 @@
 	if a.ClockMS > w.clockMS {
 		w.clockMS, w.clockAt = a.ClockMS, c.Now
 	}
+	if w.acking {
+		w.discardedUpTo = w.sentAck
+	}
 	p.renewals++
 	p.applyEnds(w, a.Ended, c)
 	p.applyRunning(w, a.Running, c)
+	p.endAck(w, c)
 	if len(a.Ended) >= maxEndsPerAnswer {
 		return
 	}
--- a/engine/restart_test.go
+++ b/engine/restart_test.go
@@ -265,3 +265,30 @@
 		})
 	}
 }
+
+// Guards against a task that runs again after its end as done: the next incarnation of its worker has executed the start and, after the end, a
+// renewal that acknowledges ends of the former one, so that nobody has seen the end.
+func TestNoStartIsOpenWhileEndsAreAcknowledged(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(1)
+	f := w.workers["i-00"]
+	w.pool.Submit(oneStep("00000000000000bc", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	w.run(200 * time.Millisecond)
+	w.endAll(EndDone)
+	w.renewLeases()
+	w.write()
+	o, _ := w.startOne("00000000000000bd")
+	req, _ := w.pool.NextRenewal(f.info.ID, w.clock())
+	g.Expect(req.AckedUpTo).To(BeZero(), "a start is open")
+	w.execute(o)
+	req, _ = w.pool.NextRenewal(f.info.ID, w.clock())
+	g.Expect(req.AckedUpTo).To(Equal(int64(1)))
+	w.pool.Submit(oneStep("00000000000000be", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	w.pool.Place(w.clock())
+	w.write()
+	g.Expect(w.pool.TakeOrders()).To(BeEmpty(), "the renewal is not answered")
+	w.pool.RenewalAnswered(req.To, f.answer(req, w.now), w.now, w.clock())
+	g.Expect(w.pool.TakeOrders()).To(HaveLen(1))
+	req, _ = w.pool.NextRenewal(f.info.ID, w.clock())
+	g.Expect(req.AckedUpTo).To(BeZero(), "the worker has discarded its ends")
+}
--- a/engine/session.go
+++ b/engine/session.go
@@ -44,7 +44,11 @@
 	orphans     int
 	lastEnd     int64
 	pendingAcks []pendingAck
-	ackedUpTo   int64
+	// ackedUpTo is up to which end the worker may discard its ends, discardedUpTo up to which it has been told to in an answered call.
+	ackedUpTo, discardedUpTo int64
+	// acking is set while a call is on its way that makes the worker discard its ends up to sentAck.
+	acking  bool
+	sentAck int64
 }
 
 // firstToken returns the token for a worker that this ownership has sent no orders yet, or not since the worker was forgotten.
@@ -106,6 +110,45 @@
 	p.beginSession(w, "restarted", c)
 }
 
+// beginAck returns up to which end the next renewal makes the worker discard its ends, 0 if it doesn't. soon is set if this one or the next does.
+//
+// The next incarnation may execute the renewal, and discard ends that nobody has seen. So there must be no start order that it may have executed
+// as well: none is open when the renewal is sent, and none is sent until it is answered.
+func (w *Worker) beginAck() (upTo int64, soon bool) {
+	if !w.contacted || w.unresponsive || w.ackedUpTo <= w.discardedUpTo {
+		return 0, false
+	}
+	if open, unanswered := w.openOrders(); open {
+		return 0, !unanswered
+	}
+	w.acking, w.sentAck = true, w.ackedUpTo
+	return w.ackedUpTo, true
+}
+
+// endAck ends the time without start orders, and sends those that have waited.
+func (p *Pool) endAck(w *Worker, c Clock) {
+	if !w.acking {
+		return
+	}
+	w.acking = false
+	for _, r := range w.allRuns() {
+		if r.phase == phaseDecided && r.rev <= r.Task.job().committed {
+			p.sendOrWithdraw(r, c)
+		}
+	}
+}
+
+// openOrders reports whether a start order of the session was sent for a run that the session's incarnation is not known to have, and whether
+// one of these was left unanswered.
+func (w *Worker) openOrders() (open, unanswered bool) {
+	for _, r := range w.runs {
+		if r.sentToken == w.token && r.confirmedToken != w.token {
+			open, unanswered = true, unanswered || r.outcomeUnknown
+		}
+	}
+	return open, unanswered
+}
+
 // longestLease returns the length of the longest lease that a worker grants, on this owner's clock.
 func (p *Pool) longestLease() time.Duration {
 	return time.Duration(float64(p.options.MaxLease) * maxClockRateRatio)
--- a/engine/terminated.go
+++ b/engine/terminated.go
@@ -8,6 +8,7 @@
 		return false
 	}
 	w.unresponsive = true
+	p.endAck(w, c)
 	if w.condition != nil {
 		w.condition.Silent(c.Now)
 	}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -286,7 +286,7 @@
 	To         Target
 	DeadlineMS int64
 	AckedUpTo  int64
-	// Unacknowledged is set while ends of the worker are not stored yet.
+	// Unacknowledged is set if the worker has listed ends that it is to discard by this renewal or soon.
 	Unacknowledged bool
 	// Idle is set while the worker has no runs.
 	Idle bool
@@ -304,16 +304,8 @@
 	if w == nil || !w.needsRenewal() {
 		return RenewalRequest{}, false
 	}
-	return RenewalRequest{To: w.target(), DeadlineMS: p.lease(w, c), AckedUpTo: w.ackableEnds(), Unacknowledged: len(w.pendingAcks) > 0, Idle: len(w.runs) == 0}, true
-}
-
-// ackableEnds returns up to which end the worker may discard its ends. While the worker doesn't answer it may have started again under its
-// id, with ends of its new incarnation, numbered from 1, that nobody has seen: it has to list them first.
-func (w *Worker) ackableEnds() int64 {
-	if !w.contacted || w.unresponsive {
-		return 0
-	}
-	return w.ackedUpTo
+	ack, soon := w.beginAck()
+	return RenewalRequest{To: w.target(), DeadlineMS: p.lease(w, c), AckedUpTo: ack, Unacknowledged: soon || len(w.pendingAcks) > 0, Idle: len(w.runs) == 0}, true
 }
 
 // HasRuns reports whether any run may be on a worker.
