Count a run whose start was repeated as one that the next incarnation may execute

Such a run, too, outlasts a report that its worker has terminated, and the lapse of the known lease, as long as an unanswered order may be executed.

--- a/engine/restart_test.go
+++ b/engine/restart_test.go
@@ -164,17 +164,22 @@
 }
 
 // Guards against a task that runs again elsewhere although the next incarnation of its worker, which is cut off before it has answered, has
-// executed the order: for an unanswered order, and for one whose answer shows another clock.
+// executed the order: an unanswered one, one whose answer shows another clock, and one that was repeated at the former incarnation.
 func TestUnsettledOrderMayRunOnTheNextIncarnation(t *testing.T) {
-	for _, answered := range []bool{false, true} {
-		t.Run(fmt.Sprintf("answered=%t", answered), func(t *testing.T) {
+	for _, order := range []string{"unanswered", "answered", "repeated"} {
+		t.Run(order, func(t *testing.T) {
 			g := NewWithT(t)
 			w := newTestPool(2)
 			w.run(w.pool.longestLease())
 			o, f := w.startOne("00000000000000ba")
 			former := f.incarnation
+			if order == "repeated" {
+				w.pool.StartAnswered(o, StartAnswer{Outcome: StartUnknown}, w.clock())
+				w.run(500 * time.Millisecond)
+				g.Expect(f.running).To(HaveLen(1))
+			}
 			f.restart(w.now, time.Hour)
-			f.losesAnswers = !answered
+			f.losesAnswers = order != "answered"
 			w.execute(o)
 			g.Expect(f.running).To(HaveLen(1))
 			f.lease = w.now + w.pool.options.MaxLease
--- a/engine/session.go
+++ b/engine/session.go
@@ -103,7 +103,7 @@
 func (p *Pool) restarted(w *Worker, incarnation int64, c Clock) {
 	p.recordDecision("worker-reborn", "", 0, w.ID, itoa(incarnation)+", "+w.describeLease(c))
 	for _, r := range w.allRuns() {
-		if r.confirmedToken == w.token {
+		if r.confirmedToken == w.token && !r.mayReachNext(c) {
 			p.loseRun(r, c)
 		}
 	}
@@ -173,10 +173,24 @@
 	case r.confirmedToken == 0:
 		// The order may reach a later incarnation, and so may any call that extends its lease.
 		return max(end, max(r.orderedAt, w.grantedAt)+maxCallDelay+p.longestLease()+leaseExpiryMargin)
+	case r.unansweredAt != 0:
+		return max(end, r.unansweredAt+maxCallDelay+p.longestLease()+leaseExpiryMargin)
 	}
 	return end
 }
 
+// mayReachNext reports whether the worker's next incarnation may execute a start order of the run: no incarnation is known to have the run, or
+// an order that was left unanswered, and then repeated, may still be on its way.
+func (r *Run) mayReachNext(c Clock) bool {
+	switch {
+	case r.sentToken == 0:
+		return false
+	case r.confirmedToken == 0:
+		return true
+	}
+	return r.unansweredAt != 0 && c.Now < r.unansweredAt+maxCallDelay
+}
+
 // showsSameClock reports whether a reading of the worker's clock, made between the given time and now, is one of the session's incarnation.
 func (w *Worker) showsSameClock(readingMS int64, since time.Duration, c Clock) bool {
 	reading := time.Duration(readingMS-w.clockMS) * time.Millisecond
--- a/engine/starts.go
+++ b/engine/starts.go
@@ -62,7 +62,7 @@
 		}
 		p.confirmRun(r, c)
 	case out == StartUnknown, r.attempts > 1 && out == StartNotSent:
-		r.outcomeUnknown = true
+		r.outcomeUnknown, r.unansweredAt = true, r.orderedAt
 		p.countPending(r, false)
 		p.backOff(r.Worker, c)
 		r.Worker.noteStart(out, c)
--- a/engine/terminated.go
+++ b/engine/terminated.go
@@ -74,7 +74,7 @@
 // incarnation that isn't known. Runs whose orders may reach the worker's next incarnation go on.
 func (p *Pool) WorkerTerminated(id string, incarnation int64, c Clock) {
 	if w := p.workers[id]; w != nil {
-		p.terminated(w, incarnation, func(r *Run) bool { return !r.mayReachNext() }, c)
+		p.terminated(w, incarnation, func(r *Run) bool { return !r.mayReachNext(c) }, c)
 	}
 }
 
@@ -100,12 +100,6 @@
 	}
 }
 
-// mayReachNext reports whether a start order was sent for the run and no incarnation of the worker is known to have it: the next one may execute
-// the order.
-func (r *Run) mayReachNext() bool {
-	return r.sentToken != 0 && r.confirmedToken == 0
-}
-
 // loseRun ends a run that is over without an end listed by its worker.
 func (p *Pool) loseRun(r *Run, c Clock) {
 	p.recordDecision("run-lost", r.Task.id.String(), r.Num, r.Worker.ID, "")
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -92,11 +92,13 @@
 	startedAt                 time.Duration
 	attempts                  int
 	outcomeUnknown            bool
-	stopSentAt                time.Duration
-	stopAcked                 bool
-	stopAckedAt               time.Duration
-	percent                   int64
-	load                      int64
+	// unansweredAt is when the last start order without an answer was sent, or 0.
+	unansweredAt time.Duration
+	stopSentAt   time.Duration
+	stopAcked    bool
+	stopAckedAt  time.Duration
+	percent      int64
+	load         int64
 	// throttlePercent is the last ordered throttle, throttleConfirmed whether the worker has answered that order.
 	throttlePercent   int64
 	throttleConfirmed bool
