Let workers of the stand-in start again under their IDs, with any clock

The stand-in gave each new worker another ID, another address and a clock that started at zero, so that nothing tested against it met the fault.

Change: a worker's clock starts at a reading from the fleet's seed, at times near that of the former incarnation. Restart crashes a worker, which is back at its address under its ID, with connections that were reset or stayed silent, and its entry in the list of workers follows later. A renewal that waits for an end takes its deadline once. Starts beyond a worker's room are LIMIT violations if the fleet is told the room.

--- a/standin/jobfleet/faults.go
+++ b/standin/jobfleet/faults.go
@@ -28,23 +28,12 @@
 	return false
 }
 
-// silenced delays calls to a worker that is silent until the silence ends.
-func (w *worker) silenced(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		w.fleet.mu.Lock()
-		until := w.silentUntil
-		w.fleet.mu.Unlock()
-		time.Sleep(time.Until(until))
-		h.ServeHTTP(rw, r)
-	})
-}
-
 // Silence leaves calls to the worker of an instance unanswered for the given time. They are executed at its end; the worker's tasks run on.
 func (f *Fleet) Silence(instance string, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if in := f.instances[instance]; in != nil && in.worker != nil {
-		in.worker.silentUntil = time.Now().Add(d)
+		in.worker.host.silentUntil = time.Now().Add(d)
 	}
 }
 
@@ -52,13 +41,14 @@
 const HealthPath = "/alive"
 
 // health answers a call of the health path. A failing worker is unhealthy.
-func (w *worker) health(rw http.ResponseWriter, _ *http.Request) {
+func (w *worker) health() (int, map[string]any) {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
 	w.healthAsked++
 	if w.failing {
-		rw.WriteHeader(http.StatusServiceUnavailable)
+		return http.StatusServiceUnavailable, nil
 	}
+	return http.StatusOK, nil
 }
 
 // outcome returns how the runs of the worker end.
@@ -98,9 +88,7 @@
 		return
 	}
 	old := in.worker
-	old.endDueRuns()
-	old.voidEnds()
-	old.terminate()
+	old.crash()
 	time.AfterFunc(down, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/standin/jobfleet/jobfleet.go
+++ b/standin/jobfleet/jobfleet.go
@@ -12,9 +12,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -32,11 +35,17 @@
 	// TaskDuration is the run time of each task whose specification isn't a duration itself, such as "8s". MaxLease is the longest lease that
 	// workers accept. Both must be set before the first start.
 	TaskDuration, MaxLease time.Duration
+	// MaxRunning is the number of tasks for which a worker has room. If it is set, a start beyond it is a violation. It must be set before the
+	// first start.
+	MaxRunning int
 	// CheckStart, if set, gets the job of each task that starts, and the number of tasks that each job has running on all workers, that one
 	// included. Its error is recorded as a violation. It is called while the fleet is locked, and must be set before the first start.
 	CheckStart func(job string, running map[string]int) error
 
 	mu           sync.Mutex
+	rnd          *rand.Rand
+	counts       Counts
+	hosts        []*host
 	workers      map[string]*worker
 	instances    map[string]*instance
 	incarnations int
@@ -66,9 +75,13 @@
 var Zones = []string{"z1", "z2", "z3", "z4"}
 
 // New starts a fleet with the given number of instances in each pool.
-func New(pools map[string]int) (*Fleet, error) {
+func New(pools map[string]int) (*Fleet, error) { return NewSeeded(rand.Uint64(), pools) }
+
+// NewSeeded is like New. What the fleet draws at random, such as the readings of the workers' clocks, comes from the seed.
+func NewSeeded(seed uint64, pools map[string]int) (*Fleet, error) {
 	f := &Fleet{
-		Store: memrows.New(), TaskDuration: defaultTaskDuration, MaxLease: defaultMaxLease, workers: map[string]*worker{}, instances: map[string]*instance{},
+		rnd: rand.New(rand.NewPCG(seed, 0)), Store: memrows.New(), TaskDuration: defaultTaskDuration, MaxLease: defaultMaxLease,
+		workers: map[string]*worker{}, instances: map[string]*instance{},
 		tasks: map[string]*task{}, maintenanceStarted: map[string]bool{}, endpoints: map[string]Endpoint{},
 	}
 	var err error
@@ -79,8 +92,8 @@
 		return nil, err
 	}
 	f.endpoints[f.cloudAddr] = Endpoint{Kind: EndpointInstances}
-	for pool, n := range pools {
-		for k := range n {
+	for _, pool := range slices.Sorted(maps.Keys(pools)) {
+		for k := range pools[pool] {
 			in := &instance{id: fmt.Sprintf("m-%s-%02d", pool, k), pool: pool, zone: Zones[k%len(Zones)]}
 			f.instances[in.id] = in
 			if err := f.startWorker(in); err != nil {
@@ -104,6 +117,9 @@
 	for _, l := range f.listeners {
 		_ = l.Close()
 	}
+	for _, h := range f.hosts {
+		_ = h.server.Close()
+	}
 	for _, v := range f.views {
 		v.close()
 	}
@@ -126,22 +142,33 @@
 		return nil
 	}
 	f.incarnations++
-	w := &worker{
-		fleet: f, id: fmt.Sprintf("i-%04d", f.incarnations), startedAt: time.Now(), clockRate: clockRates[f.incarnations%len(clockRates)],
-		running: map[string]*run{}, lastRun: map[string]int64{},
-	}
-	addr, err := f.serve(w.silenced(w.handler()))
+	h, err := f.newHost()
 	if err != nil {
 		return err
 	}
-	in.worker = w
-	f.workers[w.id] = w
-	f.endpoints[addr] = Endpoint{Kind: EndpointWorker, Zone: in.zone, Name: w.id}
-	entry := map[string]any{
-		"service": in.pool, "address": addr, "zone": in.zone, "state": "ready", "labels": []string{"a", "r-1"}, "born": w.startedAt.UnixMilli(),
-		"room": map[string]int{"cpu": 16000, "mem_mb": 32000}, "seq": f.incarnations,
+	id := fmt.Sprintf("i-%04d", f.incarnations)
+	f.endpoints[h.address] = Endpoint{Kind: EndpointWorker, Zone: in.zone, Name: id}
+	f.newIncarnation(in, id, h, f.drawClock(nil))
+	return f.publish(in)
+}
+
+// newIncarnation makes a new worker the one of an instance and of a host.
+func (f *Fleet) newIncarnation(in *instance, id string, h *host, clockStartMS int64) *worker {
+	w := &worker{
+		fleet: f, host: h, id: id, startedAt: time.Now(), clockStartMS: clockStartMS, clockRate: clockRates[f.rnd.IntN(len(clockRates))],
+		running: map[string]*run{}, lastRun: map[string]int64{},
 	}
-	return f.putRow("servers", w.id, entry)
+	in.worker, h.worker, f.workers[id] = w, w, w
+	return w
+}
+
+// publish writes the entry of an instance's worker to the list of workers.
+func (f *Fleet) publish(in *instance) error {
+	w := in.worker
+	return f.putRow("servers", w.id, map[string]any{
+		"service": in.pool, "address": w.host.address, "zone": in.zone, "state": "ready", "labels": []string{"a", "r-1"}, "born": w.startedAt.UnixMilli(),
+		"room": map[string]int{"cpu": 16000, "mem_mb": 32000}, "seq": 1,
+	})
 }
 
 func (f *Fleet) putRow(table, key string, value any) error {
--- a/standin/jobfleet/worker.go
+++ b/standin/jobfleet/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -34,16 +33,19 @@
 
 // worker is one incarnation of an instance's worker.
 type worker struct {
-	fleet      *Fleet
-	id         string
-	startedAt  time.Time
-	clockRate  float64
-	token      int64
-	terminated bool
-	// silentUntil is the end of the time in which calls are not answered.
-	silentUntil time.Time
-	leaseEndMS  int64
-	running     map[string]*run
+	fleet     *Fleet
+	host      *host
+	id        string
+	startedAt time.Time
+	// restarted is set if a former incarnation had the same ID.
+	restarted bool
+	// clockStartMS is the reading of the clock at the start.
+	clockStartMS int64
+	clockRate    float64
+	token        int64
+	terminated   bool
+	leaseEndMS   int64
+	running      map[string]*run
 	// lastRun is the highest run of each task that has ended here.
 	lastRun  map[string]int64
 	ended    []*endedRun
@@ -62,11 +64,15 @@
 // endedRun is a listed end. It is void if it could not be acknowledged, as the worker's lease expired or the worker terminated before: the
 // task may then run again.
 type endedRun struct {
+	worker       *worker
 	seq, run     int64
 	task, reason string
 	void         bool
 }
 
+// acked reports whether the end was acknowledged.
+func (e *endedRun) acked() bool { return e.seq <= e.worker.ackedSeq }
+
 func (e *endedRun) row() []any { return []any{e.seq, e.task, e.run, e.reason, ""} }
 
 type callRequest struct {
@@ -79,46 +85,51 @@
 	WaitMS     int64  `json:"wait_ms"`
 }
 
-func (w *worker) handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /api/run-start", w.fenced(w.start))
-	mux.HandleFunc("POST /api/run-stop", w.fenced(w.stop))
-	mux.HandleFunc("POST /api/pace", w.fenced(func(callRequest) (int, map[string]any) { return 200, w.status() }))
-	mux.HandleFunc("GET "+HealthPath, w.health)
-	mux.HandleFunc("POST /api/hold", func(rw http.ResponseWriter, r *http.Request) {
-		var c callRequest
-		_ = json.NewDecoder(r.Body).Decode(&c)
-		status, body := w.renewLease(c)
-		for end := time.Now().Add(time.Duration(c.WaitMS) * time.Millisecond); status == 200 && len(body["ended"].([][]any)) == 0 && time.Now().Before(end); {
-			time.Sleep(5 * time.Millisecond)
-			status, body = w.renewLease(c)
-		}
-		writeJSON(rw, status, body)
-	})
-	return mux
+// execute executes a call and returns the status and the body of the answer.
+func (w *worker) execute(path string, c callRequest) (int, map[string]any) {
+	switch path {
+	case "/api/run-start":
+		return w.fenced(c, w.start)
+	case "/api/run-stop":
+		return w.fenced(c, w.stop)
+	case "/api/pace":
+		return w.fenced(c, func(callRequest) (int, map[string]any) { return http.StatusOK, w.status() })
+	case "/api/hold":
+		return w.renewAndWait(c)
+	case HealthPath:
+		return w.health()
+	}
+	return http.StatusNotFound, nil
+}
+
+// renewAndWait renews the lease once, and then waits for an end as long as the call says.
+func (w *worker) renewAndWait(c callRequest) (int, map[string]any) {
+	end := time.Now().Add(time.Duration(c.WaitMS) * time.Millisecond)
+	status, body := w.fenced(c, w.renewLease)
+	c.DeadlineMS = 0
+	for status == http.StatusOK && len(body["ended"].([][]any)) == 0 && time.Now().Before(end) {
+		time.Sleep(pollInterval)
+		status, body = w.fenced(c, w.renewLease)
+	}
+	return status, body
 }
 
 func (w *worker) clockMS() int64 {
-	return int64(float64(time.Since(w.startedAt).Milliseconds()) * w.clockRate)
+	return w.clockStartMS + int64(float64(time.Since(w.startedAt).Milliseconds())*w.clockRate)
 }
 
 func (w *worker) status() map[string]any {
 	return map[string]any{"clock_ms": w.clockMS(), "born": w.startedAt.UnixMilli()}
 }
 
-// fenced decodes a call, ends the runs that are due, checks the fencing token and calls fn under the fleet's mutex.
-func (w *worker) fenced(fn func(callRequest) (int, map[string]any)) http.HandlerFunc {
-	return func(rw http.ResponseWriter, r *http.Request) {
-		var c callRequest
-		_ = json.NewDecoder(r.Body).Decode(&c)
-		w.fleet.mu.Lock()
-		status, body := w.checkToken(c)
-		if status == 0 {
-			status, body = fn(c)
-		}
-		w.fleet.mu.Unlock()
-		writeJSON(rw, status, body)
+// fenced ends the runs that are due, checks the fencing token and calls fn under the fleet's mutex.
+func (w *worker) fenced(c callRequest, fn func(callRequest) (int, map[string]any)) (int, map[string]any) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if status, body := w.checkToken(c); status != 0 {
+		return status, body
 	}
+	return fn(c)
 }
 
 func (w *worker) checkToken(c callRequest) (int, map[string]any) {
@@ -167,7 +178,7 @@
 func (w *worker) end(name string, r *run, reason string) {
 	delete(w.running, name)
 	w.lastRun[name] = max(w.lastRun[name], r.number)
-	e := &endedRun{seq: int64(len(w.ended) + 1), task: name, run: r.number, reason: reason}
+	e := &endedRun{worker: w, seq: int64(len(w.ended) + 1), task: name, run: r.number, reason: reason}
 	w.ended = append(w.ended, e)
 	if reason == reasonDone {
 		t := w.fleet.task(name)
@@ -175,6 +186,13 @@
 	}
 }
 
+// crash ends the worker. Its unacknowledged ends are lost with it.
+func (w *worker) crash() {
+	w.endDueRuns()
+	w.voidEnds()
+	w.terminate()
+}
+
 // terminate ends the worker. What it ran has no end.
 func (w *worker) terminate() {
 	w.terminated = true
@@ -190,9 +208,14 @@
 
 // extendLease extends the lease up to a time on the worker's clock. Workers shorten longer leases.
 func (w *worker) extendLease(deadlineMS int64) {
-	if deadlineMS > 0 {
-		w.leaseEndMS = max(w.leaseEndMS, min(deadlineMS, w.clockMS()+w.fleet.MaxLease.Milliseconds()))
+	if deadlineMS <= 0 {
+		return
 	}
+	longest := w.clockMS() + w.fleet.MaxLease.Milliseconds()
+	if deadlineMS > longest {
+		w.fleet.counts.ShortenedLeases++
+	}
+	w.leaseEndMS = max(w.leaseEndMS, min(deadlineMS, longest))
 }
 
 func (f *Fleet) task(name string) *task {
@@ -229,11 +252,17 @@
 	w.extendLease(c.DeadlineMS)
 	w.running[c.Task] = &run{number: c.Run, doneAtMS: w.clockMS() + w.fleet.duration(c.TaskSpec).Milliseconds()}
 	w.fleet.task(c.Task).starts++
+	if w.restarted {
+		w.fleet.counts.StartsAfterRestart++
+	}
 	return 200, w.status()
 }
 
-// checkStart checks the rule TWICE, and calls CheckStart.
+// checkStart checks the rules TWICE and LIMIT, and calls CheckStart.
 func (w *worker) checkStart(c callRequest) {
+	if limit := w.fleet.MaxRunning; limit > 0 && len(w.running) >= limit {
+		w.fleet.violate("LIMIT: %s run %d starts on %s with token %d beside %d others, it has room for %d", c.Task, c.Run, w.id, c.FenceToken, len(w.running), limit)
+	}
 	running := map[string]int{jobOf(c.Task): 1}
 	for _, other := range w.fleet.workers {
 		if other.terminated {
@@ -249,7 +278,8 @@
 	}
 	for _, e := range w.fleet.task(c.Task).doneEnds {
 		if !e.void {
-			w.fleet.violate("TWICE: %s run %d starts on %s with token %d after run %d was done", c.Task, c.Run, w.id, c.FenceToken, e.run)
+			w.fleet.violate("TWICE: %s run %d starts on %s with token %d after run %d was done on %s, end acknowledged: %t",
+				c.Task, c.Run, w.id, c.FenceToken, e.run, e.worker.id, e.acked())
 		}
 	}
 	if w.fleet.CheckStart == nil {
@@ -290,11 +320,6 @@
 }
 
 func (w *worker) renewLease(c callRequest) (int, map[string]any) {
-	w.fleet.mu.Lock()
-	defer w.fleet.mu.Unlock()
-	if status, body := w.checkToken(c); status != 0 {
-		return status, body
-	}
 	w.extendLease(c.DeadlineMS)
 	w.ackedSeq = min(max(w.ackedSeq, c.SeenUpto), int64(len(w.ended)))
 	running, ended := [][]any{}, [][]any{}
