Restart workers under their IDs in the soak, and cut them off

Cause: the soak had no fault in which a worker starts again under its ID, its tasks lasted at most 9 s, and its longest lease was 6 s where owners grant 5 s, so that a lease that lasted longer than its owner counts had little effect.

Change: four faults restart workers, alone, in series, of a whole availability zone, and while calls to them are late; most then cut the workers off for 3 to 13 s, soon after their return. -restarts makes half of the faults such ones. Workers grant up to 10 s, as on the platform, and long tasks last 12 to 15 s. Each run counts what was played.

--- a/command/soak.go
+++ b/command/soak.go
@@ -24,6 +24,7 @@
 	daemons, callers int
 	dir              string
 	splits, caps     bool
+	restarts         bool
 }
 
 func (*soakCommand) Name() string { return "soak" }
@@ -44,6 +45,7 @@
 	f.IntVar(&c.daemons, "daemons", 0, "number of daemons; 0 is the usual number")
 	f.IntVar(&c.callers, "callers", 0, "number of callers; 0 is the usual number")
 	f.BoolVar(&c.splits, "splits", false, "make half of the faults partitions of the network")
+	f.BoolVar(&c.restarts, "restarts", false, "make half of the faults restarts of workers under their IDs, most of which are then cut off")
 	f.BoolVar(&c.caps, "caps", false, "give the workspaces caps and check them")
 	f.StringVar(&c.dir, "dir", "", "directory for settings and logs; a new temporary one if empty")
 }
@@ -80,7 +82,9 @@
 	if err != nil {
 		return false, err
 	}
-	result, err := soak.Run(ctx, soak.Options{Seed: seed, Duration: c.duration, Program: program, Dir: dir, Daemons: c.daemons, Callers: c.callers, Splits: c.splits, Caps: c.caps})
+	result, err := soak.Run(ctx, soak.Options{
+		Seed: seed, Duration: c.duration, Program: program, Dir: dir, Daemons: c.daemons, Callers: c.callers, Splits: c.splits, Restarts: c.restarts, Caps: c.caps,
+	})
 	if err != nil {
 		return false, err
 	}
@@ -88,6 +92,11 @@
 		seed, result.Accepted, result.Refused, result.Cancelled, result.Uncertain, result.Completed, len(result.Violations), dir)
 	fmt.Printf("  keys: added %d, withdrawn %d (last of a workspace %d); answers checked: withdrawn key %d, new key %d, no such key %d\n",
 		result.Keys.Added, result.Keys.Withdrawn, result.Keys.LastWithdrawn, result.Keys.RevokedAnswers, result.Keys.NewKeyAnswers, result.Keys.InvalidAnswers)
+	w := result.Workers
+	fmt.Printf("  workers: restarted %d, runs lost by it %d, starts after it %d; cut off %d, runs behind cuts %d\n",
+		w.Restarts, w.RunsLost, w.StartsAfterRestart, w.CutOff, w.RunsCutOff)
+	fmt.Printf("  calls to workers: late %d, executed by a later incarnation %d, with a deadline beyond the longest lease %d\n",
+		w.LateCalls, w.CallsOfFormer, w.ShortenedLeases)
 	for _, name := range slices.Sorted(maps.Keys(result.Faults)) {
 		fmt.Printf("  %s: %d\n", name, result.Faults[name])
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -42,8 +42,8 @@
 	// cancelShare is the share of jobs that are cancelled, one of so many; askShare that of jobs whose state is asked for.
 	cancelShare = 10
 	askShare    = 2
-	// longShare is the share of jobs, one of so many, whose tasks last for up to longestTask.
-	longShare = 6
+	// longShare is the share of jobs, one of so many, whose tasks last from shortestLongTask to longestTask.
+	longShare = 8
 )
 
 func copyBody(w io.Writer, r io.Reader) (int64, error) { return io.Copy(w, io.LimitReader(r, 1<<20)) }
@@ -108,7 +108,7 @@
 	if r.intN(longShare) > 0 {
 		return "x"
 	}
-	return r.between(longestTask/2, longestTask).String()
+	return r.between(shortestLongTask, longestTask).String()
 }
 
 // neverSent reports whether the error shows that no request has reached the daemon.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -18,8 +18,10 @@
 const (
 	// faultInterval bounds the time between the starts of two faults, which overlap.
 	faultInterval = 2500 * time.Millisecond
-	// splitInterval takes its place in runs with many splits, in which little work would begin otherwise.
-	splitInterval = 7 * time.Second
+	// splitInterval takes its place in runs with many splits, and restartInterval in those with many restarts of workers. Little work would
+	// begin otherwise.
+	splitInterval   = 7 * time.Second
+	restartInterval = 4 * time.Second
 	// configInterval bounds the time between two changes of the configuration, and applyBound the time until one is in force.
 	configInterval = 6 * time.Second
 	applyBound     = 2 * time.Second
@@ -71,20 +73,21 @@
 	{"split", (*run).split},
 	{"withdrawal behind a cut", (*run).withdrawDuringCut},
 	{"withdrawal behind a pause", (*run).withdrawDuringPause},
+	restartOfWorker, restartsInSeries, restartsOfZone, lateCallsAndRestart,
 }
 
 // injectFaults begins faults until ctx ends, and waits for their ends.
 func (r *run) injectFaults(ctx context.Context) {
 	var g errgroup.Group
 	interval := faultInterval
-	if r.options.Splits {
+	switch {
+	case r.options.Splits:
 		interval = splitInterval
+	case r.options.Restarts:
+		interval = restartInterval
 	}
 	for sleep.Context(ctx, r.between(0, interval)) == nil {
-		f := faults[r.intN(len(faults))]
-		if r.options.Splits && r.intN(2) == 0 {
-			f = splitFaults[r.intN(len(splitFaults))]
-		}
+		f := r.drawFault()
 		r.mu.Lock()
 		r.result.Faults[f.name]++
 		r.mu.Unlock()
@@ -93,6 +96,21 @@
 	_ = g.Wait()
 }
 
+// drawFault returns a fault of any kind, in half of the cases one of those that the options ask for.
+func (r *run) drawFault() fault {
+	var preferred []fault
+	if r.options.Splits {
+		preferred = append(preferred, splitFaults...)
+	}
+	if r.options.Restarts {
+		preferred = append(preferred, restartFaults...)
+	}
+	if len(preferred) > 0 && r.intN(2) == 0 {
+		return preferred[r.intN(len(preferred))]
+	}
+	return faults[r.intN(len(faults))]
+}
+
 func (r *run) anyDaemon() *process { return r.daemons[r.intN(len(r.daemons))] }
 
 func (r *run) anyInstance() string {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,11 +31,14 @@
 	startTime = 20 * time.Second
 	// workersPerPool is the number of workers of each pool.
 	workersPerPool = 6
-	// taskDuration is the run time of most tasks, longestTask that of the longest.
-	taskDuration = 300 * time.Millisecond
-	longestTask  = 9 * time.Second
+	// taskDuration is the run time of most tasks. Long ones outlast the longest lease.
+	taskDuration     = 300 * time.Millisecond
+	shortestLongTask = 12 * time.Second
+	longestTask      = 15 * time.Second
 	// maxLease is the longest lease that workers accept.
-	maxLease = 6 * time.Second
+	maxLease = 10 * time.Second
+	// workerCPU is the capacity of a worker of the stand-in, in thousandths of a core.
+	workerCPU = 16_000
 )
 
 // Options configures a run. Zero values select the defaults.
@@ -51,6 +54,8 @@
 	Daemons, Callers int
 	// Splits makes half of the faults partitions of the network.
 	Splits bool
+	// Restarts makes half of the faults restarts of workers under their IDs.
+	Restarts bool
 	// Caps gives the workspaces caps, and checks them.
 	Caps bool
 }
@@ -61,6 +66,7 @@
 	// Faults counts the injected faults by name.
 	Faults     map[string]int
 	Keys       KeyChecks
+	Workers    WorkerFaults
 	Violations []string
 }
 
@@ -83,7 +89,7 @@
 	jobs   []*job
 	// storeDisturbed is until when the store counts as disturbed.
 	storeDisturbed time.Time
-	splits         splits
+	partitions     partitions
 }
 
 var pools = []string{"pumps", "routes"}
@@ -104,6 +110,7 @@
 	r.play(ctx)
 	r.checkJobs()
 	r.stopDaemons()
+	r.result.Workers.Counts = r.fleet.Counts()
 	broken, _ := r.fleet.Violations()
 	for _, v := range broken {
 		r.violate("workers: %s", v)
@@ -123,11 +130,11 @@
 	for _, p := range pools {
 		sizes[p] = workersPerPool
 	}
-	fleet, err := jobfleet.New(sizes)
+	fleet, err := jobfleet.NewSeeded(o.Seed, sizes)
 	if err != nil {
 		return nil, err
 	}
-	fleet.TaskDuration, fleet.MaxLease = taskDuration, maxLease
+	fleet.TaskDuration, fleet.MaxLease, fleet.MaxRunning = taskDuration, maxLease, int(workerCPU/taskNeed.CPU)
 	r := &run{
 		options: o, fleet: fleet, workspaces: newWorkspaces(), rnd: rand.New(rand.NewPCG(o.Seed, 1)), result: Result{Faults: map[string]int{}},
 	}
--- a/soak/splits.go
+++ b/soak/splits.go
@@ -22,8 +22,8 @@
 	{"split, daemon restarted behind it", (*run).splitAndRestart},
 }
 
-// splits are the partitions of the network that are in force.
-type splits struct {
+// partitions are the partitions of the network that are in force.
+type partitions struct {
 	next   int
 	active map[int]jobfleet.Partition
 }
@@ -34,29 +34,36 @@
 		daemon.disturb(d + settleTime)
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	if until := time.Now().Add(d); until.After(r.storeDisturbed) {
 		r.storeDisturbed = until
 	}
-	if r.splits.active == nil {
-		r.splits.active = map[int]jobfleet.Partition{}
+	r.mu.Unlock()
+	return r.beginPartition(p)
+}
+
+// beginPartition puts a partition in force that callers need not allow for. It returns the function that ends it.
+func (r *run) beginPartition(p jobfleet.Partition) (end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.partitions.active == nil {
+		r.partitions.active = map[int]jobfleet.Partition{}
 	}
-	r.splits.next++
-	id := r.splits.next
-	r.splits.active[id] = p
-	r.applySplits()
+	r.partitions.next++
+	id := r.partitions.next
+	r.partitions.active[id] = p
+	r.applyPartitions()
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		delete(r.splits.active, id)
-		r.applySplits()
+		delete(r.partitions.active, id)
+		r.applyPartitions()
 	}
 }
 
-// applySplits puts the union of all partitions in force. The caller must hold mu.
-func (r *run) applySplits() {
+// applyPartitions puts the union of all partitions in force. The caller must hold mu.
+func (r *run) applyPartitions() {
 	var all []jobfleet.Partition
-	for _, p := range r.splits.active {
+	for _, p := range r.partitions.active {
 		all = append(all, p)
 	}
 	if len(all) == 0 {
@@ -77,8 +84,8 @@
 func (r *run) heal() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	clear(r.splits.active)
-	r.applySplits()
+	clear(r.partitions.active)
+	r.applyPartitions()
 }
 
 // endpointGroup is what is on one side of a partition as a whole: the daemons or the workers of an availability zone, the store, or the
