Delay a share of the calls to workers of a zone, and end connections to a former incarnation

A call on a connection that was open when a dark outage began was executed by the next incarnation, which has no part in connections of the former one.

Change: DelayCalls takes the share of calls that are late, and the soak applies it to an availability zone. Connections that were open when a dark outage began are reset at its end; those that are opened meanwhile are served by the next incarnation.

--- a/soak/restarts.go
+++ b/soak/restarts.go
@@ -27,6 +27,9 @@
 	// shortestCut and longestCut bound the length of such a cut. Some outlast the longest lease, some end before the lease that the owner granted.
 	shortestCut = 3 * time.Second
 	longestCut  = maxLease + 3*time.Second
+	// longestWindow bounds the time for which calls to a worker are late, and longestDelay the delays of these calls.
+	longestWindow = 3 * time.Second
+	longestDelay  = 6 * time.Second
 	// mostRestarts is the most restarts of a worker in series.
 	mostRestarts = 4
 )
@@ -35,7 +38,7 @@
 	restartOfWorker     = fault{"worker restarted, cut off", (*run).restartWorker}
 	restartsInSeries    = fault{"worker restarted in series, cut off", (*run).restartInSeries}
 	restartsOfZone      = fault{"workers of a zone restarted, cut off", (*run).restartZone}
-	lateCallsAndRestart = fault{"late calls, worker restarted, cut off", (*run).delayCallsAndRestart}
+	lateCallsAndRestart = fault{"late calls, workers restarted, cut off", (*run).delayCallsAndRestart}
 )
 
 // restartFaults are the faults in which workers start again under their IDs.
@@ -62,18 +65,25 @@
 
 // restartZone restarts all workers of an availability zone, at times twice, and cuts them off soon after.
 func (r *run) restartZone(ctx context.Context) {
-	instances := r.fleet.InstancesIn(jobfleet.Zones[r.intN(len(jobfleet.Zones))])
+	instances := r.instancesOfAnyZone()
 	for range 1 + r.intN(2) {
 		r.restartWorkers(ctx, instances)
 		r.cutOff(ctx, instances)
 	}
 }
 
-// delayCallsAndRestart leaves calls to a worker unanswered, which are executed seconds later, and restarts the worker meanwhile.
+func (r *run) instancesOfAnyZone() []string {
+	return r.fleet.InstancesIn(jobfleet.Zones[r.intN(len(jobfleet.Zones))])
+}
+
+// delayCallsAndRestart leaves some calls to the workers of an availability zone unanswered, which are executed seconds later, and restarts
+// the workers meanwhile.
 func (r *run) delayCallsAndRestart(ctx context.Context) {
-	instances := []string{r.anyInstance()}
-	window := r.between(300*time.Millisecond, 2*time.Second)
-	r.fleet.DelayCalls(instances[0], jobfleet.LateCalls{Window: window, Least: 200 * time.Millisecond, Most: 6 * time.Second})
+	instances := r.instancesOfAnyZone()
+	window := r.between(longestWindow/4, longestWindow)
+	for _, in := range instances {
+		r.fleet.DelayCalls(in, jobfleet.LateCalls{Window: window, Least: 0, Most: longestDelay, OneOf: 1 + r.intN(4)})
+	}
 	_ = sleep.Context(ctx, r.between(0, window))
 	r.restartWorkers(ctx, instances)
 	if r.intN(2) == 0 {
--- a/standin/jobfleet/host.go
+++ b/standin/jobfleet/host.go
@@ -1,6 +1,7 @@
 package jobfleet
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -24,7 +25,7 @@
 	outageNone outage = iota
 	// outageReset means that connections are reset.
 	outageReset
-	// outageDark means that connections stay open and nothing is answered on them.
+	// outageDark means that connections stay open and nothing is answered on them. Those opened meanwhile work once the host is up.
 	outageDark
 )
 
@@ -38,13 +39,18 @@
 	// The fleet's mutex guards what follows.
 	worker *worker
 	outage outage
-	conns  map[net.Conn]bool
+	// conns holds the open connections, with true for those that were open when a dark outage began. No later incarnation gets anything
+	// that is sent on them.
+	conns map[net.Conn]bool
 	// silentUntil is the end of the time in which calls are neither executed nor answered.
 	silentUntil time.Time
 	// late says which calls are executed late.
 	late LateCalls
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
 // newHost starts a host without a worker.
 func (f *Fleet) newHost() (*host, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -52,7 +58,10 @@
 		return nil, err
 	}
 	h := &host{fleet: f, address: l.Addr().String(), conns: map[net.Conn]bool{}}
-	h.server = &http.Server{Handler: h, ConnState: h.track}
+	h.server = &http.Server{
+		Handler: h, ConnState: h.track,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+	}
 	f.hosts = append(f.hosts, h)
 	go func() { _ = h.server.Serve(l) }() // It returns at Close.
 	return h, nil
@@ -64,7 +73,7 @@
 	defer h.fleet.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		h.conns[c] = true
+		h.conns[c] = false
 		if h.outage == outageReset {
 			network.Reset(c)
 		}
@@ -76,14 +85,32 @@
 // fail begins an outage. The caller must hold the fleet's mutex.
 func (h *host) fail(o outage) {
 	h.outage = o
-	if o != outageReset {
-		return
-	}
 	for c := range h.conns {
-		network.Reset(c)
+		if o == outageReset {
+			network.Reset(c)
+		}
+		h.conns[c] = true
 	}
 }
 
+// restore ends an outage. The caller must hold the fleet's mutex.
+func (h *host) restore() {
+	h.outage = outageNone
+	for c, former := range h.conns {
+		if former {
+			network.Reset(c)
+		}
+	}
+}
+
+// isFormer reports whether a request came on a connection to a former incarnation.
+func (h *host) isFormer(r *http.Request) bool {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	return h.conns[c]
+}
+
 // ServeHTTP implements http.Handler.
 func (h *host) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxCallBytes))
@@ -92,6 +119,9 @@
 	}
 	var c callRequest
 	_ = json.Unmarshal(data, &c) // A call of the health path has no body.
+	if h.isFormer(r) {
+		abandon(r)
+	}
 	receiver, delay := h.receive()
 	if delay > 0 {
 		c.WaitMS = 0
@@ -118,7 +148,7 @@
 func (h *host) receive() (*worker, time.Duration) {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
-	if time.Now().After(h.late.until) {
+	if time.Now().After(h.late.until) || h.fleet.rnd.IntN(max(1, h.late.OneOf)) > 0 {
 		return h.worker, 0
 	}
 	h.fleet.counts.LateCalls++
--- a/standin/jobfleet/restart.go
+++ b/standin/jobfleet/restart.go
@@ -11,8 +11,8 @@
 	Down, EntryDelay time.Duration
 	// Clock is the reading of the next incarnation's clock at its start. If it is 0, a reading is drawn.
 	Clock time.Duration
-	// Dark leaves connections silent while the worker is down. Calls that arrive meanwhile are executed by the next incarnation. Otherwise
-	// connections are reset.
+	// Dark leaves connections silent while the worker is down. Calls on connections that are opened meanwhile are executed by the next
+	// incarnation. Otherwise connections are reset.
 	Dark bool
 }
 
@@ -20,6 +20,8 @@
 type LateCalls struct {
 	// Window is the time in which these calls arrive; Least and Most bound their delays, which differ, so that they overtake each other.
 	Window, Least, Most time.Duration
+	// OneOf is the share of calls that are late, one of so many.
+	OneOf int
 
 	until time.Time
 }
@@ -75,7 +77,7 @@
 func (f *Fleet) startAgain(in *instance, old *worker, r Restart) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	old.host.outage = outageNone
+	old.host.restore()
 	if in.worker != old {
 		return // An order for the instance came first.
 	}
--- a/standin/jobfleet/restart_test.go
+++ b/standin/jobfleet/restart_test.go
@@ -73,7 +73,7 @@
 	g := NewWithT(t)
 	f, instance, address := startFleet(t)
 	start := map[string]any{"task": "a.0.0.0", "run": 1, "deadline_ms": post(address, "/api/hold", nil, time.Second).ClockMS + 5000, "fence_token": 7}
-	f.DelayCalls(instance, LateCalls{Window: time.Second, Least: 500 * time.Millisecond, Most: 600 * time.Millisecond})
+	f.DelayCalls(instance, LateCalls{Window: time.Second, Least: 500 * time.Millisecond, Most: 600 * time.Millisecond, OneOf: 1})
 	g.Expect(post(address, "/api/run-start", start, 100*time.Millisecond).status).To(BeZero())
 	f.Restart(instance, Restart{Down: 100 * time.Millisecond, Clock: time.Millisecond})
 	running := func() int { _, n := f.Worker(instance); return n }
