End a soak run when its jobs have ended, and allow for tasks that wait for room

Other runs waited 44 s for nothing.

Change: the time without faults is a task longer and ends, after finish_s, once all accepted jobs are done and nothing of a cancelled one runs. The longer tests of the package run beside each other.

--- a/soak/process.go
+++ b/soak/process.go
@@ -105,9 +105,9 @@
 	}
 	p.settings = filepath.Join(p.dir, p.name+".yaml")
 	text := fmt.Sprintf("node: %s\nzone: %s\nip: 127.0.0.1\nlisten: {front: \"127.0.0.1:%d\", ready: \"127.0.0.1:%d\"}\nport_range: [%d, %d]\n"+
-		"platform: {address: %q}\ncloud: {address: %q}\nbounds: {grace_s: %d, hold_max_ms: %d, status_s: 120, lease_ms: 3000, finish_s: 14,\n"+
+		"platform: {address: %q}\ncloud: {address: %q}\nbounds: {grace_s: %d, hold_max_ms: %d, status_s: 120, lease_ms: 3000, finish_s: %d,\n"+
 		"  strict_revoke: true, revoke_ms: %d, apply_ms: %d, quota_overage: %g}\n",
-		p.name, p.zone, p.port, p.port+1, p.port+peerPort, p.port+3, p.store.Address(), p.instances.Address(), int(graceTime.Seconds()), p.maxLease.Milliseconds(),
+		p.name, p.zone, p.port, p.port+1, p.port+peerPort, p.port+3, p.store.Address(), p.instances.Address(), int(graceTime.Seconds()), p.maxLease.Milliseconds(), int(finishTime.Seconds()),
 		revokeTime.Milliseconds(), applyTime.Milliseconds(), quotaOverage)
 	return os.WriteFile(p.settings, []byte(text), 0o600)
 }
--- a/soak/restarts_test.go
+++ b/soak/restarts_test.go
@@ -13,6 +13,7 @@
 // Guards against a lease that ends later than its owner counts: all workers start again under their IDs, with clocks that read far less than
 // before, and are started on at once; those of one availability zone are then cut off for longer than the lease that the owner counts, and run on.
 func TestTasksRunOnceOnRestartedWorkers(t *testing.T) {
+	t.Parallel()
 	for name, dark := range map[string]bool{"connections are reset": false, "connections stay silent": true} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -24,9 +24,11 @@
 	// defaultDaemons and defaultCallers are the usual size of a run.
 	defaultDaemons = 5
 	defaultCallers = 8
-	// calmTime is the time without faults at the end, after which all accepted jobs must have ended. It covers a job of two
-	// steps whose tasks last longer than the longest lease.
-	calmTime = 14*time.Second + 2*longestTask
+	// finishTime is the bound finish_s of the settings.
+	finishTime = 14 * time.Second
+	// calmTime is the time without faults at the end, after which all accepted jobs must have ended. It covers a job of two steps whose tasks
+	// last longest, and that wait for the end of such a task.
+	calmTime = finishTime + 3*longestTask
 	// startTime is how long the daemons may take until they serve.
 	startTime = 20 * time.Second
 	// workersPerPool is the number of workers of each pool.
@@ -164,7 +166,27 @@
 	g.Go(func() error { r.probeKeys(faulty); return nil })
 	_ = g.Wait()
 	r.endFaults()
-	_ = sleep.Context(ctx, calmTime)
+	r.awaitEnds(ctx)
+}
+
+// awaitEnds waits until all jobs have ended, for finishTime at least and calmTime at most.
+func (r *run) awaitEnds(ctx context.Context) {
+	began := time.Now()
+	_ = sleep.Context(ctx, finishTime)
+	for time.Since(began) < calmTime && ctx.Err() == nil && r.anyUnfinished() {
+		_ = sleep.Context(ctx, 100*time.Millisecond)
+	}
+}
+
+// anyUnfinished reports whether an accepted job is not done, or a task of a cancelled one runs.
+func (r *run) anyUnfinished() bool {
+	r.mu.Lock()
+	jobs := slices.Clone(r.jobs)
+	r.mu.Unlock()
+	return slices.ContainsFunc(jobs, func(j *job) bool {
+		_, done, running := r.fleet.Job(j.id)
+		return j.outcome == accepted && done < j.tasks || j.outcome == cancelled && running > 0
+	})
 }
 
 func (r *run) violate(format string, args ...any) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,6 +35,7 @@
 // Guards against promises that hold in simulations and are broken by the real processes: work lost, run twice or run although it was
 // refused, false states, cut answers, configurations that revert, and withdrawn keys that are accepted.
 func TestPromisesUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	program, err := os.Executable()
 	g.Expect(err).NotTo(HaveOccurred())
