Say in TWICE violations when the other run started, and by which incarnation's call

Cause: a violation named the other run and its worker, which didn't tell a lease that lasted too long from an order for a former incarnation.

Change: violations give the times of the start, of the listed end and of its acknowledgement, and say if a former incarnation had received the call.

--- a/standin/jobfleet/host.go
+++ b/standin/jobfleet/host.go
@@ -162,7 +162,7 @@
 			time.Sleep(pollInterval)
 		}
 	}
-	if executor != receiver {
+	if c.former = executor != receiver; c.former {
 		h.fleet.count(func(c *Counts) { c.CallsOfFormer++ })
 	}
 	status, body = executor.execute(path, c)
--- a/standin/jobfleet/worker.go
+++ b/standin/jobfleet/worker.go
@@ -15,6 +15,9 @@
 
 func asConflict(err error, target **rows.Conflict) bool { return errors.As(err, target) }
 
+// logTime is the format of times in violations.
+const logTime = "15:04:05.000"
+
 const (
 	// defaultTaskDuration is the run time of each task unless Fleet.TaskDuration is changed.
 	defaultTaskDuration = 60 * time.Millisecond
@@ -57,6 +60,8 @@
 
 type run struct {
 	number int64
+	// start describes the start: when it was, and whether a former incarnation had received the call.
+	start string
 	// doneAtMS is when the run ends as done, on the worker's clock.
 	doneAtMS int64
 }
@@ -68,10 +73,13 @@
 	seq, run     int64
 	task, reason string
 	void         bool
+	// start, at and ack describe when the run started, when its end was listed, and when that was acknowledged.
+	start, at, ack string
 }
 
-// acked reports whether the end was acknowledged.
-func (e *endedRun) acked() bool { return e.seq <= e.worker.ackedSeq }
+func (e *endedRun) String() string {
+	return fmt.Sprintf("run %d, started on %s at %s, listed as %s at %s, acknowledged: %s", e.run, e.worker.id, e.start, e.reason, e.at, cmp.Or(e.ack, "no"))
+}
 
 func (e *endedRun) row() []any { return []any{e.seq, e.task, e.run, e.reason, ""} }
 
@@ -83,6 +91,17 @@
 	FenceToken int64  `json:"fence_token"`
 	SeenUpto   int64  `json:"seen_upto"`
 	WaitMS     int64  `json:"wait_ms"`
+	// former is set if a former incarnation of the worker had received the call.
+	former bool
+}
+
+// describe says when the call is executed, which is now, and whether a former incarnation had received it.
+func (c callRequest) describe() string {
+	now := time.Now().Format(logTime)
+	if c.former {
+		return now + " by a call to a former incarnation"
+	}
+	return now
 }
 
 // execute executes a call and returns the status and the body of the answer.
@@ -178,7 +197,7 @@
 func (w *worker) end(name string, r *run, reason string) {
 	delete(w.running, name)
 	w.lastRun[name] = max(w.lastRun[name], r.number)
-	e := &endedRun{worker: w, seq: int64(len(w.ended) + 1), task: name, run: r.number, reason: reason}
+	e := &endedRun{worker: w, seq: int64(len(w.ended) + 1), task: name, run: r.number, reason: reason, start: r.start, at: time.Now().Format(logTime)}
 	w.ended = append(w.ended, e)
 	if reason == reasonDone {
 		t := w.fleet.task(name)
@@ -250,7 +269,7 @@
 	}
 	w.checkStart(c)
 	w.extendLease(c.DeadlineMS)
-	w.running[c.Task] = &run{number: c.Run, doneAtMS: w.clockMS() + w.fleet.duration(c.TaskSpec).Milliseconds()}
+	w.running[c.Task] = &run{number: c.Run, start: c.describe(), doneAtMS: w.clockMS() + w.fleet.duration(c.TaskSpec).Milliseconds()}
 	w.fleet.task(c.Task).starts++
 	if w.restarted {
 		w.fleet.counts.StartsAfterRestart++
@@ -273,13 +292,13 @@
 			running[jobOf(task)]++
 		}
 		if r := other.running[c.Task]; r != nil {
-			w.fleet.violate("TWICE: %s run %d starts on %s with token %d while run %d is on %s with token %d", c.Task, c.Run, w.id, c.FenceToken, r.number, other.id, other.token)
+			w.fleet.violate("TWICE: %s run %d starts on %s with token %d while run %d is on %s with token %d, started at %s",
+				c.Task, c.Run, w.id, c.FenceToken, r.number, other.id, other.token, r.start)
 		}
 	}
 	for _, e := range w.fleet.task(c.Task).doneEnds {
 		if !e.void {
-			w.fleet.violate("TWICE: %s run %d starts on %s with token %d after run %d was done on %s, end acknowledged: %t",
-				c.Task, c.Run, w.id, c.FenceToken, e.run, e.worker.id, e.acked())
+			w.fleet.violate("TWICE: %s run %d starts on %s with token %d after %v", c.Task, c.Run, w.id, c.FenceToken, e)
 		}
 	}
 	if w.fleet.CheckStart == nil {
@@ -297,7 +316,7 @@
 }
 
 func (f *Fleet) violate(format string, args ...any) {
-	f.violations = append(f.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+	f.violations = append(f.violations, time.Now().Format(logTime)+" "+fmt.Sprintf(format, args...))
 }
 
 // rejection returns why a start has no effect, or "".
@@ -321,7 +340,10 @@
 
 func (w *worker) renewLease(c callRequest) (int, map[string]any) {
 	w.extendLease(c.DeadlineMS)
-	w.ackedSeq = min(max(w.ackedSeq, c.SeenUpto), int64(len(w.ended)))
+	for w.ackedSeq < min(c.SeenUpto, int64(len(w.ended))) {
+		w.ended[w.ackedSeq].ack = c.describe()
+		w.ackedSeq++
+	}
 	running, ended := [][]any{}, [][]any{}
 	for task, r := range w.running {
 		running = append(running, []any{task, r.number, "", 100, 0})
