Add a failing test: a repeated start is executed by the next incarnation

An owner repeats a start that has no answer after 250 ms. If the repeated order is answered, Pool.runEnd takes the run for one of that incarnation only, though the first order may yet be executed by the next one, whose lease is not counted.

Change: a test in which half of the calls to the workers of a zone are late, and the workers start again behind a cut, or in reach.

--- a/soak/restarts.go
+++ b/soak/restarts.go
@@ -105,6 +105,13 @@
 	if sleep.Context(ctx, r.between(shortestWayToCut, longestWayToCut)) != nil {
 		return
 	}
+	end := r.cut(instances)
+	_ = sleep.Context(ctx, r.between(shortestCut, longestCut))
+	end()
+}
+
+// cut begins a partition between workers and all daemons. It returns the function that ends it.
+func (r *run) cut(instances []string) (end func()) {
 	cut, runs := map[string]bool{}, 0
 	for _, in := range instances {
 		if id, running := r.fleet.Worker(in); id != "" {
@@ -112,13 +119,11 @@
 			runs += running
 		}
 	}
-	end := r.beginPartition(func(from, to jobfleet.Endpoint) bool { return isWorker(from, cut) || isWorker(to, cut) })
 	r.mu.Lock()
 	r.result.Workers.CutOff += len(cut)
 	r.result.Workers.RunsCutOff += runs
 	r.mu.Unlock()
-	_ = sleep.Context(ctx, r.between(shortestCut, longestCut))
-	end()
+	return r.beginPartition(func(from, to jobfleet.Endpoint) bool { return isWorker(from, cut) || isWorker(to, cut) })
 }
 
 func isWorker(e jobfleet.Endpoint, ids map[string]bool) bool {
--- a/soak/restarts_test.go
+++ b/soak/restarts_test.go
@@ -46,6 +46,41 @@
 	}
 }
 
+// Guards against a repeated start whose first order is executed by the next incarnation, after the owner has taken the run for over: half of
+// the calls to the workers of an availability zone are late, and the workers start again, behind a cut or in reach.
+func TestLateStartsRunOnceOnRestartedWorkers(t *testing.T) {
+	t.Parallel()
+	for name, s := range map[string]struct {
+		least, most, down time.Duration
+		cut               bool
+	}{
+		"behind a cut": {least: 4 * time.Second, most: longestDelay, down: longestDown, cut: true},
+		"in reach":     {least: time.Second, most: 2 * time.Second, down: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			r := startSplitRun(t, g, 3)
+			zone := r.fleet.InstancesIn(jobfleet.Zones[0])
+			for _, in := range zone {
+				r.fleet.DelayCalls(in, jobfleet.LateCalls{Window: startTime, Least: s.least, Most: s.most, OneOf: 2})
+			}
+			r.submitLongTasks(g)
+			if s.cut {
+				defer r.cut(zone)()
+			}
+			for _, in := range zone {
+				r.fleet.DelayCalls(in, jobfleet.LateCalls{})
+				g.Expect(r.fleet.Restart(in, jobfleet.Restart{Down: s.down, Clock: time.Minute})).To(BeTrue())
+			}
+			time.Sleep(maxLease + 4*time.Second)
+			g.Expect(r.fleet.Counts().CallsOfFormer).To(BeNumerically(">", 0))
+			broken, _ := r.fleet.Violations()
+			g.Expect(broken).To(BeEmpty(), "logs in %s", r.options.Dir)
+		})
+	}
+}
+
 // Guards against promises that hold while workers get a new ID with each start, and are broken when they start again under the one that they
 // had, in series and with calls that are executed late.
 func TestPromisesWhileWorkersRestart(t *testing.T) {
