--- a/soak/soak.go
+++ b/soak/soak.go
@@ -24,18 +24,23 @@
 	// defaultDaemons and defaultCallers are the usual size of a run.
 	defaultDaemons = 5
 	defaultCallers = 8
-	// calmTime is the time without faults at the end, after which all accepted jobs must have ended. It covers a job of two
-	// steps whose tasks last longer than the longest lease.
-	calmTime = 14*time.Second + 2*longestTask
+	// finishTime is the bound finish_s of the settings.
+	finishTime = 14 * time.Second
+	// calmTime is the time without faults at the end, after which all accepted jobs must have ended. It covers a job of two steps whose tasks
+	// last longest, and that wait for the end of such a task.
+	calmTime = finishTime + 3*longestTask
 	// startTime is how long the daemons may take until they serve.
 	startTime = 20 * time.Second
 	// workersPerPool is the number of workers of each pool.
 	workersPerPool = 6
-	// taskDuration is the run time of most tasks, longestTask that of the longest.
-	taskDuration = 300 * time.Millisecond
-	longestTask  = 9 * time.Second
+	// taskDuration is the run time of most tasks. Long ones outlast the longest lease.
+	taskDuration     = 300 * time.Millisecond
+	shortestLongTask = 12 * time.Second
+	longestTask      = 15 * time.Second
 	// maxLease is the longest lease that workers accept.
-	maxLease = 6 * time.Second
+	maxLease = 10 * time.Second
+	// workerCPU is the capacity of a worker of the stand-in, in thousandths of a core.
+	workerCPU = 16_000
 )
 
 // Options configures a run. Zero values select the defaults.
@@ -51,6 +56,8 @@
 	Daemons, Callers int
 	// Splits makes half of the faults partitions of the network.
 	Splits bool
+	// Restarts makes half of the faults restarts of workers under their IDs.
+	Restarts bool
 	// Caps gives the workspaces caps, and checks them.
 	Caps bool
 }
@@ -61,6 +68,7 @@
 	// Faults counts the injected faults by name.
 	Faults     map[string]int
 	Keys       KeyChecks
+	Workers    WorkerFaults
 	Violations []string
 }
 
@@ -83,7 +91,7 @@
 	jobs   []*job
 	// storeDisturbed is until when the store counts as disturbed.
 	storeDisturbed time.Time
-	splits         splits
+	partitions     partitions
 }
 
 var pools = []string{"pumps", "routes"}
@@ -104,6 +112,7 @@
 	r.play(ctx)
 	r.checkJobs()
 	r.stopDaemons()
+	r.result.Workers.Counts = r.fleet.Counts()
 	broken, _ := r.fleet.Violations()
 	for _, v := range broken {
 		r.violate("workers: %s", v)
@@ -123,11 +132,11 @@
 	for _, p := range pools {
 		sizes[p] = workersPerPool
 	}
-	fleet, err := jobfleet.New(sizes)
+	fleet, err := jobfleet.NewSeeded(o.Seed, sizes)
 	if err != nil {
 		return nil, err
 	}
-	fleet.TaskDuration, fleet.MaxLease = taskDuration, maxLease
+	fleet.TaskDuration, fleet.MaxLease, fleet.MaxRunning = taskDuration, maxLease, int(workerCPU/taskNeed.CPU)
 	r := &run{
 		options: o, fleet: fleet, workspaces: newWorkspaces(), rnd: rand.New(rand.NewPCG(o.Seed, 1)), result: Result{Faults: map[string]int{}},
 	}
@@ -157,7 +166,27 @@
 	g.Go(func() error { r.probeKeys(faulty); return nil })
 	_ = g.Wait()
 	r.endFaults()
-	_ = sleep.Context(ctx, calmTime)
+	r.awaitEnds(ctx)
+}
+
+// awaitEnds waits until all jobs have ended, for finishTime at least and calmTime at most.
+func (r *run) awaitEnds(ctx context.Context) {
+	began := time.Now()
+	_ = sleep.Context(ctx, finishTime)
+	for time.Since(began) < calmTime && ctx.Err() == nil && r.anyUnfinished() {
+		_ = sleep.Context(ctx, 100*time.Millisecond)
+	}
+}
+
+// anyUnfinished reports whether an accepted job is not done, or a task of a cancelled one runs.
+func (r *run) anyUnfinished() bool {
+	r.mu.Lock()
+	jobs := slices.Clone(r.jobs)
+	r.mu.Unlock()
+	return slices.ContainsFunc(jobs, func(j *job) bool {
+		_, done, running := r.fleet.Job(j.id)
+		return j.outcome == accepted && done < j.tasks || j.outcome == cancelled && running > 0
+	})
 }
 
 func (r *run) violate(format string, args ...any) {
