Send no queued start to a worker that may be gone, and drop its run

Starts wait in the owner's queue. When their turn came, they were sent to a worker that had been reported as terminated, had not answered or was listed as another incarnation meanwhile; orders of a former session were dropped, but their runs were kept as ones whose order might be executed. 300 starts of one crashed worker held up the pool for 22 s.

A start is sent only to a worker that gets new work; the run of one that was never sent is dropped. Repeated starts wait for such a worker as well. An ownership ends when half of its tokens are used, so that a burst can't reach those of its successor. TestQueuedStartIsNotSentToAWorkerThatMayBeGone failed before.

--- a/engine/session.go
+++ b/engine/session.go
@@ -60,8 +60,8 @@
 	return p.Token + p.sessions
 }
 
-// TokensUsedUp reports whether this ownership has no more fencing tokens.
-func (p *Pool) TokensUsedUp() bool { return p.sessions >= TokensPerTerm-1 }
+// TokensUsedUp reports whether this ownership is to end for want of fencing tokens. The rest is for what happens until it does.
+func (p *Pool) TokensUsedUp() bool { return p.sessions >= TokensPerTerm/2 }
 
 // Supersedes reports whether this owner has replaced the token of a call itself, so that the call's rejection says nothing of other owners.
 func (p *Pool) Supersedes(to Target) bool {
--- a/engine/starts.go
+++ b/engine/starts.go
@@ -108,19 +108,20 @@
 	r.stopAckedAt = c.Now
 }
 
-// AwaitsStart reports whether the run of a start order still waits for its worker's answer, so that the order is to be sent. If the
-// worker accepts no new work any more, the run is withdrawn, or stopped if an earlier order for it may be executed.
+// AwaitsStart reports whether the run of a start order still waits for its worker's answer, and the order is sent now. A run none of whose orders
+// was sent is dropped; if an earlier order for it may be executed, it is stopped.
 func (p *Pool) AwaitsStart(o Order, c Clock) bool {
 	r := p.findRun(o)
 	switch {
-	case r == nil || r.phase != phaseStarting || r.Worker.token != o.Worker.Token:
+	case r == nil || r.phase != phaseStarting:
 		return false
-	case r.Worker.acceptsWork(c) && p.rosterCurrent(c):
+	case r.Worker.token == o.Worker.Token && p.schedulable(r.Worker, c):
+		r.orderedAt, r.Worker.grantedAt = c.Now, c.Now
 		return true
-	case r.attempts > 1:
-		p.stop(r, c)
-	default:
+	case r.attempts == 1:
 		p.withdraw(r, c)
+	case r.Worker.token == o.Worker.Token:
+		p.stop(r, c)
 	}
 	return false
 }
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -373,7 +373,7 @@
 		switch {
 		case !r.Worker.acceptsWork(c):
 			p.stop(r, c)
-		case p.rosterCurrent(c):
+		case p.schedulable(r.Worker, c):
 			p.sendStart(r, c)
 		}
 	case r.phase == phaseStopping && !r.stopAcked && c.Now-r.stopSentAt > p.options.OrderRetryDelay:
