Compare a worker's clock with a reading from when it was asked for, not from when its answer was handled

An answer that was handled over half a second late, by an owner that was paused or had much to do, made the next start answer look like another clock. The owner then took the worker for restarted, withdrew starts and gave it no work until it had answered again.

TestAnswerHandledLateShowsNoOtherClock failed before: a new session with the same incarnation.

--- a/engine/ends.go
+++ b/engine/ends.go
@@ -21,12 +21,12 @@
 		p.restarted(w, a.Incarnation, c)
 		return
 	case !w.contacted:
-		p.contact(w, a, c)
+		p.contact(w, a, sentAt, c)
 	}
 	p.placementNeeded = p.placementNeeded || w.unresponsive
 	w.unresponsive, w.reportedGone, w.lastContact = false, false, c.Now
 	if a.ClockMS > w.clockMS {
-		w.clockMS, w.clockAt = a.ClockMS, c.Now
+		w.clockMS, w.clockAt, w.clockSince = a.ClockMS, c.Now, sentAt
 	}
 	if w.acking {
 		w.discardedUpTo = w.sentAck
--- a/engine/session.go
+++ b/engine/session.go
@@ -35,6 +35,8 @@
 	// clockMS is the last known reading of the worker's clock, which starts anew at any value with each incarnation.
 	clockMS int64
 	clockAt time.Duration
+	// clockSince is a time before which the clock had not that reading.
+	clockSince time.Duration
 	// deadlineMS is the latest lease deadline that was sent, on the worker's clock.
 	deadlineMS int64
 	// othersUntil is until when leases may be in force that calls with lower tokens have granted.
@@ -87,13 +89,13 @@
 }
 
 // contact records the first answer of a session.
-func (p *Pool) contact(w *Worker, a RenewalReply, c Clock) {
+func (p *Pool) contact(w *Worker, a RenewalReply, sentAt time.Duration, c Clock) {
 	if w.latest != 0 && a.Incarnation > w.latest && w.condition != nil {
 		w.condition.Restarted(c.Now)
 	}
 	w.gone = false
 	w.contacted, w.incarnation, w.latest = true, a.Incarnation, max(w.latest, a.Incarnation)
-	w.clockMS, w.clockAt = a.ClockMS, c.Now
+	w.clockMS, w.clockAt, w.clockSince = a.ClockMS, c.Now, sentAt
 	w.othersUntil = c.Now + p.longestLease()
 	p.recordDecision("worker-reached", "", 0, w.ID, w.describeLease(c))
 	p.placementNeeded = true
@@ -179,8 +181,8 @@
 	return end
 }
 
-// mayReachNext reports whether the worker's next incarnation may execute a start order of the run: no incarnation is known to have the run, or
-// an order that was left unanswered, and then repeated, may still be on its way.
+// mayReachNext reports whether the worker's next incarnation may have a start order of the run: no incarnation is known to have the run, or an
+// order that was left unanswered, and then repeated, may still be on its way.
 func (r *Run) mayReachNext(c Clock) bool {
 	switch {
 	case r.sentToken == 0:
@@ -195,7 +197,7 @@
 func (w *Worker) showsSameClock(readingMS int64, since time.Duration, c Clock) bool {
 	reading := time.Duration(readingMS-w.clockMS) * time.Millisecond
 	earliest := time.Duration(float64(since-w.clockAt) / maxClockRateRatio)
-	return reading > earliest-clockTolerance && reading < c.Now-w.clockAt+clockTolerance
+	return reading > earliest-clockTolerance && reading < c.Now-w.clockSince+clockTolerance
 }
 
 // describeLease says which incarnation this owner takes the worker for, and until when its leases are in force.
--- a/engine/session_test.go
+++ b/engine/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -27,3 +28,20 @@
 		})
 	}
 }
+
+// Guards against a worker that is taken for restarted, and gets no work for a while, since its answer was handled late.
+func TestAnswerHandledLateShowsNoOtherClock(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(1)
+	f := w.workers["i-00"]
+	req, _ := w.pool.NextRenewal("i-00", w.clock())
+	sent := w.now
+	w.now += time.Second
+	a := f.answer(req, w.now)
+	w.now += time.Second
+	w.pool.RenewalAnswered(req.To, a, sent, w.clock())
+	w.pool.Submit(oneStep("00000000000000c4", Step{Count: 1, Need: Resources{CPU: 1000}}), w.clock())
+	w.place()
+	g.Expect(f.startsTotal).To(Equal(1))
+	g.Expect(w.pool.workers["i-00"].token).To(Equal(req.To.Token))
+}
