Allow for later incarnations with inherited orders, and release orders once a worker has been absent

A successor took the runs of a worker that was reported as terminated for over at once. The former owner may not have known that the worker had started again and had executed its order: the task ran twice. By the lapse of leases it allowed 1 s for such orders; a superseded owner starts work for up to 2 s.

On the other hand a start without an answer on a worker that crashed for good kept its task for 22 s, as the next incarnation might have executed the order.

Both are kept until the worker has been on no instance for 2 s and another 2.5 s have passed since the order, or since the claim: then no later incarnation has got it. TestReportOfAFormerIncarnationEndsNoLaterRuns expected a successor to drop the run at once; it now asks for that report, and for the run being kept before. TestCrashedWorkerReleasesItsStarts and TestInheritedStartMayRunOnTheNextIncarnation failed before.

--- a/engine/relisted_test.go
+++ b/engine/relisted_test.go
@@ -140,6 +140,11 @@
 			w.pool.ReportTerminated("i-00", former, w.clock())
 			g.Expect(live()).To(Equal(1))
 			w.pool.ReportTerminated("i-00", former+1, w.clock())
+			if successor {
+				g.Expect(live()).To(Equal(1), "the former owner may not have known of another incarnation that has its order")
+				w.now += absenceDelay + time.Millisecond
+				w.pool.ReportAbsent("i-00", former+1, w.clock())
+			}
 			g.Expect(live()).To(BeZero())
 		})
 	}
--- a/engine/session.go
+++ b/engine/session.go
@@ -16,6 +16,11 @@
 	leaseExpiryMargin = 100 * time.Millisecond
 	// maxCallDelay bounds how long after it was sent an unanswered call may be executed.
 	maxCallDelay = 12 * time.Second
+	// supersededOrders is how long after its claim an owner allows for orders of former owners, which may not know of the claim yet.
+	supersededOrders = 2 * time.Second
+	// absenceDelay bounds the time from the list of instances that lacks a worker until its owner hears of it, and the time of a call. Orders sent
+	// before have found no later incarnation.
+	absenceDelay = 2500 * time.Millisecond
 	// clockTolerance is the deviation of a worker's clock from the expected reading up to which it counts as the same clock.
 	clockTolerance = 500 * time.Millisecond
 )
@@ -170,8 +175,9 @@
 		end = max(end, w.leaseEnd())
 	}
 	switch {
-	case r.sentToken == 0: // ordered by a former owner
-		return max(end, p.leasesFrom+p.longestLease()+time.Second)
+	case r.sentToken == 0:
+		// A former owner has ordered it, perhaps without knowing the worker's present incarnation.
+		return max(end, p.leasesFrom+supersededOrders+p.longestLease()+leaseExpiryMargin)
 	case r.confirmedToken == 0:
 		// The order may reach a later incarnation, and so may any call that extends its lease.
 		return max(end, max(r.orderedAt, w.grantedAt)+maxCallDelay+p.longestLease()+leaseExpiryMargin)
@@ -185,7 +191,7 @@
 // order that was left unanswered, and then repeated, may still be on its way.
 func (r *Run) mayReachNext(c Clock) bool {
 	switch {
-	case r.sentToken == 0:
+	case r.phase == phaseDecided:
 		return false
 	case r.confirmedToken == 0:
 		return true
--- a/engine/session_test.go
+++ b/engine/session_test.go
@@ -1,12 +1,68 @@
 package engine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 )
 
+// Guards against tasks that wait for half a minute since their worker has crashed for good before its owner had an answer to their start, as the
+// next incarnation of the worker might have executed the order.
+func TestCrashedWorkerReleasesItsStarts(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("sent=%t", sent), func(t *testing.T) {
+			g := NewWithT(t)
+			w := newTestPool(2)
+			w.run(w.pool.longestLease())
+			o, f := w.startOne("00000000000000c1")
+			f.unresponsive = true
+			if sent {
+				w.pool.StartAnswered(o, StartAnswer{Outcome: StartUnknown}, w.clock())
+			}
+			w.run(100 * time.Millisecond)
+			w.pool.ReportTerminated(f.info.ID, f.incarnation, w.clock())
+			delete(w.workers, f.info.ID)
+			w.updateRoster()
+			g.Expect(w.pool.AwaitsStart(o, w.clock())).To(BeFalse())
+			for end := w.now + 3*time.Second; w.now < end; {
+				w.run(50 * time.Millisecond)
+				w.pool.ReportAbsent(f.info.ID, f.incarnation, w.clock())
+			}
+			g.Expect(w.countRuns(o.Task.String())).To(Equal(1))
+		})
+	}
+}
+
+// Guards against a second run of a task that a former owner has started: its order was executed by the next incarnation of the worker, which
+// is cut off from the present owner, while a report says that the former incarnation has terminated.
+func TestInheritedStartMayRunOnTheNextIncarnation(t *testing.T) {
+	for _, reported := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reported=%t", reported), func(t *testing.T) {
+			g := NewWithT(t)
+			w := newTestPool(2)
+			w.run(time.Second)
+			o, f := w.startOne("00000000000000c2")
+			former := f.incarnation
+			w.successor()
+			f.restart(w.now, 0)
+			f.unresponsive = true
+			w.run(1500 * time.Millisecond)
+			f.running[runKey(o.Task, o.Run)], f.lease = &fakeRun{order: o}, w.now+w.pool.options.MaxLease
+			if reported {
+				w.pool.ReportTerminated(f.info.ID, former, w.clock())
+			}
+			for end := w.now + 20*time.Second; w.now < end; {
+				w.run(50 * time.Millisecond)
+				g.Expect(w.countRuns(o.Task.String())).To(BeNumerically("<=", 1))
+			}
+			g.Expect(w.countRuns(o.Task.String())).To(Equal(1))
+			g.Expect(f.running).To(BeEmpty(), "it runs elsewhere")
+		})
+	}
+}
+
 // Guards against starts that wait in the owner's queue and are sent to a worker that has been reported as terminated, doesn't answer or has
 // started again meanwhile, and against runs that are kept for them.
 func TestQueuedStartIsNotSentToAWorkerThatMayBeGone(t *testing.T) {
--- a/engine/terminated.go
+++ b/engine/terminated.go
@@ -33,11 +33,11 @@
 	}
 }
 
-// ReportAbsent handles a report that an incarnation of a worker has been on no instance for some time: one that has never answered this owner
-// has terminated.
+// ReportAbsent handles a report that an incarnation of a worker has been on no instance for some time: one that has not answered in this session
+// has terminated, and no later one has got the orders that were sent before.
 func (p *Pool) ReportAbsent(id string, incarnation int64, c Clock) {
 	if w := p.workers[id]; w != nil && !w.contacted {
-		p.WorkerTerminated(id, incarnation, c)
+		p.terminated(w, incarnation, func(r *Run) bool { return !r.mayReachNext(c) || c.Now-max(r.orderedAt, p.leasesFrom) > absenceDelay }, c)
 	}
 }
 
