Drop a test of the cluster simulation that two others guard

TestTasksRunOnceOnARestartedWorkerThatIsCutOff had the shape of soak's TestTasksRunOnceOnRestartedWorkers, which plays it with real processes, and of engine's TestClockOfARestartedWorkerDoesNotTellItsAge.

--- a/cluster/simplatform_test.go
+++ b/cluster/simplatform_test.go
@@ -98,14 +98,6 @@
 	ackedUpTo     int64
 	// changed is closed at the next end.
 	changed chan struct{}
-	// lastRenewal is the last lease renewal with a deadline.
-	lastRenewal sentRenewal
-}
-
-// sentRenewal is a lease renewal with its destination.
-type sentRenewal struct {
-	to engine.Target
-	owner.LeaseRenewal
 }
 
 // listedInfo returns the worker's entry in the list of workers. The caller must hold mu.
--- a/cluster/simworkers_test.go
+++ b/cluster/simworkers_test.go
@@ -86,9 +86,6 @@
 		return engine.RenewalReply{}, err
 	}
 	w.extendLease(renewal.DeadlineMS)
-	if renewal.DeadlineMS > 0 {
-		w.lastRenewal = sentRenewal{to: to, LeaseRenewal: renewal}
-	}
 	p.acknowledge(w, renewal.AckedUpTo)
 	if renewal.Wait > 0 && int64(len(w.ended)) == w.ackedUpTo {
 		changed := w.changed
--- a/cluster/superseded_test.go
+++ b/cluster/superseded_test.go
@@ -34,16 +34,10 @@
 	settings.Options, settings.Log, settings.Now = engine.DefaultOptions(), zerolog.Nop(), func() time.Duration { return time.Since(x.began) }
 	o := owner.New(x.ctx, settings)
 	go func() { _ = o.Run() }()
-	x.setRoster(g, o)
-	return o
-}
-
-// setRoster gives an owner the present list of workers.
-func (x *ownersOfOnePool) setRoster(g *WithT, o *owner.Owner) {
-	access := &simAccess{simPlatform: x.simPlatform}
 	list, err := access.Workers(x.ctx, 0)
 	g.Expect(err).NotTo(HaveOccurred())
 	o.SetRoster(list["pumps"])
+	return o
 }
 
 // lastingJob is a job whose runs go on until they are stopped, so that each task is at work all the time.
