Join the loops of the tests of restarted workers

Four tests stepped through the time after a restart with the same checks. They call expectOneRun; the assertions are the same.

--- a/engine/restart_test.go
+++ b/engine/restart_test.go
@@ -23,6 +23,16 @@
 	w.pool.RenewalAnswered(req.To, a, w.now, w.clock())
 }
 
+// expectOneRun advances the time by d and expects the task of an order to run on one worker at most all the while, and on another than f at its end.
+func (w *testPool) expectOneRun(g *WithT, o Order, f *fakeWorker, d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.run(50 * time.Millisecond)
+		g.Expect(w.countRuns(o.Task.String())).To(BeNumerically("<=", 1), "%s after the restart", w.now-f.startedAt)
+	}
+	g.Expect(w.countRuns(o.Task.String())).To(Equal(1))
+	g.Expect(f.running).To(BeEmpty(), "it runs elsewhere")
+}
+
 // Guards against a second run of a task when a repeated start order is rejected while the first one is still in flight:
 // only a stop order prevents the first one from being executed.
 func TestRejectedRetryIsStopped(t *testing.T) {
@@ -134,12 +144,7 @@
 			w.execute(o)
 			w.run(100 * time.Millisecond)
 			f.unresponsive = true
-			for end := w.now + 30*time.Second; w.now < end; {
-				w.run(50 * time.Millisecond)
-				g.Expect(w.countRuns(o.Task.String())).To(BeNumerically("<=", 1), "%s after the restart", w.now-f.startedAt)
-			}
-			g.Expect(w.countRuns(o.Task.String())).To(Equal(1))
-			g.Expect(f.running).To(BeEmpty(), "it runs elsewhere")
+			w.expectOneRun(g, o, f, 30*time.Second)
 		})
 	}
 }
@@ -186,12 +191,7 @@
 			f.unresponsive = true
 			w.run(50 * time.Millisecond)
 			w.pool.ReportTerminated(f.info.ID, former, w.clock())
-			for end := w.now + 30*time.Second; w.now < end; {
-				w.run(50 * time.Millisecond)
-				g.Expect(w.countRuns(o.Task.String())).To(BeNumerically("<=", 1), "%s after the restart", w.now-f.startedAt)
-			}
-			g.Expect(w.countRuns(o.Task.String())).To(Equal(1))
-			g.Expect(f.running).To(BeEmpty(), "it runs elsewhere")
+			w.expectOneRun(g, o, f, 30*time.Second)
 		})
 	}
 }
@@ -261,12 +261,7 @@
 			o, f := w.startOne("00000000000000b4")
 			w.execute(o)
 			f.unresponsive = true
-			for end := f.lease + 2*time.Second; w.now < end; {
-				w.run(50 * time.Millisecond)
-				g.Expect(w.countRuns(o.Task.String())).To(BeNumerically("<=", 1), "%s after the restart", w.now-f.startedAt)
-			}
-			g.Expect(f.running).To(BeEmpty())
-			g.Expect(w.countRuns(o.Task.String())).To(Equal(1), "it runs elsewhere")
+			w.expectOneRun(g, o, f, f.lease-w.now+2*time.Second)
 		})
 	}
 }
--- a/engine/session_test.go
+++ b/engine/session_test.go
@@ -53,12 +53,7 @@
 			if reported {
 				w.pool.ReportTerminated(f.info.ID, former, w.clock())
 			}
-			for end := w.now + 20*time.Second; w.now < end; {
-				w.run(50 * time.Millisecond)
-				g.Expect(w.countRuns(o.Task.String())).To(BeNumerically("<=", 1))
-			}
-			g.Expect(w.countRuns(o.Task.String())).To(Equal(1))
-			g.Expect(f.running).To(BeEmpty(), "it runs elsewhere")
+			w.expectOneRun(g, o, f, 20*time.Second)
 		})
 	}
 }
