--- a/engine/session.go
+++ b/engine/session.go
@@ -40,7 +40,7 @@
 	// clockMS is the last known reading of the worker's clock, which starts anew at any value with each incarnation.
 	clockMS int64
 	clockAt time.Duration
-	// clockSince is a time before which the clock had not that reading.
+	// clockSince is when the call was sent whose answer had that reading.
 	clockSince time.Duration
 	// deadlineMS is the latest lease deadline that was sent, on the worker's clock.
 	deadlineMS int64
