Release inherited runs of an absent worker from the claim on, not from when all daemons know of it

Its worker had crashed for good, and its owners, one after the other, were told so three times a second. They kept the inherited run until 2.5 s after the time from which former owners can't renew leases for not knowing of the claim, and that time moves while daemons are replaced. Former owners may renew leases so long, but start nothing after the claim.

The time of the claim counts. TestInheritedRunOfACrashedWorkerIsReleased failed before. worker-gone is logged once, not with each report.

--- a/engine/session_test.go
+++ b/engine/session_test.go
@@ -96,3 +96,20 @@
 	g.Expect(f.startsTotal).To(Equal(1))
 	g.Expect(w.pool.workers["i-00"].token).To(Equal(req.To.Token))
 }
+
+// Guards against an inherited run of a worker that has crashed for good, which is kept while former owners may not know of the present one: they
+// may renew leases, but start nothing.
+func TestInheritedRunOfACrashedWorkerIsReleased(t *testing.T) {
+	g := NewWithT(t)
+	w := newTestPool(2)
+	o, f := w.startOne("00000000000000c5")
+	w.successor()
+	delete(w.workers, f.info.ID)
+	w.updateRoster()
+	for end := w.now + 3*time.Second; w.now < end; {
+		w.run(50 * time.Millisecond)
+		w.pool.AwaitLeasesFrom(w.now)
+		w.pool.ReportAbsent(f.info.ID, f.incarnation, w.clock())
+	}
+	g.Expect(w.countRuns(o.Task.String())).To(Equal(1))
+}
--- a/engine/terminated.go
+++ b/engine/terminated.go
@@ -1,5 +1,7 @@
 package engine
 
+import "slices"
+
 // RenewalFailed marks a worker that did not answer a lease renewal as unresponsive, or as terminated if it is reported to be.
 // It reports whether the worker was responsive before.
 func (p *Pool) RenewalFailed(id string, c Clock) bool {
@@ -37,7 +39,7 @@
 // has terminated, and no later one has got the orders that were sent before.
 func (p *Pool) ReportAbsent(id string, incarnation int64, c Clock) {
 	if w := p.workers[id]; w != nil && !w.contacted {
-		p.terminated(w, incarnation, func(r *Run) bool { return !r.mayReachNext(c) || c.Now-max(r.orderedAt, p.leasesFrom) > absenceDelay }, c)
+		p.terminated(w, incarnation, func(r *Run) bool { return !r.mayReachNext(c) || c.Now-max(r.orderedAt, p.acquiredAt) > absenceDelay }, c)
 	}
 }
 
@@ -83,13 +85,12 @@
 	if w.startedAfter(incarnation) {
 		return
 	}
-	if w.contacted || len(w.runs) > 0 {
+	ended := slices.DeleteFunc(w.allRuns(), func(r *Run) bool { return !over(r) })
+	if w.contacted || len(ended) > 0 {
 		p.recordDecision("worker-gone", "", 0, w.ID, "") // once: an entry of another writer may name an address again and again
 	}
-	for _, r := range w.allRuns() {
-		if over(r) {
-			p.loseRun(r, c)
-		}
+	for _, r := range ended {
+		p.loseRun(r, c)
 	}
 	if w.contacted {
 		p.beginSession(w, "terminated", c)
