--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -20,6 +20,7 @@
 	"late":   {9, 1, playLate},
 	"tenant": {4, 1, playTenant},
 	"moved":  {4, 2, playMoved},
+	"twice":  {9, 1, playCrashTwice},
 }
 
 // load is what the callers hand in: jobs of 4 tasks, each on so much CPU for so long, from 8 callers with a pause between two jobs.
@@ -111,6 +112,38 @@
 	return nil
 }
 
+// playCrashTwice lets workers leave half of their orders unanswered for 3 s and carry them out 2 to 12 s later. One of them crashes at the end of that time
+// and is back after 0.5 s, and crashes again 3 s later. Only orders to its first life are late.
+func playCrashTwice(x *world, trouble bool) error {
+	if err := x.serve(); err != nil {
+		return err
+	}
+	wg := x.callers(85*time.Second, load{cpu: 3500, task: "850ms", pause: 250 * time.Millisecond})
+	for n := range 3 {
+		time.Sleep(3 * time.Second)
+		if trouble {
+			x.record.note("half of the orders are late")
+			x.mu.Lock()
+			for _, h := range x.hosts {
+				h.lateUntil = time.Now().Add(3 * time.Second)
+			}
+			x.mu.Unlock()
+		}
+		time.Sleep(3 * time.Second)
+		if trouble {
+			x.hosts[n].crash(refusing, 500*time.Millisecond)
+		}
+		time.Sleep(3500 * time.Millisecond)
+		if trouble {
+			x.hosts[n].crash(refusing, crashTime)
+		}
+		time.Sleep(15 * time.Second)
+	}
+	wg.Wait()
+	time.Sleep(5 * time.Second)
+	return nil
+}
+
 // tenants are those of the cases with two of them.
 var tenants = []map[string]any{
 	{"name": "cooperative", "api_keys": []string{"key-a"}, "weight": 1},
--- a/review/standin2/host.go
+++ b/review/standin2/host.go
@@ -35,6 +35,7 @@
 	worker  *worker
 	outage  outage
 	seq     int
+	lives   int
 	beatAt  time.Time // the last heartbeat
 	heldUp  []func(w *worker)
 	// lateUntil is the end of the time in which half of the orders get no answer and are carried out late.
@@ -73,7 +74,8 @@
 
 // begin begins a life of the worker under the host's id. The caller must hold world.mu.
 func (h *host) begin() {
-	h.worker = &worker{world: h.world, id: h.id, born: time.Now(), running: map[string]*run{}, lastRun: map[string]int64{}}
+	h.lives++
+	h.worker = &worker{world: h.world, id: h.id, life: h.lives, born: time.Now(), running: map[string]*run{}, lastRun: map[string]int64{}}
 	h.world.workers = append(h.world.workers, h.worker)
 	h.outage = up
 	for c, former := range h.conns {
@@ -165,6 +167,7 @@
 		late = 2*time.Second + time.Duration(rand.IntN(10_000))*time.Millisecond
 	}
 	h.world.mu.Unlock()
+	c.life = receiver.life
 	if lost {
 		abandon(r)
 	}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -16,6 +16,7 @@
 type worker struct {
 	world  *world
 	id     string
+	life   int // the number of the worker's life, from 1
 	born   time.Time
 	token  int64
 	leased int64 // the end of the lease on the worker's clock, or 0
@@ -49,9 +50,10 @@
 	FenceToken int64  `json:"fence_token"`
 	SeenUpto   int64  `json:"seen_upto"`
 	WaitMS     int64  `json:"wait_ms"`
-	// sent is when the call arrived, and held is set if it is carried out late.
+	// sent is when the call arrived, held is set if it is carried out late, and life is the life of the worker that it reached.
 	sent time.Time
 	held bool
+	life int
 }
 
 func (w *worker) clock() int64 { return time.Since(w.born).Milliseconds() }
@@ -159,7 +161,7 @@
 	}
 	how := ""
 	if c.held {
-		how = fmt.Sprintf(", by a call of %.3f s before", time.Since(c.sent).Seconds())
+		how = fmt.Sprintf(", in life %d by a call of %.3f s before, to life %d", w.life, time.Since(c.sent).Seconds(), c.life)
 	}
 	w.world.record.note("%s starts %s run %d (%s), token %d%s", w.id, c.Task, c.Run, c.TaskSpec, c.FenceToken, how)
 	w.judge(c)
@@ -180,12 +182,14 @@
 	for _, other := range w.world.workers {
 		other.advance()
 		if r := other.running[c.Task]; r != nil && !other.down {
-			w.world.record.violate("TWICE: %s run %d starts on %s while run %d of it is at work on %s", c.Task, c.Run, w.id, r.number, other.id)
+			w.world.record.violate("TWICE: %s run %d starts in life %d of %s, by an order to life %d, while run %d of it is at work on %s",
+				c.Task, c.Run, w.life, w.id, c.life, r.number, other.id)
 		}
 	}
 	for _, e := range w.world.done[c.Task] {
 		if e.noted && !e.void {
-			w.world.record.violate("TWICE: %s run %d starts on %s after run %d of it has ended done on %s, which was taken note of", c.Task, c.Run, w.id, e.run, e.where)
+			w.world.record.violate("TWICE: %s run %d starts in life %d of %s, by an order to life %d, after run %d of it has ended done on %s, which was taken note of",
+				c.Task, c.Run, w.life, w.id, c.life, e.run, e.where)
 		}
 	}
 }
