review: send the jobs of case 11 at even intervals

Now the jobs come at even intervals, and decide_ms is 40, so that the usual traffic needs five sixths of the adviser's time.

--- a/review/standin3/advice.go
+++ b/review/standin3/advice.go
@@ -16,7 +16,8 @@
 	tasksPerStep  = 6
 	taskCPU       = 3500
 	taskLength    = 850 * time.Millisecond
-	secondStep    = 0.6
+	// stepsOfFive of five jobs have a second step, so that they have 1.6 on average.
+	stepsOfFive = 3
 	// The burst has the dose of the site file: x = 2.6 for 4 s.
 	burstFactor = 2.6
 	burstAt     = 8 * time.Second
@@ -31,13 +32,13 @@
 )
 
 const adviceConfig = `{"version":1,"routes":[{"name":"r-1","host":"pumps.example","path_prefix":"/pumps/","kind":"non_idempotent","timeout_ms":3000,` +
-	`"target_latency_ms":600,"priority":0,"service":"pumps","attempts":4,"stretch":1.6,"advice":{"decide_ms":35,"each_ms":5,"valid_ms":3000}}],` +
+	`"target_latency_ms":600,"priority":0,"service":"pumps","attempts":4,"stretch":1.6,"advice":{"decide_ms":40,"each_ms":5,"valid_ms":3000}}],` +
 	`"services":[{"name":"pumps","enforces_capacity":false,"spare":false}],"limits":{"max_body_bytes":262144}}`
 
 // advice plays a burst of jobs of a queue with advice, and then looks for accepted jobs that are never started. Without trouble the traffic goes on
 // at its usual rate.
 func advice(s *system, trouble bool) (broken []string, err error) {
-	s.adviser = &adviser{sys: s, decide: 35 * time.Millisecond, each: 5 * time.Millisecond, validity: 3 * time.Second, tickets: map[string]issued{}}
+	s.adviser = &adviser{sys: s, decide: 40 * time.Millisecond, each: 5 * time.Millisecond, validity: 3 * time.Second, tickets: map[string]issued{}}
 	for n := range 9 {
 		s.workers = append(s.workers, s.newWorker(n, "pumps"))
 	}
@@ -55,17 +56,21 @@
 	return s.findIdle(), nil
 }
 
-// sendTraffic sends jobs and returns once all have been answered.
+// sendTraffic sends jobs at even intervals and returns once all have been answered.
 func (s *system) sendTraffic(rnd *rand.Rand, trouble bool) {
 	var sent sync.WaitGroup
 	began := time.Now()
-	for at := time.Duration(0); at < trafficTime; {
+	n := 0
+	for at := time.Duration(0); at < trafficTime; n++ {
 		rate := jobsPerSecond
 		if trouble && at >= burstAt && at < burstAt+burstLength {
 			rate *= burstFactor
 		}
-		at += time.Duration(rnd.ExpFloat64() / rate * float64(time.Second))
+		at += time.Duration(float64(time.Second) / rate)
 		j := newJob(rnd)
+		if n%5 < stepsOfFive {
+			j.addStep()
+		}
 		first := rnd.IntN(len(s.daemons))
 		time.Sleep(time.Until(began.Add(at)))
 		sent.Go(func() { s.submit(j, first) })
@@ -73,14 +78,17 @@
 	sent.Wait()
 }
 
+// newJob returns a job with one step of shift-close.
 func newJob(rnd *rand.Rand) *job {
-	j := &job{id: fmt.Sprintf("%016x", rnd.Uint64()), done: map[string]bool{}}
 	length := time.Duration((0.7 + 0.6*rnd.Float64()) * float64(taskLength))
-	j.steps = []step{{count: tasksPerStep, cpu: taskCPU, length: length}}
-	if rnd.Float64() < secondStep {
-		j.steps = append(j.steps, step{count: tasksPerStep, cpu: taskCPU, length: length, after: []int{0}})
-	}
-	return j
+	return &job{id: fmt.Sprintf("%016x", rnd.Uint64()), done: map[string]bool{}, steps: []step{{count: tasksPerStep, cpu: taskCPU, length: length}}}
+}
+
+// addStep adds a second step, after the first.
+func (j *job) addStep() {
+	next := j.steps[0]
+	next.after = []int{0}
+	j.steps = append(j.steps, next)
 }
 
 // submit hands a job in, at up to five daemons. It is sent again after no response, 502 and 504, as PROTOCOL.md says, and also where it was refused.
