review: case 12, an incomplete entry under a worker's id makes tasks run twice

PROTOCOL.md says that an entry of another writer, with fields missing, names no worker to use. parseWorker uses an entry with four of the fields. With the address of another worker, the daemon is answered 421 there, takes the worker for terminated and starts its tasks again while they go on (TWICE).

--- a/review/standin3/jobs.go
+++ b/review/standin3/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,9 +34,13 @@
 type jobs struct {
 	mu  sync.Mutex
 	all map[string]*job
+	// live has the runs of each task that go on now.
+	live map[string][]string
+	// twice describes the runs that began while another run of their task went on.
+	twice []string
 }
 
-func newJobs() *jobs { return &jobs{all: map[string]*job{}} }
+func newJobs() *jobs { return &jobs{all: map[string]*job{}, live: map[string][]string{}} }
 
 func (b *jobs) add(j *job) {
 	b.mu.Lock()
@@ -57,10 +62,14 @@
 	return j, &j.steps[n]
 }
 
-// begun records that a task has started, and returns how long it takes and the cpu that it uses.
-func (b *jobs) begun(task string) (time.Duration, int64) {
+// begun records that a run of a task has started, and returns how long it takes and the cpu that it uses.
+func (b *jobs) begun(task, run string) (time.Duration, int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if others := b.live[task]; len(others) > 0 {
+		b.twice = append(b.twice, fmt.Sprintf("TWICE: %s, %s begins while %s goes on", task, run, strings.Join(others, ", ")))
+	}
+	b.live[task] = append(b.live[task], run)
 	j, st := b.find(task)
 	if j == nil {
 		return time.Second, 0
@@ -70,9 +79,11 @@
 	return st.length, st.cpu
 }
 
-func (b *jobs) ended(task, how string) {
+// ended records the end of a run.
+func (b *jobs) ended(task, run, how string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.live[task] = slices.DeleteFunc(b.live[task], func(r string) bool { return r == run })
 	if j, _ := b.find(task); j != nil {
 		j.running--
 		if how == "done" {
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -17,6 +17,7 @@
 
 var cases = map[string]func(*system, bool) ([]string, error){
 	"advice": advice,
+	"entry":  foreignEntry,
 }
 
 const maxTime = 115 * time.Second
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -154,12 +154,12 @@
 		return http.StatusConflict, "old"
 	}
 	step := o.Task[:strings.LastIndexByte(o.Task, '.')]
-	if !w.sys.adviser.valid(step, w, o.Ticket) {
+	if w.sys.adviser != nil && !w.sys.adviser.valid(step, w, o.Ticket) {
 		return http.StatusConflict, "ticket"
 	}
 	x := &run{task: o.Task, num: o.Run, began: time.Now()}
 	var length time.Duration
-	length, x.cpu = w.sys.jobs.begun(o.Task)
+	length, x.cpu = w.sys.jobs.begun(o.Task, fmt.Sprintf("run %d at %s", o.Run, w.id))
 	x.timer = time.AfterFunc(length, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -180,7 +180,7 @@
 	w.lastEnd++
 	w.ended = append(w.ended, []any{w.lastEnd, x.task, x.num, how, ""})
 	w.sys.note("end %s run %d at %s: %s", x.task, x.num, w.id, how)
-	w.sys.jobs.ended(x.task, how)
+	w.sys.jobs.ended(x.task, fmt.Sprintf("run %d at %s", x.num, w.id), how)
 	close(w.wake)
 	w.wake = make(chan struct{})
 }
